--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Behaviour tests; `features.run` runs them all."""
--- /dev/null
+++ b/samphiregate/adapters/http/__init__.py
@@ -0,0 +1,7 @@
+"""HTTP servers and clients with the socket options the project needs."""
+
+from samphiregate.adapters.http._client import Answer
+from samphiregate.adapters.http._client import Client
+from samphiregate.adapters.http._server import NoDelayServer
+
+__all__ = ["Answer", "Client", "NoDelayServer"]
--- /dev/null
+++ b/samphiregate/adapters/http/_client.py
@@ -0,0 +1,131 @@
+"""A pooled HTTP client for one endpoint."""
+
+import socket
+
+import attrs
+import geventhttpclient
+from geventhttpclient import connectionpool
+from geventhttpclient import response as http_response
+import orjson
+
+from samphiregate import errors
+
+
+@attrs.frozen
+class Answer:
+    """A whole HTTP answer.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    headers : dict
+        Header values by lower-case name.
+    body : bytes
+        The whole body.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self):
+        """Returns the body decoded from JSON."""
+        return orjson.loads(self.body)
+
+
+class Client:
+    """Sends requests to one endpoint over pooled connections.
+
+    Parameters
+    ----------
+    endpoint : str
+        ``ip:port`` of the server.
+    connections : int
+        Connections at a time; further callers wait for one.
+    timeout_ms : int
+        Longest wait for connecting and for each read.
+
+    Notes
+    -----
+    The library sends GET and PUT again when a connection breaks, and never
+    a POST. Calls that must take effect at most once are POSTs.
+    """
+
+    def __init__(self, endpoint, *, connections=8, timeout_ms=5_000):
+        host, _colon, port = endpoint.rpartition(":")
+        self.endpoint = endpoint
+        self._client = geventhttpclient.HTTPClient(host, int(port))
+        self._client._connection_pool = _NoDelayPool(
+            host,
+            int(port),
+            host,
+            int(port),
+            size=connections,
+            connection_timeout=timeout_ms / 1000,
+            network_timeout=timeout_ms / 1000,
+        )
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        self.close()
+
+    def close(self):
+        """Closes every pooled connection."""
+        self._client.close()
+
+    def request(self, method, path, *, body=b"", headers=None):
+        """Sends a request and reads the whole answer.
+
+        Returns
+        -------
+        Answer
+
+        Raises
+        ------
+        UnavailableError
+            With `Ran.NO` when no connection could be made, and with
+            `Ran.UNKNOWN` when the answer did not come or was cut short.
+        """
+        try:
+            response = self._client.request(
+                method, path, body=body, headers=headers or {}
+            )
+            content = bytes(response.read())
+        except _NotConnectedError as error:
+            raise errors.UnavailableError(
+                f"no connection to {self.endpoint}"
+            ) from error
+        except (OSError, http_response.HTTPParseError) as error:
+            raise errors.UnavailableError(
+                f"no whole answer from {self.endpoint}",
+                ran=errors.Ran.UNKNOWN,
+            ) from error
+        received = {name.lower(): value for name, value in response.items()}
+        return Answer(response.status_code, received, content)
+
+    def request_json(self, method, path, document, *, headers=None):
+        """Sends `document` as JSON; see `request`."""
+        sent = {"Content-Type": "application/json", **(headers or {})}
+        return self.request(
+            method, path, body=orjson.dumps(document), headers=sent
+        )
+
+
+class _NotConnectedError(Exception):
+    """No connection could be made, so nothing was sent."""
+
+
+class _NoDelayPool(connectionpool.ConnectionPool):
+    """Connections with TCP_NODELAY that tell a failed connect apart."""
+
+    def after_connect(self, sock):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def _create_socket(self):
+        try:
+            return super()._create_socket()
+        except (OSError, RuntimeError) as error:
+            raise _NotConnectedError(str(error)) from error
--- /dev/null
+++ b/samphiregate/core/base/__init__.py
@@ -0,0 +1,27 @@
+"""The contract that every state machine and policy keeps."""
+
+from samphiregate.core.base._machine import StateMachine
+from samphiregate.core.base._messages import Action
+from samphiregate.core.base._messages import Event
+from samphiregate.core.base._messages import Notify
+from samphiregate.core.base._messages import PeerDelivered
+from samphiregate.core.base._messages import PeerMessage
+from samphiregate.core.base._messages import PeerUnreachable
+from samphiregate.core.base._messages import SendToPeer
+from samphiregate.core.base._messages import StopRequested
+from samphiregate.core.base._messages import Tick
+from samphiregate.core.base._policy import Policy
+
+__all__ = [
+    "Action",
+    "Event",
+    "Notify",
+    "PeerDelivered",
+    "PeerMessage",
+    "PeerUnreachable",
+    "Policy",
+    "SendToPeer",
+    "StateMachine",
+    "StopRequested",
+    "Tick",
+]
--- /dev/null
+++ b/samphiregate/core/model/_configuration.py
@@ -0,0 +1,106 @@
+"""The operators' two lists and the keys, at one revision."""
+
+import attrs
+
+
+@attrs.frozen
+class Team:
+    """A customer's entry in the list of plans.
+
+    Parameters
+    ----------
+    name : str
+        Name of the team.
+    plan : str
+        Name of its plan.
+    """
+
+    name: str
+    plan: str
+
+
+@attrs.frozen
+class Plan:
+    """What a plan may use.
+
+    Parameters
+    ----------
+    name : str
+        Name of the plan.
+    share : float
+        Weight of each of its teams when the site is full.
+    max_running : int
+        Upper limit of each of its teams: tasks and requests that may be
+        running at a time, over the whole fleet.
+    queues : tuple of str
+        Queues that its teams may send requests to.
+    work_classes : tuple of str
+        Values of `WorkClass` that its teams may submit.
+    urgent : bool
+        Whether its teams may mark work as urgent.
+    """
+
+    name: str
+    share: float
+    max_running: int
+    queues: tuple[str, ...] = ()
+    work_classes: tuple[str, ...] = ()
+    urgent: bool = False
+
+
+@attrs.frozen
+class Queue:
+    """A named queue of requests.
+
+    Parameters
+    ----------
+    name : str
+        Name of the queue.
+    service : str
+        Service whose runners execute its requests.
+    open_to_all : bool
+        Whether it takes requests without a key.
+    """
+
+    name: str
+    service: str
+    open_to_all: bool = False
+
+
+@attrs.frozen
+class KeyRecord:
+    """A key, of which only the hash is kept.
+
+    Parameters
+    ----------
+    key_hash : str
+        Hexadecimal SHA-256 of the key.
+    key_id : str
+        Public name of the key, shown in lists.
+    team : str
+        Team that it stands for.
+    withdrawn : bool
+        Withdrawal is permanent: no later record clears it.
+    """
+
+    key_hash: str
+    key_id: str
+    team: str
+    withdrawn: bool = False
+
+
+@attrs.frozen
+class Configuration:
+    """Everything operators steer by, at one revision.
+
+    Parameters
+    ----------
+    revision : int
+        Rises by one with each accepted edit; 0 before the first.
+    """
+
+    revision: int = 0
+    teams_by_name: dict[str, Team] = attrs.field(factory=dict)
+    plans_by_name: dict[str, Plan] = attrs.field(factory=dict)
+    queues_by_name: dict[str, Queue] = attrs.field(factory=dict)
+    keys_by_hash: dict[str, KeyRecord] = attrs.field(factory=dict)
--- /dev/null
+++ b/samphiregate/core/model/_resources.py
@@ -0,0 +1,66 @@
+"""Amounts of processor, memory and accelerators."""
+
+import math
+
+import attrs
+
+
+@attrs.frozen
+class Resources:
+    """An amount of each resource.
+
+    Parameters
+    ----------
+    cpu_millis : int
+        Thousandths of a core.
+    memory_mib : int
+        Memory in MiB.
+    accelerators : int
+        Whole accelerators.
+    """
+
+    cpu_millis: int = 0
+    memory_mib: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other):
+        return Resources(
+            self.cpu_millis + other.cpu_millis,
+            self.memory_mib + other.memory_mib,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other):
+        return Resources(
+            self.cpu_millis - other.cpu_millis,
+            self.memory_mib - other.memory_mib,
+            self.accelerators - other.accelerators,
+        )
+
+    def fits_in(self, room):
+        """Returns whether every amount is at most that of `room`."""
+        return (
+            self.cpu_millis <= room.cpu_millis
+            and self.memory_mib <= room.memory_mib
+            and self.accelerators <= room.accelerators
+        )
+
+    def scaled(self, factor):
+        """Returns processor and memory times `factor`, rounded up.
+
+        Accelerators are whole and stay as they are.
+        """
+        return Resources(
+            math.ceil(self.cpu_millis * factor),
+            math.ceil(self.memory_mib * factor),
+            self.accelerators,
+        )
+
+    def dominant_share(self, total):
+        """Returns the largest fraction of `total` over the resources."""
+        pairs = (
+            (self.cpu_millis, total.cpu_millis),
+            (self.memory_mib, total.memory_mib),
+            (self.accelerators, total.accelerators),
+        )
+        return max((part / all_ for part, all_ in pairs if all_), default=0.0)
--- /dev/null
+++ b/samphiregate/parameters/__init__.py
@@ -0,0 +1,7 @@
+"""Declared, checked parameters shared by every policy and state machine."""
+
+from samphiregate.parameters._parameters import Choice
+from samphiregate.parameters._parameters import Interval
+from samphiregate.parameters._parameters import Parameterised
+
+__all__ = ["Choice", "Interval", "Parameterised"]
--- /dev/null
+++ b/samphiregate/timers/__init__.py
@@ -0,0 +1,6 @@
+"""One timer service that every part subscribes to."""
+
+from samphiregate.timers._service import Subscription
+from samphiregate.timers._service import TimerService
+
+__all__ = ["Subscription", "TimerService"]
