--- /dev/null
+++ b/samphiregate/core/jobs/__init__.py
@@ -0,0 +1,17 @@
+"""Owners of jobs: admission, queue, tasks and copies of records."""
+
+from samphiregate.core.jobs._messages import CancelJob
+from samphiregate.core.jobs._messages import JobAnswer
+from samphiregate.core.jobs._messages import JobView
+from samphiregate.core.jobs._messages import ListJobs
+from samphiregate.core.jobs._messages import ShowJob
+from samphiregate.core.jobs._messages import SubmitJob
+
+__all__ = [
+    "CancelJob",
+    "JobAnswer",
+    "JobView",
+    "ListJobs",
+    "ShowJob",
+    "SubmitJob",
+]
--- /dev/null
+++ b/samphiregate/core/jobs/_messages.py
@@ -0,0 +1,111 @@
+"""Calls about jobs from the edge, and their answers."""
+
+import attrs
+
+from samphiregate.core import base
+from samphiregate.core import model
+from samphiregate import errors
+
+
+@attrs.frozen
+class SubmitJob(base.Event):
+    """A caller submits a job.
+
+    Parameters
+    ----------
+    call_id : str
+        Correlates the `JobAnswer`; unique on this entry VM.
+    spec : model.JobSpec
+        The job, with the team that the key stands for. Its `job_id` is
+        empty: admission gives it one.
+    idempotency_key : str
+        Submissions of one team with the same key make one job; empty for
+        none.
+    """
+
+    call_id: str
+    spec: model.JobSpec
+    idempotency_key: str = ""
+
+
+@attrs.frozen
+class ListJobs(base.Event):
+    """A caller lists the jobs of its team that this data centre holds."""
+
+    call_id: str
+    team: str
+
+
+@attrs.frozen
+class ShowJob(base.Event):
+    """A caller asks for one job of its team.
+
+    Parameters
+    ----------
+    wait_ms : int
+        How long to wait for the job to end before answering.
+    """
+
+    call_id: str
+    team: str
+    job_id: str
+    wait_ms: int = 0
+
+
+@attrs.frozen
+class CancelJob(base.Event):
+    """A caller cancels one job of its team."""
+
+    call_id: str
+    team: str
+    job_id: str
+
+
+@attrs.frozen
+class JobView:
+    """A job as shown to its submitter.
+
+    Parameters
+    ----------
+    task_counts_by_state : dict
+        Number of tasks by `model.TaskState` value.
+    attempts : int
+        Starts of its tasks that may have run.
+    """
+
+    job_id: str
+    team: str
+    work_class: model.WorkClass
+    state: model.JobState
+    task_count: int
+    urgent: bool = False
+    attempts: int = 0
+    task_counts_by_state: dict[str, int] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class JobAnswer(base.Action):
+    """The answer to a call about jobs.
+
+    Parameters
+    ----------
+    call_id : str
+        That of the call.
+    jobs : tuple of JobView
+        The job, or the jobs of a list; empty on failure.
+    error : errors.ErrorCode or None
+        Why the call failed.
+    detail : str
+        One sentence for a person.
+    ran : errors.Ran
+        For a failed submission, whether the job may have been accepted.
+    complete : bool
+        For lists, False if some entry VMs did not answer in time.
+    """
+
+    call_id: str
+    jobs: tuple[JobView, ...] = ()
+    error: errors.ErrorCode | None = None
+    detail: str = ""
+    ran: errors.Ran = errors.Ran.NO
+    complete: bool = True
