--- a/samphiregate/core/workers/_messages.py
+++ b/samphiregate/core/workers/_messages.py
@@ -49,8 +49,13 @@
     ----------
     team : str
         Team of the job.
+    work_class : model.WorkClass
+        Class of the job.
     resources : model.Resources
         What the worker reserves for the task.
+    urgent, checkpointable : bool
+        As in the job's specification; the worker reports them back, so that
+        a new owner knows them.
     run_time_ms : int
         Declared run time left; 0 for a service.
     command : str
@@ -60,7 +65,10 @@
     """
 
     team: str
+    work_class: model.WorkClass
     resources: model.Resources
+    urgent: bool = False
+    checkpointable: bool = False
     run_time_ms: int = 0
     command: str = ""
     checkpoint: str = ""
@@ -112,6 +120,9 @@
     attempt: int
     state: WorkerTaskState
     team: str = ""
+    work_class: model.WorkClass = model.WorkClass.BATCH
+    urgent: bool = False
+    checkpointable: bool = False
     reserved: model.Resources = model.Resources()
     used: model.Resources = model.Resources()
     checkpoint: str = ""
@@ -131,6 +142,8 @@
         out no command and renewed no lease.
     epoch : int
         Highest epoch that the worker has seen.
+    clock_ms : int
+        The worker's monotonic clock when it answered.
     tasks : tuple of TaskReport
         Attempts named in the commands, attempts that ended or were refused
         and are not forgotten, and attempts whose use changed; each attempt
@@ -147,6 +160,7 @@
     incarnation: str
     accepted: bool
     epoch: int
+    clock_ms: int
     tasks: tuple[TaskReport, ...] = ()
     full: bool = False
     foreign: model.Resources | None = None
@@ -173,8 +187,10 @@
     incarnation : str
         Expected incarnation; empty to take the inventory of an unknown one,
         which carries no command.
-    lease_ms : int
-        How long the worker's tasks may run without a further exchange.
+    lease_until_ms : int
+        Until when the worker's tasks may run without a further exchange, on
+        the worker's own clock. An exchange that arrives after this time is
+        refused. 0 renews nothing and is never late.
     commands : tuple of Command
         Commands in their order.
     full : bool
@@ -187,7 +203,7 @@
     epoch: int
     sequence: int
     incarnation: str
-    lease_ms: int
+    lease_until_ms: int
     commands: tuple[Command, ...] = ()
     full: bool = False
 
