Add the policies' messages and simple working versions

The other parts need the names of the queueing, placement, preemption, sizing and quarantine policies before these decide well.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,15 @@
+"""Measurements; `python -m bench` runs them.
+
+A bench is a module with `run(settings)` that returns a `Report`; its name
+and module are listed in `BENCHES_BY_NAME`.
+"""
+
+from bench._report import Figure
+from bench._report import Report
+from bench._report import Settings
+
+BENCHES_BY_NAME = {
+    "decisions": "bench.decisions",
+}
+
+__all__ = ["BENCHES_BY_NAME", "Figure", "Report", "Settings"]
--- /dev/null
+++ b/samphiregate/core/placement/__init__.py
@@ -0,0 +1,29 @@
+"""Policies that choose the workers for work, and the book of each worker."""
+
+from samphiregate.core.placement._first_fit import FirstFit
+from samphiregate.core.placement._make import make_placement
+from samphiregate.core.placement._make import PLACEMENTS_BY_NAME
+from samphiregate.core.placement._messages import GangStarved
+from samphiregate.core.placement._messages import GangWithdrawn
+from samphiregate.core.placement._messages import PlaceGang
+from samphiregate.core.placement._messages import PlaceTask
+from samphiregate.core.placement._messages import TaskGone
+from samphiregate.core.placement._messages import TaskPlaced
+from samphiregate.core.placement._messages import WorkerRemoved
+from samphiregate.core.placement._messages import WorkerRoomChanged
+from samphiregate.core.placement._worker_book import WorkerBook
+
+__all__ = [
+    "FirstFit",
+    "GangStarved",
+    "GangWithdrawn",
+    "PLACEMENTS_BY_NAME",
+    "PlaceGang",
+    "PlaceTask",
+    "TaskGone",
+    "TaskPlaced",
+    "WorkerBook",
+    "WorkerRemoved",
+    "WorkerRoomChanged",
+    "make_placement",
+]
--- /dev/null
+++ b/samphiregate/core/placement/_first_fit.py
@@ -0,0 +1,72 @@
+"""First fit over a list of workers: the baseline."""
+
+import functools
+
+from samphiregate.core import base
+from samphiregate.core.placement import _messages
+
+
+class FirstFit(base.Policy):
+    """Places on the first worker, in order of listing, that has room.
+
+    Parameters
+    ----------
+    random_state : random.Random or None
+        Unused; taken so that placement policies can be swapped.
+
+    Notes
+    -----
+    The cost of a decision grows with the number of workers.
+    """
+
+    parameter_table = {}
+
+    def __init__(self, *, random_state=None):
+        self.random_state = random_state
+        self.check_parameters()
+        self.room_by_worker_ = {}
+
+    @functools.singledispatchmethod
+    def observe(self, event, now_ms):
+        """Takes in a placement event; others are ignored."""
+
+    @observe.register
+    def _(self, event: _messages.WorkerRoomChanged, now_ms):
+        self.room_by_worker_[event.worker.worker_id] = event.room
+
+    @observe.register
+    def _(self, event: _messages.WorkerRemoved, now_ms):
+        self.room_by_worker_.pop(event.worker_id, None)
+
+    @functools.singledispatchmethod
+    def choose(self, question, now_ms):
+        """Answers `PlaceTask` and `PlaceGang`; None if nothing fits."""
+        raise TypeError(f"unknown question {type(question).__name__}")
+
+    @choose.register
+    def _(self, question: _messages.PlaceTask, now_ms):
+        for worker_id, room in self.room_by_worker_.items():
+            if worker_id in question.excluded_workers:
+                continue
+            if question.resources.fits_in(room):
+                return worker_id
+        return None
+
+    @choose.register
+    def _(self, question: _messages.PlaceGang, now_ms):
+        places = []
+        for worker_id, room in self.room_by_worker_.items():
+            if worker_id in question.excluded_workers:
+                continue
+            while len(places) < question.count:
+                if not question.resources.fits_in(room):
+                    break
+                room = room - question.resources
+                places.append(worker_id)
+            if len(places) == question.count:
+                return tuple(places)
+        return None
+
+    def describe(self):
+        """Returns the count of workers."""
+        return {"policy": "first-fit", "workers": len(self.room_by_worker_)}
--- /dev/null
+++ b/samphiregate/core/placement/_make.py
@@ -0,0 +1,29 @@
+"""Placement policies by name."""
+
+from samphiregate.core.placement import _first_fit
+from samphiregate import errors
+
+PLACEMENTS_BY_NAME = {
+    "first-fit": _first_fit.FirstFit,
+}
+
+
+def make_placement(name, **params):
+    """Returns a placement policy.
+
+    Parameters
+    ----------
+    name : str
+        One of `PLACEMENTS_BY_NAME`.
+    **params
+        Keyword parameters of its class.
+
+    Raises
+    ------
+    SettingError
+        If the name or a parameter is not allowed.
+    """
+    if name not in PLACEMENTS_BY_NAME:
+        names = ", ".join(PLACEMENTS_BY_NAME)
+        raise errors.SettingError("placement", f"expected one of {names}")
+    return PLACEMENTS_BY_NAME[name](**params)
--- /dev/null
+++ b/samphiregate/core/placement/_worker_book.py
@@ -0,0 +1,202 @@
+"""What one worker has left: capacity, own bookings and foreign use."""
+
+import collections
+
+from samphiregate.core import model
+from samphiregate import parameters
+
+NOTHING = model.Resources()
+
+
+def _largest(first, second):
+    return model.Resources(
+        max(first.cpu_millis, second.cpu_millis),
+        max(first.memory_mib, second.memory_mib),
+        max(first.accelerators, second.accelerators),
+    )
+
+
+def _smallest(first, second):
+    return model.Resources(
+        min(first.cpu_millis, second.cpu_millis),
+        min(first.memory_mib, second.memory_mib),
+        min(first.accelerators, second.accelerators),
+    )
+
+
+def _just_below(resources, capacity):
+    """Returns the most room that a refusal of `resources` leaves possible.
+
+    A resource that was not asked for is not capped.
+    """
+    return model.Resources(
+        (resources.cpu_millis or capacity.cpu_millis + 1) - 1,
+        (resources.memory_mib or capacity.memory_mib + 1) - 1,
+        (resources.accelerators or capacity.accelerators + 1) - 1,
+    )
+
+
+class WorkerBook(parameters.Parameterised):
+    """Books work on one worker that an older scheduler uses too.
+
+    Parameters
+    ----------
+    worker : model.WorkerInfo
+        The worker.
+    foreign_memory_ms : int
+        How long a foreign amount that went down still counts, in
+        milliseconds.
+    report_ttl_ms : int
+        Age of the last report, in milliseconds, from which on the worker
+        has no room for new work.
+    refusal_hold_ms : int
+        How long the first refused start caps the room, in milliseconds;
+        each further one without a start in between doubles it.
+    refusal_hold_cap_ms : int
+        Upper bound of that time, in milliseconds.
+
+    Notes
+    -----
+    Foreign use is the report's total less the report's own tasks, both
+    measured at one instant. So a task that is booked and not yet reported
+    is in neither, and counts once, by its booking; one that is released and
+    still reported is in both, and counts not at all. Foreign use rises with
+    the first report that shows it, and falls once every report within
+    `foreign_memory_ms` shows the lower amount.
+    """
+
+    parameter_table = {
+        "foreign_memory_ms": parameters.Interval(int, 0, 600_000),
+        "report_ttl_ms": parameters.Interval(int, 1, 3_600_000),
+        "refusal_hold_ms": parameters.Interval(int, 1, 600_000),
+        "refusal_hold_cap_ms": parameters.Interval(int, 1, 3_600_000),
+    }
+
+    def __init__(
+        self,
+        worker,
+        *,
+        foreign_memory_ms=5_000,
+        report_ttl_ms=15_000,
+        refusal_hold_ms=1_000,
+        refusal_hold_cap_ms=60_000,
+    ):
+        self.worker = worker
+        self.foreign_memory_ms = foreign_memory_ms
+        self.report_ttl_ms = report_ttl_ms
+        self.refusal_hold_ms = refusal_hold_ms
+        self.refusal_hold_cap_ms = refusal_hold_cap_ms
+        self.check_parameters()
+        self.booking_by_task_ = {}
+        self.used_by_task_ = {}
+        self.report_ms_ = None
+        self.refusals_ = 0
+        self.cap_ = None
+        self.cap_until_ms_ = 0
+        self._foreign_reports = collections.deque()
+
+    def book(self, task_id, resources):
+        """Books an amount for a task, in place of its earlier booking."""
+        self.booking_by_task_[task_id] = resources
+
+    def release(self, task_id):
+        """Ends the booking of a task that surely does not run."""
+        self.booking_by_task_.pop(task_id, None)
+        self.used_by_task_.pop(task_id, None)
+
+    def observe_report(self, used_total, used_by_task, report_ms, now_ms):
+        """Takes in a usage report.
+
+        Parameters
+        ----------
+        used_total : model.Resources
+            All that is in use on the worker, ours and foreign.
+        used_by_task : dict of model.TaskId to model.Resources
+            What each of our tasks uses, measured at the same instant.
+        report_ms : int
+            When it was measured, on the clock of `now_ms`.
+        now_ms : int
+            Monotonic time in milliseconds.
+
+        Notes
+        -----
+        A report older than the last one is ignored.
+        """
+        if self.report_ms_ is not None and report_ms < self.report_ms_:
+            return
+        self.report_ms_ = report_ms
+        foreign = sum(used_by_task.values(), start=NOTHING)
+        foreign = _largest(used_total - foreign, NOTHING)
+        self._foreign_reports.append((report_ms, foreign))
+        self._forget_reports(report_ms)
+        started = used_by_task.keys() & self.booking_by_task_.keys()
+        if started - self.used_by_task_.keys():
+            self._start_seen()
+        self.used_by_task_ = {task: used_by_task[task] for task in started}
+
+    def start_refused(self, resources, now_ms):
+        """Takes in that the worker refused a start for want of room.
+
+        The booking of the refused task is released by the caller. The room
+        stays below `resources` for a while that grows with each refusal.
+        """
+        hold_ms = self.refusal_hold_ms * 2 ** min(self.refusals_, 20)
+        self.refusals_ += 1
+        cap = _just_below(resources, self.worker.capacity)
+        if self.cap_ is not None and now_ms < self.cap_until_ms_:
+            cap = _smallest(cap, self.cap_)
+        self.cap_ = cap
+        self.cap_until_ms_ = now_ms + min(hold_ms, self.refusal_hold_cap_ms)
+
+    def foreign(self):
+        """Returns the foreign use that has to be allowed for."""
+        amounts = (amount for _at, amount in self._foreign_reports)
+        total = NOTHING
+        for amount in amounts:
+            total = _largest(total, amount)
+        return total
+
+    def own(self):
+        """Returns the larger of booking and use, over our tasks."""
+        total = NOTHING
+        for task_id, booking in self.booking_by_task_.items():
+            used = self.used_by_task_.get(task_id, NOTHING)
+            total = total + _largest(booking, used)
+        return total
+
+    def room(self, now_ms):
+        """Returns what may be placed now; never below zero."""
+        if not self._has_fresh_report(now_ms) or self.worker.leaving:
+            return NOTHING
+        room = _largest(self._balance(), NOTHING)
+        if self.cap_ is not None and now_ms < self.cap_until_ms_:
+            room = _smallest(room, self.cap_)
+        return room
+
+    def excess(self):
+        """Returns by how much the worker is over-given; zero if it is not.
+
+        Notes
+        -----
+        Foreign work is not ours to stop, so this is what our own tasks
+        have to give back by throttle, checkpoint or stop.
+        """
+        return _largest(NOTHING - self._balance(), NOTHING)
+
+    def _balance(self):
+        return self.worker.capacity - self.own() - self.foreign()
+
+    def _has_fresh_report(self, now_ms):
+        if self.report_ms_ is None:
+            return False
+        return now_ms - self.report_ms_ < self.report_ttl_ms
+
+    def _forget_reports(self, report_ms):
+        reports = self._foreign_reports
+        oldest_ms = report_ms - self.foreign_memory_ms
+        while len(reports) > 1 and reports[0][0] < oldest_ms:
+            reports.popleft()
+
+    def _start_seen(self):
+        self.refusals_ = 0
+        self.cap_ = None
--- /dev/null
+++ b/samphiregate/core/preemption/__init__.py
@@ -0,0 +1,8 @@
+"""Policies that choose which running work makes room for urgent work."""
+
+from samphiregate.core.preemption._messages import TaskOver
+from samphiregate.core.preemption._messages import TaskRunning
+from samphiregate.core.preemption._messages import VictimQuestion
+from samphiregate.core.preemption._messages import Victims
+
+__all__ = ["TaskOver", "TaskRunning", "VictimQuestion", "Victims"]
--- /dev/null
+++ b/samphiregate/core/quarantine/__init__.py
@@ -0,0 +1,19 @@
+"""Workers that fail what they start, and jobs that fail everywhere."""
+
+from samphiregate.core.quarantine._judge import FailureJudge
+from samphiregate.core.quarantine._messages import JobForgotten
+from samphiregate.core.quarantine._messages import MayRetryJob
+from samphiregate.core.quarantine._messages import MayUseWorker
+from samphiregate.core.quarantine._messages import TaskBegun
+from samphiregate.core.quarantine._messages import TaskEnded
+from samphiregate.core.quarantine._messages import WorkerForgotten
+
+__all__ = [
+    "FailureJudge",
+    "JobForgotten",
+    "MayRetryJob",
+    "MayUseWorker",
+    "TaskBegun",
+    "TaskEnded",
+    "WorkerForgotten",
+]
