--- a/samphiregate/core/base/__init__.py
+++ b/samphiregate/core/base/__init__.py
@@ -1,5 +1,6 @@
 """The contract that every state machine and policy keeps."""
 
+from samphiregate.core.base._chart import Chart
 from samphiregate.core.base._machine import StateMachine
 from samphiregate.core.base._messages import Action
 from samphiregate.core.base._messages import Event
@@ -14,6 +15,7 @@
 
 __all__ = [
     "Action",
+    "Chart",
     "Event",
     "Notify",
     "PeerDelivered",
--- a/samphiregate/core/base/_chart.py
+++ b/samphiregate/core/base/_chart.py
@@ -1,77 +1,60 @@
-"""State charts kept in YAML files and compiled into tables."""
+"""State charts that stand in YAML files and that the code interprets."""
 
-import importlib.resources
+import pathlib
 
-import attrs
-from sismic import io as sismic_io
-from sismic import model as sismic_model
+import ruamel.yaml
 
 
-@attrs.frozen
 class Chart:
-    """A flat state chart, compiled for one look-up an event.
+    """A flat state chart, read once into a table of transitions.
 
     Parameters
     ----------
     name : str
         Name of the chart.
     initial : str
-        State of a new instance.
-    table : dict
-        Next state by state and event.
-    """
-
-    name: str
-    initial: str
-    table: dict[tuple[str, str], str] = attrs.field(repr=False)
-
-    def next_state(self, state, event):
-        """Returns the state after `event`, or None if it changes nothing."""
-        return self.table.get((state, event))
-
-
-def load_chart(package, file_name):
-    """Reads a chart in the YAML format of sismic.
-
-    Parameters
-    ----------
-    package : str
-        Package that holds the file.
-    file_name : str
-        Its name.
-
-    Returns
-    -------
-    Chart
+        State in which it starts.
+    target_by_step : dict
+        Target state, keyed by state and event.
 
     Notes
     -----
-    Interpreting a chart event by event is too slow for one task, so the
-    transitions are put into a table once. Transitions of a compound state
-    hold in each state inside it. Guards and actions are not used.
+    The files are in the format of the sismic library, so that its tools
+    can draw and check them; a table answers faster than its interpreter.
     """
-    text = (
-        importlib.resources.files(package)
-        .joinpath(file_name)
-        .read_text(encoding="utf-8")
-    )
-    chart = sismic_io.import_from_yaml(text)
-    table = {}
-    for name in chart.states:
-        for event, target in _transitions(chart, name):
-            table.setdefault((name, event), target)
-    return Chart(chart.name, _initial(chart, chart.root), table)
 
+    def __init__(self, *, name, initial, target_by_step):
+        self.name = name
+        self.initial = initial
+        self.target_by_step = target_by_step
+
+    @classmethod
+    def load(cls, path):
+        """Reads a chart from a YAML file.
+
+        Parameters
+        ----------
+        path : str or pathlib.Path
+            The file.
+
+        Returns
+        -------
+        Chart
+        """
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+        document = ruamel.yaml.YAML(typ="safe").load(text)["statechart"]
+        root = document["root state"]
+        target_by_step = {
+            (state["name"], transition["event"]): transition["target"]
+            for state in root["states"]
+            for transition in state.get("transitions", ())
+        }
+        return cls(
+            name=document["name"],
+            initial=root["initial"],
+            target_by_step=target_by_step,
+        )
 
-def _transitions(chart, name):
-    for ancestor in [name, *chart.ancestors_for(name)]:
-        for transition in chart.transitions_from(ancestor):
-            target = transition.target or ancestor
-            yield transition.event, _initial(chart, target)
-
-
-def _initial(chart, name):
-    state = chart.state_for(name)
-    while isinstance(state, sismic_model.CompoundState):
-        state = chart.state_for(state.initial)
-    return state.name
+    def next_state(self, state, event):
+        """Returns the state after `event`; `state` if nothing is said."""
+        return self.target_by_step.get((state, event), state)
--- a/samphiregate/core/jobs/__init__.py
+++ b/samphiregate/core/jobs/__init__.py
@@ -6,10 +6,12 @@
 from samphiregate.core.jobs._messages import ListJobs
 from samphiregate.core.jobs._messages import ShowJob
 from samphiregate.core.jobs._messages import SubmitJob
+from samphiregate.core.jobs._owner import JobOwner
 
 __all__ = [
     "CancelJob",
     "JobAnswer",
+    "JobOwner",
     "JobView",
     "ListJobs",
     "ShowJob",
--- /dev/null
+++ b/samphiregate/core/jobs/_calls.py
@@ -0,0 +1,251 @@
+"""Callers' calls on the entry VM that they reached."""
+
+import functools
+import hashlib
+
+import attrs
+
+from samphiregate.core import base
+from samphiregate.core.jobs import _messages
+from samphiregate.core.jobs import _peer
+from samphiregate.core import model
+from samphiregate import errors
+
+ID_HEX_DIGITS = 20
+ID_BITS = 80
+HOPS_MAX = 3
+
+
+def data_centre_of(job_id):
+    """Returns the data centre that a job's id names; empty if none."""
+    return job_id.rpartition("-")[0]
+
+
+@attrs.define
+class PendingCall:
+    """A call that has no answer yet.
+
+    Parameters
+    ----------
+    message : base.PeerMessage
+        What is sent, again and again, until there is an answer.
+    asked : set of str
+        For lists, entry VMs that have not answered.
+    views : list of JobView
+        For lists, what was answered so far.
+    """
+
+    message: base.PeerMessage
+    data_centre: str
+    deadline_ms: int
+    next_try_ms: int
+    asked: set[str] = attrs.field(factory=set)
+    views: list[_messages.JobView] = attrs.field(factory=list)
+
+
+class Calls:
+    """Forwards calls to the owners of jobs, until they are answered.
+
+    Parameters
+    ----------
+    vm_id, data_centre : str
+        This entry VM and its data centre.
+    ownership, membership : object
+        Tell the owner of a shard, and who is alive.
+    random_state : random.Random
+        Makes job ids, and chooses entry VMs of other data centres.
+    shard_count : int
+        Shards of each data centre.
+    timeout_ms : int
+        Longest time of a call, without the time that it asks to wait.
+    retry_ms : int
+        Time after which a call is forwarded again; owners recognise it.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm_id,
+        data_centre,
+        ownership,
+        membership,
+        random_state,
+        shard_count,
+        timeout_ms,
+        retry_ms,
+    ):
+        self._vm_id = vm_id
+        self._data_centre = data_centre
+        self._ownership = ownership
+        self._membership = membership
+        self._random = random_state
+        self._shard_count = shard_count
+        self._timeout_ms = timeout_ms
+        self._retry_ms = retry_ms
+        self._data_centres = (data_centre,)
+        self._pending_by_id = {}
+
+    def take_data_centres(self, names):
+        """Takes in which data centres there are."""
+        known = {self._data_centre, *names}
+        self._data_centres = tuple(sorted(known))
+
+    @functools.singledispatchmethod
+    def take(self, event, now_ms):
+        """Takes a call and returns actions."""
+        raise TypeError(f"unknown call {type(event).__name__}")
+
+    @take.register
+    def _(self, event: _messages.SubmitJob, now_ms):
+        job_id = self._new_job_id(event)
+        spec = attrs.evolve(event.spec, job_id=job_id)
+        message = _peer.ForwardSubmit(self._vm_id, event.call_id, spec)
+        return self._begin(event.call_id, message, job_id, 0, now_ms)
+
+    @take.register
+    def _(self, event: _messages.ShowJob, now_ms):
+        message = _peer.ForwardShow(
+            self._vm_id,
+            event.call_id,
+            event.team,
+            event.job_id,
+            event.wait_ms,
+        )
+        return self._begin(
+            event.call_id, message, event.job_id, event.wait_ms, now_ms
+        )
+
+    @take.register
+    def _(self, event: _messages.CancelJob, now_ms):
+        message = _peer.ForwardCancel(
+            self._vm_id, event.call_id, event.team, event.job_id
+        )
+        return self._begin(event.call_id, message, event.job_id, 0, now_ms)
+
+    @take.register
+    def _(self, event: _messages.ListJobs, now_ms):
+        message = _peer.ForwardList(self._vm_id, event.call_id, event.team)
+        alive = self._membership.alive_ids(self._data_centre)
+        asked = {self._vm_id, *alive}
+        self._pending_by_id[event.call_id] = PendingCall(
+            message,
+            self._data_centre,
+            now_ms + self._timeout_ms,
+            now_ms + self._retry_ms,
+            asked=asked,
+        )
+        return [base.SendToPeer(vm_id, message) for vm_id in sorted(asked)]
+
+    def pass_on(self, message, now_ms):
+        """Returns actions that bring a message nearer to its owner."""
+        if message.hops >= HOPS_MAX:
+            return []
+        target = self._target_of(message)
+        if target is None or target == self._vm_id:
+            return []
+        onward = attrs.evolve(message, hops=message.hops + 1)
+        return [base.SendToPeer(target, onward)]
+
+    def answered(self, sender, answer, now_ms):
+        """Takes in an owner's answer; late ones are dropped."""
+        pending = self._pending_by_id.get(answer.call_id)
+        if pending is None:
+            return []
+        if not isinstance(pending.message, _peer.ForwardList):
+            del self._pending_by_id[answer.call_id]
+            return [answer]
+        if sender not in pending.asked:
+            return []
+        pending.asked.discard(sender)
+        pending.views += answer.jobs
+        if pending.asked:
+            return []
+        return [self._listed(answer.call_id)]
+
+    def tick(self, now_ms):
+        """Forwards again, and ends calls whose time is over."""
+        actions = []
+        for call_id, pending in tuple(self._pending_by_id.items()):
+            if now_ms >= pending.deadline_ms:
+                actions.append(self._timed_out(call_id, pending))
+            elif now_ms >= pending.next_try_ms:
+                pending.next_try_ms = now_ms + self._retry_ms
+                actions += self._send(pending)
+        return actions
+
+    def _begin(self, call_id, message, job_id, wait_ms, now_ms):
+        data_centre = data_centre_of(job_id)
+        if data_centre not in self._data_centres:
+            detail = "there is no such job"
+            error = errors.ErrorCode.NOT_FOUND
+            return [_messages.JobAnswer(call_id, error=error, detail=detail)]
+        pending = PendingCall(
+            message,
+            data_centre,
+            now_ms + wait_ms + self._timeout_ms,
+            now_ms + self._retry_ms,
+        )
+        self._pending_by_id[call_id] = pending
+        return self._send(pending)
+
+    def _send(self, pending):
+        if isinstance(pending.message, _peer.ForwardList):
+            return [
+                base.SendToPeer(vm_id, pending.message)
+                for vm_id in sorted(pending.asked)
+            ]
+        target = self._target_of(pending.message)
+        if target is None:
+            return []
+        return [base.SendToPeer(target, pending.message)]
+
+    def _target_of(self, message):
+        job_id = job_id_of(message)
+        data_centre = data_centre_of(job_id)
+        shard = model.shard_of(job_id, data_centre, self._shard_count)
+        entry = self._ownership.entry_of(shard)
+        if entry is not None and entry.owner:
+            return entry.owner
+        if data_centre == self._data_centre:
+            return None
+        alive = sorted(self._membership.alive_ids(data_centre))
+        return self._random.choice(alive) if alive else None
+
+    def _timed_out(self, call_id, pending):
+        if isinstance(pending.message, _peer.ForwardList):
+            return self._listed(call_id)
+        del self._pending_by_id[call_id]
+        is_submit = isinstance(pending.message, _peer.ForwardSubmit)
+        return _messages.JobAnswer(
+            call_id,
+            error=errors.ErrorCode.UNAVAILABLE,
+            detail="the owner of the job did not answer",
+            ran=errors.Ran.UNKNOWN if is_submit else errors.Ran.NO,
+        )
+
+    def _listed(self, call_id):
+        pending = self._pending_by_id.pop(call_id)
+        views = sorted(pending.views, key=lambda view: view.job_id)
+        return _messages.JobAnswer(
+            call_id, tuple(views), complete=not pending.asked
+        )
+
+    def _new_job_id(self, event):
+        if not event.idempotency_key:
+            number = self._random.getrandbits(ID_BITS)
+            return f"{self._data_centre}-{number:020x}"
+        name = f"{event.spec.team}\0{event.idempotency_key}".encode()
+        digest = hashlib.sha256(name).hexdigest()[:ID_HEX_DIGITS]
+        home = max(self._data_centres, key=lambda one: _weight(one, name))
+        return f"{home}-{digest}"
+
+
+def _weight(data_centre, name):
+    return hashlib.sha256(data_centre.encode() + b"\0" + name).digest()
+
+
+def job_id_of(message):
+    """Returns the id of the job that a forwarded call is about."""
+    if isinstance(message, _peer.ForwardSubmit):
+        return message.spec.job_id
+    return message.job_id
--- /dev/null
+++ b/samphiregate/core/jobs/_copies.py
@@ -0,0 +1,330 @@
+"""Soft copies of job records on other entry VMs."""
+
+import attrs
+
+from samphiregate.core import base
+from samphiregate.core.jobs import _peer
+from samphiregate.core import model
+
+
+@attrs.define
+class KeptShard:
+    """Copies of one shard's jobs, kept for its owner.
+
+    Parameters
+    ----------
+    epoch : int
+        Lowest epoch whose copies are still taken.
+    """
+
+    epoch: int = 0
+    refreshed_ms: int = 0
+    copies_by_id: dict[str, _peer.JobCopy] = attrs.field(factory=dict)
+
+
+class CopyKeeper:
+    """Keeps copies for the owners of shards.
+
+    Parameters
+    ----------
+    data_centre : str
+        Data centre of the shards.
+    """
+
+    def __init__(self, *, data_centre):
+        self._data_centre = data_centre
+        self.shards_by_id_ = {}
+
+    def keep(self, message, now_ms):
+        """Takes copies in; returns `JobsKept`, or None from a stale owner."""
+        kept = self._kept(message.shard_number)
+        if message.epoch < kept.epoch:
+            return None
+        kept.epoch = message.epoch
+        kept.refreshed_ms = now_ms
+        for copy in message.copies:
+            self._take(kept, copy)
+        missing = [
+            marks.job_id for marks in message.marks if not _apply(kept, marks)
+        ]
+        for job_id in message.dropped:
+            kept.copies_by_id.pop(job_id, None)
+        return _peer.JobsKept(
+            message.shard_number,
+            message.epoch,
+            message.sequence,
+            tuple(missing),
+        )
+
+    def tell(self, message):
+        """Returns the copies of a shard, or None to a stale owner."""
+        kept = self._kept(message.shard_number)
+        if message.epoch < kept.epoch:
+            return None
+        kept.epoch = message.epoch
+        copies = tuple(kept.copies_by_id.values())
+        return _peer.JobsOfShard(message.shard_number, message.epoch, copies)
+
+    def release(self, shard):
+        """Returns and forgets the copies of a shard."""
+        kept = self.shards_by_id_.pop(shard, None)
+        return tuple(kept.copies_by_id.values()) if kept else ()
+
+    def hold(self, shard, epoch, copies, now_ms):
+        """Keeps copies of a shard that this entry VM has owned."""
+        kept = self._kept(shard.number)
+        kept.epoch = max(kept.epoch, epoch)
+        kept.refreshed_ms = now_ms
+        for copy in copies:
+            self._take(kept, copy)
+
+    def expire(self, shard):
+        """Drops the copies of a shard that another entry VM keeps."""
+        kept = self.shards_by_id_.get(shard)
+        if kept is not None:
+            kept.copies_by_id.clear()
+
+    def _kept(self, number):
+        shard = model.ShardId(self._data_centre, number)
+        return self.shards_by_id_.setdefault(shard, KeptShard())
+
+    @staticmethod
+    def _take(kept, copy):
+        known = kept.copies_by_id.get(copy.spec.job_id)
+        if known is None or known.version <= copy.version:
+            kept.copies_by_id[copy.spec.job_id] = copy
+
+
+def _apply(kept, marks):
+    """Returns whether the copy is now at least at the marks' version."""
+    copy = kept.copies_by_id.get(marks.job_id)
+    if copy is None:
+        return False
+    if copy.version >= marks.version:
+        return True
+    if copy.version != marks.base_version:
+        return False
+    by_index = {mark.index: mark for mark in copy.marks}
+    by_index.update((mark.index, mark) for mark in marks.marks)
+    kept.copies_by_id[marks.job_id] = attrs.evolve(
+        copy,
+        version=marks.version,
+        cancelled=marks.cancelled,
+        marks=tuple(by_index.values()),
+    )
+    return True
+
+
+@attrs.define(eq=False)
+class Deferred:
+    """What is done once all of `holders` keep a change.
+
+    Parameters
+    ----------
+    actions : list of base.Action
+        Carried out then.
+    """
+
+    actions: list[base.Action]
+    holders: set[str]
+
+
+@attrs.define
+class Flight:
+    """One `KeepJobs` that is not answered yet."""
+
+    job_ids: tuple[str, ...]
+    deferred: tuple[Deferred, ...]
+    sent_ms: int
+
+
+@attrs.define
+class HolderState:
+    """What one holder has been sent of one shard."""
+
+    flights_by_sequence: dict[int, Flight] = attrs.field(factory=dict)
+    refreshed_ms: int = 0
+
+
+class CopySender:
+    """Copies the jobs of one owned shard to its holders.
+
+    Parameters
+    ----------
+    shard : model.ShardId
+        The shard.
+    epoch : int
+        Epoch of its owner.
+    jobs_by_id : dict of str to JobRecord
+        Its jobs; shared with the owner.
+    retry_ms : int
+        Time after which a copy that is not answered is sent again.
+    refresh_ms : int
+        Longest time between two messages to a holder.
+    """
+
+    def __init__(self, *, shard, epoch, jobs_by_id, retry_ms, refresh_ms):
+        self._shard = shard
+        self._epoch = epoch
+        self._jobs_by_id = jobs_by_id
+        self._retry_ms = retry_ms
+        self._refresh_ms = refresh_ms
+        self._sequence = 0
+        self._holders_by_id = {}
+        self._dirty_by_id = {}
+        self._deferred = []
+        self._dropped = []
+        self._ready = []
+
+    def touch(self, job):
+        """A job changed; it is copied with the next flush."""
+        self._dirty_by_id[job.spec.job_id] = job
+
+    def is_kept(self, job_id):
+        """Returns whether every change of a job has been answered for."""
+        if job_id in self._dirty_by_id:
+            return False
+        return not any(
+            job_id in flight.job_ids
+            for state in self._holders_by_id.values()
+            for flight in state.flights_by_sequence.values()
+        )
+
+    def defer(self, action):
+        """Holds an action back until the present changes are kept."""
+        self._deferred.append(action)
+
+    def drop(self, job_id):
+        """Tells the holders to forget a job."""
+        self._dropped.append(job_id)
+
+    def set_holders(self, vm_ids, now_ms):
+        """Copies everything to new holders; forgets those that left."""
+        orphans = []
+        for vm_id in tuple(self._holders_by_id):
+            if vm_id not in vm_ids:
+                orphans += self._remove(vm_id)
+        new_ids = [one for one in vm_ids if one not in self._holders_by_id]
+        for vm_id in new_ids:
+            self._holders_by_id[vm_id] = HolderState()
+        if not self._holders_by_id:
+            self._settle(orphans)
+            return []
+        if new_ids:
+            for deferred in orphans:
+                deferred.holders.update(new_ids)
+        else:
+            self._settle([one for one in orphans if not one.holders])
+        everything = tuple(self._jobs_by_id)
+        return [
+            self._send(vm_id, everything, tuple(orphans), now_ms)
+            for vm_id in new_ids
+        ]
+
+    def answered(self, holder_id, message, now_ms):
+        """Takes in `JobsKept`; returns what has to be sent again."""
+        state = self._holders_by_id.get(holder_id)
+        if state is None:
+            return []
+        flight = state.flights_by_sequence.pop(message.sequence, None)
+        if flight is None:
+            return []
+        if message.missing:
+            return [
+                self._send(holder_id, message.missing, flight.deferred, now_ms)
+            ]
+        for deferred in flight.deferred:
+            deferred.holders.discard(holder_id)
+        self._settle([one for one in flight.deferred if not one.holders])
+        return []
+
+    def flush(self, now_ms):
+        """Sends what changed, and returns all actions that are due."""
+        actions = self._send_changes(now_ms)
+        actions += self._send_again(now_ms)
+        ready, self._ready = self._ready, []
+        return actions + ready
+
+    def _send_changes(self, now_ms):
+        if not (self._dirty_by_id or self._deferred or self._dropped):
+            return []
+        dirty = tuple(self._dirty_by_id.values())
+        self._dirty_by_id = {}
+        copies, marks = [], []
+        for job in dirty:
+            base_version = job.version
+            job.version += 1
+            if job.is_new:
+                copies.append(job.copy())
+            else:
+                marks.append(job.marks(base_version))
+            job.is_new = False
+            job.changed.clear()
+        actions, self._deferred = self._deferred, []
+        dropped, self._dropped = tuple(self._dropped), []
+        deferred = Deferred(actions, set(self._holders_by_id))
+        if not self._holders_by_id:
+            self._settle([deferred])
+            return []
+        self._sequence += 1
+        message = _peer.KeepJobs(
+            self._shard.number,
+            self._epoch,
+            self._sequence,
+            tuple(copies),
+            tuple(marks),
+            dropped,
+        )
+        job_ids = tuple(job.spec.job_id for job in dirty)
+        for state in self._holders_by_id.values():
+            state.refreshed_ms = now_ms
+            state.flights_by_sequence[self._sequence] = Flight(
+                job_ids, (deferred,), now_ms
+            )
+        return [
+            base.SendToPeer(vm_id, message) for vm_id in self._holders_by_id
+        ]
+
+    def _send_again(self, now_ms):
+        actions = []
+        for vm_id, state in self._holders_by_id.items():
+            flights = state.flights_by_sequence
+            for sequence, flight in tuple(flights.items()):
+                if now_ms - flight.sent_ms >= self._retry_ms:
+                    del flights[sequence]
+                    actions.append(
+                        self._send(
+                            vm_id, flight.job_ids, flight.deferred, now_ms
+                        )
+                    )
+            if now_ms - state.refreshed_ms >= self._refresh_ms:
+                actions.append(self._send(vm_id, (), (), now_ms))
+        return actions
+
+    def _send(self, vm_id, job_ids, deferred, now_ms):
+        self._sequence += 1
+        known = [one for one in job_ids if one in self._jobs_by_id]
+        copies = tuple(self._jobs_by_id[one].copy() for one in known)
+        state = self._holders_by_id[vm_id]
+        state.refreshed_ms = now_ms
+        state.flights_by_sequence[self._sequence] = Flight(
+            tuple(known), tuple(deferred), now_ms
+        )
+        message = _peer.KeepJobs(
+            self._shard.number, self._epoch, self._sequence, copies
+        )
+        return base.SendToPeer(vm_id, message)
+
+    def _remove(self, vm_id):
+        state = self._holders_by_id.pop(vm_id)
+        orphans = []
+        for flight in state.flights_by_sequence.values():
+            for deferred in flight.deferred:
+                deferred.holders.discard(vm_id)
+                orphans.append(deferred)
+        return orphans
+
+    def _settle(self, deferred):
+        for one in deferred:
+            self._ready += one.actions
+            one.actions = []
--- /dev/null
+++ b/samphiregate/core/jobs/_dispatch.py
@@ -0,0 +1,268 @@
+"""Takes tasks from the queue and orders them from owners of workers."""
+
+import heapq
+
+import attrs
+
+from samphiregate.core.jobs import _records
+from samphiregate.core import model
+from samphiregate.core import queueing
+from samphiregate.core import workers
+
+SKIPPED_ITEMS_MAX = 32
+AVOIDED_RACKS_MAX = 8
+GANG_INDEX = "gang"
+
+
+@attrs.frozen
+class Waiting:
+    """What stands behind an item of the queue; no task for a gang."""
+
+    shard: object
+    job: _records.JobRecord
+    task: _records.TaskRecord | None
+
+
+class Dispatcher:
+    """Orders queued tasks while there seems to be room.
+
+    Parameters
+    ----------
+    queue : base.Policy
+        Queue policy over the jobs of this entry VM.
+    rooms : RoomEstimates
+        Chooses the recipient of an order.
+    orders : OrderBook
+        Takes orders.
+    window : int
+        Orders that may be without news at a time.
+    team_retry_ms : int
+        How long a team that had no token is passed over.
+    urgent_retry_ms : int
+        Time between two attempts to make room for an urgent task.
+    """
+
+    def __init__(
+        self,
+        *,
+        queue,
+        rooms,
+        orders,
+        window,
+        team_retry_ms,
+        urgent_retry_ms,
+    ):
+        self.queue = queue
+        self.rooms = rooms
+        self.orders = orders
+        self.racks_by_worker = {}
+        self._window = window
+        self._team_retry_ms = team_retry_ms
+        self._urgent_retry_ms = urgent_retry_ms
+        self._waiting_by_item = {}
+        self._flying = {}
+        self._team_retry_by_name = {}
+        self._later = []
+        self._order_later = 0
+        self._is_due = False
+        self.usage_by_team = {}
+
+    @property
+    def queued_count(self):
+        """Number of items in the queue."""
+        return len(self._waiting_by_item)
+
+    def wake(self):
+        """Something changed: the queue is looked at again."""
+        self._is_due = True
+
+    def enqueue(self, shard, job, task, now_ms, *, at_front=False):
+        """Queues a task, now or when its time has come."""
+        if task.not_before_ms > now_ms:
+            self._order_later += 1
+            entry = (task.not_before_ms, self._order_later, shard, job, task)
+            heapq.heappush(self._later, entry)
+            return
+        spec = job.spec
+        item_id = item_id_of(spec.job_id, task.index)
+        self._add(item_id, Waiting(shard, job, task), 1, now_ms, at_front)
+
+    def enqueue_gang(self, shard, job, now_ms, *, at_front=False):
+        """Queues the tasks of a gang that have not ended, as one item."""
+        units = job.count_by_state.get(_records.QUEUED, 0)
+        item_id = item_id_of(job.spec.job_id, GANG_INDEX)
+        waiting = Waiting(shard, job, None)
+        self._add(item_id, waiting, units, now_ms, at_front)
+
+    def withdraw(self, job_id, index, now_ms):
+        """Takes an item out of the queue; unknown ones are ignored."""
+        item_id = item_id_of(job_id, index)
+        if self._waiting_by_item.pop(item_id, None) is not None:
+            self.queue.observe(queueing.ItemRemoved(item_id), now_ms)
+
+    def withdraw_shard(self, shard, now_ms):
+        """Takes out all items of a shard that was lost."""
+        for item_id, waiting in tuple(self._waiting_by_item.items()):
+            if waiting.shard is shard:
+                del self._waiting_by_item[item_id]
+                self.queue.observe(queueing.ItemRemoved(item_id), now_ms)
+        self._flying = {
+            attempt_id: True
+            for attempt_id in self._flying
+            if attempt_id.task_id.job_id not in shard.jobs_by_id
+        }
+        self._later = [one for one in self._later if one[2] is not shard]
+        heapq.heapify(self._later)
+
+    def heard(self, attempt_id):
+        """There was news of an attempt: its order is no longer flying."""
+        if self._flying.pop(attempt_id, None):
+            self._is_due = True
+
+    def no_token(self, team, now_ms):
+        """Passes a team over for a while."""
+        self._team_retry_by_name[team] = now_ms + self._team_retry_ms
+
+    def ended(self, job, task, now_ms):
+        """The attempt of a task surely does not run any more."""
+        spec = job.spec
+        self._is_due = True
+        used = self.usage_by_team.get(spec.team, spec.resources)
+        self.usage_by_team[spec.team] = used - spec.resources
+        event = queueing.ItemEnded(spec.team, spec.resources, spec.work_class)
+        self.queue.observe(event, now_ms)
+
+    def started(self, job, now_ms):
+        """Charges a task to its team."""
+        spec = job.spec
+        used = self.usage_by_team.get(spec.team, model.Resources())
+        self.usage_by_team[spec.team] = used + spec.resources
+        event = queueing.ItemStarted(
+            spec.team, spec.resources, spec.work_class
+        )
+        self.queue.observe(event, now_ms)
+
+    def tick(self, now_ms):
+        """Queues the tasks whose time has come."""
+        while self._later and self._later[0][0] <= now_ms:
+            _at, _order, shard, job, task = heapq.heappop(self._later)
+            if task.state == _records.QUEUED:
+                self.enqueue(shard, job, task, now_ms)
+        if self._team_retry_by_name or self._waiting_by_item:
+            self._is_due = True
+
+    def run(self, now_ms, start_gang):
+        """Orders what can be ordered now.
+
+        Parameters
+        ----------
+        start_gang : callable
+            Starts to place a gang; returns whether it could.
+        """
+        if not self._is_due:
+            return
+        self._is_due = False
+        skipped_teams = self._skipped_teams(now_ms)
+        skipped = set()
+        while len(self._flying) < self._window:
+            if len(skipped) > SKIPPED_ITEMS_MAX:
+                return
+            question = queueing.NextItem(skipped_teams, frozenset(skipped))
+            item = self.queue.choose(question, now_ms)
+            if item is None:
+                return
+            waiting = self._waiting_by_item[item.item_id]
+            if not self._dispatch(waiting, now_ms, start_gang):
+                skipped.add(item.item_id)
+
+    def order(self, waiting, vm_id, now_ms, reservation=""):
+        """Orders one queued task from an entry VM."""
+        job, task = waiting.job, waiting.task
+        task.attempt = waiting.shard.next_attempt()
+        task.vm_id = vm_id
+        task.worker_id = ""
+        task.ordered_ms = task.asked_ms = now_ms
+        job.step(task, "ordered")
+        order = self._order_of(job, task, reservation)
+        self.orders.run(vm_id, order)
+        attempt_id = workers.AttemptId(order.task_id, order.attempt)
+        self._flying[attempt_id] = True
+        self.rooms.ordered(vm_id, job.spec.resources)
+        self.started(job, now_ms)
+
+    def _add(self, item_id, waiting, units, now_ms, at_front):
+        spec = waiting.job.spec
+        self._is_due = True
+        self._waiting_by_item[item_id] = waiting
+        item = queueing.QueuedItem(
+            item_id,
+            spec.team,
+            spec.work_class,
+            spec.resources,
+            units=units,
+            urgent=spec.urgent,
+            enqueued_ms=waiting.job.queued_ms,
+        )
+        self.queue.observe(queueing.ItemQueued(item, at_front), now_ms)
+
+    def _dispatch(self, waiting, now_ms, start_gang):
+        if waiting.task is None:
+            if not start_gang(waiting.shard, waiting.job, now_ms):
+                return False
+            self.withdraw(waiting.job.spec.job_id, GANG_INDEX, now_ms)
+            return True
+        vm_id = self._choose_vm(waiting, now_ms)
+        if vm_id is None:
+            return False
+        self.withdraw(waiting.job.spec.job_id, waiting.task.index, now_ms)
+        self.order(waiting, vm_id, now_ms)
+        return True
+
+    def _choose_vm(self, waiting, now_ms):
+        spec, task = waiting.job.spec, waiting.task
+        vm_id = self.rooms.choose(spec.resources)
+        if vm_id is None and spec.urgent and now_ms >= task.asked_ms:
+            task.asked_ms = now_ms + self._urgent_retry_ms
+            vm_id = self.rooms.choose_full(spec.resources)
+        return vm_id
+
+    def _skipped_teams(self, now_ms):
+        self._team_retry_by_name = {
+            team: until_ms
+            for team, until_ms in self._team_retry_by_name.items()
+            if until_ms > now_ms
+        }
+        return frozenset(self._team_retry_by_name)
+
+    def _order_of(self, job, task, reservation):
+        spec = job.spec
+        return workers.TaskOrder(
+            model.TaskId(spec.job_id, task.index),
+            task.attempt,
+            team=spec.team,
+            work_class=spec.work_class,
+            resources=spec.resources,
+            run_time_ms=task.remaining_ms,
+            urgent=spec.urgent,
+            checkpointable=spec.checkpointable,
+            command=spec.command,
+            checkpoint=task.checkpoint,
+            avoided_racks=self._racks_of(job),
+            avoided_workers=task.failed_workers,
+            reservation=reservation,
+        )
+
+    def _racks_of(self, job):
+        if job.spec.work_class is not model.WorkClass.SERVICE:
+            return ()
+        racks = {
+            self.racks_by_worker.get(task.worker_id, "")
+            for task in job.tasks
+            if task.is_live and task.worker_id
+        }
+        return tuple(sorted(racks - {""}))[:AVOIDED_RACKS_MAX]
+
+
+def item_id_of(job_id, index):
+    """Returns the queue's name of a task, or of a gang."""
+    return f"{job_id}/{index}"
--- /dev/null
+++ b/samphiregate/core/jobs/_orders.py
@@ -0,0 +1,48 @@
+"""Orders to the owners of workers, batched by recipient."""
+
+from samphiregate.core import base
+from samphiregate.core import workers
+
+
+class OrderBook:
+    """Batches what each owner of workers is told, in one sequence."""
+
+    def __init__(self):
+        self._sequence_by_vm = {}
+        self._runs_by_vm = {}
+        self._stops_by_vm = {}
+        self._kept_by_vm = {}
+
+    def run(self, vm_id, order):
+        """Queues an order to run an attempt; it is never sent twice."""
+        self._runs_by_vm.setdefault(vm_id, []).append(order)
+
+    def stop(self, vm_id, stop):
+        """Queues an order to end an attempt."""
+        self._stops_by_vm.setdefault(vm_id, []).append(stop)
+
+    def kept(self, vm_id, attempt_id):
+        """Queues that an attempt may be forgotten."""
+        self._kept_by_vm.setdefault(vm_id, []).append(attempt_id)
+
+    def next_sequence(self, vm_id):
+        """Returns the sequence number of the next message to a VM."""
+        sequence = self._sequence_by_vm.get(vm_id, 0) + 1
+        self._sequence_by_vm[vm_id] = sequence
+        return sequence
+
+    def flush(self):
+        """Returns the batches as actions, and forgets them."""
+        runs, self._runs_by_vm = self._runs_by_vm, {}
+        stops, self._stops_by_vm = self._stops_by_vm, {}
+        kept, self._kept_by_vm = self._kept_by_vm, {}
+        actions = []
+        for vm_id in sorted(runs.keys() | stops.keys() | kept.keys()):
+            message = workers.TaskOrders(
+                self.next_sequence(vm_id),
+                runs=tuple(runs.get(vm_id, ())),
+                stops=tuple(stops.get(vm_id, ())),
+                kept=tuple(kept.get(vm_id, ())),
+            )
+            actions.append(base.SendToPeer(vm_id, message))
+        return actions
--- /dev/null
+++ b/samphiregate/core/jobs/_owner.py
@@ -0,0 +1,582 @@
+"""The machine that owns jobs."""
+
+import functools
+
+import attrs
+
+from samphiregate.core import base
+from samphiregate.core import fleet
+from samphiregate.core.jobs import _admission
+from samphiregate.core.jobs import _calls
+from samphiregate.core.jobs import _copies
+from samphiregate.core.jobs import _desk
+from samphiregate.core.jobs import _dispatch
+from samphiregate.core.jobs import _gangs
+from samphiregate.core.jobs import _messages
+from samphiregate.core.jobs import _orders
+from samphiregate.core.jobs import _peer
+from samphiregate.core.jobs import _records
+from samphiregate.core.jobs import _rooms
+from samphiregate.core.jobs import _shards
+from samphiregate.core.jobs import _tasks
+from samphiregate.core import model
+from samphiregate.core import queueing
+from samphiregate.core import workers
+from samphiregate import parameters
+
+LIVE_STATES_TO_ASK = frozenset(
+    {_records.STARTING, _records.STOPPING, _records.RECALLING}
+)
+
+
+class JobOwner(base.StateMachine, parameters.Parameterised):
+    """Keeps the jobs of owned shards and has their tasks run.
+
+    Parameters
+    ----------
+    vm_id, data_centre : str
+        This entry VM and its data centre.
+    ownership : object
+        Has `entry_of(shard)` and `candidates(shard)`.
+    membership : object
+        Has `alive_ids(data_centre)`.
+    queue, judge : base.Policy
+        Queue and failure judge.
+    random_state : random.Random
+        Makes job ids and spreads choices.
+    shard_count : int
+        Shards of each data centre.
+    copies : int
+        Other entry VMs that keep a copy of each job.
+    copy_retry_ms, copy_refresh_ms : int
+        When an unanswered copy is sent again, and the longest time between
+        two messages to a holder of copies.
+    copy_ttl_ms : int
+        Age at which a copy is dropped that its living owner refreshes no
+        more.
+    ask_ms : int
+        Time between two rounds of asking about tasks that give no news.
+    retention_ms : int
+        How long a job is shown after its end.
+    retry_ms : int
+        Delay after the first failure of a task; it doubles with each.
+    call_timeout_ms, call_retry_ms : int
+        Longest time of a call, and when it is forwarded again.
+    gang_hold_ms, gang_timeout_ms, gang_retry_ms : int
+        How long places are held for a gang, the longest time of one round
+        of holding them, and the mean time to the next.
+    team_retry_ms : int
+        How long a team is passed over that had no token.
+    urgent_retry_ms : int
+        Time between two attempts to make room for an urgent task.
+    window : int
+        Orders that may be without news at a time.
+    queue_max : int
+        Queued tasks above which submissions are refused.
+    """
+
+    parameter_table = {
+        "shard_count": parameters.Interval(int, 1, 65_536),
+        "copies": parameters.Interval(int, 0, 8),
+        "copy_retry_ms": parameters.Interval(int, 10, 60_000),
+        "copy_refresh_ms": parameters.Interval(int, 100, 600_000),
+        "copy_ttl_ms": parameters.Interval(int, 1_000, 86_400_000),
+        "ask_ms": parameters.Interval(int, 10, 600_000),
+        "retention_ms": parameters.Interval(int, 0, 604_800_000),
+        "retry_ms": parameters.Interval(int, 0, 600_000),
+        "call_timeout_ms": parameters.Interval(int, 100, 600_000),
+        "call_retry_ms": parameters.Interval(int, 10, 600_000),
+        "gang_hold_ms": parameters.Interval(int, 10, 60_000),
+        "gang_timeout_ms": parameters.Interval(int, 10, 60_000),
+        "gang_retry_ms": parameters.Interval(int, 10, 600_000),
+        "team_retry_ms": parameters.Interval(int, 1, 60_000),
+        "urgent_retry_ms": parameters.Interval(int, 1, 60_000),
+        "window": parameters.Interval(int, 1, 1_000_000),
+        "queue_max": parameters.Interval(int, 1, 100_000_000),
+    }
+
+    def __init__(
+        self,
+        *,
+        vm_id,
+        data_centre,
+        ownership,
+        membership,
+        queue,
+        judge,
+        random_state,
+        shard_count=64,
+        copies=2,
+        copy_retry_ms=1_000,
+        copy_refresh_ms=10_000,
+        copy_ttl_ms=120_000,
+        ask_ms=2_000,
+        retention_ms=21_600_000,
+        retry_ms=1_000,
+        call_timeout_ms=10_000,
+        call_retry_ms=500,
+        gang_hold_ms=3_000,
+        gang_timeout_ms=2_000,
+        gang_retry_ms=1_000,
+        team_retry_ms=100,
+        urgent_retry_ms=500,
+        window=512,
+        queue_max=200_000,
+    ):
+        self.vm_id = vm_id
+        self.data_centre = data_centre
+        self.ownership = ownership
+        self.membership = membership
+        self.queue = queue
+        self.random_state = random_state
+        self.shard_count = shard_count
+        self.copies = copies
+        self.copy_retry_ms = copy_retry_ms
+        self.copy_refresh_ms = copy_refresh_ms
+        self.copy_ttl_ms = copy_ttl_ms
+        self.ask_ms = ask_ms
+        self.retention_ms = retention_ms
+        self.retry_ms = retry_ms
+        self.call_timeout_ms = call_timeout_ms
+        self.call_retry_ms = call_retry_ms
+        self.gang_hold_ms = gang_hold_ms
+        self.gang_timeout_ms = gang_timeout_ms
+        self.gang_retry_ms = gang_retry_ms
+        self.team_retry_ms = team_retry_ms
+        self.urgent_retry_ms = urgent_retry_ms
+        self.window = window
+        self.queue_max = queue_max
+        self.check_parameters()
+        self.shards_by_id_ = {}
+        self.admission_ = _admission.Admission(data_centre=data_centre)
+        self.keeper_ = _copies.CopyKeeper(data_centre=data_centre)
+        self.rooms_ = _rooms.RoomEstimates(
+            vm_id=vm_id, random_state=random_state
+        )
+        self.orders_ = _orders.OrderBook()
+        self.dispatcher_ = _dispatch.Dispatcher(
+            queue=queue,
+            rooms=self.rooms_,
+            orders=self.orders_,
+            window=window,
+            team_retry_ms=team_retry_ms,
+            urgent_retry_ms=urgent_retry_ms,
+        )
+        self.gangs_ = _gangs.GangPlacer(
+            dispatcher=self.dispatcher_,
+            hold_ms=gang_hold_ms,
+            timeout_ms=gang_timeout_ms,
+            retry_ms=gang_retry_ms,
+            random_state=random_state,
+        )
+        self.life_ = _tasks.TaskLife(
+            dispatcher=self.dispatcher_,
+            gangs=self.gangs_,
+            orders=self.orders_,
+            judge=judge,
+            is_owner=self._owns_worker,
+            retry_ms=retry_ms,
+        )
+        self.desk_ = _desk.CallDesk(
+            admission=self.admission_,
+            life=self.life_,
+            dispatcher=self.dispatcher_,
+            queue_max=queue_max,
+        )
+        self.calls_ = _calls.Calls(
+            vm_id=vm_id,
+            data_centre=data_centre,
+            ownership=ownership,
+            membership=membership,
+            random_state=random_state,
+            shard_count=shard_count,
+            timeout_ms=call_timeout_ms,
+            retry_ms=call_retry_ms,
+        )
+        self._actions = []
+        self._next_sweep_ms = 0
+
+    def handle(self, event, now_ms):
+        """Takes one event and returns what has to be done."""
+        self._take(event, now_ms)
+        self.dispatcher_.run(now_ms, self.gangs_.start)
+        return self._flush(now_ms)
+
+    @functools.singledispatchmethod
+    def _take(self, event, now_ms):
+        """Ignores events that are not for this machine."""
+
+    @_take.register(_messages.SubmitJob)
+    @_take.register(_messages.ShowJob)
+    @_take.register(_messages.CancelJob)
+    @_take.register(_messages.ListJobs)
+    def _(self, event, now_ms):
+        self._actions += self.calls_.take(event, now_ms)
+
+    @_take.register
+    def _(self, event: base.Tick, now_ms):
+        self._actions += self.calls_.tick(now_ms)
+        self._actions += self.desk_.tick(self._find_job, now_ms)
+        self.gangs_.tick(now_ms)
+        self.dispatcher_.tick(now_ms)
+        for shard in self.shards_by_id_.values():
+            self._advance(shard, now_ms)
+        if now_ms >= self._next_sweep_ms:
+            self._next_sweep_ms = now_ms + self.ask_ms
+            self._sweep(now_ms)
+
+    @_take.register
+    def _(self, event: fleet.FleetListed, now_ms):
+        self.admission_.take_workers(event.workers_by_id)
+        self.dispatcher_.racks_by_worker = {
+            worker_id: info.rack
+            for worker_id, info in event.workers_by_id.items()
+            if info.data_centre == self.data_centre
+        }
+        self.calls_.take_data_centres(
+            info.data_centre for info in event.entry_vms_by_id.values()
+        )
+
+    @_take.register
+    def _(self, event: fleet.ConfigurationChanged, now_ms):
+        configuration = event.configuration
+        self.admission_.take_configuration(configuration)
+        plans = configuration.plans_by_name
+        weights = {
+            name: plans[team.plan].share
+            for name, team in configuration.teams_by_name.items()
+            if team.plan in plans
+        }
+        self.queue.observe(queueing.SharesChanged(weights), now_ms)
+        self.dispatcher_.wake()
+
+    @_take.register
+    def _(self, event: fleet.ShardGained, now_ms):
+        if event.shard in self.shards_by_id_:
+            self._drop_shard(event.shard, now_ms)
+        jobs_by_id = {}
+        sender = _copies.CopySender(
+            shard=event.shard,
+            epoch=event.epoch,
+            jobs_by_id=jobs_by_id,
+            retry_ms=self.copy_retry_ms,
+            refresh_ms=self.copy_refresh_ms,
+        )
+        shard = _shards.JobShard(event.shard, event.epoch, sender, jobs_by_id)
+        self.shards_by_id_[event.shard] = shard
+        for copy in self.keeper_.release(event.shard):
+            self._take_copy(shard, copy, now_ms)
+        self._advance(shard, now_ms)
+
+    @_take.register
+    def _(self, event: fleet.ShardLost, now_ms):
+        if event.shard in self.shards_by_id_:
+            self._drop_shard(event.shard, now_ms)
+
+    @_take.register
+    def _(self, event: fleet.ShardTableChanged, now_ms):
+        if event.data_centre == self.data_centre:
+            self._inquire_all(now_ms)
+
+    @_take.register
+    def _(self, event: fleet.PeerStateChanged, now_ms):
+        if event.data_centre != self.data_centre:
+            return
+        if event.state is fleet.PeerState.DEAD:
+            self.rooms_.forget(event.vm_id)
+            self._inquire_all(now_ms)
+        elif event.state is fleet.PeerState.ALIVE:
+            for shard in self.shards_by_id_.values():
+                self._ask_copies(shard, event.vm_id)
+
+    @_take.register
+    def _(self, event: base.PeerDelivered, now_ms):
+        self._take_message(event.message, event.sender, now_ms)
+
+    @functools.singledispatchmethod
+    def _take_message(self, message, sender, now_ms):
+        """Ignores messages that are not for this machine."""
+
+    @_take_message.register(_peer.ForwardSubmit)
+    @_take_message.register(_peer.ForwardShow)
+    @_take_message.register(_peer.ForwardCancel)
+    def _(self, message, sender, now_ms):
+        job_id = _calls.job_id_of(message)
+        shard = self.shards_by_id_.get(self._shard_of_job(job_id))
+        if shard is None:
+            self._actions += self.calls_.pass_on(message, now_ms)
+        elif shard.phase is not _shards.ShardPhase.READING_COPIES:
+            self._actions += self.desk_.take(message, shard, now_ms)
+
+    @_take_message.register
+    def _(self, message: _peer.ForwardList, sender, now_ms):
+        shards = self.shards_by_id_.values()
+        self._actions.append(self.desk_.list_jobs(message, shards))
+
+    @_take_message.register
+    def _(self, message: _peer.ForwardedAnswer, sender, now_ms):
+        self._actions += self.calls_.answered(sender, message.answer, now_ms)
+
+    @_take_message.register
+    def _(self, message: _peer.KeepJobs, sender, now_ms):
+        answer = self.keeper_.keep(message, now_ms)
+        if answer is not None:
+            self._actions.append(base.SendToPeer(sender, answer))
+
+    @_take_message.register
+    def _(self, message: _peer.JobsKept, sender, now_ms):
+        shard = self._shard_at(message)
+        if shard is not None:
+            self._actions += shard.sender.answered(sender, message, now_ms)
+
+    @_take_message.register
+    def _(self, message: _peer.AskForJobs, sender, now_ms):
+        answer = self.keeper_.tell(message)
+        if answer is not None:
+            self._actions.append(base.SendToPeer(sender, answer))
+
+    @_take_message.register
+    def _(self, message: _peer.JobsOfShard, sender, now_ms):
+        shard = self._shard_at(message)
+        if shard is None:
+            return
+        shard.copies_from.add(sender)
+        for copy in message.copies:
+            self._take_copy(shard, copy, now_ms)
+        self._advance(shard, now_ms)
+
+    @_take_message.register
+    def _(self, message: workers.TaskNewsBatch, sender, now_ms):
+        for news in message.news:
+            self._take_news(news, sender, now_ms)
+
+    @_take_message.register
+    def _(self, message: workers.TasksOfShard, sender, now_ms):
+        shard = self._shard_at(message)
+        if shard is None or shard.inquiry is None:
+            return
+        if shard.inquiry.number != message.inquiry:
+            return
+        shard.inquiry.take(message)
+        for news in message.news:
+            self._take_news(news, sender, now_ms)
+        self._conclude(shard, now_ms)
+
+    @_take_message.register
+    def _(self, message: workers.GangReserved, sender, now_ms):
+        self.gangs_.answered(sender, message, now_ms)
+
+    @_take_message.register
+    def _(self, message: workers.RoomSummary, sender, now_ms):
+        self.rooms_.take(sender, message)
+        self.dispatcher_.wake()
+        if sender == self.vm_id:
+            self._tell_queue(now_ms)
+
+    def _shard_of_job(self, job_id):
+        data_centre = _calls.data_centre_of(job_id)
+        return model.shard_of(job_id, data_centre, self.shard_count)
+
+    def _shard_at(self, message):
+        number = message.shard_number
+        shard = self.shards_by_id_.get(model.ShardId(self.data_centre, number))
+        if shard is None or shard.epoch != message.epoch:
+            return None
+        return shard
+
+    def _find_job(self, job_id):
+        shard = self.shards_by_id_.get(self._shard_of_job(job_id))
+        return shard.jobs_by_id.get(job_id) if shard else None
+
+    def _owns_worker(self, vm_id, worker_id):
+        shard = model.shard_of(worker_id, self.data_centre, self.shard_count)
+        entry = self.ownership.entry_of(shard)
+        return entry is None or entry.owner == vm_id
+
+    def _take_news(self, news, sender, now_ms):
+        shard = self.shards_by_id_.get(self._shard_of_job(news.task_id.job_id))
+        if shard is None:
+            return
+        if shard.phase is _shards.ShardPhase.READING_COPIES:
+            return
+        self.life_.take_news(shard, news, sender, now_ms)
+        job = shard.jobs_by_id.get(news.task_id.job_id)
+        if job is not None and job.ended_ms is not None:
+            self.desk_.job_ended(shard, job)
+
+    def _take_copy(self, shard, copy, now_ms):
+        known = shard.jobs_by_id.get(copy.spec.job_id)
+        if known is not None and known.version >= copy.version:
+            return
+        if shard.phase is _shards.ShardPhase.READY and known is not None:
+            return
+        job = _records.job_from_copy(copy, shard.shard, now_ms)
+        shard.jobs_by_id[copy.spec.job_id] = job
+        job.is_new = True
+        shard.sender.touch(job)
+        if shard.phase is _shards.ShardPhase.READY:
+            self.life_.admit(shard, job, now_ms)
+
+    def _peers(self):
+        alive = set(self.membership.alive_ids(self.data_centre))
+        return sorted(alive - {self.vm_id})
+
+    def _advance(self, shard, now_ms):
+        """Brings a shard forward, as far as is known by now."""
+        holders = [
+            vm_id
+            for vm_id in self.ownership.candidates(shard.shard)
+            if vm_id != self.vm_id
+        ]
+        self._actions += shard.sender.set_holders(
+            holders[: self.copies], now_ms
+        )
+        if shard.phase is _shards.ShardPhase.READING_COPIES:
+            self._read_copies(shard, now_ms)
+        if shard.inquiry is not None:
+            self._ask_tasks(shard, now_ms)
+            self._conclude(shard, now_ms)
+
+    def _read_copies(self, shard, now_ms):
+        open_ids = [
+            one for one in self._peers() if one not in shard.copies_from
+        ]
+        if not open_ids:
+            shard.phase = _shards.ShardPhase.COPIES_READ
+            shard.inquire(now_ms)
+            return
+        asked_ms = shard.asked_copies_ms
+        if asked_ms is None or now_ms - asked_ms >= self.call_retry_ms:
+            shard.asked_copies_ms = now_ms
+            for vm_id in open_ids:
+                self._ask_copies(shard, vm_id)
+
+    def _ask_copies(self, shard, vm_id):
+        message = _peer.AskForJobs(shard.shard.number, shard.epoch)
+        self._actions.append(base.SendToPeer(vm_id, message))
+
+    def _ask_tasks(self, shard, now_ms):
+        inquiry = shard.inquiry
+        asked_ms = inquiry.asked_ms
+        if asked_ms is not None and now_ms - asked_ms < self.call_retry_ms:
+            return
+        inquiry.asked_ms = now_ms
+        for vm_id in [self.vm_id, *self._peers()]:
+            message = workers.AskForTasks(
+                shard.shard.number,
+                shard.epoch,
+                inquiry.number,
+                self.orders_.next_sequence(vm_id),
+            )
+            self._actions.append(base.SendToPeer(vm_id, message))
+
+    def _conclude(self, shard, now_ms):
+        if shard.inquiry is None:
+            return
+        if not shard.is_accounted(self.ownership, self.shard_count):
+            return
+        lost = list(shard.unaccounted())
+        shard.inquiry = None
+        for job, task in lost:
+            self.life_.lost(shard, job, task, now_ms)
+            if job.ended_ms is not None:
+                self.desk_.job_ended(shard, job)
+        if shard.phase is not _shards.ShardPhase.READY:
+            self._become_ready(shard, now_ms)
+
+    def _become_ready(self, shard, now_ms):
+        shard.phase = _shards.ShardPhase.READY
+        for job in tuple(shard.jobs_by_id.values()):
+            if job.cancelled and job.ended_ms is None:
+                self.life_.cancel(shard, job, now_ms)
+            elif job.ended_ms is None:
+                self.life_.admit(shard, job, now_ms)
+
+    def _inquire_all(self, now_ms):
+        for shard in self.shards_by_id_.values():
+            if shard.phase is not _shards.ShardPhase.READING_COPIES:
+                shard.inquire(now_ms)
+                self._ask_tasks(shard, now_ms)
+
+    def _sweep(self, now_ms):
+        """Asks about silent tasks, and drops what is too old."""
+        for shard in self.shards_by_id_.values():
+            self._sweep_shard(shard, now_ms)
+        for shard, kept in self.keeper_.shards_by_id_.items():
+            if now_ms - kept.refreshed_ms < self.copy_ttl_ms:
+                continue
+            entry = self.ownership.entry_of(shard)
+            alive = self.membership.alive_ids(self.data_centre)
+            if entry is not None and entry.owner in alive:
+                self.keeper_.expire(shard)
+
+    def _sweep_shard(self, shard, now_ms):
+        silent = False
+        for job in tuple(shard.jobs_by_id.values()):
+            if job.ended_ms is not None:
+                if now_ms - job.ended_ms >= self.retention_ms:
+                    del shard.jobs_by_id[job.spec.job_id]
+                    shard.sender.drop(job.spec.job_id)
+                continue
+            if job.live_count:
+                silent |= self._ask_again(job, now_ms)
+        if silent and shard.inquiry is None:
+            shard.inquire(now_ms)
+            self._ask_tasks(shard, now_ms)
+
+    def _ask_again(self, job, now_ms):
+        silent = False
+        for task in job.tasks:
+            if task.state not in LIVE_STATES_TO_ASK:
+                continue
+            if now_ms - task.asked_ms >= self.ask_ms:
+                silent = True
+                task.asked_ms = now_ms
+        return silent
+
+    def _drop_shard(self, shard_id, now_ms):
+        shard = self.shards_by_id_.pop(shard_id)
+        copies = tuple(job.copy() for job in shard.jobs_by_id.values())
+        self.keeper_.hold(shard_id, shard.epoch, copies, now_ms)
+        self.dispatcher_.withdraw_shard(shard, now_ms)
+        for job in shard.jobs_by_id.values():
+            self.gangs_.drop(job.spec.job_id, now_ms)
+            for task in job.tasks:
+                if task.is_live:
+                    self.dispatcher_.ended(job, task, now_ms)
+
+    def _tell_queue(self, now_ms):
+        """Tells the queue what runs in the data centre beside its own."""
+        capacity = queueing.CapacityChanged(self.rooms_.capacity())
+        self.queue.observe(capacity, now_ms)
+        own = self.dispatcher_.usage_by_team
+        remote = {}
+        for team, amount in self.rooms_.usage_by_team().items():
+            rest = amount - own.get(team, model.Resources())
+            rest = model.Resources(
+                *(max(0, one) for one in attrs.astuple(rest))
+            )
+            if rest != model.Resources():
+                remote[team] = rest
+        self.queue.observe(queueing.RemoteUsageChanged(remote), now_ms)
+
+    def _flush(self, now_ms):
+        self._defer_kept()
+        actions, self._actions = self._actions, []
+        actions += self.gangs_.flush()
+        actions += self.orders_.flush()
+        for shard in self.shards_by_id_.values():
+            actions += shard.sender.flush(now_ms)
+        return actions
+
+    def _defer_kept(self):
+        """Lets ends be forgotten once they are copied."""
+        batches = {}
+        for end in self.life_.flush_kept():
+            key = (end.shard.shard, end.vm_id)
+            batches.setdefault(key, []).append(end.attempt_id)
+        for (shard_id, vm_id), attempt_ids in batches.items():
+            shard = self.shards_by_id_.get(shard_id)
+            if shard is not None:
+                message = workers.TaskOrders(0, kept=tuple(attempt_ids))
+                shard.sender.defer(base.SendToPeer(vm_id, message))
--- /dev/null
+++ b/samphiregate/core/jobs/_records.py
@@ -0,0 +1,231 @@
+"""Jobs and their tasks, as their owner keeps them."""
+
+import pathlib
+
+import attrs
+
+from samphiregate.core import base
+from samphiregate.core.jobs import _messages
+from samphiregate.core.jobs import _peer
+from samphiregate.core import model
+
+TASK_CHART = base.Chart.load(pathlib.Path(__file__).with_name("task.yaml"))
+QUEUED = "queued"
+STARTING = "starting"
+RUNNING = "running"
+RECALLING = "recalling"
+STOPPING = "stopping"
+SUCCEEDED = "succeeded"
+FAILED = "failed"
+CANCELLED = "cancelled"
+LIVE_STATES = frozenset({STARTING, RUNNING, RECALLING, STOPPING})
+ENDED_STATES = frozenset({SUCCEEDED, FAILED, CANCELLED})
+FAILED_WORKERS_MAX = 4
+
+
+@attrs.define
+class TaskRecord:
+    """One task.
+
+    Parameters
+    ----------
+    state : str
+        State of `TASK_CHART`.
+    attempt : int
+        Number of the last attempt; 0 before the first.
+    vm_id : str
+        Entry VM that the last attempt was ordered from.
+    ordered_ms : int
+        When that order was sent for the first time.
+    asked_ms : int
+        When that order, or the order to stop, was last sent.
+    failures : int
+        Attempts that failed.
+    starts : int
+        Attempts that ran.
+    not_before_ms : int
+        When it may be queued again.
+    failed_workers : tuple of str
+        Workers on which it failed last.
+    """
+
+    index: int
+    remaining_ms: int
+    state: str = TASK_CHART.initial
+    attempt: int = 0
+    vm_id: str = ""
+    worker_id: str = ""
+    ordered_ms: int = 0
+    asked_ms: int = 0
+    failures: int = 0
+    starts: int = 0
+    not_before_ms: int = 0
+    checkpoint: str = ""
+    failed_workers: tuple[str, ...] = ()
+
+    @property
+    def is_live(self):
+        """Whether its last attempt may be running."""
+        return self.state in LIVE_STATES
+
+
+@attrs.define
+class JobRecord:
+    """One job.
+
+    Parameters
+    ----------
+    version : int
+        Rises with each change that is copied.
+    changed : set of int
+        Tasks whose mark changed since the last copy.
+    is_new : bool
+        Whether it was never copied under this owner.
+    """
+
+    spec: model.JobSpec
+    shard: model.ShardId
+    queued_ms: int = 0
+    version: int = 0
+    cancelled: bool = False
+    ended_ms: int | None = None
+    changed: set[int] = attrs.field(factory=set)
+    is_new: bool = True
+    tasks: list[TaskRecord] = attrs.field(factory=list)
+    count_by_state: dict[str, int] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self):
+        if not self.tasks:
+            self.tasks = [
+                TaskRecord(index, self.spec.run_time_ms)
+                for index in range(self.spec.task_count)
+            ]
+        self.count_by_state = {}
+        for task in self.tasks:
+            self._count(task.state, 1)
+
+    def step(self, task, event):
+        """Takes an event of the chart; returns whether the state changed."""
+        state = TASK_CHART.next_state(task.state, event)
+        if state == task.state:
+            return False
+        self._count(task.state, -1)
+        self._count(state, 1)
+        task.state = state
+        if state in ENDED_STATES:
+            self.changed.add(task.index)
+        return True
+
+    def restore(self, task, state):
+        """Sets the state that a copy tells."""
+        self._count(task.state, -1)
+        self._count(state, 1)
+        task.state = state
+
+    @property
+    def is_over(self):
+        """Whether no task will start again."""
+        ended = sum(self.count_by_state.get(one, 0) for one in ENDED_STATES)
+        return ended == len(self.tasks)
+
+    @property
+    def live_count(self):
+        """Number of tasks that may be running."""
+        return sum(self.count_by_state.get(one, 0) for one in LIVE_STATES)
+
+    def state(self):
+        """Returns the state that is shown."""
+        if self.is_over:
+            if self.cancelled:
+                return model.JobState.CANCELLED
+            if self.count_by_state.get(FAILED):
+                return model.JobState.FAILED
+            return model.JobState.SUCCEEDED
+        started = self.live_count or any(task.starts for task in self.tasks)
+        return model.JobState.RUNNING if started else model.JobState.QUEUED
+
+    def view(self):
+        """Returns the job as shown to its submitter."""
+        counts = {
+            _shown(state): 0
+            for state, count in self.count_by_state.items()
+            if count
+        }
+        for state, count in self.count_by_state.items():
+            if count:
+                counts[_shown(state)] += count
+        return _messages.JobView(
+            self.spec.job_id,
+            self.spec.team,
+            self.spec.work_class,
+            self.state(),
+            self.spec.task_count,
+            urgent=self.spec.urgent,
+            attempts=sum(task.starts for task in self.tasks),
+            task_counts_by_state=counts,
+        )
+
+    def copy(self):
+        """Returns the whole copy for other entry VMs."""
+        return _peer.JobCopy(
+            self.spec,
+            self.version,
+            self.cancelled,
+            tuple(_mark(task) for task in self.tasks if _has_mark(task)),
+        )
+
+    def marks(self, base_version):
+        """Returns what changed since the copy of `base_version`."""
+        return _peer.JobMarks(
+            self.spec.job_id,
+            base_version,
+            self.version,
+            self.cancelled,
+            tuple(_mark(self.tasks[index]) for index in sorted(self.changed)),
+        )
+
+    def _count(self, state, change):
+        count = self.count_by_state.get(state, 0) + change
+        self.count_by_state[state] = count
+
+
+def job_from_copy(copy, shard, now_ms):
+    """Returns the record that a copy stands for."""
+    job = JobRecord(
+        copy.spec,
+        shard,
+        queued_ms=now_ms,
+        version=copy.version,
+        cancelled=copy.cancelled,
+        is_new=False,
+    )
+    for mark in copy.marks:
+        task = job.tasks[mark.index]
+        task.failures = mark.failures
+        task.starts = mark.starts
+        task.checkpoint = mark.checkpoint
+        task.remaining_ms = mark.remaining_ms
+        if mark.state:
+            job.restore(task, mark.state)
+    if job.is_over:
+        job.ended_ms = now_ms
+    return job
+
+
+def _shown(state):
+    return STOPPING if state == RECALLING else state
+
+
+def _has_mark(task):
+    return task.state in ENDED_STATES or task.failures or task.checkpoint
+
+
+def _mark(task):
+    return _peer.TaskMark(
+        task.index,
+        task.state if task.state in ENDED_STATES else "",
+        failures=task.failures,
+        starts=task.starts,
+        checkpoint=task.checkpoint,
+        remaining_ms=task.remaining_ms,
+    )
--- /dev/null
+++ b/samphiregate/core/jobs/_rooms.py
@@ -0,0 +1,142 @@
+"""Estimates of what each entry VM's workers can still take."""
+
+import attrs
+
+from samphiregate.core import model
+
+
+@attrs.define
+class RoomEstimate:
+    """The last summary of an entry VM, less what was ordered since.
+
+    Parameters
+    ----------
+    refused : model.Resources or None
+        Smallest amount that it declined since the last summary.
+    """
+
+    capacity: model.Resources
+    free: model.Resources
+    largest: model.Resources
+    leaving: bool = False
+    refused: model.Resources | None = None
+
+    def takes(self, resources):
+        """Returns whether an order of this size may be placed there."""
+        if self.leaving or not resources.fits_in(self.largest):
+            return False
+        if self.refused is not None and self.refused.fits_in(resources):
+            return False
+        return resources.fits_in(self.free)
+
+
+class RoomEstimates:
+    """Chooses the entry VM that an order goes to.
+
+    Parameters
+    ----------
+    vm_id : str
+        This entry VM.
+    random_state : random.Random
+        Draws two candidates, of which the one with more room is taken.
+    """
+
+    def __init__(self, *, vm_id, random_state):
+        self._vm_id = vm_id
+        self._random = random_state
+        self.estimates_by_vm_ = {}
+        self._usage_by_vm = {}
+
+    def take(self, sender, message):
+        """Takes in a `RoomSummary`."""
+        self.estimates_by_vm_[sender] = RoomEstimate(
+            message.capacity, message.free, message.largest, message.leaving
+        )
+        usage = self._usage_by_vm.setdefault(sender, {})
+        for one in message.usage:
+            usage[one.team] = one.resources
+
+    def forget(self, vm_id):
+        """Drops an entry VM that is dead or gone."""
+        self.estimates_by_vm_.pop(vm_id, None)
+        self._usage_by_vm.pop(vm_id, None)
+
+    def choose(self, resources, excluded=frozenset()):
+        """Returns an entry VM with room, or None."""
+        fitting = [
+            vm_id
+            for vm_id, estimate in self.estimates_by_vm_.items()
+            if vm_id not in excluded and estimate.takes(resources)
+        ]
+        if not fitting:
+            return None
+        if len(fitting) > 2:
+            fitting = self._random.sample(fitting, 2)
+        return max(fitting, key=self._free_cpu)
+
+    def choose_full(self, resources):
+        """Returns an entry VM on which room might be made, or None."""
+        fitting = [
+            vm_id
+            for vm_id, estimate in self.estimates_by_vm_.items()
+            if not estimate.leaving and resources.fits_in(estimate.capacity)
+        ]
+        return self._random.choice(fitting) if fitting else None
+
+    def by_room(self):
+        """Returns the entry VMs that take orders, those with most first."""
+        vm_ids = [
+            vm_id
+            for vm_id, estimate in self.estimates_by_vm_.items()
+            if not estimate.leaving
+        ]
+        return sorted(vm_ids, key=self._free_cpu, reverse=True)
+
+    def ordered(self, vm_id, resources):
+        """Counts an order as taken."""
+        estimate = self.estimates_by_vm_.get(vm_id)
+        if estimate is not None:
+            estimate.free = estimate.free - resources
+
+    def ended(self, vm_id, resources):
+        """Counts the room of an attempt that ended as free."""
+        estimate = self.estimates_by_vm_.get(vm_id)
+        if estimate is not None:
+            estimate.free = estimate.free + resources
+            estimate.largest = _largest(estimate.largest, resources)
+            estimate.refused = None
+
+    def declined(self, vm_id, resources):
+        """Keeps orders of this size away until the next summary."""
+        estimate = self.estimates_by_vm_.get(vm_id)
+        if estimate is not None:
+            estimate.free = estimate.free + resources
+            estimate.refused = resources
+
+    def capacity(self):
+        """Returns the capacity of the data centre, as far as told."""
+        total = model.Resources()
+        for estimate in self.estimates_by_vm_.values():
+            total = total + estimate.capacity
+        return total
+
+    def usage_by_team(self):
+        """Returns what each team has running in the data centre."""
+        total_by_team = {}
+        for usage in self._usage_by_vm.values():
+            for team, amount in usage.items():
+                known = total_by_team.get(team, model.Resources())
+                total_by_team[team] = known + amount
+        return total_by_team
+
+    def _free_cpu(self, vm_id):
+        free = self.estimates_by_vm_[vm_id].free
+        return (free.cpu_millis, vm_id == self._vm_id)
+
+
+def _largest(first, second):
+    return model.Resources(
+        max(first.cpu_millis, second.cpu_millis),
+        max(first.memory_mib, second.memory_mib),
+        max(first.accelerators, second.accelerators),
+    )
--- /dev/null
+++ b/samphiregate/core/jobs/_shards.py
@@ -0,0 +1,124 @@
+"""Owned shards of jobs, and the inquiry that accounts for their tasks."""
+
+import enum
+
+import attrs
+
+from samphiregate.core.jobs import _copies
+from samphiregate.core.jobs import _records
+from samphiregate.core import model
+from samphiregate.core import workers
+
+
+class ShardPhase(enum.Enum):
+    """How far a new owner knows its shard.
+
+    Calls are taken from `COPIES_READ` on, and tasks are started when
+    `READY`.
+    """
+
+    READING_COPIES = "reading-copies"
+    COPIES_READ = "copies-read"
+    READY = "ready"
+
+
+@attrs.define
+class Inquiry:
+    """One round of asking every entry VM which tasks of a shard exist.
+
+    Parameters
+    ----------
+    number : int
+        Rises with each inquiry of a shard.
+    started_ms : int
+        Attempts ordered from then on are not judged by it.
+    epochs_by_worker_shard : dict of int to int
+        Highest epoch by number of the worker shards accounted for.
+    seen : set of workers.AttemptId
+        Attempts that some entry VM reported.
+    asked_ms : int
+        When the open ones were last asked.
+    """
+
+    number: int
+    started_ms: int
+    epochs_by_worker_shard: dict[int, int] = attrs.field(factory=dict)
+    seen: set[workers.AttemptId] = attrs.field(factory=set)
+    asked_ms: int | None = None
+
+    def take(self, message):
+        """Takes in one `TasksOfShard`."""
+        for covered in message.covered:
+            known = self.epochs_by_worker_shard.get(covered.number, 0)
+            epoch = max(known, covered.epoch)
+            self.epochs_by_worker_shard[covered.number] = epoch
+        for news in message.news:
+            self.seen.add(workers.AttemptId(news.task_id, news.attempt))
+
+
+@attrs.define
+class JobShard:
+    """One owned shard of jobs.
+
+    Parameters
+    ----------
+    starts : int
+        Counts the attempts of this owner.
+    copies_from : set of str
+        Entry VMs that have told their copies.
+    inquiry : Inquiry or None
+        The round under way.
+    """
+
+    shard: model.ShardId
+    epoch: int
+    sender: _copies.CopySender
+    jobs_by_id: dict[str, _records.JobRecord]
+    phase: ShardPhase = ShardPhase.READING_COPIES
+    starts: int = 0
+    inquiries: int = 0
+    asked_copies_ms: int | None = None
+    copies_from: set[str] = attrs.field(factory=set)
+    inquiry: Inquiry | None = None
+
+    @property
+    def is_ready(self):
+        """Whether tasks may be started."""
+        return self.phase is ShardPhase.READY
+
+    def next_attempt(self):
+        """Returns a number above that of every earlier attempt."""
+        self.starts += 1
+        return workers.attempt_number(self.epoch, self.starts)
+
+    def inquire(self, now_ms):
+        """Starts an inquiry in place of the one under way."""
+        self.inquiries += 1
+        self.inquiry = Inquiry(self.inquiries, now_ms)
+
+    def is_accounted(self, ownership, shard_count):
+        """Returns whether the inquiry has covered every worker shard."""
+        covered = self.inquiry.epochs_by_worker_shard
+        for number in range(shard_count):
+            shard = model.ShardId(self.shard.data_centre, number)
+            entry = ownership.entry_of(shard)
+            if entry is None or not entry.owner:
+                continue
+            if covered.get(number, 0) < entry.epoch:
+                return False
+        return True
+
+    def unaccounted(self):
+        """Yields jobs and tasks whose last attempt surely runs nowhere."""
+        for job in self.jobs_by_id.values():
+            if not job.live_count:
+                continue
+            for task in job.tasks:
+                if not task.is_live:
+                    continue
+                if task.ordered_ms >= self.inquiry.started_ms:
+                    continue
+                task_id = model.TaskId(job.spec.job_id, task.index)
+                attempt_id = workers.AttemptId(task_id, task.attempt)
+                if attempt_id not in self.inquiry.seen:
+                    yield job, task
--- /dev/null
+++ b/samphiregate/core/jobs/_tasks.py
@@ -0,0 +1,267 @@
+"""What happens to tasks: news from workers, cancellation, retries."""
+
+import attrs
+
+from samphiregate.core.jobs import _dispatch
+from samphiregate.core.jobs import _records
+from samphiregate.core.jobs import _shards
+from samphiregate.core import model
+from samphiregate.core import quarantine
+from samphiregate.core import workers
+
+LIVE_PHASES = frozenset({workers.TaskPhase.BOOKED, workers.TaskPhase.RUNNING})
+ROOM_REASONS = frozenset(
+    {
+        workers.TaskReason.NO_ROOM,
+        workers.TaskReason.REFUSED_BY_WORKER,
+        workers.TaskReason.LEAVING,
+    }
+)
+BACKOFF_DOUBLINGS_MAX = 6
+
+
+@attrs.frozen
+class KeptEnd:
+    """An end that may be forgotten by `vm_id` once the job is copied."""
+
+    shard: _shards.JobShard
+    vm_id: str
+    attempt_id: workers.AttemptId
+
+
+class TaskLife:
+    """Takes tasks through their states.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Queues tasks.
+    gangs : GangPlacer
+        Places gangs.
+    orders : OrderBook
+        Takes orders to stop and to forget.
+    judge : base.Policy
+        Tells whether a failed task may be started again.
+    is_owner : callable
+        Whether an entry VM owns a worker, by their ids.
+    retry_ms : int
+        Delay after the first failure of a task; it doubles with each.
+    """
+
+    def __init__(
+        self, *, dispatcher, gangs, orders, judge, is_owner, retry_ms
+    ):
+        self._dispatcher = dispatcher
+        self._gangs = gangs
+        self._orders = orders
+        self._judge = judge
+        self._is_owner = is_owner
+        self._retry_ms = retry_ms
+        self._kept = []
+
+    def admit(self, shard, job, now_ms):
+        """Queues every task of a job that is not live and has not ended."""
+        if job.spec.work_class is model.WorkClass.GANG:
+            self._queue_gang(shard, job, now_ms)
+            return
+        for task in job.tasks:
+            if task.state == _records.QUEUED:
+                self._dispatcher.enqueue(shard, job, task, now_ms)
+
+    def cancel(self, shard, job, now_ms):
+        """Ends every task; those that may be running are told to stop."""
+        job.cancelled = True
+        shard.sender.touch(job)
+        self._end_all(job, now_ms)
+
+    def take_news(self, shard, news, sender, now_ms):
+        """Takes in what became of an attempt."""
+        job = shard.jobs_by_id.get(news.task_id.job_id)
+        if job is None:
+            self._disown(shard, news, sender)
+            return
+        task = job.tasks[news.task_id.index]
+        if news.attempt > task.attempt:
+            self._adopt(shard, job, task, news, now_ms)
+        if news.attempt != task.attempt or not task.is_live:
+            self._disown(shard, news, sender)
+            return
+        if news.reason is workers.TaskReason.LEASE_LAPSED:
+            if not self._is_owner(sender, news.worker_id):
+                return
+        self._dispatcher.heard(_attempt_id(news))
+        task.vm_id = sender
+        task.worker_id = news.worker_id
+        if news.phase in LIVE_PHASES:
+            self._lives(job, task, news, now_ms)
+        else:
+            self._over(shard, job, task, news, sender, now_ms)
+
+    def lost(self, shard, job, task, now_ms):
+        """No entry VM knows the attempt: it surely does not run."""
+        task_id = model.TaskId(job.spec.job_id, task.index)
+        news = workers.TaskNews(
+            task_id, task.attempt, workers.TaskPhase.LOST, task.worker_id
+        )
+        self._dispatcher.heard(_attempt_id(news))
+        self._over(shard, job, task, news, "", now_ms)
+
+    def stop_again(self, job, task, now_ms):
+        """Repeats the order to stop a task."""
+        task.asked_ms = now_ms
+        self._stop(job, task)
+
+    def flush_kept(self):
+        """Returns ends by entry VM that may be forgotten once copied."""
+        kept, self._kept = self._kept, []
+        return kept
+
+    def _lives(self, job, task, news, now_ms):
+        if news.phase is workers.TaskPhase.RUNNING:
+            if job.step(task, "started") or task.starts == 0:
+                task.starts += 1
+        if task.state in (_records.STOPPING, _records.RECALLING):
+            self.stop_again(job, task, now_ms)
+
+    def _over(self, shard, job, task, news, sender, now_ms):
+        spec = job.spec
+        self._dispatcher.ended(job, task, now_ms)
+        if news.reason is workers.TaskReason.NO_TOKEN:
+            self._dispatcher.no_token(spec.team, now_ms)
+        if news.reason in ROOM_REASONS:
+            self._dispatcher.rooms.declined(task.vm_id, spec.resources)
+        else:
+            self._dispatcher.rooms.ended(task.vm_id, spec.resources)
+        if sender:
+            self._keep(shard, news, sender)
+        event = self._event_of(job, task, news, now_ms)
+        job.step(task, event)
+        task.worker_id = ""
+        if job.changed:
+            shard.sender.touch(job)
+        self._after(shard, job, task, news, now_ms)
+
+    def _event_of(self, job, task, news, now_ms):
+        """Returns the event of the chart, and notes failures."""
+        is_service = job.spec.work_class is model.WorkClass.SERVICE
+        if news.phase is workers.TaskPhase.SUCCEEDED and not is_service:
+            self._judged(job, news, True, now_ms)
+            return "succeeded"
+        if news.phase is workers.TaskPhase.CHECKPOINTED:
+            task.checkpoint = news.checkpoint
+            task.remaining_ms = news.remaining_ms
+            job.changed.add(task.index)
+        if news.phase is not workers.TaskPhase.FAILED:
+            return "again"
+        task.failures += 1
+        job.changed.add(task.index)
+        self._judged(job, news, False, now_ms)
+        if is_service:
+            return "again"
+        failed = (*task.failed_workers, news.worker_id)
+        task.failed_workers = failed[-_records.FAILED_WORKERS_MAX :]
+        question = quarantine.MayRetryJob(job.spec.job_id)
+        if task.failures >= job.spec.max_attempts:
+            return "exhausted"
+        if not self._judge.choose(question, now_ms):
+            return "exhausted"
+        return "again"
+
+    def _judged(self, job, news, succeeded, now_ms):
+        ended = quarantine.TaskEnded(
+            news.worker_id, job.spec.job_id, succeeded
+        )
+        self._judge.observe(ended, now_ms)
+
+    def _after(self, shard, job, task, news, now_ms):
+        if job.spec.work_class is model.WorkClass.GANG:
+            self._after_gang_task(shard, job, task, now_ms)
+        elif task.state == _records.QUEUED:
+            task.not_before_ms = self._retry_at(task, news, now_ms)
+            self._dispatcher.enqueue(
+                shard, job, task, now_ms, at_front=not task.failures
+            )
+        if job.is_over and job.ended_ms is None:
+            self._finish(shard, job, now_ms)
+
+    def _after_gang_task(self, shard, job, task, now_ms):
+        if task.state == _records.FAILED:
+            self._end_all(job, now_ms)
+        elif task.state == _records.QUEUED:
+            for other in job.tasks:
+                if job.step(other, "recall"):
+                    self._stop(job, other)
+        if not job.live_count:
+            self._queue_gang(shard, job, now_ms)
+
+    def _queue_gang(self, shard, job, now_ms):
+        if job.count_by_state.get(_records.QUEUED) and not job.cancelled:
+            self._dispatcher.enqueue_gang(shard, job, now_ms, at_front=True)
+
+    def _end_all(self, job, now_ms):
+        job_id = job.spec.job_id
+        self._gangs.drop(job_id, now_ms)
+        self._dispatcher.withdraw(job_id, _dispatch.GANG_INDEX, now_ms)
+        for task in job.tasks:
+            was_queued = task.state == _records.QUEUED
+            if not job.step(task, "cancel"):
+                continue
+            if was_queued:
+                self._dispatcher.withdraw(job_id, task.index, now_ms)
+            else:
+                task.asked_ms = now_ms
+                self._stop(job, task)
+        if job.is_over and job.ended_ms is None:
+            job.ended_ms = now_ms
+
+    def _finish(self, shard, job, now_ms):
+        job.ended_ms = now_ms
+        shard.sender.touch(job)
+        forgotten = quarantine.JobForgotten(job.spec.job_id)
+        self._judge.observe(forgotten, now_ms)
+
+    def _retry_at(self, task, news, now_ms):
+        if news.phase is workers.TaskPhase.SUCCEEDED:
+            return now_ms + self._retry_ms
+        if news.phase is not workers.TaskPhase.FAILED:
+            return 0
+        doublings = min(task.failures - 1, BACKOFF_DOUBLINGS_MAX)
+        return now_ms + self._retry_ms * 2**doublings
+
+    def _adopt(self, shard, job, task, news, now_ms):
+        """Takes over an attempt that an earlier owner ordered."""
+        if workers.epoch_of(news.attempt) >= shard.epoch:
+            return
+        if task.state in _records.ENDED_STATES:
+            return
+        task.attempt = news.attempt
+        if task.state == _records.QUEUED:
+            self._dispatcher.withdraw(job.spec.job_id, task.index, now_ms)
+            job.step(task, "ordered")
+            self._dispatcher.started(job, now_ms)
+            if job.cancelled:
+                job.step(task, "cancel")
+
+    def _disown(self, shard, news, sender):
+        """Answers news of an attempt that this owner does not want."""
+        if shard.phase is not _shards.ShardPhase.READY:
+            return
+        if news.phase not in LIVE_PHASES:
+            self._keep(shard, news, sender)
+            return
+        stop = workers.TaskStop(news.task_id, news.attempt)
+        self._orders.stop(sender, stop)
+
+    def _keep(self, shard, news, sender):
+        self._kept.append(KeptEnd(shard, sender, _attempt_id(news)))
+
+    def _stop(self, job, task):
+        task_id = model.TaskId(job.spec.job_id, task.index)
+        stop = workers.TaskStop(
+            task_id, task.attempt, checkpoint=not job.cancelled
+        )
+        self._orders.stop(task.vm_id, stop)
+
+
+def _attempt_id(news):
+    return workers.AttemptId(news.task_id, news.attempt)
--- /dev/null
+++ b/samphiregate/core/workers/_exchange.py
@@ -0,0 +1,294 @@
+"""Building exchanges with workers, and what follows from their outcome."""
+
+from samphiregate.core import model
+from samphiregate.core.workers import _messages
+from samphiregate.core.workers import _peer
+from samphiregate.core.workers import _records
+
+PHASES_BY_STATE = {
+    _messages.WorkerTaskState.RUNNING: _peer.TaskPhase.RUNNING,
+    _messages.WorkerTaskState.SUCCEEDED: _peer.TaskPhase.SUCCEEDED,
+    _messages.WorkerTaskState.FAILED: _peer.TaskPhase.FAILED,
+    _messages.WorkerTaskState.STOPPED: _peer.TaskPhase.STOPPED,
+    _messages.WorkerTaskState.CHECKPOINTED: _peer.TaskPhase.CHECKPOINTED,
+    _messages.WorkerTaskState.LAPSED: _peer.TaskPhase.LOST,
+    _messages.WorkerTaskState.REFUSED: _peer.TaskPhase.NOT_STARTED,
+}
+REFUSED_RETRY_MS = 100
+
+
+class Exchanges:
+    """Keeps at most one exchange under way with each worker.
+
+    Parameters
+    ----------
+    vm_id : str
+        Id of this entry VM.
+    ledger : Ledger
+        Takes in what workers report.
+    renew_ms : int
+        Longest time between two exchanges.
+    lease_ms : int
+        How long tasks may run without a further exchange.
+    margin_ms : int
+        Added to a lease before it counts as surely lapsed, for the drift of
+        two clocks.
+
+    Notes
+    -----
+    A lease is given as a time on the worker's own clock, reckoned from the
+    last reading of it. As the reading is never younger than its arrival
+    here, the worker's lease ends at the latest `lease_ms` after the exchange
+    was sent, also if the exchange reaches a paused worker much later: it is
+    refused there once that time is over.
+    """
+
+    def __init__(self, *, vm_id, ledger, renew_ms, lease_ms, margin_ms):
+        self._vm_id = vm_id
+        self._ledger = ledger
+        self._renew_ms = renew_ms
+        self._lease_ms = lease_ms
+        self._margin_ms = margin_ms
+
+    def next_for(self, record, now_ms):
+        """Returns the exchange that is due with a worker, or None."""
+        if record.flying is not None:
+            return None
+        if record.phase is _records.WorkerPhase.FENCED:
+            return None
+        ready = record.phase is _records.WorkerPhase.READY
+        if not (ready and record.commands):
+            if now_ms < record.next_exchange_ms:
+                return None
+        exchange = self._build(record, ready, now_ms)
+        record.flying = exchange
+        record.next_exchange_ms = now_ms + self._renew_ms
+        return exchange
+
+    def surely_lapsed_ms(self, record):
+        """Returns when all leases given here have ended, or None."""
+        if record.renewed_ms is None:
+            return None
+        return record.renewed_ms + self._lease_ms + self._margin_ms
+
+    def answered(self, record, report, now_ms):
+        """Takes in the answer to the exchange under way."""
+        exchange, record.flying = record.flying, None
+        restarted = record.incarnation not in ("", report.incarnation)
+        if report.epoch > record.epoch:
+            self._fenced(record, exchange, now_ms)
+            return
+        if restarted:
+            self._restarted(record, exchange, now_ms)
+        elif not report.accepted:
+            self._unsend(record, exchange)
+            record.phase = _records.WorkerPhase.INVENTORY
+            record.next_exchange_ms = now_ms + REFUSED_RETRY_MS
+        record.clock_ms = report.clock_ms
+        record.clock_read_ms = now_ms
+        if report.accepted:
+            self._accepted(record, report, now_ms)
+        self._ledger.refresh_room(record, now_ms)
+
+    def unreachable(self, record, outcome, now_ms):
+        """Takes in that the exchange under way had no answer.
+
+        The leases are not renewed again before the worker has answered an
+        inventory, so that they surely lapse.
+        """
+        exchange, record.flying = record.flying, None
+        record.phase = _records.WorkerPhase.INVENTORY
+        if outcome is model.AttemptOutcome.UNKNOWN:
+            record.commands[:0] = _repeatable(exchange.commands)
+        else:
+            self._unsend(record, exchange)
+        self._decline_unsent(record, _peer.TaskReason.NO_ROOM, now_ms)
+        self._ledger.refresh_room(record, now_ms)
+
+    def lapse(self, record, now_ms):
+        """Ends every attempt of a worker whose leases surely lapsed."""
+        for booking in _live(record):
+            booking.reason = _peer.TaskReason.LEASE_LAPSED
+            self._end(booking, _peer.TaskPhase.LOST, now_ms)
+        record.commands.clear()
+        record.renewed_ms = None
+        record.known = True
+
+    def _build(self, record, ready, now_ms):
+        record.sequence += 1
+        if not ready:
+            return self._inventory(record)
+        commands = tuple(record.commands)
+        record.commands.clear()
+        for command in commands:
+            if isinstance(command, _messages.StartTask):
+                self._booking(record, command).step("sent")
+        record.renewed_ms = now_ms
+        elapsed_ms = now_ms - record.clock_read_ms
+        lease_until_ms = record.clock_ms + elapsed_ms + self._lease_ms
+        return _messages.ExchangeWithWorker(
+            worker_id=record.info.worker_id,
+            endpoint=record.info.endpoint,
+            owner=self._vm_id,
+            epoch=record.epoch,
+            sequence=record.sequence,
+            incarnation=record.incarnation,
+            lease_until_ms=lease_until_ms,
+            commands=commands,
+        )
+
+    def _inventory(self, record):
+        return _messages.ExchangeWithWorker(
+            worker_id=record.info.worker_id,
+            endpoint=record.info.endpoint,
+            owner=self._vm_id,
+            epoch=record.epoch,
+            sequence=record.sequence,
+            incarnation="",
+            lease_until_ms=0,
+            full=True,
+        )
+
+    def _accepted(self, record, report, now_ms):
+        if report.full:
+            self._end_absent(record, report, now_ms)
+        for task in report.tasks:
+            self._report(record, task, now_ms)
+        self._sample(record, report, now_ms)
+        if record.phase is _records.WorkerPhase.INVENTORY:
+            record.incarnation = report.incarnation
+            record.phase = _records.WorkerPhase.READY
+            record.known = True
+            record.next_exchange_ms = now_ms
+
+    def _report(self, record, task, now_ms):
+        attempt_id = _peer.AttemptId(task.task_id, task.attempt)
+        booking = record.bookings_by_id.get(attempt_id)
+        if booking is None:
+            booking = self._ledger.adopt(record, task, now_ms)
+            if booking.is_over:
+                self._ledger.keep_news(booking, _news(booking, task))
+            else:
+                self._ledger.outbox.tell(_news(booking, task))
+            return
+        booking.on_worker = True
+        if booking.is_over:
+            return
+        if task.state is _messages.WorkerTaskState.RUNNING:
+            if booking.step("running"):
+                self._ledger.started(booking, now_ms)
+                self._ledger.outbox.tell(_news(booking, task))
+            return
+        if task.state is _messages.WorkerTaskState.REFUSED:
+            record.book.start_refused(booking.resources, now_ms)
+        self._ledger.end(booking, _news(booking, task), now_ms)
+
+    def _sample(self, record, report, now_ms):
+        if report.used_total is not None:
+            record.used_total = report.used_total
+        for task in report.tasks:
+            if task.state is _messages.WorkerTaskState.RUNNING:
+                record.used_by_task[task.task_id] = task.used
+            else:
+                record.used_by_task.pop(task.task_id, None)
+        record.sampled_ms = now_ms - report.age_ms
+        record.book.observe_report(
+            record.used_total,
+            dict(record.used_by_task),
+            record.sampled_ms,
+            now_ms,
+        )
+
+    def _end_absent(self, record, report, now_ms):
+        listed = {
+            _peer.AttemptId(task.task_id, task.attempt)
+            for task in report.tasks
+        }
+        for booking in _live(record):
+            if booking.attempt_id in listed:
+                continue
+            if booking.state == _records.SENT:
+                self._end(booking, _peer.TaskPhase.NOT_STARTED, now_ms)
+            elif booking.state == _records.RUNNING:
+                self._end(booking, _peer.TaskPhase.LOST, now_ms)
+
+    def _restarted(self, record, exchange, now_ms):
+        self._unsend(record, exchange)
+        for booking in _live(record):
+            if booking.state != _records.BOOKED:
+                self._end(booking, _peer.TaskPhase.LOST, now_ms)
+        for booking in record.bookings_by_id.values():
+            booking.on_worker = False
+        record.used_by_task.clear()
+        record.incarnation = ""
+        record.phase = _records.WorkerPhase.INVENTORY
+        record.next_exchange_ms = now_ms
+        self._decline_unsent(record, _peer.TaskReason.NO_ROOM, now_ms)
+
+    def _fenced(self, record, exchange, now_ms):
+        self._unsend(record, exchange)
+        record.phase = _records.WorkerPhase.FENCED
+        self._decline_unsent(record, _peer.TaskReason.LEAVING, now_ms)
+        self._ledger.refresh_room(record, now_ms)
+
+    def _unsend(self, record, exchange):
+        """The worker surely carried out nothing of an exchange."""
+        for command in exchange.commands:
+            if isinstance(command, _messages.StartTask):
+                booking = self._booking(record, command)
+                if booking is not None:
+                    booking.step("never_sent")
+        record.commands[:0] = exchange.commands
+
+    def _decline_unsent(self, record, reason, now_ms):
+        record.commands[:] = _repeatable(record.commands)
+        for booking in _live(record):
+            if booking.state == _records.BOOKED:
+                booking.reason = reason
+                self._end(booking, _peer.TaskPhase.NOT_STARTED, now_ms)
+
+    def _end(self, booking, phase, now_ms):
+        news = _peer.TaskNews(
+            booking.attempt_id.task_id,
+            booking.attempt_id.attempt,
+            phase,
+            booking.worker_id,
+            reason=booking.reason,
+        )
+        self._ledger.end(booking, news, now_ms)
+
+    def _booking(self, record, command):
+        attempt_id = _peer.AttemptId(command.task_id, command.attempt)
+        return record.bookings_by_id.get(attempt_id)
+
+
+def _live(record):
+    return [
+        booking
+        for booking in record.bookings_by_id.values()
+        if not booking.is_over
+    ]
+
+
+def _repeatable(commands):
+    return [
+        command
+        for command in commands
+        if not isinstance(command, _messages.StartTask)
+    ]
+
+
+def _news(booking, task):
+    reason = booking.reason
+    if task.state is _messages.WorkerTaskState.REFUSED:
+        if reason is _peer.TaskReason.NONE:
+            reason = _peer.TaskReason.REFUSED_BY_WORKER
+    return _peer.TaskNews(
+        task.task_id,
+        task.attempt,
+        PHASES_BY_STATE[task.state],
+        booking.worker_id,
+        reason=reason,
+        checkpoint=task.checkpoint,
+        remaining_ms=task.remaining_ms,
+    )
--- /dev/null
+++ b/samphiregate/core/workers/_ledger.py
@@ -0,0 +1,246 @@
+"""Bookings on owned workers, and all that follows from their changes."""
+
+from samphiregate.core import model
+from samphiregate.core import placement
+from samphiregate.core import preemption
+from samphiregate.core import quarantine
+from samphiregate.core.workers import _messages
+from samphiregate.core.workers import _peer
+from samphiregate.core.workers import _records
+
+CHARGED_PHASES = frozenset({_peer.TaskPhase.SUCCEEDED, _peer.TaskPhase.FAILED})
+
+
+class Ledger:
+    """Keeps bookings, tokens, rooms and news in step.
+
+    Parameters
+    ----------
+    tokens : object
+        Has `acquire`, `release` and `restore` of a team's tokens.
+    rooms : base.Policy
+        Placement policy.
+    judge : base.Policy
+        Tells which workers may be used.
+    victims : base.Policy
+        Chooses what makes room for urgent work.
+    outbox : NewsOutbox
+        Takes news for the owners of jobs.
+
+    Attributes
+    ----------
+    workers_by_id : dict of str to WorkerRecord
+        Owned workers.
+    live_by_task : dict of model.TaskId to Booking
+        The one attempt of each task that may run.
+    unkept_by_id : dict of AttemptId to Booking
+        Attempts that ended and whose end is not kept yet.
+    live_by_team : dict of str to dict
+        Live bookings of each team by attempt, oldest first.
+    """
+
+    def __init__(self, *, tokens, rooms, judge, victims, outbox):
+        self.tokens = tokens
+        self.rooms = rooms
+        self.judge = judge
+        self.victims = victims
+        self.outbox = outbox
+        self.workers_by_id = {}
+        self.live_by_task = {}
+        self.unkept_by_id = {}
+        self.live_by_team = {}
+
+    def find(self, attempt_id):
+        """Returns the booking of an attempt, live or unkept, or None."""
+        live = self.live_by_task.get(attempt_id.task_id)
+        if live is not None and live.attempt_id == attempt_id:
+            return live
+        return self.unkept_by_id.get(attempt_id)
+
+    def book(self, booking, now_ms):
+        """Enters a live booking, whose token is already held."""
+        record = self.workers_by_id[booking.worker_id]
+        task_id = booking.attempt_id.task_id
+        record.bookings_by_id[booking.attempt_id] = booking
+        record.book.book(task_id, booking.resources)
+        self.live_by_task[task_id] = booking
+        team = self.live_by_team.setdefault(booking.team, {})
+        team[booking.attempt_id] = booking
+        placed = placement.TaskPlaced(task_id.job_id, booking.worker_id)
+        self.rooms.observe(placed, now_ms)
+        self.judge.observe(
+            quarantine.TaskBegun(booking.worker_id, task_id.job_id), now_ms
+        )
+        self.refresh_room(record, now_ms)
+
+    def adopt(self, record, report, now_ms):
+        """Enters an attempt that a worker reports and that is unknown."""
+        booking = _booking_of(report, record.info.worker_id, now_ms)
+        if report.state is _messages.WorkerTaskState.RUNNING:
+            booking.step("sent")
+            booking.step("running")
+            self.tokens.restore(booking.team, 1)
+            self.book(booking, now_ms)
+            self.started(booking, now_ms)
+        else:
+            booking.step("ended")
+            record.bookings_by_id[booking.attempt_id] = booking
+        return booking
+
+    def started(self, booking, now_ms):
+        """Takes in that a live booking runs."""
+        booking.started_ms = now_ms
+        running = preemption.TaskRunning(
+            booking.attempt_id.task_id,
+            booking.team,
+            booking.worker_id,
+            booking.resources,
+            booking.work_class,
+            started_ms=now_ms,
+            checkpointable=booking.checkpointable,
+            urgent=booking.urgent,
+        )
+        self.victims.observe(running, now_ms)
+
+    def ask_end(self, booking, reason, now_ms, checkpoint=False):
+        """Asks for the end of a live booking; asking again changes nothing.
+
+        Parameters
+        ----------
+        reason : TaskReason
+            Told with the end.
+        checkpoint : bool
+            Whether to save its progress first, where it can be.
+        """
+        if booking.reason is not _peer.TaskReason.NONE:
+            return
+        booking.reason = reason
+        task_id = booking.attempt_id.task_id
+        self.victims.observe(preemption.TaskOver(task_id), now_ms)
+        record = self.workers_by_id[booking.worker_id]
+        if booking.state == _records.BOOKED:
+            self._withdraw(record, booking, now_ms)
+            return
+        saved = checkpoint and booking.checkpointable
+        kind = _messages.CheckpointTask if saved else _messages.StopTask
+        record.commands.append(kind(task_id, booking.attempt_id.attempt))
+
+    def end(self, booking, news, now_ms):
+        """Ends a live booking; its token and room are free again."""
+        self._unbook(booking, now_ms)
+        booking.step("ended")
+        self.tokens.release(booking.team, now_ms)
+        task_id = booking.attempt_id.task_id
+        if news.phase in CHARGED_PHASES:
+            succeeded = news.phase is _peer.TaskPhase.SUCCEEDED
+            ended = quarantine.TaskEnded(
+                booking.worker_id, task_id.job_id, succeeded
+            )
+            self.judge.observe(ended, now_ms)
+        self.keep_news(booking, news)
+        self.refresh_room(self.workers_by_id[booking.worker_id], now_ms)
+
+    def keep_news(self, booking, news):
+        """Tells the end of an attempt until it is kept."""
+        booking.news = news
+        self.unkept_by_id[booking.attempt_id] = booking
+        self.outbox.tell(news)
+
+    def kept(self, attempt_id):
+        """The job's owner has the end on record; forget the attempt."""
+        booking = self.unkept_by_id.pop(attempt_id, None)
+        if booking is None:
+            return
+        record = self.workers_by_id.get(booking.worker_id)
+        if record is None:
+            return
+        record.bookings_by_id.pop(attempt_id, None)
+        if booking.on_worker:
+            command = _messages.ForgetTask(
+                attempt_id.task_id, attempt_id.attempt
+            )
+            record.commands.append(command)
+
+    def drop_worker(self, worker_id, now_ms):
+        """Forgets a worker that is gone or owned by another entry VM."""
+        record = self.workers_by_id.pop(worker_id)
+        for booking in record.bookings_by_id.values():
+            if not booking.is_over:
+                self._unbook(booking, now_ms)
+            self.unkept_by_id.pop(booking.attempt_id, None)
+        self.rooms.observe(placement.WorkerRemoved(worker_id), now_ms)
+        return record
+
+    def refresh_room(self, record, now_ms):
+        """Tells the placement policy what a worker can take now."""
+        worker_id = record.info.worker_id
+        usable = (
+            record.phase is _records.WorkerPhase.READY
+            and not record.info.leaving
+            and record.listed
+            and self.judge.choose(quarantine.MayUseWorker(worker_id), now_ms)
+        )
+        record.usable = usable
+        if usable:
+            room = record.book.room(now_ms)
+            event = placement.WorkerRoomChanged(record.info, room)
+        else:
+            event = placement.WorkerRemoved(worker_id)
+        self.rooms.observe(event, now_ms)
+
+    def _withdraw(self, record, booking, now_ms):
+        """Takes a start back that was never sent."""
+        attempt_id = booking.attempt_id
+        record.commands[:] = [
+            command
+            for command in record.commands
+            if command.task_id != attempt_id.task_id
+            or command.attempt != attempt_id.attempt
+        ]
+        news = _peer.TaskNews(
+            attempt_id.task_id,
+            attempt_id.attempt,
+            _peer.TaskPhase.NOT_STARTED,
+            booking.worker_id,
+            reason=booking.reason,
+        )
+        self.end(booking, news, now_ms)
+
+    def _unbook(self, booking, now_ms):
+        record = self.workers_by_id.get(booking.worker_id)
+        task_id = booking.attempt_id.task_id
+        if record is not None:
+            record.book.release(task_id)
+            record.used_by_task.pop(task_id, None)
+        self.live_by_task.pop(task_id, None)
+        team = self.live_by_team.get(booking.team, {})
+        team.pop(booking.attempt_id, None)
+        if not team:
+            self.live_by_team.pop(booking.team, None)
+        self.victims.observe(preemption.TaskOver(task_id), now_ms)
+        gone = placement.TaskGone(task_id.job_id, booking.worker_id)
+        self.rooms.observe(gone, now_ms)
+
+
+def _booking_of(report, worker_id, now_ms):
+    return _records.Booking(
+        attempt_id=_peer.AttemptId(report.task_id, report.attempt),
+        worker_id=worker_id,
+        team=report.team,
+        work_class=report.work_class,
+        resources=report.reserved,
+        declared=report.reserved,
+        urgent=report.urgent,
+        checkpointable=report.checkpointable,
+        started_ms=now_ms,
+        on_worker=True,
+    )
+
+
+def total_of(records):
+    """Returns the capacity of workers that may be used, together."""
+    total = model.Resources()
+    for record in records:
+        if record.usable:
+            total = total + record.info.capacity
+    return total
--- a/samphiregate/core/workers/_messages.py
+++ b/samphiregate/core/workers/_messages.py
@@ -150,11 +150,12 @@
         that the worker knows if `full`.
     full : bool
         Whether `tasks` lists every attempt.
-    foreign : model.Resources or None
-        In use by others than this scheduler, as sampled `age_ms` ago; None
-        if unchanged since the last accepted exchange.
+    used_total : model.Resources or None
+        All that is in use on the worker, ours and foreign, sampled at the
+        same instant as the use of each task; None if no sample was taken
+        since the last accepted exchange.
     age_ms : int
-        Age of the sample of `foreign`.
+        Age of the sample.
     """
 
     incarnation: str
@@ -163,7 +164,7 @@
     clock_ms: int
     tasks: tuple[TaskReport, ...] = ()
     full: bool = False
-    foreign: model.Resources | None = None
+    used_total: model.Resources | None = None
     age_ms: int = 0
 
 
--- /dev/null
+++ b/samphiregate/core/workers/_orders.py
@@ -0,0 +1,277 @@
+"""Carries out the orders of job owners: run, stop, forget."""
+
+import attrs
+
+from samphiregate.core import placement
+from samphiregate.core import preemption
+from samphiregate.core import sizing
+from samphiregate.core.workers import _messages
+from samphiregate.core.workers import _peer
+from samphiregate.core.workers import _records
+
+
+@attrs.frozen
+class WaitingOrder:
+    """An urgent order for which room is being made."""
+
+    order: _peer.TaskOrder
+    sender: str
+    until_ms: int
+
+
+class OrderDesk:
+    """Books attempts on workers, or declines them.
+
+    Parameters
+    ----------
+    ledger : Ledger
+        Bookings.
+    holds : GangHolds
+        Reservations of gangs.
+    learner : base.Policy
+        Answers how much to book.
+    urgent_wait_ms : int
+        How long an urgent order waits for preempted work to end.
+    """
+
+    def __init__(self, *, ledger, holds, learner, urgent_wait_ms):
+        self._ledger = ledger
+        self._holds = holds
+        self._learner = learner
+        self._urgent_wait_ms = urgent_wait_ms
+        self._sequence_by_sender = {}
+        self._waiting_by_task = {}
+        self.leaving = False
+
+    def is_new(self, sender, sequence):
+        """Returns whether a sender's message is above its last one."""
+        if sequence <= self._sequence_by_sender.get(sender, 0):
+            return False
+        self._sequence_by_sender[sender] = sequence
+        return True
+
+    def run(self, order, sender, now_ms):
+        """Books an attempt, or tells the sender why not."""
+        reason = self._objection(order, sender)
+        if reason is not None:
+            self._decline(order, sender, reason)
+            return
+        attempt_id = _peer.AttemptId(order.task_id, order.attempt)
+        known = self._ledger.find(attempt_id)
+        if known is not None:
+            self._repeat(known, sender)
+        elif attempt_id.task_id in self._ledger.live_by_task:
+            self._decline(order, sender, _peer.TaskReason.DUPLICATE)
+        elif attempt_id.task_id not in self._waiting_by_task:
+            self._place(order, sender, now_ms)
+
+    def stop(self, stop, sender, now_ms):
+        """Ends an attempt; one that is unknown here says nothing.
+
+        It may have moved on with its worker to another owner.
+        """
+        attempt_id = _peer.AttemptId(stop.task_id, stop.attempt)
+        waiting = self._waiting_by_task.get(stop.task_id)
+        if waiting is not None and waiting.order.attempt == stop.attempt:
+            del self._waiting_by_task[stop.task_id]
+            self._decline(waiting.order, sender, _peer.TaskReason.CANCELLED)
+        booking = self._ledger.find(attempt_id)
+        if booking is None:
+            return
+        if booking.is_over:
+            self._ledger.outbox.tell_vm(sender, booking.news)
+        else:
+            self._ledger.ask_end(
+                booking,
+                _peer.TaskReason.CANCELLED,
+                now_ms,
+                checkpoint=stop.checkpoint,
+            )
+
+    def retry_waiting(self, now_ms):
+        """Places urgent orders for which there is room by now."""
+        for waiting in tuple(self._waiting_by_task.values()):
+            task_id = waiting.order.task_id
+            if self._try_place(waiting.order, now_ms) is None:
+                del self._waiting_by_task[task_id]
+            elif now_ms >= waiting.until_ms:
+                del self._waiting_by_task[task_id]
+                self._decline(
+                    waiting.order, waiting.sender, _peer.TaskReason.NO_ROOM
+                )
+
+    def decline_waiting(self):
+        """Declines every order that waits, as this entry VM leaves."""
+        for waiting in self._waiting_by_task.values():
+            self._decline(
+                waiting.order, waiting.sender, _peer.TaskReason.LEAVING
+            )
+        self._waiting_by_task = {}
+
+    def waiting_news(self, shard):
+        """Returns news of the waiting orders of one job shard."""
+        return [
+            _peer.TaskNews(task_id, one.order.attempt, _peer.TaskPhase.BOOKED)
+            for task_id, one in self._waiting_by_task.items()
+            if self._ledger.outbox.shard_of(task_id.job_id) == shard
+        ]
+
+    def drop_stale(self, shard, epoch):
+        """Drops waiting orders of a job shard from below an epoch."""
+        for task_id, waiting in tuple(self._waiting_by_task.items()):
+            if self._ledger.outbox.shard_of(task_id.job_id) != shard:
+                continue
+            if _peer.epoch_of(waiting.order.attempt) < epoch:
+                del self._waiting_by_task[task_id]
+
+    def _objection(self, order, sender):
+        if self.leaving:
+            return _peer.TaskReason.LEAVING
+        shard = self._ledger.outbox.shard_of(order.task_id.job_id)
+        epoch = _peer.epoch_of(order.attempt)
+        if not self._ledger.outbox.admit(shard, epoch, sender):
+            return _peer.TaskReason.STALE_EPOCH
+        return None
+
+    def _place(self, order, sender, now_ms):
+        reason = self._try_place(order, now_ms)
+        if reason is None:
+            return
+        if reason is _peer.TaskReason.NO_ROOM and order.urgent:
+            if self._preempt(order, now_ms):
+                self._waiting_by_task[order.task_id] = WaitingOrder(
+                    order, sender, now_ms + self._urgent_wait_ms
+                )
+                return
+        self._decline(order, sender, reason)
+
+    def _try_place(self, order, now_ms):
+        """Books the order; returns None, or why it cannot be booked."""
+        if order.reservation:
+            return self._place_reserved(order, now_ms)
+        if not self._ledger.tokens.acquire(order.team, now_ms):
+            return _peer.TaskReason.NO_TOKEN
+        amount = self._amount(order, now_ms)
+        worker_id = self._choose(order, amount, now_ms)
+        if worker_id is None:
+            self._ledger.tokens.release(order.team, now_ms)
+            return _peer.TaskReason.NO_ROOM
+        self._book(order, worker_id, amount, now_ms)
+        return None
+
+    def _place_reserved(self, order, now_ms):
+        worker_id = self._holds.take(order.reservation, now_ms)
+        if worker_id is None:
+            return _peer.TaskReason.NO_ROOM
+        self._book(order, worker_id, order.resources, now_ms)
+        return None
+
+    def _amount(self, order, now_ms):
+        question = sizing.BookingQuestion(
+            order.team, order.work_class, order.resources
+        )
+        return self._learner.choose(question, now_ms)
+
+    def _choose(self, order, amount, now_ms):
+        excluded = frozenset(order.avoided_workers)
+        if order.avoided_racks:
+            excluded |= self._workers_in(order.avoided_racks)
+        worker_id = self._ask(order, amount, excluded, now_ms)
+        if worker_id is None and excluded:
+            worker_id = self._ask(order, amount, frozenset(), now_ms)
+        return worker_id
+
+    def _ask(self, order, amount, excluded, now_ms):
+        question = placement.PlaceTask(
+            order.task_id.job_id,
+            order.work_class,
+            amount,
+            excluded_workers=excluded,
+            run_time_ms=order.run_time_ms,
+        )
+        return self._ledger.rooms.choose(question, now_ms)
+
+    def _workers_in(self, racks):
+        return frozenset(
+            worker_id
+            for worker_id, record in self._ledger.workers_by_id.items()
+            if record.info.rack in racks
+        )
+
+    def _book(self, order, worker_id, amount, now_ms):
+        booking = _records.Booking(
+            attempt_id=_peer.AttemptId(order.task_id, order.attempt),
+            worker_id=worker_id,
+            team=order.team,
+            work_class=order.work_class,
+            resources=amount,
+            declared=order.resources,
+            urgent=order.urgent,
+            checkpointable=order.checkpointable,
+            started_ms=now_ms,
+        )
+        self._ledger.book(booking, now_ms)
+        record = self._ledger.workers_by_id[worker_id]
+        record.commands.append(_start(order, amount))
+        self._ledger.outbox.tell(self._booked_news(booking))
+
+    def _preempt(self, order, now_ms):
+        question = preemption.VictimQuestion(order.team, order.resources)
+        victims = self._ledger.victims.choose(question, now_ms)
+        if victims is None:
+            return False
+        for task_id in victims.task_ids:
+            booking = self._ledger.live_by_task.get(task_id)
+            if booking is not None:
+                self._ledger.ask_end(
+                    booking,
+                    _peer.TaskReason.PREEMPTED,
+                    now_ms,
+                    checkpoint=True,
+                )
+        return True
+
+    def _booked_news(self, booking):
+        attempt_id = booking.attempt_id
+        phase = _peer.TaskPhase.BOOKED
+        if booking.state == _records.RUNNING:
+            phase = _peer.TaskPhase.RUNNING
+        rack = self._ledger.workers_by_id[booking.worker_id].info.rack
+        return _peer.TaskNews(
+            attempt_id.task_id,
+            attempt_id.attempt,
+            phase,
+            booking.worker_id,
+            rack=rack,
+        )
+
+    def news_of(self, booking):
+        """Returns the present news of a live or ended booking."""
+        return booking.news or self._booked_news(booking)
+
+    def _repeat(self, booking, sender):
+        self._ledger.outbox.tell_vm(sender, self.news_of(booking))
+
+    def _decline(self, order, sender, reason):
+        news = _peer.TaskNews(
+            order.task_id,
+            order.attempt,
+            _peer.TaskPhase.NOT_STARTED,
+            reason=reason,
+        )
+        self._ledger.outbox.tell_vm(sender, news)
+
+
+def _start(order, amount):
+    return _messages.StartTask(
+        order.task_id,
+        order.attempt,
+        team=order.team,
+        work_class=order.work_class,
+        resources=amount,
+        urgent=order.urgent,
+        checkpointable=order.checkpointable,
+        run_time_ms=order.run_time_ms,
+        command=order.command,
+        checkpoint=order.checkpoint,
+    )
--- /dev/null
+++ b/samphiregate/core/workers/_outbox.py
@@ -0,0 +1,87 @@
+"""News to the owners of jobs, batched by recipient."""
+
+import attrs
+
+from samphiregate.core import base
+from samphiregate.core import model
+from samphiregate.core.workers import _peer
+
+
+@attrs.frozen
+class JobShardOwner:
+    """The highest epoch known of a job shard, and who holds it."""
+
+    epoch: int
+    vm_id: str
+
+
+NO_OWNER = JobShardOwner(0, "")
+
+
+class NewsOutbox:
+    """Finds the owner of each job, and batches what it is told.
+
+    Parameters
+    ----------
+    ownership : object
+        Has `entry_of(shard)`.
+    data_centre : str
+        Data centre of the jobs.
+    shard_count : int
+        Shards of each data centre.
+    """
+
+    def __init__(self, *, ownership, data_centre, shard_count):
+        self._ownership = ownership
+        self._data_centre = data_centre
+        self._shard_count = shard_count
+        self._fences_by_shard = {}
+        self._news_by_owner = {}
+        self._actions = []
+
+    def shard_of(self, job_id):
+        """Returns the shard of a job."""
+        return model.shard_of(job_id, self._data_centre, self._shard_count)
+
+    def owner_of(self, shard):
+        """Returns the `JobShardOwner` with the highest known epoch."""
+        fence = self._fences_by_shard.get(shard, NO_OWNER)
+        entry = self._ownership.entry_of(shard)
+        if entry is not None and entry.epoch > fence.epoch:
+            return JobShardOwner(entry.epoch, entry.owner)
+        return fence
+
+    def admit(self, shard, epoch, sender):
+        """Returns whether `epoch` is not stale, and refuses lower ones."""
+        known = self.owner_of(shard)
+        if epoch < known.epoch:
+            return False
+        self._fences_by_shard[shard] = JobShardOwner(epoch, sender)
+        return True
+
+    def tell(self, news):
+        """Queues news for the owner of its job."""
+        owner = self.owner_of(self.shard_of(news.task_id.job_id)).vm_id
+        if owner:
+            self.tell_vm(owner, news)
+
+    def tell_vm(self, vm_id, news):
+        """Queues news for one entry VM."""
+        self._news_by_owner.setdefault(vm_id, []).append(news)
+
+    def send(self, vm_id, message):
+        """Queues any other message for one entry VM."""
+        self._actions.append(base.SendToPeer(vm_id, message))
+
+    def act(self, action):
+        """Queues an action."""
+        self._actions.append(action)
+
+    def flush(self):
+        """Returns everything queued as actions, and forgets it."""
+        actions, self._actions = self._actions, []
+        batches, self._news_by_owner = self._news_by_owner, {}
+        for vm_id, news in batches.items():
+            message = _peer.TaskNewsBatch(tuple(news))
+            actions.append(base.SendToPeer(vm_id, message))
+        return actions
--- /dev/null
+++ b/samphiregate/core/workers/_owner.py
@@ -0,0 +1,411 @@
+"""The machine that owns workers."""
+
+import functools
+
+from samphiregate.core import base
+from samphiregate.core import fleet
+from samphiregate.core import model
+from samphiregate.core import placement
+from samphiregate.core import sizing
+from samphiregate.core.workers import _exchange
+from samphiregate.core.workers import _gangs
+from samphiregate.core.workers import _ledger
+from samphiregate.core.workers import _messages
+from samphiregate.core.workers import _orders
+from samphiregate.core.workers import _outbox
+from samphiregate.core.workers import _peer
+from samphiregate.core.workers import _records
+from samphiregate.core.workers import _relief
+from samphiregate.core.workers import _summary
+from samphiregate import parameters
+
+
+class WorkerOwner(base.StateMachine, parameters.Parameterised):
+    """Books, starts, renews and ends tasks on the workers that it owns.
+
+    Parameters
+    ----------
+    vm_id, data_centre : str
+        This entry VM and its data centre.
+    ownership : object
+        Has `entry_of(shard)`.
+    membership : object
+        Has `alive_ids(data_centre)`.
+    tokens : object
+        Has `acquire`, `release`, `restore` and `excess`.
+    rooms, learner, judge, victims : base.Policy
+        Placement, sizes, quarantine and preemption.
+    random_state : random.Random
+        Spreads the first exchanges after a takeover over time.
+    shard_count : int
+        Shards of each data centre.
+    renew_ms : int
+        Longest time between two exchanges with a worker.
+    lease_ms : int
+        How long tasks run on without an exchange.
+    margin_ms : int
+        Added to a lease before it counts as surely lapsed.
+    urgent_wait_ms : int
+        How long an urgent order waits for preempted work to end.
+    cut_ms : int
+        Time between two steps against over-use on one worker.
+    news_ms : int
+        Time after which ends that are not kept are told again.
+    summary_ms : int
+        Time between two summaries of room to the data centre.
+
+    Notes
+    -----
+    Nothing is placed on a worker before its inventory is known, and nothing
+    that may run there is given up before the worker says that it does not,
+    or its lease has surely lapsed.
+    """
+
+    parameter_table = {
+        "shard_count": parameters.Interval(int, 1, 65_536),
+        "renew_ms": parameters.Interval(int, 10, 600_000),
+        "lease_ms": parameters.Interval(int, 100, 3_600_000),
+        "margin_ms": parameters.Interval(int, 0, 600_000),
+        "urgent_wait_ms": parameters.Interval(int, 0, 60_000),
+        "cut_ms": parameters.Interval(int, 100, 600_000),
+        "news_ms": parameters.Interval(int, 100, 600_000),
+        "summary_ms": parameters.Interval(int, 100, 60_000),
+    }
+
+    def __init__(
+        self,
+        *,
+        vm_id,
+        data_centre,
+        ownership,
+        membership,
+        tokens,
+        rooms,
+        learner,
+        judge,
+        victims,
+        random_state,
+        shard_count=64,
+        renew_ms=5_000,
+        lease_ms=15_000,
+        margin_ms=500,
+        urgent_wait_ms=3_000,
+        cut_ms=10_000,
+        news_ms=2_000,
+        summary_ms=1_000,
+    ):
+        self.vm_id = vm_id
+        self.data_centre = data_centre
+        self.ownership = ownership
+        self.membership = membership
+        self.learner = learner
+        self.random_state = random_state
+        self.shard_count = shard_count
+        self.renew_ms = renew_ms
+        self.lease_ms = lease_ms
+        self.margin_ms = margin_ms
+        self.urgent_wait_ms = urgent_wait_ms
+        self.cut_ms = cut_ms
+        self.news_ms = news_ms
+        self.summary_ms = summary_ms
+        self.check_parameters()
+        self.outbox_ = _outbox.NewsOutbox(
+            ownership=ownership,
+            data_centre=data_centre,
+            shard_count=shard_count,
+        )
+        self.ledger_ = _ledger.Ledger(
+            tokens=tokens,
+            rooms=rooms,
+            judge=judge,
+            victims=victims,
+            outbox=self.outbox_,
+        )
+        self.holds_ = _gangs.GangHolds(ledger=self.ledger_)
+        self.desk_ = _orders.OrderDesk(
+            ledger=self.ledger_,
+            holds=self.holds_,
+            learner=learner,
+            urgent_wait_ms=urgent_wait_ms,
+        )
+        self.exchanges_ = _exchange.Exchanges(
+            vm_id=vm_id,
+            ledger=self.ledger_,
+            renew_ms=renew_ms,
+            lease_ms=lease_ms,
+            margin_ms=margin_ms,
+        )
+        self.relief_ = _relief.Relief(ledger=self.ledger_, cut_ms=cut_ms)
+        self.summary_ = _summary.Summary(ledger=self.ledger_)
+        self.epochs_by_shard_ = {}
+        self.infos_by_id_ = {}
+        self.listed_vms_ = None
+        self.previous_owner_by_shard_ = {}
+        self.released_ms_by_shard_ = {}
+        self._next_news_ms = 0
+        self._next_summary_ms = 0
+
+    def handle(self, event, now_ms):
+        """Takes one event and returns what has to be done."""
+        self._take(event, now_ms)
+        self.desk_.retry_waiting(now_ms)
+        self._exchange_due(now_ms)
+        return self.outbox_.flush()
+
+    @functools.singledispatchmethod
+    def _take(self, event, now_ms):
+        """Ignores events that are not for this machine."""
+
+    @_take.register
+    def _(self, event: base.Tick, now_ms):
+        self.holds_.expire(now_ms)
+        for record in tuple(self.ledger_.workers_by_id.values()):
+            self._check_lapse(record, now_ms)
+        self.relief_.enforce_limits(now_ms)
+        if now_ms >= self._next_news_ms:
+            self._next_news_ms = now_ms + self.news_ms
+            self._repeat_news()
+        if now_ms >= self._next_summary_ms:
+            self._next_summary_ms = now_ms + self.summary_ms
+            self.relief_.cut_over_use(now_ms)
+            self._refresh_rooms(now_ms)
+            self._send_summary(now_ms)
+
+    @_take.register
+    def _(self, event: fleet.FleetListed, now_ms):
+        self.listed_vms_ = frozenset(event.entry_vms_by_id)
+        self.infos_by_id_ = {
+            worker_id: info
+            for worker_id, info in event.workers_by_id.items()
+            if info.data_centre == self.data_centre
+        }
+        for worker_id, info in self.infos_by_id_.items():
+            self._take_info(worker_id, info, now_ms)
+        for record in self.ledger_.workers_by_id.values():
+            record.listed = record.info.worker_id in self.infos_by_id_
+            if not record.listed:
+                self.ledger_.refresh_room(record, now_ms)
+
+    @_take.register
+    def _(self, event: fleet.ShardTableChanged, now_ms):
+        if event.data_centre != self.data_centre:
+            return
+        for shard, entry in event.entries_by_shard.items():
+            if entry.owner and entry.owner != self.vm_id:
+                self.previous_owner_by_shard_[shard] = entry.owner
+
+    @_take.register
+    def _(self, event: fleet.ShardGained, now_ms):
+        self.epochs_by_shard_[event.shard] = event.epoch
+        for worker_id, info in self.infos_by_id_.items():
+            if self._shard_of(worker_id) == event.shard:
+                self._add_worker(info, now_ms)
+
+    @_take.register
+    def _(self, event: fleet.ShardLost, now_ms):
+        epoch = self.epochs_by_shard_.pop(event.shard, None)
+        if epoch is None:
+            return
+        for worker_id, record in tuple(self.ledger_.workers_by_id.items()):
+            if record.shard == event.shard:
+                self._decline_unsent(record, now_ms)
+                self.ledger_.drop_worker(worker_id, now_ms)
+        message = _peer.WorkersReleased(event.shard.number, epoch)
+        self._broadcast(message)
+
+    @_take.register
+    def _(self, event: _messages.WorkerAnswered, now_ms):
+        record = self._record_of(event)
+        if record is not None:
+            self.exchanges_.answered(record, event.report, now_ms)
+            self._learn(record, event.report, now_ms)
+
+    @_take.register
+    def _(self, event: _messages.WorkerUnreachable, now_ms):
+        record = self._record_of(event)
+        if record is not None:
+            self.exchanges_.unreachable(record, event.outcome, now_ms)
+
+    @_take.register
+    def _(self, event: base.StopRequested, now_ms):
+        self.desk_.leaving = True
+        self.desk_.decline_waiting()
+        self._send_summary(now_ms)
+
+    @_take.register
+    def _(self, event: base.PeerDelivered, now_ms):
+        self._take_message(event.message, event.sender, now_ms)
+
+    @functools.singledispatchmethod
+    def _take_message(self, message, sender, now_ms):
+        """Ignores messages that are not for this machine."""
+
+    @_take_message.register
+    def _(self, message: _peer.TaskOrders, sender, now_ms):
+        for attempt_id in message.kept:
+            self.ledger_.kept(attempt_id)
+        if not self.desk_.is_new(sender, message.sequence):
+            return
+        for stop in message.stops:
+            self.desk_.stop(stop, sender, now_ms)
+        for order in message.runs:
+            self.desk_.run(order, sender, now_ms)
+
+    @_take_message.register
+    def _(self, message: _peer.AskForTasks, sender, now_ms):
+        shard = model.ShardId(self.data_centre, message.shard_number)
+        if not self.outbox_.admit(shard, message.epoch, sender):
+            return
+        self.desk_.is_new(sender, message.sequence)
+        self.desk_.drop_stale(shard, message.epoch)
+        answer = _peer.TasksOfShard(
+            message.shard_number,
+            message.epoch,
+            message.inquiry,
+            self._covered(),
+            tuple(self._news_of_shard(shard)),
+        )
+        self.outbox_.send(sender, answer)
+
+    @_take_message.register
+    def _(self, message: _peer.ReserveGang, sender, now_ms):
+        if self.desk_.leaving:
+            answer = _peer.GangReserved(message.reservation, 0)
+        else:
+            answer = self.holds_.reserve(message, now_ms)
+        self.outbox_.send(sender, answer)
+
+    @_take_message.register
+    def _(self, message: _peer.ReleaseGang, sender, now_ms):
+        self.holds_.release(message.reservation, now_ms)
+
+    @_take_message.register
+    def _(self, message: _peer.WorkersReleased, sender, now_ms):
+        shard = model.ShardId(self.data_centre, message.shard_number)
+        if self.previous_owner_by_shard_.get(shard) == sender:
+            self.released_ms_by_shard_[shard] = now_ms
+
+    def _shard_of(self, worker_id):
+        return model.shard_of(worker_id, self.data_centre, self.shard_count)
+
+    def _take_info(self, worker_id, info, now_ms):
+        record = self.ledger_.workers_by_id.get(worker_id)
+        if record is None:
+            if self._shard_of(worker_id) in self.epochs_by_shard_:
+                self._add_worker(info, now_ms)
+        elif record.info != info:
+            record.info = info
+            record.book.worker = info
+            self.ledger_.refresh_room(record, now_ms)
+
+    def _add_worker(self, info, now_ms):
+        shard = self._shard_of(info.worker_id)
+        previous = self.previous_owner_by_shard_.get(shard, "")
+        self.ledger_.workers_by_id[info.worker_id] = _records.WorkerRecord(
+            info=info,
+            shard=shard,
+            epoch=self.epochs_by_shard_[shard],
+            book=placement.WorkerBook(info),
+            previous_owner=previous,
+            known=not previous,
+            next_exchange_ms=now_ms,
+        )
+
+    def _record_of(self, event):
+        record = self.ledger_.workers_by_id.get(event.worker_id)
+        if record is None or record.flying is None:
+            return None
+        flying = record.flying
+        if (flying.epoch, flying.sequence) != (event.epoch, event.sequence):
+            return None
+        return record
+
+    def _exchange_due(self, now_ms):
+        for record in self.ledger_.workers_by_id.values():
+            exchange = self.exchanges_.next_for(record, now_ms)
+            if exchange is not None:
+                self.outbox_.act(exchange)
+
+    def _check_lapse(self, record, now_ms):
+        if record.phase is not _records.WorkerPhase.INVENTORY:
+            return
+        if record.flying is not None:
+            return
+        lapsed_ms = self.exchanges_.surely_lapsed_ms(record)
+        if not record.known:
+            lapsed_ms = self._inherited_lapse_ms(record, now_ms)
+        if lapsed_ms is not None and now_ms >= lapsed_ms:
+            self.exchanges_.lapse(record, now_ms)
+        if record.known and not record.listed and record.renewed_ms is None:
+            self.ledger_.drop_worker(record.info.worker_id, now_ms)
+
+    def _inherited_lapse_ms(self, record, now_ms):
+        """Returns when leases of the owner before have lapsed, or None."""
+        released_ms = self.released_ms_by_shard_.get(record.shard)
+        if released_ms is None:
+            gone = self.listed_vms_ is not None and (
+                record.previous_owner not in self.listed_vms_
+            )
+            if not gone and record.listed:
+                return None
+            self.released_ms_by_shard_[record.shard] = released_ms = now_ms
+        return released_ms + self.lease_ms + self.margin_ms
+
+    def _decline_unsent(self, record, now_ms):
+        for booking in tuple(record.bookings_by_id.values()):
+            if booking.state == _records.BOOKED:
+                reason = _peer.TaskReason.LEAVING
+                self.ledger_.ask_end(booking, reason, now_ms)
+
+    def _covered(self):
+        open_shards = {
+            record.shard
+            for record in self.ledger_.workers_by_id.values()
+            if not record.known
+        }
+        return tuple(
+            _peer.WorkerShard(shard.number, epoch)
+            for shard, epoch in self.epochs_by_shard_.items()
+            if shard not in open_shards
+        )
+
+    def _news_of_shard(self, shard):
+        bookings = (
+            *self.ledger_.live_by_task.values(),
+            *self.ledger_.unkept_by_id.values(),
+        )
+        for booking in bookings:
+            job_id = booking.attempt_id.task_id.job_id
+            if self.outbox_.shard_of(job_id) == shard:
+                yield self.desk_.news_of(booking)
+        yield from self.desk_.waiting_news(shard)
+
+    def _repeat_news(self):
+        for booking in self.ledger_.unkept_by_id.values():
+            self.outbox_.tell(booking.news)
+
+    def _refresh_rooms(self, now_ms):
+        for record in self.ledger_.workers_by_id.values():
+            self.ledger_.refresh_room(record, now_ms)
+
+    def _send_summary(self, now_ms):
+        message = self.summary_.build(now_ms, self.desk_.leaving)
+        self._broadcast(message)
+
+    def _broadcast(self, message):
+        recipients = set(self.membership.alive_ids(self.data_centre))
+        for vm_id in sorted(recipients | {self.vm_id}):
+            self.outbox_.send(vm_id, message)
+
+    def _learn(self, record, report, now_ms):
+        for task in report.tasks:
+            booking = self.ledger_.live_by_task.get(task.task_id)
+            if booking is None or task.used == model.Resources():
+                continue
+            seen = sizing.UsageSeen(
+                booking.team,
+                booking.work_class,
+                booking.declared,
+                task.used,
+            )
+            self.learner.observe(seen, now_ms)
--- a/samphiregate/core/workers/_peer.py
+++ b/samphiregate/core/workers/_peer.py
@@ -60,6 +60,7 @@
     OVER_LIMIT = "over-limit"
     OVER_USE = "over-use"
     LEAVING = "leaving"
+    LEASE_LAPSED = "lease-lapsed"
 
 
 @attrs.frozen
@@ -70,6 +71,8 @@
     ----------
     avoided_racks : tuple of str
         Racks with other replicas of the job, to be used last.
+    avoided_workers : tuple of str
+        Workers on which the task failed, to be used last.
     reservation : str
         Id of the gang reservation that the task is part of, or empty.
     """
@@ -85,6 +88,7 @@
     command: str = ""
     checkpoint: str = ""
     avoided_racks: tuple[str, ...] = ()
+    avoided_workers: tuple[str, ...] = ()
     reservation: str = ""
 
 
@@ -117,7 +121,8 @@
     runs : tuple of TaskOrder
         Attempts to run.
     stops : tuple of TaskStop
-        Attempts to end; one that the recipient does not know never starts.
+        Attempts to end. One that the recipient does not know says nothing,
+        as it may have moved on with its worker.
     kept : tuple of AttemptId
         Attempts whose end is on record and may be forgotten.
     """
@@ -200,7 +205,15 @@
 
 @attrs.frozen
 class ReserveGang(base.PeerMessage):
-    """Hold room and tokens for tasks of a gang for a short time."""
+    """Hold room and tokens for tasks of a gang for a short time.
+
+    Parameters
+    ----------
+    hold_ms : int
+        How long the hold lasts unless it is used.
+    waited_ms : int
+        How long the gang has waited for a place.
+    """
 
     reservation: str
     job_id: str
@@ -208,6 +221,7 @@
     resources: model.Resources
     count: int
     hold_ms: int
+    waited_ms: int = 0
 
 
 @attrs.frozen
@@ -255,3 +269,19 @@
     largest: model.Resources
     usage: tuple[TeamUsage, ...] = ()
     leaving: bool = False
+
+
+@attrs.frozen
+class WorkersReleased(base.PeerMessage):
+    """The sender renews nothing more on the workers of a shard.
+
+    Parameters
+    ----------
+    shard_number : int
+        The shard.
+    epoch : int
+        Epoch under which the sender owned it.
+    """
+
+    shard_number: int
+    epoch: int
--- /dev/null
+++ b/samphiregate/core/workers/_summary.py
@@ -0,0 +1,80 @@
+"""Summaries of room and use for the other entry VMs."""
+
+from samphiregate.core import model
+from samphiregate.core.workers import _ledger
+from samphiregate.core.workers import _peer
+
+USAGE_TEAMS_MAX = 32
+
+
+class Summary:
+    """Builds the summaries of one entry VM.
+
+    Parameters
+    ----------
+    ledger : Ledger
+        Bookings.
+
+    Notes
+    -----
+    At most `USAGE_TEAMS_MAX` teams whose use changed go into one summary;
+    the others go into the next, so that the size of a summary is bounded.
+    """
+
+    def __init__(self, *, ledger):
+        self._ledger = ledger
+        self._sent_by_team = {}
+
+    def build(self, now_ms, leaving):
+        """Returns the `RoomSummary` of this moment."""
+        records = self._ledger.workers_by_id.values()
+        free = largest = model.Resources()
+        for record in records:
+            if not record.usable:
+                continue
+            room = record.book.room(now_ms)
+            free = free + room
+            largest = _largest(largest, room)
+        return _peer.RoomSummary(
+            capacity=_ledger.total_of(records),
+            free=free,
+            largest=largest,
+            usage=tuple(self._changed()),
+            leaving=leaving,
+        )
+
+    def _changed(self):
+        usage = {
+            team: _sum(bookings.values())
+            for team, bookings in self._ledger.live_by_team.items()
+        }
+        teams = sorted(usage.keys() | self._sent_by_team.keys())
+        changed = [
+            team
+            for team in teams
+            if usage.get(team) != self._sent_by_team.get(team)
+        ]
+        for team in changed[:USAGE_TEAMS_MAX]:
+            amount = usage.get(team)
+            if amount is None:
+                del self._sent_by_team[team]
+            else:
+                self._sent_by_team[team] = amount
+            yield _peer.TeamUsage(team, amount or model.Resources())
+
+
+def _largest(first, second):
+    return model.Resources(
+        max(first.cpu_millis, second.cpu_millis),
+        max(first.memory_mib, second.memory_mib),
+        max(first.accelerators, second.accelerators),
+    )
+
+
+def _sum(bookings):
+    cpu = memory = accelerators = 0
+    for booking in bookings:
+        cpu += booking.resources.cpu_millis
+        memory += booking.resources.memory_mib
+        accelerators += booking.resources.accelerators
+    return model.Resources(cpu, memory, accelerators)
