Add peer links, settings, metrics, logs, load tool and fault proxy

Cause: entry VMs need one authenticated link to each other that survives silent and cut connections without doubling a message. Change: adapters.peers (pycapnp frames, keyed tags on each message, numbered batches confirmed by the receiver and sent again on a new connection, bounded queues), core.vm, settings with one check, absl logs as text or JSON, HDR histograms with statsd, an open-loop load tool, a TCP proxy that delays, silences and cuts.

--- /dev/null
+++ b/samphiregate/adapters/peers/__init__.py
@@ -0,0 +1,13 @@
+"""Links between entry VMs: framing, authentication, heartbeats, bounds."""
+
+from samphiregate.adapters.peers._codec import decode_frames
+from samphiregate.adapters.peers._codec import encode_frame
+from samphiregate.adapters.peers._codec import UnknownMessageError
+from samphiregate.adapters.peers._hub import PeerHub
+
+__all__ = [
+    "PeerHub",
+    "UnknownMessageError",
+    "decode_frames",
+    "encode_frame",
+]
--- /dev/null
+++ b/samphiregate/core/vm/_entry_vm.py
@@ -0,0 +1,58 @@
+"""Hands events to the machines of one entry VM and collects actions."""
+
+import collections
+import functools
+
+from samphiregate.core import base
+
+
+class EntryVm(base.StateMachine):
+    """The state machines of one entry VM.
+
+    Each event goes to every machine. `Notify` actions, and messages that
+    the entry VM sends to itself, are delivered before `handle` returns.
+
+    Parameters
+    ----------
+    vm_id : str
+        Id of this entry VM.
+    machines : iterable of StateMachine
+        In the order in which they take each event.
+    """
+
+    def __init__(self, *, vm_id, machines):
+        self.vm_id = vm_id
+        self.machines = tuple(machines)
+        self._pending = collections.deque()
+
+    def handle(self, event, now_ms):
+        """Takes one event; see `StateMachine.handle`."""
+        self._pending.append(event)
+        actions = []
+        while self._pending:
+            self._deliver(self._pending.popleft(), now_ms, actions)
+        return actions
+
+    def _deliver(self, event, now_ms, actions):
+        for machine in self.machines:
+            for action in machine.handle(event, now_ms):
+                local = self._local_event(action)
+                if local is None:
+                    actions.append(action)
+                else:
+                    self._pending.append(local)
+
+    @functools.singledispatchmethod
+    def _local_event(self, action):
+        """Returns the event that an action amounts to on this VM."""
+        return None
+
+    @_local_event.register
+    def _(self, action: base.Notify):
+        return action.event
+
+    @_local_event.register
+    def _(self, action: base.SendToPeer):
+        if action.recipient != self.vm_id:
+            return None
+        return base.PeerDelivered(self.vm_id, action.message)
--- /dev/null
+++ b/standins/processes/__init__.py
@@ -0,0 +1,15 @@
+"""Starts processes for demos, tests and measurements, and ends them."""
+
+from standins.processes._processes import free_endpoint
+from standins.processes._processes import Process
+from standins.processes._processes import ProcessGroup
+from standins.processes._processes import StartError
+from standins.processes._processes import wait_until
+
+__all__ = [
+    "Process",
+    "ProcessGroup",
+    "StartError",
+    "free_endpoint",
+    "wait_until",
+]
