Add membership, ownership and a thin holder of tokens

Entry VMs need to agree on who is alive, who owns which shard and who may start a team's work.

TokenHolder takes ownership= besides membership=: the owner of shard 0 will grant tokens. In this commit it holds a team's whole limit there and nothing elsewhere. EntryVm has to hand each event to Membership, Ownership and TokenHolder in this order, before the machines that act, and to deliver ShardLost before the event goes on to those.

model.shard_of raised TypeError with the pinned xxhash, which takes bytes only: encode the id there.

--- a/samphiregate/core/base/__init__.py
+++ b/samphiregate/core/base/__init__.py
@@ -1,5 +1,7 @@
 """The contract that every state machine and policy keeps."""
 
+from samphiregate.core.base._chart import Chart
+from samphiregate.core.base._hashing import stable_hash
 from samphiregate.core.base._machine import StateMachine
 from samphiregate.core.base._messages import Action
 from samphiregate.core.base._messages import Event
@@ -10,12 +12,15 @@
 from samphiregate.core.base._messages import SendToPeer
 from samphiregate.core.base._messages import StopRequested
 from samphiregate.core.base._messages import Tick
+from samphiregate.core.base._pause import PauseDetector
 from samphiregate.core.base._policy import Policy
 
 __all__ = [
     "Action",
+    "Chart",
     "Event",
     "Notify",
+    "PauseDetector",
     "PeerDelivered",
     "PeerMessage",
     "PeerUnreachable",
@@ -24,4 +29,5 @@
     "StateMachine",
     "StopRequested",
     "Tick",
+    "stable_hash",
 ]
--- /dev/null
+++ b/samphiregate/core/membership/_messages.py
@@ -0,0 +1,81 @@
+"""Messages by which entry VMs probe each other."""
+
+import attrs
+
+from samphiregate.core import base
+from samphiregate.core import fleet
+
+
+@attrs.frozen
+class Rumour:
+    """What is believed about one entry VM.
+
+    Parameters
+    ----------
+    vm_id : str
+        The entry VM.
+    data_centre : str
+        Its data centre.
+    state : PeerState
+        The belief.
+    incarnation : int
+        Raised only by the VM itself, to refute a belief.
+    """
+
+    vm_id: str
+    data_centre: str
+    state: fleet.PeerState
+    incarnation: int
+
+
+@attrs.frozen
+class Ping(base.PeerMessage):
+    """Asks a VM to answer.
+
+    Parameters
+    ----------
+    sequence : int
+        Echoed in the answer.
+    data_centre : str
+        That of the sender.
+    incarnation : int
+        That of the sender.
+    rumours : tuple of Rumour
+        News that rides along.
+    unreachable : tuple of str or None
+        Data centres that the sender cannot reach, if it is a
+        representative of the recipient's data centre.
+    """
+
+    sequence: int
+    data_centre: str = ""
+    incarnation: int = 0
+    rumours: tuple[Rumour, ...] = ()
+    unreachable: tuple[str, ...] | None = None
+
+
+@attrs.frozen
+class Ack(base.PeerMessage):
+    """Answers a `Ping`, directly or through a helper.
+
+    Parameters
+    ----------
+    subject : str
+        The VM that answered.
+    """
+
+    sequence: int
+    subject: str
+    data_centre: str = ""
+    incarnation: int = 0
+    rumours: tuple[Rumour, ...] = ()
+    unreachable: tuple[str, ...] | None = None
+
+
+@attrs.frozen
+class IndirectPing(base.PeerMessage):
+    """Asks the recipient to probe `subject` on the sender's behalf."""
+
+    sequence: int
+    subject: str
+    rumours: tuple[Rumour, ...] = ()
--- /dev/null
+++ b/samphiregate/core/membership/_rumours.py
@@ -0,0 +1,53 @@
+"""The queue of news that rides on probes."""
+
+import math
+
+import attrs
+
+REPEAT_FACTOR = 3
+
+
+@attrs.define
+class _Entry:
+    rumour: object
+    sent_count: int = 0
+
+
+class RumourQueue:
+    """Hands out each rumour a bounded number of times, newest first.
+
+    Parameters
+    ----------
+    batch_size : int
+        Rumours that one message carries at most.
+    """
+
+    def __init__(self, *, batch_size):
+        self.batch_size = batch_size
+        self.entries_by_vm = {}
+
+    def add(self, rumour):
+        """Queues a rumour in place of an older one about the same VM."""
+        self.entries_by_vm[rumour.vm_id] = _Entry(rumour)
+
+    def take(self, group_size):
+        """Returns the rumours of one message.
+
+        Parameters
+        ----------
+        group_size : int
+            VMs that should hear of them; sets the number of repeats.
+
+        Returns
+        -------
+        tuple of Rumour
+        """
+        limit = REPEAT_FACTOR * math.ceil(math.log2(group_size + 2))
+        entries = sorted(
+            self.entries_by_vm.values(), key=lambda entry: entry.sent_count
+        )[: self.batch_size]
+        for entry in entries:
+            entry.sent_count += 1
+            if entry.sent_count >= limit:
+                del self.entries_by_vm[entry.rumour.vm_id]
+        return tuple(entry.rumour for entry in entries)
--- a/samphiregate/core/model/_ids.py
+++ b/samphiregate/core/model/_ids.py
@@ -36,5 +36,5 @@
     -------
     ShardId
     """
-    number = xxhash.xxh64_intdigest(item_id) % shard_count
+    number = xxhash.xxh64_intdigest(item_id.encode()) % shard_count
     return ShardId(data_centre, number)
--- /dev/null
+++ b/samphiregate/core/ownership/_plan.py
@@ -0,0 +1,127 @@
+"""Which entries of a table have to change, and how soon."""
+
+import enum
+
+import attrs
+
+from samphiregate.core import fleet
+
+
+class Reason(enum.Enum):
+    """Why a shard needs another owner."""
+
+    VACANT = "vacant"
+    DROPPED = "dropped"
+    DEAD = "dead"
+    LEAVING = "leaving"
+    BALANCE = "balance"
+
+
+@attrs.frozen
+class Move:
+    """A change of owner that is called for."""
+
+    number: int
+    owner: str
+    reason: Reason
+
+
+class Planner:
+    """Compares a table with the VMs that are there.
+
+    Parameters
+    ----------
+    vm_id : str
+        This VM.
+    membership : Membership
+        Its beliefs about others.
+    rendezvous : Rendezvous
+        Who should own what.
+    unknown_grace_ms : int
+        Time for which an owner that nobody has heard of is trusted to
+        exist, since the list of VMs lags.
+    contested_hold_ms : int
+        Time for which a shard is left to an owner that gained it after it
+        was believed dead here, since that VM lives for others.
+    settle_ms : int
+        Time without a change of the VMs before shards are evened out.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm_id,
+        membership,
+        rendezvous,
+        unknown_grace_ms,
+        contested_hold_ms,
+        settle_ms,
+    ):
+        self.vm_id = vm_id
+        self.membership = membership
+        self.rendezvous = rendezvous
+        self.unknown_grace_ms = unknown_grace_ms
+        self.contested_hold_ms = contested_hold_ms
+        self.settle_ms = settle_ms
+        self._unknown_since_by_vm = {}
+        self._present_ids = ()
+        self._present_since_ms = 0
+
+    def moves(self, table, owned, changed_by_number, now_ms):
+        """Returns the moves that are called for now.
+
+        Parameters
+        ----------
+        table : ShardTable
+            The table as it is known.
+        owned : container of int
+            Numbers that this VM acts on as their owner.
+        changed_by_number : dict
+            When each entry was last seen to change, in milliseconds.
+        now_ms : int
+            Time in milliseconds.
+
+        Returns
+        -------
+        list of Move
+        """
+        present = self.membership.present_ids(table.data_centre)
+        if present != self._present_ids:
+            self._present_ids = present
+            self._present_since_ms = now_ms
+        moves = []
+        for number, wanted in enumerate(self.rendezvous.owners(present)):
+            owner = table.entry(number).owner
+            changed_ms = changed_by_number.get(number, 0)
+            reason = self._reason(owner, wanted, changed_ms, now_ms)
+            if owner == self.vm_id and number not in owned:
+                reason = Reason.DROPPED
+            if reason is not None:
+                moves.append(Move(number, wanted, reason))
+        return moves
+
+    def _reason(self, owner, wanted, changed_ms, now_ms):
+        if not owner:
+            return Reason.VACANT
+        if not self.membership.knows(owner):
+            since = self._unknown_since_by_vm.setdefault(owner, now_ms)
+            if now_ms - since >= self.unknown_grace_ms:
+                return Reason.DEAD
+            return None
+        self._unknown_since_by_vm.pop(owner, None)
+        state = self.membership.state_of(owner)
+        if state is fleet.PeerState.DEAD:
+            return self._reason_if_dead(owner, changed_ms, now_ms)
+        if state is fleet.PeerState.LEAVING:
+            return Reason.LEAVING
+        settled = now_ms - self._present_since_ms >= self.settle_ms
+        if owner != wanted and settled:
+            return Reason.BALANCE
+        return None
+
+    def _reason_if_dead(self, owner, changed_ms, now_ms):
+        dead_since_ms = self.membership.peers_by_id_[owner].since_ms
+        contested = changed_ms > dead_since_ms
+        if contested and now_ms - changed_ms < self.contested_hold_ms:
+            return None
+        return Reason.DEAD
--- /dev/null
+++ b/samphiregate/core/ownership/_rendezvous.py
@@ -0,0 +1,89 @@
+"""Which VM should own which shard, given the VMs that are there."""
+
+import math
+
+from samphiregate.core import base
+
+LOAD_SLACK = 1.25
+CACHE_SIZE = 256
+
+
+class Rendezvous:
+    """Highest-random-weight hashing with a bound on each VM's shards.
+
+    Parameters
+    ----------
+    data_centre : str
+        The data centre whose shards are assigned.
+    shard_count : int
+        Its number of shards.
+
+    Notes
+    -----
+    A shard goes to its first VM that has fewer shards than the bound, so
+    that every VM that knows the same VMs comes to the same result.
+
+    References
+    ----------
+    D. Thaler, C. Ravishankar, "Using name-based mappings to increase hit
+    rates", IEEE/ACM Transactions on Networking, 1998. V. Mirrokni,
+    M. Thorup, M. Zadimoghaddam, "Consistent Hashing with Bounded Loads",
+    SODA 2018.
+    """
+
+    def __init__(self, *, data_centre, shard_count):
+        self.data_centre = data_centre
+        self.shard_count = shard_count
+        self._owners_by_ids = {}
+
+    def ranked(self, number, vm_ids):
+        """Returns `vm_ids` by falling weight for a shard."""
+        name = f"/{self.data_centre}/{number}"
+        return sorted(vm_ids, key=lambda vm_id: base.stable_hash(vm_id + name))
+
+    def owners(self, vm_ids):
+        """Returns the VM that should own each shard, by its number.
+
+        Parameters
+        ----------
+        vm_ids : tuple of str
+            The VMs that are there, sorted.
+
+        Returns
+        -------
+        tuple of str
+            Empty if there is no VM.
+        """
+        if not vm_ids:
+            return ()
+        owners = self._owners_by_ids.get(vm_ids)
+        if owners is None:
+            owners = self._assign(vm_ids)
+            if len(self._owners_by_ids) >= CACHE_SIZE:
+                self._owners_by_ids.clear()
+            self._owners_by_ids[vm_ids] = owners
+        return owners
+
+    def candidates(self, number, vm_ids):
+        """Returns the VMs in the order in which they would own a shard."""
+        remaining = vm_ids
+        chosen = []
+        while remaining and len(chosen) < 3:
+            owner = self.owners(remaining)[number]
+            chosen.append(owner)
+            remaining = tuple(each for each in remaining if each != owner)
+        return (*chosen, *self.ranked(number, remaining))
+
+    def _assign(self, vm_ids):
+        bound = math.ceil(LOAD_SLACK * self.shard_count / len(vm_ids))
+        load_by_vm = dict.fromkeys(vm_ids, 0)
+        owners = []
+        for number in range(self.shard_count):
+            owner = next(
+                vm_id
+                for vm_id in self.ranked(number, vm_ids)
+                if load_by_vm[vm_id] < bound
+            )
+            load_by_vm[owner] += 1
+            owners.append(owner)
+        return tuple(owners)
