--- /dev/null
+++ b/samphiregate/core/configuration/__init__.py
@@ -0,0 +1,45 @@
+"""The operators' configuration: documents, edits, and the VMs' replicas."""
+
+from samphiregate.core.configuration._documents import decode_configuration
+from samphiregate.core.configuration._documents import decode_head
+from samphiregate.core.configuration._documents import Edit
+from samphiregate.core.configuration._documents import encode_configuration
+from samphiregate.core.configuration._documents import encode_head
+from samphiregate.core.configuration._documents import Head
+from samphiregate.core.configuration._documents import HEAD_KEY
+from samphiregate.core.configuration._documents import MAX_DOCUMENT_BYTES
+from samphiregate.core.configuration._documents import SNAPSHOT_KEY
+from samphiregate.core.configuration._edits import apply_edit
+from samphiregate.core.configuration._edits import apply_edits
+from samphiregate.core.configuration._edits import EDIT_BYTES_MAX
+from samphiregate.core.configuration._edits import find_edit
+from samphiregate.core.configuration._edits import head_after
+from samphiregate.core.configuration._edits import needs_snapshot
+from samphiregate.core.configuration._edits import with_snapshot
+from samphiregate.core.configuration._messages import ConfigurationDelta
+from samphiregate.core.configuration._messages import ConfigurationDigest
+from samphiregate.core.configuration._messages import ConfigurationSnapshot
+from samphiregate.core.configuration._replica import ConfigurationReplica
+
+__all__ = [
+    "EDIT_BYTES_MAX",
+    "HEAD_KEY",
+    "MAX_DOCUMENT_BYTES",
+    "SNAPSHOT_KEY",
+    "ConfigurationDelta",
+    "ConfigurationDigest",
+    "ConfigurationReplica",
+    "ConfigurationSnapshot",
+    "Edit",
+    "Head",
+    "apply_edit",
+    "apply_edits",
+    "decode_configuration",
+    "decode_head",
+    "encode_configuration",
+    "encode_head",
+    "find_edit",
+    "head_after",
+    "needs_snapshot",
+    "with_snapshot",
+]
--- /dev/null
+++ b/samphiregate/core/configuration/_history.py
@@ -0,0 +1,90 @@
+"""The revision in force on one VM, and the edits that led to it."""
+
+from samphiregate.core.configuration import _edits
+from samphiregate.core import model
+
+EDITS_KEPT = 256
+
+
+class History:
+    """A configuration that only moves to higher revisions.
+
+    Attributes
+    ----------
+    configuration : Configuration
+        The highest revision taken so far.
+    """
+
+    def __init__(self):
+        self.configuration = model.Configuration()
+        self._edits = []
+        self._early_withdrawals = {}
+
+    @property
+    def revision(self):
+        """The revision in force; 0 before the first."""
+        return self.configuration.revision
+
+    def take_edits(self, edits):
+        """Applies edits, as far as they lead on from what is in force.
+
+        Withdrawals count even when edits before them are missing.
+
+        Returns
+        -------
+        bool
+            Whether all of them are in force now.
+        """
+        newer = [edit for edit in edits if edit.revision > self.revision]
+        if not newer:
+            return True
+        if newer[0].revision != self.revision + 1:
+            self._withdraw_early(newer)
+            return False
+        self.configuration = _edits.apply_edits(self.configuration, newer)
+        self._edits = [*self._edits, *newer][-EDITS_KEPT:]
+        self._forget_early_withdrawals()
+        return True
+
+    def take_configuration(self, configuration):
+        """Takes a whole configuration if its revision is higher.
+
+        Returns
+        -------
+        bool
+            Whether it was taken.
+        """
+        if configuration.revision <= self.revision:
+            return False
+        self.configuration = configuration
+        self._edits = []
+        self._forget_early_withdrawals()
+        return True
+
+    def edits_after(self, revision):
+        """Returns the edits above a revision, or None if some are gone."""
+        missing = self.revision - revision
+        if missing > len(self._edits):
+            return None
+        return tuple(self._edits[len(self._edits) - missing :])
+
+    def team_for_key_hash(self, key_hash):
+        """Returns the team of a key that is given and not withdrawn."""
+        record = self.configuration.keys_by_hash.get(key_hash)
+        if record is None or record.withdrawn:
+            return None
+        if key_hash in self._early_withdrawals:
+            return None
+        return record.team
+
+    def _withdraw_early(self, edits):
+        for edit in edits:
+            for key_hash in edit.withdrawn_keys:
+                self._early_withdrawals[key_hash] = edit.revision
+
+    def _forget_early_withdrawals(self):
+        self._early_withdrawals = {
+            key_hash: revision
+            for key_hash, revision in self._early_withdrawals.items()
+            if revision > self.revision
+        }
--- /dev/null
+++ b/samphiregate/core/configuration/_replica.py
@@ -0,0 +1,333 @@
+"""The configuration on one entry VM, kept up by the store and by peers."""
+
+import functools
+
+from samphiregate.core import base
+from samphiregate.core.configuration import _documents
+from samphiregate.core.configuration import _history
+from samphiregate.core.configuration import _messages
+from samphiregate.core import fleet
+from samphiregate.core import store
+from samphiregate import errors
+from samphiregate import parameters
+
+DAY_MS = 86_400_000
+
+
+class ConfigurationReplica(base.StateMachine, parameters.Parameterised):
+    """Keeps the highest revision that the store or any peer told of.
+
+    The first alive VMs of a data centre watch the store and tell the
+    others. Every VM compares its revision with a random peer at an
+    interval, which repairs what was lost, and reaches data centres that
+    are cut off from the store.
+
+    Parameters
+    ----------
+    vm_id : str
+        Id of this entry VM.
+    data_centre : str
+        Its data centre.
+    membership : Membership
+        Tells which peers are alive.
+    random_state : random.Random
+        Source of randomness.
+    spread : str
+        ``direct``: who hears of a change from outside its data centre
+        tells every VM inside. ``gossip``: who hears of one tells `fanout`
+        random VMs of the fleet.
+    fanout : int
+        VMs told by each VM under ``gossip``.
+    watchers : int
+        VMs of each data centre that watch the store.
+    compare_interval_ms : int
+        Time between two comparisons with a random peer.
+    check_interval_ms : int
+        Time between two reads of the head by a VM that watches it.
+    watch_without_news_ms : int
+        A VM without news for this long watches the store itself.
+    keys_valid_without_news_ms : int
+        A VM that hears neither from the store nor from a peer in touch
+        with it goes on with the keys that it knows for this long, and then
+        refuses all; 0 means without end.
+
+    Attributes
+    ----------
+    watching_ : bool
+        Whether this VM watches the store.
+    unreadable_documents_ : int
+        Documents of the store that could not be read, and were ignored.
+    """
+
+    parameter_table = {
+        "spread": parameters.Choice(("direct", "gossip")),
+        "fanout": parameters.Interval(int, 1, 64),
+        "watchers": parameters.Interval(int, 1, 1_000),
+        "compare_interval_ms": parameters.Interval(int, 50, 60_000),
+        "check_interval_ms": parameters.Interval(int, 500, 600_000),
+        "watch_without_news_ms": parameters.Interval(int, 500, 600_000),
+        "keys_valid_without_news_ms": parameters.Interval(int, 0, 30 * DAY_MS),
+    }
+
+    def __init__(
+        self,
+        *,
+        vm_id,
+        data_centre,
+        membership,
+        random_state,
+        spread="direct",
+        fanout=3,
+        watchers=1,
+        compare_interval_ms=1_000,
+        check_interval_ms=10_000,
+        watch_without_news_ms=15_000,
+        keys_valid_without_news_ms=14_400_000,
+    ):
+        self.vm_id = vm_id
+        self.data_centre = data_centre
+        self.spread = spread
+        self.fanout = fanout
+        self.watchers = watchers
+        self.compare_interval_ms = compare_interval_ms
+        self.check_interval_ms = check_interval_ms
+        self.watch_without_news_ms = watch_without_news_ms
+        self.keys_valid_without_news_ms = keys_valid_without_news_ms
+        self.check_parameters()
+        self._membership = membership
+        self._random = random_state
+        self._history = _history.History()
+        self._head = _documents.Head()
+        self._next_call_id = 0
+        self._read_sent_by_call_id = {}
+        self._next_compare_ms = None
+        self._next_check_ms = None
+        self._news_ms = None
+        self._now_ms = 0
+        self.watching_ = False
+        self.unreadable_documents_ = 0
+
+    @property
+    def configuration(self):
+        """The configuration in force on this VM."""
+        return self._history.configuration
+
+    @property
+    def news_age_ms(self):
+        """Time since a sign from the store, direct or through peers."""
+        if self._news_ms is None:
+            return 0
+        return self._now_ms - self._news_ms
+
+    @property
+    def cut_off(self):
+        """Whether there was no news for so long that all keys are refused."""
+        limit_ms = self.keys_valid_without_news_ms
+        return bool(limit_ms) and self.news_age_ms > limit_ms
+
+    def team_for_key_hash(self, key_hash):
+        """Returns the team that a key stands for.
+
+        Returns
+        -------
+        str or None
+            None for a key that is not known, withdrawn, or known to a VM
+            that is cut off.
+        """
+        if self.cut_off:
+            return None
+        return self._history.team_for_key_hash(key_hash)
+
+    def handle(self, event, now_ms):
+        """Takes one event; see `StateMachine.handle`."""
+        self._now_ms = max(now_ms, self._now_ms)
+        return self._handle(event, now_ms)
+
+    @functools.singledispatchmethod
+    def _handle(self, event, now_ms):
+        return []
+
+    @_handle.register
+    def _on_tick(self, event: base.Tick, now_ms):
+        if self._next_compare_ms is None:
+            return self._start(now_ms)
+        actions = self._choose_whether_to_watch()
+        if now_ms >= self._next_compare_ms:
+            self._next_compare_ms = now_ms + self._jittered(
+                self.compare_interval_ms
+            )
+            actions += self._compare_with_a_peer(now_ms)
+        if now_ms >= self._next_check_ms:
+            self._next_check_ms = now_ms + self._jittered(
+                self.check_interval_ms
+            )
+            if self.watching_ or not self._history.revision:
+                actions += self._read(_documents.HEAD_KEY, now_ms)
+        return actions
+
+    @_handle.register
+    def _on_key_changed(self, event: store.KeyChanged, now_ms):
+        if event.key != _documents.HEAD_KEY:
+            return []
+        return self._take_head(event.value, now_ms)
+
+    @_handle.register
+    def _on_store_answered(self, event: store.StoreAnswered, now_ms):
+        sent_ms = self._read_sent_by_call_id.pop(
+            (event.key, event.call_id), None
+        )
+        if sent_ms is None or event.outcome is not store.StoreOutcome.OK:
+            return []
+        self._heard(sent_ms)
+        if event.key == _documents.HEAD_KEY:
+            return self._take_head(event.value, now_ms)
+        return self._take_snapshot(event.value, now_ms)
+
+    @_handle.register
+    def _on_peer(self, event: base.PeerDelivered, now_ms):
+        return self._on_message(event.message, event.sender, now_ms)
+
+    @functools.singledispatchmethod
+    def _on_message(self, message, sender, now_ms):
+        return []
+
+    @_on_message.register
+    def _on_delta(self, message: _messages.ConfigurationDelta, sender, now_ms):
+        before = self._history.revision
+        if self._history.take_edits(message.edits):
+            return self._announce(before, source=sender)
+        return [self._digest_to(sender, now_ms)]
+
+    @_on_message.register
+    def _on_snapshot(
+        self, message: _messages.ConfigurationSnapshot, sender, now_ms
+    ):
+        before = self._history.revision
+        self._history.take_configuration(message.configuration)
+        return self._announce(before, source=sender)
+
+    @_on_message.register
+    def _on_digest(
+        self, message: _messages.ConfigurationDigest, sender, now_ms
+    ):
+        if message.is_reply:
+            self._heard(message.asked_ms - message.news_age_ms)
+            actions = []
+        else:
+            actions = [base.SendToPeer(sender, self._reply_to(message))]
+        if message.revision < self._history.revision:
+            update = self._update_from(message.revision)
+            actions.append(base.SendToPeer(sender, update))
+        return actions
+
+    def _start(self, now_ms):
+        self._news_ms = now_ms
+        self._next_compare_ms = now_ms
+        self._next_check_ms = now_ms + self._jittered(self.check_interval_ms)
+        actions = self._read(_documents.HEAD_KEY, now_ms)
+        return actions + self._choose_whether_to_watch()
+
+    def _choose_whether_to_watch(self):
+        alive = {self.vm_id, *self._membership.alive_ids(self.data_centre)}
+        first = sorted(alive)[: self.watchers]
+        without_news = self.news_age_ms > self.watch_without_news_ms
+        wanted = self.vm_id in first or without_news
+        if wanted == self.watching_:
+            return []
+        self.watching_ = wanted
+        return [store.WatchKey(_documents.HEAD_KEY, active=wanted)]
+
+    def _compare_with_a_peer(self, now_ms):
+        peer_id = self._random_peer()
+        return [self._digest_to(peer_id, now_ms)] if peer_id else []
+
+    def _random_peer(self):
+        peers = [
+            peer_id
+            for peer_id in self._membership.alive_ids()
+            if peer_id != self.vm_id
+        ]
+        return self._random.choice(peers) if peers else None
+
+    def _digest_to(self, peer_id, now_ms):
+        digest = _messages.ConfigurationDigest(
+            revision=self._history.revision, asked_ms=now_ms
+        )
+        return base.SendToPeer(peer_id, digest)
+
+    def _reply_to(self, digest):
+        return _messages.ConfigurationDigest(
+            revision=self._history.revision,
+            asked_ms=digest.asked_ms,
+            is_reply=True,
+            news_age_ms=self.news_age_ms,
+        )
+
+    def _update_from(self, revision):
+        edits = self._history.edits_after(revision)
+        if edits is None:
+            return _messages.ConfigurationSnapshot(self.configuration)
+        return _messages.ConfigurationDelta(edits)
+
+    def _take_head(self, value, now_ms):
+        try:
+            head = _documents.decode_head(value)
+        except errors.BadInputError:
+            self.unreadable_documents_ += 1
+            return []
+        if head.revision <= self._history.revision:
+            return []
+        before = self._history.revision
+        if self._history.take_edits(head.edits):
+            return self._announce(before)
+        self._head = head
+        return self._read(_documents.SNAPSHOT_KEY, now_ms)
+
+    def _take_snapshot(self, value, now_ms):
+        try:
+            configuration = _documents.decode_configuration(value)
+        except errors.BadInputError:
+            self.unreadable_documents_ += 1
+            return []
+        before = self._history.revision
+        self._history.take_configuration(configuration)
+        if not self._history.take_edits(self._head.edits):
+            # The store gave a snapshot that is older than its head.
+            self._next_check_ms = now_ms + self.compare_interval_ms
+        return self._announce(before)
+
+    def _announce(self, before, source=None):
+        if self._history.revision == before:
+            return []
+        changed = fleet.ConfigurationChanged(self.configuration)
+        update = self._update_from(before)
+        return [
+            base.Notify(changed),
+            *(
+                base.SendToPeer(peer_id, update)
+                for peer_id in self._peers_to_tell(source)
+            ),
+        ]
+
+    def _peers_to_tell(self, source):
+        if self.spread == "gossip":
+            peers = self._others(self._membership.alive_ids(), source)
+            return self._random.sample(peers, min(self.fanout, len(peers)))
+        inside = self._membership.alive_ids(self.data_centre)
+        return [] if source in inside else self._others(inside, source)
+
+    def _others(self, vm_ids, source):
+        return [vm_id for vm_id in vm_ids if vm_id not in (self.vm_id, source)]
+
+    def _read(self, key, now_ms):
+        self._next_call_id += 1
+        call_id = self._next_call_id
+        self._read_sent_by_call_id[key, call_id] = now_ms
+        return [store.ReadKey(call_id, key)]
+
+    def _heard(self, then_ms):
+        if self._news_ms is not None:
+            self._news_ms = max(self._news_ms, min(then_ms, self._now_ms))
+
+    def _jittered(self, interval_ms):
+        return round(interval_ms * self._random.uniform(0.75, 1.25))
