--- /dev/null
+++ b/samphiregate/daemon/_machines.py
@@ -0,0 +1,67 @@
+"""Builds the state machines of one entry VM from its settings."""
+
+import random
+
+import attrs
+
+from samphiregate.core import base
+from samphiregate.core import configuration
+from samphiregate.core import limits
+from samphiregate.core import membership
+from samphiregate.core import ownership
+from samphiregate.core import vm
+
+
+@attrs.frozen
+class Machines:
+    """The machines of one entry VM, and the VM that holds them."""
+
+    entry_vm: vm.EntryVm
+    membership: base.StateMachine
+    ownership: base.StateMachine
+    configuration: base.StateMachine
+    limits: base.StateMachine
+
+
+def build(settings):
+    """Builds all machines.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+
+    Returns
+    -------
+    Machines
+    """
+    seeds = random.Random(settings.seed)
+
+    def common():
+        return {
+            "vm_id": settings.vm_id,
+            "data_centre": settings.data_centre,
+            "random_state": random.Random(seeds.random()),
+        }
+
+    members = membership.Membership(**common())
+    owners = ownership.Ownership(
+        membership=members, shard_count=settings.shard_count, **common()
+    )
+    replica = configuration.ConfigurationReplica(
+        membership=members,
+        keys_valid_without_news_ms=settings.offline_ms,
+        **common(),
+    )
+    tokens = limits.TokenHolder(
+        membership=members, ownership=owners, **common()
+    )
+    machines = (members, owners, replica, tokens)
+    entry_vm = vm.EntryVm(vm_id=settings.vm_id, machines=machines)
+    return Machines(
+        entry_vm=entry_vm,
+        membership=members,
+        ownership=owners,
+        configuration=replica,
+        limits=tokens,
+    )
--- /dev/null
+++ b/samphiregate/daemon/_node.py
@@ -0,0 +1,118 @@
+"""One running entry VM: its machines, adapters and life cycle."""
+
+import contextlib
+import random
+
+from absl import logging
+import gevent
+
+from samphiregate.adapters import peers
+from samphiregate.adapters import platform
+from samphiregate.core import base
+from samphiregate.core import fleet
+from samphiregate.core import store
+from samphiregate.daemon import _loop
+from samphiregate.daemon import _machines
+from samphiregate import metrics
+from samphiregate import timers
+
+DRAIN_POLL_S = 0.05
+
+
+class Node(contextlib.ExitStack):
+    """An entry VM that runs for as long as its context is open.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+    """
+
+    def __init__(self, settings):
+        super().__init__()
+        self.settings = settings
+        self.metrics = metrics.Metrics(statsd_endpoint=settings.statsd)
+        self.timers = timers.TimerService(on_error=_log_error)
+        self.machines = _machines.build(settings)
+        self.loop = _loop.EventLoop(
+            machine=self.machines.entry_vm, now_ms=self.timers.now_ms
+        )
+
+    def __enter__(self):
+        super().__enter__()
+        self.enter_context(self.timers)
+        self._start_peers()
+        self._start_platform()
+        tick = self.timers.every(self.settings.tick_ms, self._tick)
+        self.enter_context(tick)
+        return self
+
+    def drain(self):
+        """Stops gracefully.
+
+        Returns
+        -------
+        bool
+            Whether all work ended or was handed over in time.
+        """
+        self.loop.deliver(base.StopRequested())
+        end_ms = self.timers.now_ms() + self.settings.drain_ms
+        while not self._is_idle():
+            if self.timers.now_ms() > end_ms:
+                return False
+            gevent.sleep(DRAIN_POLL_S)
+        return True
+
+    def _is_idle(self):
+        return self._hub.is_drained
+
+    def _tick(self, _now_ms):
+        self.loop.deliver(base.Tick())
+
+    def _start_peers(self):
+        settings = self.settings
+        self._hub = peers.PeerHub(
+            vm_id=settings.vm_id,
+            listen=settings.peer_listen,
+            secret=settings.secret.encode(),
+            deliver=self.loop.deliver,
+            timers=self.timers,
+            metrics=self.metrics,
+        )
+        self.loop.perform_with(self._send_to_peer, base.SendToPeer)
+        self.enter_context(self._hub)
+
+    def _send_to_peer(self, action):
+        self._hub.send(action.recipient, action.message)
+
+    def _start_platform(self):
+        self._platform = platform.PlatformClient(
+            endpoint=self.settings.platform,
+            deliver=self._deliver_from_platform,
+            timers=self.timers,
+            random_state=random.Random(self.settings.seed),
+            data_centre=self.settings.data_centre,
+            fleet_interval_ms=self.settings.fleet_poll_ms,
+        )
+        self.loop.perform_with(
+            self._platform.perform,
+            store.ReadKey,
+            store.CompareAndSwap,
+            store.WatchKey,
+        )
+        self.enter_context(self._platform)
+
+    def _deliver_from_platform(self, event):
+        if isinstance(event, fleet.FleetListed):
+            self._hub.update_endpoints(
+                {
+                    entry_vm.vm_id: entry_vm.peer_endpoint
+                    for entry_vm in event.entry_vms_by_id.values()
+                    if entry_vm.vm_id != self.settings.vm_id
+                }
+            )
+        self.loop.deliver(event)
+
+
+def _log_error(error):
+    logging.error("timers: a callback failed.", exc_info=error)
--- a/samphiregate/logs/_setup.py
+++ b/samphiregate/logs/_setup.py
@@ -4,6 +4,7 @@
 import logging
 import sys
 
+from absl import flags
 from absl import logging as absl_logging
 import orjson
 
@@ -48,6 +49,8 @@
     vm_id : str
         Id of the entry VM, part of each line.
     """
+    if not flags.FLAGS.is_parsed():
+        flags.FLAGS.mark_as_parsed()
     absl_logging.use_absl_handler()
     handler = absl_logging.get_absl_handler()
     handler.python_handler.stream = sys.stderr
