--- a/samphiregate/core/base/__init__.py
+++ b/samphiregate/core/base/__init__.py
@@ -1,6 +1,7 @@
 """The contract that every state machine and policy keeps."""
 
 from samphiregate.core.base._chart import Chart
+from samphiregate.core.base._hashing import stable_hash
 from samphiregate.core.base._machine import StateMachine
 from samphiregate.core.base._messages import Action
 from samphiregate.core.base._messages import Event
@@ -11,6 +12,7 @@
 from samphiregate.core.base._messages import SendToPeer
 from samphiregate.core.base._messages import StopRequested
 from samphiregate.core.base._messages import Tick
+from samphiregate.core.base._pause import PauseDetector
 from samphiregate.core.base._policy import Policy
 
 __all__ = [
@@ -18,6 +20,7 @@
     "Chart",
     "Event",
     "Notify",
+    "PauseDetector",
     "PeerDelivered",
     "PeerMessage",
     "PeerUnreachable",
@@ -26,4 +29,5 @@
     "StateMachine",
     "StopRequested",
     "Tick",
+    "stable_hash",
 ]
--- a/samphiregate/core/base/_chart.py
+++ b/samphiregate/core/base/_chart.py
@@ -2,7 +2,7 @@
 
 import pathlib
 
-import ruamel.yaml
+from ruamel import yaml
 
 
 class Chart:
@@ -42,7 +42,7 @@
         Chart
         """
         text = pathlib.Path(path).read_text(encoding="utf-8")
-        document = ruamel.yaml.YAML(typ="safe").load(text)["statechart"]
+        document = yaml.YAML(typ="safe").load(text)["statechart"]
         root = document["root state"]
         target_by_step = {
             (state["name"], transition["event"]): transition["target"]
