--- /dev/null
+++ b/features/support/jobs.py
@@ -0,0 +1,497 @@
+"""A small site in virtual time: entry VMs, workers, a network, an oracle."""
+
+import collections
+import hashlib
+import heapq
+import itertools
+import random
+
+import attrs
+
+from samphiregate.adapters import workers as worker_adapter
+from samphiregate.core import base
+from samphiregate.core import fleet
+from samphiregate.core import jobs
+from samphiregate.core import model
+from samphiregate.core import placement
+from samphiregate.core import preemption
+from samphiregate.core import quarantine
+from samphiregate.core import queueing
+from samphiregate.core import sizing
+from samphiregate.core import vm
+from samphiregate.core import workers
+from standins import worker as worker_standin
+
+DATA_CENTRE = "dc1"
+SHARD_COUNT = 8
+TICK_MS = 100
+PEER_DELAY_MS = 1
+WORKER_DELAY_MS = 2
+EXCHANGE_TIMEOUT_MS = 2_000
+DETECT_MS = 3_000
+LEASE_MS = 15_000
+
+
+class FakeTokens:
+    """A fixed part of each team's limit on one entry VM."""
+
+    def __init__(self, part_by_team):
+        self.part_by_team = part_by_team
+        self.used_by_team = collections.Counter()
+
+    def acquire(self, team, now_ms, units=1):
+        if self.used_by_team[team] + units > self.part_by_team.get(team, 0):
+            return False
+        self.used_by_team[team] += units
+        return True
+
+    def release(self, team, now_ms, units=1):
+        self.used_by_team[team] -= units
+        assert self.used_by_team[team] >= 0, "a token was released twice"
+
+    def restore(self, team, units):
+        self.used_by_team[team] += units
+
+    def excess(self, team):
+        part = self.part_by_team.get(team, 0)
+        return max(0, self.used_by_team[team] - part)
+
+
+class FakeOwnership:
+    """One VM's view of the shard table; a shared one, or a stale copy."""
+
+    def __init__(self, site):
+        self._site = site
+        self.stale_table = None
+
+    def entry_of(self, shard):
+        table = self.stale_table
+        if table is None:
+            table = self._site.table
+        return table.get(shard)
+
+    def candidates(self, shard):
+        return rendezvous(shard, self._site.alive)
+
+
+class FakeMembership:
+    """Which entry VMs count as alive."""
+
+    def __init__(self, site):
+        self._site = site
+
+    def alive_ids(self, data_centre=None):
+        if data_centre not in (None, DATA_CENTRE):
+            return ()
+        return tuple(sorted(self._site.alive))
+
+
+def rendezvous(shard, vm_ids):
+    """Returns entry VMs in the order in which they would own a shard."""
+
+    def weight(vm_id):
+        text = f"{shard.number}/{vm_id}".encode()
+        return hashlib.sha256(text).digest()
+
+    return tuple(sorted(vm_ids, key=weight))
+
+
+@attrs.define
+class SiteVm:
+    """One entry VM of the site."""
+
+    vm_id: str
+    machine: vm.EntryVm
+    job_owner: jobs.JobOwner
+    worker_owner: workers.WorkerOwner
+    tokens: FakeTokens
+    ownership: FakeOwnership
+    paused: bool = False
+    held: list = attrs.field(factory=list)
+
+
+class Site:
+    """Runs entry VMs and workers step by step.
+
+    Parameters
+    ----------
+    vm_count, worker_count : int
+        How many there are.
+    capacity : model.Resources
+        Of each worker.
+    limit_by_team : dict of str to int
+        Upper limits; each VM holds an equal part, rounded down.
+    seed : int
+        Of everything random.
+    """
+
+    def __init__(
+        self, *, vm_count, worker_count, capacity, limit_by_team, seed=1
+    ):
+        self.now_ms = 0
+        self.random = random.Random(seed)
+        self.capacity = capacity
+        self.limit_by_team = dict(limit_by_team)
+        self.alive = set()
+        self.vms_by_id = {}
+        self.table = {}
+        self.answers_by_call = {}
+        self.running_at_most = collections.Counter()
+        self.successes_by_task = collections.Counter()
+        self.starts_by_task = collections.Counter()
+        self.peer_filter = lambda sender, recipient, message: (0,)
+        self.exchange_filter = lambda vm_id, exchange: "carry"
+        self.down_workers = set()
+        self.paused_until_by_worker = {}
+        self.clock_rate_by_worker = {}
+        self._heap = []
+        self._order = itertools.count()
+        self._links = {}
+        self._seen_history = collections.Counter()
+        self._vm_count = vm_count
+        self.workers_by_id = {}
+        for index in range(worker_count):
+            worker_id = f"w{index}"
+            self.workers_by_id[worker_id] = worker_standin.Worker(
+                worker_id,
+                attrs.astuple(capacity),
+                incarnation=f"{worker_id}.1",
+            )
+        for index in range(vm_count):
+            self.add_vm(f"vm{index}")
+        self._assign(self.alive)
+        self._list_fleet()
+
+    # Fleet.
+
+    def add_vm(self, vm_id):
+        """Adds an entry VM without shards."""
+        self.alive.add(vm_id)
+        ownership = FakeOwnership(self)
+        membership = FakeMembership(self)
+        parts = {
+            team: limit // self._vm_count
+            for team, limit in self.limit_by_team.items()
+        }
+        tokens = FakeTokens(parts)
+        common = {
+            "vm_id": vm_id,
+            "data_centre": DATA_CENTRE,
+            "ownership": ownership,
+            "membership": membership,
+            "shard_count": SHARD_COUNT,
+        }
+
+        def seeded():
+            return random.Random(self.random.random())
+
+        job_owner = jobs.JobOwner(
+            queue=queueing.make_queue("fair-share"),
+            judge=quarantine.FailureJudge(random_state=seeded()),
+            random_state=seeded(),
+            **common,
+        )
+        worker_owner = workers.WorkerOwner(
+            tokens=tokens,
+            rooms=placement.make_placement(
+                "indexed-best-fit", random_state=seeded()
+            ),
+            learner=sizing.SizeLearner(random_state=seeded()),
+            judge=quarantine.FailureJudge(random_state=seeded()),
+            victims=preemption.CheapestVictims(),
+            ladder=sizing.CutBackLadder(),
+            random_state=seeded(),
+            lease_ms=LEASE_MS,
+            **common,
+        )
+        machine = vm.EntryVm(vm_id=vm_id, machines=(job_owner, worker_owner))
+        self.vms_by_id[vm_id] = SiteVm(
+            vm_id, machine, job_owner, worker_owner, tokens, ownership
+        )
+        self._at(TICK_MS, lambda: self._tick(vm_id))
+
+    def crash(self, vm_id):
+        """Ends a VM at once; the others take over after a while."""
+        self.vms_by_id.pop(vm_id)
+        self._at(DETECT_MS, lambda: self.declare_dead(vm_id))
+
+    def declare_dead(self, vm_id):
+        """The others believe a VM dead, and take its shards over."""
+        self.alive.discard(vm_id)
+        gone = fleet.PeerStateChanged(vm_id, DATA_CENTRE, fleet.PeerState.DEAD)
+        self._to_all(gone)
+        self._assign({vm_id})
+        self._list_fleet()
+
+    def stop(self, vm_id):
+        """Stops a VM gracefully: its shards are handed over first."""
+        self.deliver(vm_id, base.StopRequested())
+        self.alive.discard(vm_id)
+        self._assign({vm_id})
+        self._at(1_000, lambda: self.vms_by_id.pop(vm_id))
+        self._at(1_100, self._list_fleet)
+
+    def pause(self, vm_id):
+        """A VM does nothing, and its table does not change any more."""
+        paused = self.vms_by_id[vm_id]
+        paused.paused = True
+        paused.ownership.stale_table = dict(self.table)
+
+    def resume(self, vm_id):
+        """A paused VM first takes in all that was sent to it."""
+        paused = self.vms_by_id[vm_id]
+        paused.paused = False
+        held, paused.held = paused.held, []
+        for event in held:
+            self.deliver(vm_id, event)
+
+    def learn_table(self, vm_id):
+        """A VM with a stale table learns of the shards that it lost."""
+        late = self.vms_by_id[vm_id]
+        stale, late.ownership.stale_table = late.ownership.stale_table, None
+        for shard, entry in stale.items():
+            if entry.owner == vm_id and self.table[shard].owner != vm_id:
+                self.deliver(vm_id, fleet.ShardLost(shard))
+
+    def configure(self):
+        """Tells every VM the operators' lists."""
+        teams, plans = {}, {}
+        for team, limit in self.limit_by_team.items():
+            teams[team] = model.Team(team, team)
+            plans[team] = model.Plan(
+                team,
+                1.0,
+                limit,
+                work_classes=("batch", "service", "gang"),
+                urgent=True,
+            )
+        configuration = model.Configuration(
+            1, teams_by_name=teams, plans_by_name=plans
+        )
+        self._to_all(fleet.ConfigurationChanged(configuration))
+
+    # Time.
+
+    def run_for(self, duration_ms):
+        """Runs the site for a while; checks it after each step."""
+        end_ms = self.now_ms + duration_ms
+        while self._heap and self._heap[0][0] <= end_ms:
+            at_ms, _order, step = heapq.heappop(self._heap)
+            self.now_ms = max(self.now_ms, at_ms)
+            step()
+            self.check()
+        self.now_ms = end_ms
+
+    def run_until(self, condition, limit_ms):
+        """Runs until `condition()`; returns whether it came true."""
+        end_ms = self.now_ms + limit_ms
+        while not condition() and self.now_ms < end_ms:
+            self.run_for(TICK_MS)
+        return condition()
+
+    def call(self, vm_id, event):
+        """Delivers a caller's call; its answer appears under its id."""
+        self.deliver(vm_id, event)
+
+    def deliver(self, vm_id, event):
+        """Delivers an event now, or once the VM is no longer paused."""
+        receiver = self.vms_by_id.get(vm_id)
+        if receiver is None:
+            return
+        if receiver.paused:
+            receiver.held.append(event)
+            return
+        for action in receiver.machine.handle(event, self.now_ms):
+            self._perform(receiver, action)
+
+    # The oracle.
+
+    def check(self):
+        """Checks what must always hold, on the workers themselves."""
+        running_by_task = collections.Counter()
+        running_by_team = collections.Counter()
+        for worker in self.workers_by_id.values():
+            if worker.worker_id in self.down_workers:
+                continue
+            worker.advance(self.clock_of(worker.worker_id))
+            assert min(worker.room()) >= 0, f"{worker.worker_id} over-given"
+            for attempt in worker.attempts_by_key.values():
+                if attempt.state == "running":
+                    running_by_task[attempt.key[:2]] += 1
+                    running_by_team[attempt.document["team"]] += 1
+            self._count_history(worker)
+        for task, count in running_by_task.items():
+            assert count == 1, f"{task} runs {count} times"
+        for team, count in running_by_team.items():
+            limit = self.limit_by_team[team]
+            assert count <= limit, f"{team} runs {count} of {limit}"
+            most = max(self.running_at_most[team], count)
+            self.running_at_most[team] = most
+
+    def running(self, job_id=None):
+        """Returns (job, index) of what runs on the workers."""
+        return sorted(
+            attempt.key[:2]
+            for worker_id, worker in self.workers_by_id.items()
+            if worker_id not in self.down_workers
+            for attempt in worker.attempts_by_key.values()
+            if attempt.state == "running" and job_id in (None, attempt.key[0])
+        )
+
+    def workers_of(self, job_id):
+        """Returns the ids of the workers that run tasks of a job."""
+        return sorted(
+            worker_id
+            for worker_id, worker in self.workers_by_id.items()
+            for attempt in worker.attempts_by_key.values()
+            if attempt.state == "running" and attempt.key[0] == job_id
+        )
+
+    def clock_of(self, worker_id):
+        """Returns the worker's own clock."""
+        rate = self.clock_rate_by_worker.get(worker_id, 1.0)
+        return 1_000_000 + int(self.now_ms * rate)
+
+    def _count_history(self, worker):
+        key = (worker.worker_id, worker.incarnation)
+        history = list(worker.history)
+        for _at_ms, what, attempt in history[self._seen_history[key] :]:
+            if what == "start":
+                self.starts_by_task[attempt[:2]] += 1
+            if what == "succeeded":
+                self.successes_by_task[attempt[:2]] += 1
+                count = self.successes_by_task[attempt[:2]]
+                assert count == 1, f"{attempt} succeeded {count} times"
+        self._seen_history[key] = len(history)
+
+    # Workers.
+
+    def restart_worker(self, worker_id):
+        """A worker restarts: its tasks and its memory are gone."""
+        old = self.workers_by_id[worker_id]
+        number = int(old.incarnation.rpartition(".")[2]) + 1
+        self.workers_by_id[worker_id] = worker_standin.Worker(
+            worker_id, old.capacity, incarnation=f"{worker_id}.{number}"
+        )
+        self.down_workers.discard(worker_id)
+
+    # Inner steps.
+
+    def _at(self, delay_ms, step):
+        entry = (self.now_ms + delay_ms, next(self._order), step)
+        heapq.heappush(self._heap, entry)
+
+    def _tick(self, vm_id):
+        if vm_id in self.vms_by_id:
+            if not self.vms_by_id[vm_id].paused:
+                self.deliver(vm_id, base.Tick())
+            self._at(TICK_MS, lambda: self._tick(vm_id))
+
+    def _to_all(self, event):
+        for vm_id in tuple(self.vms_by_id):
+            self.deliver(vm_id, event)
+
+    def _assign(self, orphaned_from):
+        gained = []
+        for number in range(SHARD_COUNT):
+            shard = model.ShardId(DATA_CENTRE, number)
+            entry = self.table.get(shard, fleet.ShardEntry("", 0))
+            if entry.owner and entry.owner not in orphaned_from:
+                continue
+            owner = rendezvous(shard, self.alive)[0]
+            self.table[shard] = fleet.ShardEntry(owner, entry.epoch + 1)
+            gained.append((shard, entry.owner, owner))
+        changed = fleet.ShardTableChanged(DATA_CENTRE, dict(self.table))
+        for shard, old_owner, _owner in gained:
+            if old_owner in self.alive or old_owner in self.vms_by_id:
+                self.deliver(old_owner, fleet.ShardLost(shard))
+        self._to_all(changed)
+        for shard, _old_owner, owner in gained:
+            epoch = self.table[shard].epoch
+            self.deliver(owner, fleet.ShardGained(shard, epoch))
+
+    def _list_fleet(self):
+        entry_vms = {
+            vm_id: model.EntryVmInfo(vm_id, DATA_CENTRE, "")
+            for vm_id in self.vms_by_id
+        }
+        infos = {
+            worker_id: model.WorkerInfo(
+                worker_id,
+                DATA_CENTRE,
+                f"rack{int(worker_id[1:]) // 4}",
+                worker_id,
+                self.capacity,
+            )
+            for worker_id in self.workers_by_id
+        }
+        self._to_all(fleet.FleetListed(entry_vms, infos, {}))
+
+    def _perform(self, sender, action):
+        if isinstance(action, base.SendToPeer):
+            self._send(sender.vm_id, action)
+        elif isinstance(action, workers.ExchangeWithWorker):
+            self._exchange(sender.vm_id, action)
+        elif isinstance(action, jobs.JobAnswer):
+            assert action.call_id not in self.answers_by_call, "two answers"
+            self.answers_by_call[action.call_id] = action
+
+    def _send(self, sender, action):
+        event = base.PeerDelivered(sender, action.message)
+        recipient = action.recipient
+        delays = self.peer_filter(sender, recipient, action.message)
+        for delay_ms in delays:
+            self._at(
+                PEER_DELAY_MS + delay_ms,
+                lambda: self.deliver(recipient, event),
+            )
+
+    def _exchange(self, vm_id, exchange):
+        worker_id = exchange.worker_id
+        fate = self.exchange_filter(vm_id, exchange)
+        if worker_id in self.down_workers or fate == "refuse":
+            self._fail(vm_id, exchange, model.AttemptOutcome.NEVER_SENT, 1)
+            return
+        document = worker_adapter.encode_exchange(exchange)
+        if fate == "carry":
+            self._at(
+                WORKER_DELAY_MS,
+                lambda: self._answer(vm_id, exchange, document, False),
+            )
+            return
+        unknown = model.AttemptOutcome.UNKNOWN
+        self._fail(vm_id, exchange, unknown, EXCHANGE_TIMEOUT_MS)
+        if fate == "lose-answer":
+            self._at(
+                WORKER_DELAY_MS,
+                lambda: self._answer(vm_id, exchange, document, True),
+            )
+        elif isinstance(fate, int):
+            self._at(
+                fate, lambda: self._answer(vm_id, exchange, document, True)
+            )
+
+    def _answer(self, vm_id, exchange, document, lost):
+        worker_id = exchange.worker_id
+        if worker_id in self.down_workers:
+            if not lost:
+                unknown = model.AttemptOutcome.UNKNOWN
+                self._fail(vm_id, exchange, unknown, EXCHANGE_TIMEOUT_MS)
+            return
+        worker = self.workers_by_id[worker_id]
+        answer = worker.exchange(document, self.clock_of(worker_id))
+        if lost:
+            return
+        event = workers.WorkerAnswered(
+            worker_id,
+            exchange.epoch,
+            exchange.sequence,
+            worker_adapter.decode_report(answer),
+        )
+        self._at(WORKER_DELAY_MS, lambda: self.deliver(vm_id, event))
+
+    def _fail(self, vm_id, exchange, outcome, delay_ms):
+        event = workers.WorkerUnreachable(
+            exchange.worker_id, exchange.epoch, exchange.sequence, outcome
+        )
+        self._at(delay_ms, lambda: self.deliver(vm_id, event))
--- a/samphiregate/core/jobs/_copies.py
+++ b/samphiregate/core/jobs/_copies.py
@@ -157,19 +157,23 @@
         Epoch of its owner.
     jobs_by_id : dict of str to JobRecord
         Its jobs; shared with the owner.
+    counter : itertools.count
+        Numbers the messages.
     retry_ms : int
         Time after which a copy that is not answered is sent again.
     refresh_ms : int
         Longest time between two messages to a holder.
     """
 
-    def __init__(self, *, shard, epoch, jobs_by_id, retry_ms, refresh_ms):
+    def __init__(
+        self, *, shard, epoch, jobs_by_id, counter, retry_ms, refresh_ms
+    ):
         self._shard = shard
         self._epoch = epoch
         self._jobs_by_id = jobs_by_id
         self._retry_ms = retry_ms
         self._refresh_ms = refresh_ms
-        self._sequence = 0
+        self._counter = counter
         self._holders_by_id = {}
         self._dirty_by_id = {}
         self._deferred = []
@@ -266,11 +270,11 @@
         if not self._holders_by_id:
             self._settle([deferred])
             return []
-        self._sequence += 1
+        sequence = next(self._counter)
         message = _peer.KeepJobs(
             self._shard.number,
             self._epoch,
-            self._sequence,
+            sequence,
             tuple(copies),
             tuple(marks),
             dropped,
@@ -278,7 +282,7 @@
         job_ids = tuple(job.spec.job_id for job in dirty)
         for state in self._holders_by_id.values():
             state.refreshed_ms = now_ms
-            state.flights_by_sequence[self._sequence] = Flight(
+            state.flights_by_sequence[sequence] = Flight(
                 job_ids, (deferred,), now_ms
             )
         return [
@@ -302,16 +306,16 @@
         return actions
 
     def _send(self, vm_id, job_ids, deferred, now_ms):
-        self._sequence += 1
+        sequence = next(self._counter)
         known = [one for one in job_ids if one in self._jobs_by_id]
         copies = tuple(self._jobs_by_id[one].copy() for one in known)
         state = self._holders_by_id[vm_id]
         state.refreshed_ms = now_ms
-        state.flights_by_sequence[self._sequence] = Flight(
+        state.flights_by_sequence[sequence] = Flight(
             tuple(known), tuple(deferred), now_ms
         )
         message = _peer.KeepJobs(
-            self._shard.number, self._epoch, self._sequence, copies
+            self._shard.number, self._epoch, sequence, copies
         )
         return base.SendToPeer(vm_id, message)
 
--- a/samphiregate/core/jobs/_owner.py
+++ b/samphiregate/core/jobs/_owner.py
@@ -1,6 +1,7 @@
 """The machine that owns jobs."""
 
 import functools
+import itertools
 
 import attrs
 
@@ -193,6 +194,7 @@
             timeout_ms=call_timeout_ms,
             retry_ms=call_retry_ms,
         )
+        self._counter = itertools.count(1)
         self._actions = []
         self._next_sweep_ms = 0
 
@@ -259,10 +261,13 @@
             shard=event.shard,
             epoch=event.epoch,
             jobs_by_id=jobs_by_id,
+            counter=self._counter,
             retry_ms=self.copy_retry_ms,
             refresh_ms=self.copy_refresh_ms,
         )
-        shard = _shards.JobShard(event.shard, event.epoch, sender, jobs_by_id)
+        shard = _shards.JobShard(
+            event.shard, event.epoch, sender, jobs_by_id, self._counter
+        )
         self.shards_by_id_[event.shard] = shard
         for copy in self.keeper_.release(event.shard):
             self._take_copy(shard, copy, now_ms)
--- a/samphiregate/core/jobs/_shards.py
+++ b/samphiregate/core/jobs/_shards.py
@@ -1,6 +1,7 @@
 """Owned shards of jobs, and the inquiry that accounts for their tasks."""
 
 import enum
+import itertools
 
 import attrs
 
@@ -62,8 +63,9 @@
 
     Parameters
     ----------
-    starts : int
-        Counts the attempts of this owner.
+    counter : itertools.count
+        Counts attempts and inquiries; shared by all shards of the entry VM,
+        so that no number comes twice.
     copies_from : set of str
         Entry VMs that have told their copies.
     inquiry : Inquiry or None
@@ -74,9 +76,8 @@
     epoch: int
     sender: _copies.CopySender
     jobs_by_id: dict[str, _records.JobRecord]
+    counter: itertools.count
     phase: ShardPhase = ShardPhase.READING_COPIES
-    starts: int = 0
-    inquiries: int = 0
     asked_copies_ms: int | None = None
     copies_from: set[str] = attrs.field(factory=set)
     inquiry: Inquiry | None = None
@@ -88,13 +89,11 @@
 
     def next_attempt(self):
         """Returns a number above that of every earlier attempt."""
-        self.starts += 1
-        return workers.attempt_number(self.epoch, self.starts)
+        return workers.attempt_number(self.epoch, next(self.counter))
 
     def inquire(self, now_ms):
         """Starts an inquiry in place of the one under way."""
-        self.inquiries += 1
-        self.inquiry = Inquiry(self.inquiries, now_ms)
+        self.inquiry = Inquiry(next(self.counter), now_ms)
 
     def is_accounted(self, ownership, shard_count):
         """Returns whether the inquiry has covered every worker shard."""
--- a/samphiregate/core/workers/_ledger.py
+++ b/samphiregate/core/workers/_ledger.py
@@ -168,7 +168,9 @@
             if not booking.is_over:
                 self._unbook(booking, now_ms)
             self.unkept_by_id.pop(booking.attempt_id, None)
-        self.rooms.observe(placement.WorkerRemoved(worker_id), now_ms)
+        removed = placement.WorkerRemoved(worker_id)
+        self.rooms.observe(removed, now_ms)
+        self.victims.observe(removed, now_ms)
         return record
 
     def refresh_room(self, record, now_ms):
@@ -187,6 +189,7 @@
         else:
             event = placement.WorkerRemoved(worker_id)
         self.rooms.observe(event, now_ms)
+        self.victims.observe(event, now_ms)
 
     def _withdraw(self, record, booking, now_ms):
         """Takes a start back that was never sent."""
--- a/samphiregate/core/workers/_owner.py
+++ b/samphiregate/core/workers/_owner.py
@@ -33,8 +33,8 @@
         Has `alive_ids(data_centre)`.
     tokens : object
         Has `acquire`, `release`, `restore` and `excess`.
-    rooms, learner, judge, victims : base.Policy
-        Placement, sizes, quarantine and preemption.
+    rooms, learner, judge, victims, ladder : base.Policy
+        Placement, sizes, quarantine, preemption and cutting back.
     random_state : random.Random
         Spreads the first exchanges after a takeover over time.
     shard_count : int
@@ -47,8 +47,6 @@
         Added to a lease before it counts as surely lapsed.
     urgent_wait_ms : int
         How long an urgent order waits for preempted work to end.
-    cut_ms : int
-        Time between two steps against over-use on one worker.
     news_ms : int
         Time after which ends that are not kept are told again.
     summary_ms : int
@@ -67,7 +65,6 @@
         "lease_ms": parameters.Interval(int, 100, 3_600_000),
         "margin_ms": parameters.Interval(int, 0, 600_000),
         "urgent_wait_ms": parameters.Interval(int, 0, 60_000),
-        "cut_ms": parameters.Interval(int, 100, 600_000),
         "news_ms": parameters.Interval(int, 100, 600_000),
         "summary_ms": parameters.Interval(int, 100, 60_000),
     }
@@ -84,13 +81,13 @@
         learner,
         judge,
         victims,
+        ladder,
         random_state,
         shard_count=64,
         renew_ms=5_000,
         lease_ms=15_000,
         margin_ms=500,
         urgent_wait_ms=3_000,
-        cut_ms=10_000,
         news_ms=2_000,
         summary_ms=1_000,
     ):
@@ -105,7 +102,6 @@
         self.lease_ms = lease_ms
         self.margin_ms = margin_ms
         self.urgent_wait_ms = urgent_wait_ms
-        self.cut_ms = cut_ms
         self.news_ms = news_ms
         self.summary_ms = summary_ms
         self.check_parameters()
@@ -135,13 +131,14 @@
             lease_ms=lease_ms,
             margin_ms=margin_ms,
         )
-        self.relief_ = _relief.Relief(ledger=self.ledger_, cut_ms=cut_ms)
+        self.relief_ = _relief.Relief(ledger=self.ledger_, ladder=ladder)
         self.summary_ = _summary.Summary(ledger=self.ledger_)
         self.epochs_by_shard_ = {}
         self.infos_by_id_ = {}
         self.listed_vms_ = None
         self.previous_owner_by_shard_ = {}
-        self.released_ms_by_shard_ = {}
+        self.releases_by_shard_ = {}
+        self.gone_ms_by_id_ = {}
         self._next_news_ms = 0
         self._next_summary_ms = 0
 
@@ -196,6 +193,7 @@
 
     @_take.register
     def _(self, event: fleet.ShardGained, now_ms):
+        self._drop_shard(event.shard, now_ms)
         self.epochs_by_shard_[event.shard] = event.epoch
         for worker_id, info in self.infos_by_id_.items():
             if self._shard_of(worker_id) == event.shard:
@@ -203,15 +201,12 @@
 
     @_take.register
     def _(self, event: fleet.ShardLost, now_ms):
-        epoch = self.epochs_by_shard_.pop(event.shard, None)
-        if epoch is None:
+        epoch = self.epochs_by_shard_.get(event.shard)
+        self._drop_shard(event.shard, now_ms)
+        entry = self.ownership.entry_of(event.shard)
+        if epoch is None or entry is None or entry.owner == self.vm_id:
             return
-        for worker_id, record in tuple(self.ledger_.workers_by_id.items()):
-            if record.shard == event.shard:
-                self._decline_unsent(record, now_ms)
-                self.ledger_.drop_worker(worker_id, now_ms)
-        message = _peer.WorkersReleased(event.shard.number, epoch)
-        self._broadcast(message)
+        self._broadcast(_peer.WorkersReleased(event.shard.number, epoch))
 
     @_take.register
     def _(self, event: _messages.WorkerAnswered, now_ms):
@@ -282,8 +277,8 @@
     @_take_message.register
     def _(self, message: _peer.WorkersReleased, sender, now_ms):
         shard = model.ShardId(self.data_centre, message.shard_number)
-        if self.previous_owner_by_shard_.get(shard) == sender:
-            self.released_ms_by_shard_[shard] = now_ms
+        release = _records.Release(sender, message.epoch, now_ms)
+        self.releases_by_shard_[shard] = release
 
     def _shard_of(self, worker_id):
         return model.shard_of(worker_id, self.data_centre, self.shard_count)
@@ -341,16 +336,34 @@
 
     def _inherited_lapse_ms(self, record, now_ms):
         """Returns when leases of the owner before have lapsed, or None."""
-        released_ms = self.released_ms_by_shard_.get(record.shard)
+        released_ms = self._released_ms(record, now_ms)
         if released_ms is None:
-            gone = self.listed_vms_ is not None and (
-                record.previous_owner not in self.listed_vms_
-            )
-            if not gone and record.listed:
-                return None
-            self.released_ms_by_shard_[record.shard] = released_ms = now_ms
+            return None
         return released_ms + self.lease_ms + self.margin_ms
 
+    def _released_ms(self, record, now_ms):
+        release = self.releases_by_shard_.get(record.shard)
+        if release is not None:
+            before = (record.previous_owner, record.epoch - 1)
+            if (release.vm_id, release.epoch) == before:
+                return release.released_ms
+        gone_id = record.previous_owner
+        if not record.listed:
+            gone_id = record.info.worker_id
+        elif self.listed_vms_ is None or gone_id in self.listed_vms_:
+            return None
+        return self.gone_ms_by_id_.setdefault(gone_id, now_ms)
+
+    def _drop_shard(self, shard, now_ms):
+        """Stops acting for the workers of a shard; they run on."""
+        if self.epochs_by_shard_.pop(shard, None) is None:
+            return
+        self.previous_owner_by_shard_[shard] = self.vm_id
+        for worker_id, record in tuple(self.ledger_.workers_by_id.items()):
+            if record.shard == shard:
+                self._decline_unsent(record, now_ms)
+                self.ledger_.drop_worker(worker_id, now_ms)
+
     def _decline_unsent(self, record, now_ms):
         for booking in tuple(record.bookings_by_id.values()):
             if booking.state == _records.BOOKED:
--- a/samphiregate/core/workers/_peer.py
+++ b/samphiregate/core/workers/_peer.py
@@ -7,7 +7,7 @@
 from samphiregate.core import base
 from samphiregate.core import model
 
-EPOCH_SHIFT = 24
+EPOCH_SHIFT = 40
 """Bits of an attempt's number that count starts within one epoch."""
 
 
--- a/samphiregate/core/workers/_records.py
+++ b/samphiregate/core/workers/_records.py
@@ -38,8 +38,8 @@
         How it ended, while that is not kept by its job's owner.
     on_worker : bool
         Whether the worker has a record of it to be forgotten.
-    cuts : int
-        Steps taken against its over-use.
+    throttled : bool
+        Whether it was told to use no more than is booked.
     """
 
     attempt_id: _peer.AttemptId
@@ -55,7 +55,7 @@
     reason: _peer.TaskReason = _peer.TaskReason.NONE
     news: _peer.TaskNews | None = None
     on_worker: bool = False
-    cuts: int = 0
+    throttled: bool = False
 
     def step(self, event):
         """Takes an event of the chart; returns whether the state changed."""
@@ -70,6 +70,15 @@
         return self.state == OVER
 
 
+@attrs.frozen
+class Release:
+    """The word of an earlier owner that it renews nothing more."""
+
+    vm_id: str
+    epoch: int
+    released_ms: int
+
+
 class WorkerPhase(enum.Enum):
     """How far an owner knows a worker.
 
--- a/samphiregate/core/workers/_relief.py
+++ b/samphiregate/core/workers/_relief.py
@@ -1,6 +1,7 @@
 """Ends or cuts running work where limits or workers are exceeded."""
 
 from samphiregate.core import model
+from samphiregate.core import sizing
 from samphiregate.core.workers import _messages
 from samphiregate.core.workers import _peer
 from samphiregate.core.workers import _records
@@ -15,14 +16,13 @@
     ----------
     ledger : Ledger
         Bookings.
-    cut_ms : int
-        Time that a cut is given to show in the worker's reports.
+    ladder : base.Policy
+        Chooses what is throttled, checkpointed or stopped.
     """
 
-    def __init__(self, *, ledger, cut_ms):
+    def __init__(self, *, ledger, ladder):
         self._ledger = ledger
-        self._cut_ms = cut_ms
-        self._next_cut_ms_by_worker = {}
+        self._ladder = ladder
 
     def enforce_limits(self, now_ms):
         """Ends what runs above a limit that was lowered, newest first."""
@@ -32,18 +32,10 @@
                 self._end_excess(team, excess, now_ms)
 
     def cut_over_use(self, now_ms):
-        """Gives back what workers are over-given, one step at a time.
-
-        The steps are throttle, checkpoint and stop, for the task that is
-        most above its booking.
-        """
+        """Gives back what workers are over-given, by the mildest step."""
         for record in self._ledger.workers_by_id.values():
-            if record.phase is not _records.WorkerPhase.READY:
-                continue
-            if record.book.excess() == NOTHING:
-                self._next_cut_ms_by_worker.pop(record.info.worker_id, None)
-                continue
-            self._cut(record, now_ms)
+            if record.phase is _records.WorkerPhase.READY:
+                self._cut(record, now_ms)
 
     def _end_excess(self, team, excess, now_ms):
         bookings = tuple(self._ledger.live_by_team[team].values())
@@ -65,36 +57,48 @@
 
     def _cut(self, record, now_ms):
         worker_id = record.info.worker_id
-        if now_ms < self._next_cut_ms_by_worker.get(worker_id, 0):
+        excess = record.book.excess()
+        self._ladder.observe(sizing.WorkerExcess(worker_id, excess), now_ms)
+        if excess == NOTHING:
             return
-        booking = self._most_over(record)
-        if booking is None:
+        tasks = tuple(self._sizes(record))
+        question = sizing.CutBackQuestion(worker_id, excess, tasks)
+        cut = self._ladder.choose(question, now_ms)
+        if cut is None:
             return
-        self._next_cut_ms_by_worker[worker_id] = now_ms + self._cut_ms
-        booking.cuts += 1
-        attempt = booking.attempt_id
-        if booking.cuts == 1:
-            command = _messages.ThrottleTask(
-                attempt.task_id, attempt.attempt, booking.resources
+        for task_id in cut.task_ids:
+            booking = self._ledger.live_by_task[task_id]
+            self._carry_out(record, booking, cut.step, now_ms)
+
+    def _sizes(self, record):
+        for booking in record.bookings_by_id.values():
+            if booking.state != _records.RUNNING:
+                continue
+            if booking.reason is not _peer.TaskReason.NONE:
+                continue
+            task_id = booking.attempt_id.task_id
+            yield sizing.TaskSize(
+                task_id=task_id,
+                work_class=booking.work_class,
+                booked=booking.resources,
+                used=record.used_by_task.get(task_id, NOTHING),
+                checkpointable=booking.checkpointable,
+                urgent=booking.urgent,
+                throttled=booking.throttled,
+            )
+
+    def _carry_out(self, record, booking, step, now_ms):
+        if step is not sizing.CutBackStep.THROTTLE:
+            self._ledger.ask_end(
+                booking,
+                _peer.TaskReason.OVER_USE,
+                now_ms,
+                checkpoint=step is sizing.CutBackStep.CHECKPOINT,
             )
-            record.commands.append(command)
             return
-        self._ledger.ask_end(
-            booking, _peer.TaskReason.OVER_USE, now_ms, checkpoint=True
+        booking.throttled = True
+        attempt = booking.attempt_id
+        command = _messages.ThrottleTask(
+            attempt.task_id, attempt.attempt, booking.resources
         )
-
-    def _most_over(self, record):
-        running = [
-            booking
-            for booking in record.bookings_by_id.values()
-            if booking.state == _records.RUNNING
-            and booking.reason is _peer.TaskReason.NONE
-        ]
-        if not running:
-            return None
-        return max(running, key=lambda one: self._over(record, one))
-
-    def _over(self, record, booking):
-        used = record.used_by_task.get(booking.attempt_id.task_id, NOTHING)
-        over = used - booking.resources
-        return over.dominant_share(record.info.capacity)
+        record.commands.append(command)
