--- a/samphiregate/adapters/workers/_codec.py
+++ b/samphiregate/adapters/workers/_codec.py
@@ -82,6 +82,7 @@
         tasks=tuple(_task(one) for one in document["tasks"]),
         full=document["full"],
         used_total=None if used is None else model.Resources(*used),
+        used_ours=model.Resources(*document["used_ours"]),
         age_ms=document["age_ms"],
     )
 
--- a/samphiregate/core/jobs/_dispatch.py
+++ b/samphiregate/core/jobs/_dispatch.py
@@ -36,8 +36,8 @@
         Takes orders.
     window : int
         Orders that may be without news at a time.
-    team_retry_ms : int
-        How long a team that had no token is passed over.
+    holds : TokenHolds
+        Entry VMs that had no token for a team.
     urgent_retry_ms : int
         Time between two attempts to make room for an urgent task.
     """
@@ -49,7 +49,7 @@
         rooms,
         orders,
         window,
-        team_retry_ms,
+        holds,
         urgent_retry_ms,
     ):
         self.queue = queue
@@ -57,11 +57,10 @@
         self.orders = orders
         self.racks_by_worker = {}
         self._window = window
-        self._team_retry_ms = team_retry_ms
+        self.holds = holds
         self._urgent_retry_ms = urgent_retry_ms
         self._waiting_by_item = {}
         self._flying = {}
-        self._team_retry_by_name = {}
         self._later = []
         self._order_later = 0
         self._is_due = False
@@ -119,10 +118,6 @@
         if self._flying.pop(attempt_id, None):
             self._is_due = True
 
-    def no_token(self, team, now_ms):
-        """Passes a team over for a while."""
-        self._team_retry_by_name[team] = now_ms + self._team_retry_ms
-
     def ended(self, job, task, now_ms):
         """The attempt of a task surely does not run any more."""
         spec = job.spec
@@ -148,7 +143,7 @@
             _at, _order, shard, job, task = heapq.heappop(self._later)
             if task.state == _records.QUEUED:
                 self.enqueue(shard, job, task, now_ms)
-        if self._team_retry_by_name or self._waiting_by_item:
+        if self._waiting_by_item:
             self._is_due = True
 
     def run(self, now_ms, start_gang):
@@ -162,17 +157,20 @@
         if not self._is_due:
             return
         self._is_due = False
-        skipped_teams = self._skipped_teams(now_ms)
-        skipped = set()
+        skipped_teams, skipped = set(), set()
         while len(self._flying) < self._window:
             if len(skipped) > SKIPPED_ITEMS_MAX:
                 return
-            question = queueing.NextItem(skipped_teams, frozenset(skipped))
+            question = queueing.NextItem(
+                frozenset(skipped_teams), frozenset(skipped)
+            )
             item = self.queue.choose(question, now_ms)
             if item is None:
                 return
             waiting = self._waiting_by_item[item.item_id]
-            if not self._dispatch(waiting, now_ms, start_gang):
+            if self._has_no_token(item.team, now_ms):
+                skipped_teams.add(item.team)
+            elif not self._dispatch(waiting, now_ms, start_gang):
                 skipped.add(item.item_id)
 
     def order(self, waiting, vm_id, now_ms, reservation=""):
@@ -188,6 +186,7 @@
         attempt_id = workers.AttemptId(order.task_id, order.attempt)
         self._flying[attempt_id] = True
         self.rooms.ordered(vm_id, job.spec.resources)
+        self.holds.ordered(job.spec.team, vm_id, now_ms)
         self.started(job, now_ms)
 
     def _add(self, item_id, waiting, units, now_ms, at_front):
@@ -218,22 +217,20 @@
         self.order(waiting, vm_id, now_ms)
         return True
 
+    def _has_no_token(self, team, now_ms):
+        """Returns whether no entry VM had a token for a team lately."""
+        excluded = self.holds.excluded(team, now_ms)
+        return bool(excluded) and self.rooms.are_all(excluded)
+
     def _choose_vm(self, waiting, now_ms):
         spec, task = waiting.job.spec, waiting.task
-        vm_id = self.rooms.choose(spec.resources)
+        excluded = self.holds.excluded(spec.team, now_ms)
+        vm_id = self.rooms.choose(spec.resources, excluded)
         if vm_id is None and spec.urgent and now_ms >= task.asked_ms:
             task.asked_ms = now_ms + self._urgent_retry_ms
             vm_id = self.rooms.choose_full(spec.resources)
         return vm_id
 
-    def _skipped_teams(self, now_ms):
-        self._team_retry_by_name = {
-            team: until_ms
-            for team, until_ms in self._team_retry_by_name.items()
-            if until_ms > now_ms
-        }
-        return frozenset(self._team_retry_by_name)
-
     def _order_of(self, job, task, reservation):
         spec = job.spec
         return workers.TaskOrder(
--- /dev/null
+++ b/samphiregate/core/jobs/_holds.py
@@ -0,0 +1,61 @@
+"""Entry VMs that had no token for a team lately."""
+
+import attrs
+
+DOUBLINGS_MAX = 4
+
+
+@attrs.define
+class TokenHold:
+    """No token at the last try, and when the next one is due."""
+
+    until_ms: int
+    refusals: int
+
+
+class TokenHolds:
+    """Keeps orders away from entry VMs without tokens for their team.
+
+    Parameters
+    ----------
+    retry_ms : int
+        Time to the next try; it doubles with each refusal, up to
+        `DOUBLINGS_MAX` times. A try is one order.
+    """
+
+    def __init__(self, *, retry_ms):
+        self._retry_ms = retry_ms
+        self._holds_by_team = {}
+
+    def excluded(self, team, now_ms):
+        """Returns the entry VMs that a team's orders must not go to."""
+        holds = self._holds_by_team.get(team)
+        if not holds:
+            return frozenset()
+        return frozenset(
+            vm_id for vm_id, hold in holds.items() if now_ms < hold.until_ms
+        )
+
+    def refused(self, team, vm_id, now_ms):
+        """There was no token."""
+        holds = self._holds_by_team.setdefault(team, {})
+        hold = holds.setdefault(vm_id, TokenHold(0, 0))
+        if now_ms < hold.until_ms:
+            return
+        hold.refusals += 1
+        doublings = min(hold.refusals - 1, DOUBLINGS_MAX)
+        hold.until_ms = now_ms + self._retry_ms * 2**doublings
+
+    def ordered(self, team, vm_id, now_ms):
+        """An order was sent; if it was a try, others wait for its end."""
+        hold = self._holds_by_team.get(team, {}).get(vm_id)
+        if hold is not None:
+            hold.until_ms = now_ms + self._retry_ms
+
+    def granted(self, team, vm_id):
+        """There was a token, or one came back."""
+        holds = self._holds_by_team.get(team)
+        if holds is not None:
+            holds.pop(vm_id, None)
+            if not holds:
+                del self._holds_by_team[team]
--- a/samphiregate/core/jobs/_owner.py
+++ b/samphiregate/core/jobs/_owner.py
@@ -13,6 +13,7 @@
 from samphiregate.core.jobs import _desk
 from samphiregate.core.jobs import _dispatch
 from samphiregate.core.jobs import _gangs
+from samphiregate.core.jobs import _holds
 from samphiregate.core.jobs import _messages
 from samphiregate.core.jobs import _orders
 from samphiregate.core.jobs import _peer
@@ -67,7 +68,7 @@
         How long places are held for a gang, the longest time of one round
         of holding them, and the mean time to the next.
     team_retry_ms : int
-        How long a team is passed over that had no token.
+        Time to the next order of a team to an entry VM that had no token.
     urgent_retry_ms : int
         Time between two attempts to make room for an urgent task.
     window : int
@@ -160,7 +161,7 @@
             rooms=self.rooms_,
             orders=self.orders_,
             window=window,
-            team_retry_ms=team_retry_ms,
+            holds=_holds.TokenHolds(retry_ms=team_retry_ms),
             urgent_retry_ms=urgent_retry_ms,
         )
         self.gangs_ = _gangs.GangPlacer(
--- a/samphiregate/core/jobs/_rooms.py
+++ b/samphiregate/core/jobs/_rooms.py
@@ -74,6 +74,14 @@
             fitting = self._random.sample(fitting, 2)
         return max(fitting, key=self._free_cpu)
 
+    def are_all(self, vm_ids):
+        """Returns whether every entry VM that takes orders is in `vm_ids`."""
+        return all(
+            vm_id in vm_ids
+            for vm_id, estimate in self.estimates_by_vm_.items()
+            if not estimate.leaving
+        )
+
     def choose_full(self, resources):
         """Returns an entry VM on which room might be made, or None."""
         fitting = [
--- a/samphiregate/core/jobs/_tasks.py
+++ b/samphiregate/core/jobs/_tasks.py
@@ -117,6 +117,7 @@
         return kept
 
     def _lives(self, job, task, news, now_ms):
+        self._dispatcher.holds.granted(job.spec.team, task.vm_id)
         if news.phase is workers.TaskPhase.RUNNING:
             if job.step(task, "started") or task.starts == 0:
                 task.starts += 1
@@ -127,7 +128,9 @@
         spec = job.spec
         self._dispatcher.ended(job, task, now_ms)
         if news.reason is workers.TaskReason.NO_TOKEN:
-            self._dispatcher.no_token(spec.team, now_ms)
+            self._dispatcher.holds.refused(spec.team, task.vm_id, now_ms)
+        elif news.phase is not workers.TaskPhase.NOT_STARTED:
+            self._dispatcher.holds.granted(spec.team, task.vm_id)
         if news.reason in ROOM_REASONS:
             self._dispatcher.rooms.declined(task.vm_id, spec.resources)
         else:
--- a/samphiregate/core/workers/_exchange.py
+++ b/samphiregate/core/workers/_exchange.py
@@ -15,6 +15,8 @@
     _messages.WorkerTaskState.REFUSED: _peer.TaskPhase.NOT_STARTED,
 }
 REFUSED_RETRY_MS = 100
+END_GRACE_MS = 100
+ENDED_SINCE_SAMPLE = model.TaskId("", 0)
 
 
 class Exchanges:
@@ -160,6 +162,8 @@
             record.phase = _records.WorkerPhase.READY
             record.known = True
             record.next_exchange_ms = now_ms
+        else:
+            record.next_exchange_ms = self._next_due_ms(record, now_ms)
 
     def _report(self, record, task, now_ms):
         attempt_id = _peer.AttemptId(task.task_id, task.attempt)
@@ -186,19 +190,30 @@
     def _sample(self, record, report, now_ms):
         if report.used_total is not None:
             record.used_total = report.used_total
+            record.used_ours = report.used_ours
         for task in report.tasks:
             if task.state is _messages.WorkerTaskState.RUNNING:
                 record.used_by_task[task.task_id] = task.used
             else:
                 record.used_by_task.pop(task.task_id, None)
         record.sampled_ms = now_ms - report.age_ms
+        used_by_task = dict(record.used_by_task)
+        known = sum(used_by_task.values(), start=model.Resources())
+        used_by_task[ENDED_SINCE_SAMPLE] = record.used_ours - known
         record.book.observe_report(
-            record.used_total,
-            dict(record.used_by_task),
-            record.sampled_ms,
-            now_ms,
+            record.used_total, used_by_task, record.sampled_ms, now_ms
         )
 
+    def _next_due_ms(self, record, now_ms):
+        """Returns when to ask again: sooner if a task should end sooner."""
+        due_ms = now_ms + self._renew_ms
+        for booking in _live(record):
+            if booking.state == _records.RUNNING and booking.run_time_ms:
+                end_ms = booking.started_ms + booking.run_time_ms
+                if end_ms >= now_ms:
+                    due_ms = min(due_ms, end_ms + END_GRACE_MS)
+        return max(due_ms, now_ms + END_GRACE_MS)
+
     def _end_absent(self, record, report, now_ms):
         listed = {
             _peer.AttemptId(task.task_id, task.attempt)
--- a/samphiregate/core/workers/_ledger.py
+++ b/samphiregate/core/workers/_ledger.py
@@ -235,6 +235,7 @@
         declared=report.reserved,
         urgent=report.urgent,
         checkpointable=report.checkpointable,
+        run_time_ms=report.remaining_ms,
         started_ms=now_ms,
         on_worker=True,
     )
--- a/samphiregate/core/workers/_messages.py
+++ b/samphiregate/core/workers/_messages.py
@@ -154,6 +154,8 @@
         All that is in use on the worker, ours and foreign, sampled at the
         same instant as the use of each task; None if no sample was taken
         since the last accepted exchange.
+    used_ours : model.Resources
+        The part of it that tasks started by commands used.
     age_ms : int
         Age of the sample.
     """
@@ -165,6 +167,7 @@
     tasks: tuple[TaskReport, ...] = ()
     full: bool = False
     used_total: model.Resources | None = None
+    used_ours: model.Resources = model.Resources()
     age_ms: int = 0
 
 
--- a/samphiregate/core/workers/_orders.py
+++ b/samphiregate/core/workers/_orders.py
@@ -208,6 +208,7 @@
             declared=order.resources,
             urgent=order.urgent,
             checkpointable=order.checkpointable,
+            run_time_ms=order.run_time_ms,
             started_ms=now_ms,
         )
         self._ledger.book(booking, now_ms)
--- a/samphiregate/core/workers/_records.py
+++ b/samphiregate/core/workers/_records.py
@@ -30,6 +30,8 @@
         What is booked and reserved on the worker.
     declared : model.Resources
         What the job declared.
+    run_time_ms : int
+        Declared run time; 0 if it has none.
     state : str
         State of `BOOKING_CHART`.
     reason : TaskReason
@@ -50,6 +52,7 @@
     declared: model.Resources
     urgent: bool = False
     checkpointable: bool = False
+    run_time_ms: int = 0
     started_ms: int = 0
     state: str = BOOKING_CHART.initial
     reason: _peer.TaskReason = _peer.TaskReason.NONE
@@ -131,4 +134,5 @@
         factory=dict
     )
     used_total: model.Resources = model.Resources()
+    used_ours: model.Resources = model.Resources()
     sampled_ms: int = 0
--- a/standins/worker/_worker.py
+++ b/standins/worker/_worker.py
@@ -117,6 +117,7 @@
         self.foreign_by_id = {}
         self.sample_ms_at = None
         self.sample_used = _amounts.NOTHING
+        self.sample_ours = _amounts.NOTHING
         self.sample_by_key = {}
         self.sample_told = False
         self.history = collections.deque(maxlen=HISTORY_MAX)
@@ -287,6 +288,7 @@
         total = _amounts.NOTHING
         for used in self.sample_by_key.values():
             total = _amounts.plus(total, used)
+        self.sample_ours = total
         for foreign in self.foreign_by_id.values():
             total = _amounts.plus(total, foreign.amount)
         self.sample_used = total
@@ -313,6 +315,7 @@
             "clock_ms": now_ms,
             "full": full,
             "used": self.sample_used if tell_sample else None,
+            "used_ours": self.sample_ours,
             "age_ms": now_ms - self.sample_ms_at,
             "tasks": [self._task(one, now_ms) for one in attempts],
         }
