--- a/standins/load/_load.py
+++ b/standins/load/_load.py
@@ -159,10 +159,9 @@
     load = result.load
     body = _body(load, number)
     headers = {
-        "Content-Type": "application/octet-stream",
+        "Content-Type": "application/json",
         "Samphiregate-Deadline-Ms": str(load.deadline_ms),
         "Samphiregate-Idempotent": str(load.idempotent).lower(),
-        "Samphiregate-Work-Ms": str(load.work_ms),
     }
     if load.key:
         headers["Authorization"] = f"Bearer {load.key}"
@@ -180,8 +179,9 @@
 
 
 def _body(load, number):
-    mark = f"{load.team}/{load.queue}/{number}/".encode()
-    return mark.ljust(load.body_bytes, b".")
+    mark = f"{load.team}/{load.queue}/{number}"
+    body = orjson.dumps({"work_ms": load.work_ms, "mark": mark})
+    return body.ljust(load.body_bytes)
 
 
 def _judge(answer, body, codes):
--- /dev/null
+++ b/standins/site/_site.py
@@ -0,0 +1,231 @@
+"""Starts the stand-ins and entry VMs of a small site, and registers them."""
+
+import signal
+
+import attrs
+
+from samphiregate.adapters import http
+from samphiregate.core import model
+from samphiregate import errors
+from standins import processes
+
+SECRET = "a secret for stand-in sites"
+READY_TIMEOUT_S = 30
+FLEET_LAG_MS = 300
+WORKER_CAPACITY = model.Resources(32_000, 65_536, 0)
+ACCELERATED_CAPACITY = model.Resources(64_000, 131_072, 8)
+
+
+@attrs.define
+class EntryVm:
+    """A running entry VM.
+
+    Parameters
+    ----------
+    vm_id : str
+        Its id in the fleet list.
+    http_endpoint, peer_endpoint : str
+        ``ip:port`` of each server.
+    process : Process
+        The daemon.
+    """
+
+    vm_id: str
+    data_centre: str
+    http_endpoint: str
+    peer_endpoint: str
+    process: processes.Process
+
+
+class Site(processes.ProcessGroup):
+    """A platform, entry VMs, runners and workers; a context manager.
+
+    Parameters
+    ----------
+    log_folder : pathlib.Path
+        Folder for one log file a process.
+    vm_flags : sequence of str
+        Further flags of each entry VM.
+    fleet_lag_ms : int
+        Lag of the platform's list of machines.
+    """
+
+    def __init__(self, log_folder, *, vm_flags=(), fleet_lag_ms=FLEET_LAG_MS):
+        super().__init__(log_folder)
+        self.vm_flags = tuple(vm_flags)
+        self.fleet_lag_ms = fleet_lag_ms
+        self.platform_endpoint = processes.free_endpoint()
+        self.vms_by_id = {}
+        self.worker_endpoints_by_id = {}
+        self.runner_endpoints_by_id = {}
+        self._started = 0
+
+    def __enter__(self):
+        super().__enter__()
+        try:
+            self._start_platform()
+        except BaseException:
+            self.stop_all()
+            raise
+        return self
+
+    def add_entry_vm(self, data_centre, *flags, platform_endpoint=None):
+        """Starts and registers an entry VM; returns an `EntryVm`."""
+        vm_id = self._next_name(f"{data_centre}-vm")
+        http_endpoint = processes.free_endpoint()
+        peer_endpoint = processes.free_endpoint()
+        process = self.start(
+            vm_id,
+            "samphiregate.daemon",
+            *("--vm-id", vm_id, "--data-centre", data_centre),
+            *("--platform", platform_endpoint or self.platform_endpoint),
+            *("--secret", SECRET),
+            *("--http-listen", http_endpoint, "--peer-listen", peer_endpoint),
+            *("--fleet-poll-ms", "500"),
+            *self.vm_flags,
+            *flags,
+        )
+        vm = EntryVm(vm_id, data_centre, http_endpoint, peer_endpoint, process)
+        self.vms_by_id[vm_id] = vm
+        self._register(
+            "entry-vms",
+            model.EntryVmInfo(
+                vm_id, data_centre, peer_endpoint, http_endpoint
+            ),
+        )
+        return vm
+
+    def add_runner(self, data_centre, service, *, slots=8, work_ms=20):
+        """Starts and registers a runner; returns its id."""
+        runner_id = self._next_name(f"{data_centre}-{service}")
+        endpoint = processes.free_endpoint()
+        self.start(
+            runner_id,
+            "standins.runner",
+            *("--endpoint", endpoint, "--slots", str(slots)),
+            *("--work-ms", str(work_ms)),
+        )
+        self.runner_endpoints_by_id[runner_id] = endpoint
+        rack = f"{data_centre}-rack-{self._started % 4}"
+        info = model.RunnerInfo(
+            runner_id, service, data_centre, rack, endpoint, slots
+        )
+        self._register("runners", info)
+        return runner_id
+
+    def add_workers(
+        self, data_centre, count, *, capacity=WORKER_CAPACITY, flags=()
+    ):
+        """Starts one process that hosts workers; returns their ids."""
+        host = self._next_name(f"{data_centre}-workers")
+        endpoint = processes.free_endpoint()
+        worker_ids = [f"{host}-{number}" for number in range(count)]
+        self.start(
+            host,
+            "standins.worker",
+            *("--endpoint", endpoint, "--prefix", host),
+            *("--workers", str(count)),
+            *("--cpu-millis", str(capacity.cpu_millis)),
+            *("--memory-mib", str(capacity.memory_mib)),
+            *("--accelerators", str(capacity.accelerators)),
+            *flags,
+        )
+        for number, worker_id in enumerate(worker_ids):
+            address = f"{endpoint}/workers/{worker_id}"
+            self.worker_endpoints_by_id[worker_id] = address
+            rack = f"{data_centre}-rack-{number % 4}"
+            info = model.WorkerInfo(
+                worker_id, data_centre, rack, address, capacity
+            )
+            self._register("workers", info)
+        return worker_ids
+
+    def stop_entry_vm(self, vm_id):
+        """Announces that a VM leaves, stops it, and returns its status."""
+        vm = self.vms_by_id[vm_id]
+        self._register(
+            "entry-vms",
+            model.EntryVmInfo(
+                vm_id,
+                vm.data_centre,
+                vm.peer_endpoint,
+                vm.http_endpoint,
+                leaving=True,
+            ),
+        )
+        vm.process.signal(signal.SIGTERM)
+        status = vm.process.wait()
+        self.forget_entry_vm(vm_id)
+        return status
+
+    def kill_entry_vm(self, vm_id):
+        """Ends a VM without notice."""
+        vm = self.vms_by_id[vm_id]
+        vm.process.signal(signal.SIGKILL)
+        vm.process.wait()
+        self.forget_entry_vm(vm_id)
+
+    def forget_entry_vm(self, vm_id):
+        """Takes a VM off the platform's list."""
+        del self.vms_by_id[vm_id]
+        self.processes_by_name.pop(vm_id, None)
+        self._platform.request("DELETE", f"/fleet/entry-vms/{vm_id}")
+
+    def wait_until_ready(self):
+        """Waits until every entry VM says that it is ready."""
+        for vm in self.vms_by_id.values():
+            processes.wait_until(
+                lambda vm=vm: self.is_ready(vm),
+                READY_TIMEOUT_S,
+                f"readiness of {vm.vm_id}",
+            )
+
+    def is_ready(self, vm):
+        """Returns whether an entry VM says that it is ready."""
+        answer = self.ask(vm, "/ready")
+        return answer is not None and answer.status == 200
+
+    def ask(self, vm, path):
+        """Gets a path of an entry VM; returns None if it cannot be had."""
+        try:
+            with http.Client(vm.http_endpoint) as client:
+                return client.request("GET", path)
+        except errors.UnavailableError:
+            return None
+
+    def set_platform_faults(self, **faults):
+        """Has the platform fail, or recover, as `Faults` tells."""
+        self._platform.request_json("POST", "/faults", faults)
+
+    def read_key(self, key):
+        """Returns the store's value of a key."""
+        return self._platform.request("GET", f"/kv/{key}").body
+
+    def _start_platform(self):
+        self.start(
+            "platform",
+            "standins.platform",
+            *("--endpoint", self.platform_endpoint),
+            *("--fleet-lag-ms", str(self.fleet_lag_ms)),
+        )
+        self._platform = http.Client(self.platform_endpoint)
+        processes.wait_until(
+            self._platform_answers, READY_TIMEOUT_S, "the platform's start"
+        )
+
+    def _platform_answers(self):
+        try:
+            return self._platform.request("GET", "/counts").status == 200
+        except errors.UnavailableError:
+            return False
+
+    def _register(self, kind, info):
+        answer = self._platform.request_json(
+            "POST", f"/fleet/{kind}", attrs.asdict(info)
+        )
+        if answer.status != 200:
+            raise processes.StartError(f"the list refused {info}")
+
+    def _next_name(self, prefix):
+        self._started += 1
+        return f"{prefix}-{self._started}"
