--- a/samphiregate/core/configuration/__init__.py
+++ b/samphiregate/core/configuration/__init__.py
@@ -11,7 +11,6 @@
 from samphiregate.core.configuration._documents import SNAPSHOT_KEY
 from samphiregate.core.configuration._edits import apply_edit
 from samphiregate.core.configuration._edits import apply_edits
-from samphiregate.core.configuration._edits import EDIT_BYTES_MAX
 from samphiregate.core.configuration._edits import find_edit
 from samphiregate.core.configuration._edits import head_after
 from samphiregate.core.configuration._edits import needs_snapshot
@@ -22,7 +21,6 @@
 from samphiregate.core.configuration._replica import ConfigurationReplica
 
 __all__ = [
-    "EDIT_BYTES_MAX",
     "HEAD_KEY",
     "MAX_DOCUMENT_BYTES",
     "SNAPSHOT_KEY",
--- a/samphiregate/core/configuration/_edits.py
+++ b/samphiregate/core/configuration/_edits.py
@@ -10,7 +10,6 @@
 HEAD_EDITS_MIN = 16
 HEAD_EDITS_MAX = 48
 HEAD_BYTES_MAX = 65_536
-EDIT_BYTES_MAX = 262_144
 
 
 def apply_edit(configuration, edit):
@@ -75,17 +74,22 @@
 def head_after(head, edit):
     """Returns the head that results from one more edit.
 
-    Edits are kept back to the snapshot, and `HEAD_EDITS_MIN` of them in
-    any case, so that the fate of an edit whose answer was lost can be told.
+    Edits are kept back to the snapshot. Earlier ones are kept, up to
+    `HEAD_EDITS_MIN` and `HEAD_BYTES_MAX`, so that the fate of an edit whose
+    answer was lost can be told.
     """
     edits = (*head.edits, edit)
     needed = edit.revision - head.snapshot_revision
     kept = max(needed, HEAD_EDITS_MIN)
-    return _documents.Head(
+    after = _documents.Head(
         revision=edit.revision,
         snapshot_revision=head.snapshot_revision,
         edits=edits[-kept:],
     )
+    size = len(_documents.encode_head(after))
+    if size > HEAD_BYTES_MAX:
+        after = attrs.evolve(after, edits=edits[-needed:])
+    return after
 
 
 def needs_snapshot(head):
--- a/samphiregate/core/configuration/_history.py
+++ b/samphiregate/core/configuration/_history.py
@@ -69,13 +69,14 @@
         return tuple(self._edits[len(self._edits) - missing :])
 
     def team_for_key_hash(self, key_hash):
-        """Returns the team of a key that is given and not withdrawn."""
+        """Returns the team of a good key, if the team is in the list."""
         record = self.configuration.keys_by_hash.get(key_hash)
         if record is None or record.withdrawn:
             return None
         if key_hash in self._early_withdrawals:
             return None
-        return record.team
+        known = record.team in self.configuration.teams_by_name
+        return record.team if known else None
 
     def _withdraw_early(self, edits):
         for edit in edits:
