Add the messages about requests

Cause: the edge, the owner of runners and the adapters are written side by side and need one set of typed messages.

Change: events, actions and peer messages of core.requests. Each attempt is named by its request id and number; deadlines travel as remaining time.

Conclusion: messages only; nothing handles them yet.

--- /dev/null
+++ b/samphiregate/core/requests/__init__.py
@@ -0,0 +1,41 @@
+"""Callers' requests: admission, attempts, retries, and runners' slots."""
+
+from samphiregate.core.requests._messages import AnswerCaller
+from samphiregate.core.requests._messages import BINARY_TYPE
+from samphiregate.core.requests._messages import CallerGone
+from samphiregate.core.requests._messages import DispatchRequest
+from samphiregate.core.requests._messages import JSON_TYPE
+from samphiregate.core.requests._messages import LoadChanged
+from samphiregate.core.requests._messages import LoadSummary
+from samphiregate.core.requests._messages import Refusal
+from samphiregate.core.requests._messages import RequestArrived
+from samphiregate.core.requests._messages import RequestDispatched
+from samphiregate.core.requests._messages import RequestFinished
+from samphiregate.core.requests._messages import RequestRefused
+from samphiregate.core.requests._messages import RunnerAnswered
+from samphiregate.core.requests._messages import RunnerFailed
+from samphiregate.core.requests._messages import SendToRunner
+from samphiregate.core.requests._messages import ServiceLoad
+from samphiregate.core.requests._messages import VmLoad
+from samphiregate.core.requests._messages import WithdrawRequest
+
+__all__ = [
+    "AnswerCaller",
+    "BINARY_TYPE",
+    "CallerGone",
+    "DispatchRequest",
+    "JSON_TYPE",
+    "LoadChanged",
+    "LoadSummary",
+    "Refusal",
+    "RequestArrived",
+    "RequestDispatched",
+    "RequestFinished",
+    "RequestRefused",
+    "RunnerAnswered",
+    "RunnerFailed",
+    "SendToRunner",
+    "ServiceLoad",
+    "VmLoad",
+    "WithdrawRequest",
+]
--- /dev/null
+++ b/samphiregate/core/requests/_messages.py
@@ -0,0 +1,318 @@
+"""Events, actions and peer messages about callers' requests.
+
+A request is known by `request_id`, which its edge VM gives it and which is
+unique over the fleet. Each attempt to execute it has a number from 1; the
+pair names one attempt everywhere. Deadlines inside one entry VM are times of
+its monotonic clock; between VMs the time that remains is sent.
+"""
+
+import attrs
+
+from samphiregate.core import base
+from samphiregate.core import model
+from samphiregate import errors
+
+JSON_TYPE = "application/json"
+BINARY_TYPE = "application/octet-stream"
+
+
+@attrs.frozen
+class Refusal:
+    """Why a request got no answer from a runner.
+
+    Parameters
+    ----------
+    code : ErrorCode
+        Stable code of the failure.
+    ran : Ran
+        Whether the request was executed.
+    detail : str
+        One sentence for a person.
+    retry_after_ms : int or None
+        When a retry is sensible, in milliseconds from now.
+    """
+
+    code: errors.ErrorCode
+    ran: errors.Ran = errors.Ran.NO
+    detail: str = ""
+    retry_after_ms: int | None = None
+
+
+@attrs.frozen
+class RequestArrived(base.Event):
+    """A caller's request was read whole.
+
+    Parameters
+    ----------
+    request_id : str
+        Unique over the fleet.
+    queue : str
+        Queue that it is addressed to.
+    key_hash : str
+        Hexadecimal SHA-256 of the key that came with it; empty without one.
+    idempotent : bool
+        Whether it may be executed more than once.
+    deadline_ms : int
+        Monotonic time by which the answer is due, in milliseconds.
+    content_type : str
+        Media type of the body.
+    body : bytes
+        Passed on unread.
+    """
+
+    request_id: str
+    queue: str
+    key_hash: str = ""
+    idempotent: bool = False
+    deadline_ms: int = 0
+    content_type: str = BINARY_TYPE
+    body: bytes = b""
+
+    @property
+    def body_bytes(self):
+        """Size of the body in bytes."""
+        return len(self.body)
+
+
+@attrs.frozen
+class CallerGone(base.Event):
+    """The caller closed its connection before the answer."""
+
+    request_id: str
+
+
+@attrs.frozen
+class AnswerCaller(base.Action):
+    """Give the caller its answer; sent exactly once for each request.
+
+    Parameters
+    ----------
+    request_id : str
+        Id from `RequestArrived`.
+    refusal : Refusal or None
+        Set when no runner's answer is passed on.
+    status : int
+        HTTP status of the runner's answer.
+    content_type : str
+        Media type of the runner's answer.
+    body : bytes
+        The whole body of the runner's answer.
+    team : str
+        Team that the request was taken for; empty without one.
+    wait_ms : int
+        Time from arrival to the start of the last attempt.
+    run_ms : int
+        Time that the last attempt spent with its runner.
+    """
+
+    request_id: str
+    refusal: Refusal | None = None
+    status: int = 0
+    content_type: str = BINARY_TYPE
+    body: bytes = b""
+    team: str = ""
+    wait_ms: int = 0
+    run_ms: int = 0
+
+
+@attrs.frozen
+class DispatchRequest(base.PeerMessage):
+    """An edge asks the owner of runners to execute one attempt.
+
+    Parameters
+    ----------
+    remaining_ms : int
+        Time left until the deadline, when it was sent.
+    """
+
+    request_id: str
+    attempt: int
+    team: str
+    queue: str
+    service: str
+    idempotent: bool
+    remaining_ms: int
+    content_type: str = BINARY_TYPE
+    body: bytes = b""
+
+
+@attrs.frozen
+class RequestDispatched(base.PeerMessage):
+    """The owner sent an attempt to a runner: from now on it may run."""
+
+    request_id: str
+    attempt: int
+    runner_id: str
+
+
+@attrs.frozen
+class RequestRefused(base.PeerMessage):
+    """The owner did not execute an attempt, and never will.
+
+    Parameters
+    ----------
+    final : bool
+        Whether trying elsewhere is useless.
+    """
+
+    request_id: str
+    attempt: int
+    code: errors.ErrorCode
+    detail: str = ""
+    retry_after_ms: int | None = None
+    final: bool = False
+
+
+@attrs.frozen
+class RequestFinished(base.PeerMessage):
+    """An attempt that was sent to a runner has ended.
+
+    Parameters
+    ----------
+    outcome : AttemptOutcome
+        `ANSWERED` with the whole answer, or `UNKNOWN`.
+    run_ms : int
+        Time between sending and the end.
+    """
+
+    request_id: str
+    attempt: int
+    outcome: model.AttemptOutcome
+    status: int = 0
+    content_type: str = BINARY_TYPE
+    body: bytes = b""
+    run_ms: int = 0
+    detail: str = ""
+
+
+@attrs.frozen
+class WithdrawRequest(base.PeerMessage):
+    """An edge no longer wants an attempt; it is dropped if still queued.
+
+    Parameters
+    ----------
+    code : ErrorCode
+        Code of the refusal that the owner sends if it dropped the attempt.
+    """
+
+    request_id: str
+    attempt: int
+    code: errors.ErrorCode = errors.ErrorCode.CANCELLED
+
+
+@attrs.frozen
+class ServiceLoad:
+    """Load of one service's runners at one owner.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    slots : int
+        Slots of the runners that may be used now.
+    running : int
+        Slots in use, or possibly in use.
+    queued : int
+        Requests that wait at the owner.
+    latency_ms : float
+        Recent mean time of an attempt with its runner.
+    """
+
+    service: str
+    slots: int
+    running: int
+    queued: int
+    latency_ms: float = 0.0
+
+
+@attrs.frozen
+class VmLoad:
+    """Load of one owner.
+
+    Parameters
+    ----------
+    sequence : int
+        Rises with each summary of that VM.
+    age_ms : int
+        Time since the VM made it, when it was passed on.
+    """
+
+    vm_id: str
+    data_centre: str
+    sequence: int
+    age_ms: int = 0
+    services: tuple[ServiceLoad, ...] = ()
+
+
+@attrs.frozen
+class LoadSummary(base.PeerMessage):
+    """Loads of the sender and of a few others that it heard of."""
+
+    loads: tuple[VmLoad, ...] = ()
+
+
+@attrs.frozen
+class LoadChanged(base.Event):
+    """The load of this VM's own runners, for the edge of the same VM."""
+
+    load: VmLoad
+
+
+@attrs.frozen
+class SendToRunner(base.Action):
+    """Send an attempt to a runner, once.
+
+    Parameters
+    ----------
+    endpoint : str
+        ``ip:port`` of the runner.
+    timeout_ms : int
+        Time until the deadline.
+    """
+
+    request_id: str
+    attempt: int
+    runner_id: str
+    endpoint: str
+    queue: str
+    timeout_ms: int
+    content_type: str = BINARY_TYPE
+    body: bytes = b""
+
+
+@attrs.frozen
+class RunnerAnswered(base.Event):
+    """A runner's whole answer.
+
+    Parameters
+    ----------
+    slots_used : int or None
+        Slots that the runner said are in use after this answer.
+    """
+
+    request_id: str
+    attempt: int
+    runner_id: str
+    status: int
+    content_type: str = BINARY_TYPE
+    body: bytes = b""
+    slots_used: int | None = None
+
+
+@attrs.frozen
+class RunnerFailed(base.Event):
+    """An attempt ended without a whole answer from its runner.
+
+    Parameters
+    ----------
+    outcome : AttemptOutcome
+        `NEVER_SENT` without a connection, `REFUSED` when the runner said
+        that it executed nothing, else `UNKNOWN`.
+    """
+
+    request_id: str
+    attempt: int
+    runner_id: str
+    outcome: model.AttemptOutcome
+    detail: str = ""
+    slots_used: int | None = None
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the systems around an entry VM."""
