Add routing policies and the records of runners

Cause: runners and entry VMs are chosen by load and latency, and endpoints that fail must be avoided and probed.

--- a/samphiregate/core/requests/__init__.py
+++ b/samphiregate/core/requests/__init__.py
@@ -7,13 +7,14 @@
 from samphiregate.core.requests._messages import JSON_TYPE
 from samphiregate.core.requests._messages import LoadChanged
 from samphiregate.core.requests._messages import LoadSummary
+from samphiregate.core.requests._messages import ProbeRunner
 from samphiregate.core.requests._messages import Refusal
 from samphiregate.core.requests._messages import RequestArrived
-from samphiregate.core.requests._messages import RequestDispatched
 from samphiregate.core.requests._messages import RequestFinished
 from samphiregate.core.requests._messages import RequestRefused
 from samphiregate.core.requests._messages import RunnerAnswered
 from samphiregate.core.requests._messages import RunnerFailed
+from samphiregate.core.requests._messages import RunnerProbed
 from samphiregate.core.requests._messages import SendToRunner
 from samphiregate.core.requests._messages import ServiceLoad
 from samphiregate.core.requests._messages import VmLoad
@@ -27,13 +28,14 @@
     "JSON_TYPE",
     "LoadChanged",
     "LoadSummary",
+    "ProbeRunner",
     "Refusal",
     "RequestArrived",
-    "RequestDispatched",
     "RequestFinished",
     "RequestRefused",
     "RunnerAnswered",
     "RunnerFailed",
+    "RunnerProbed",
     "SendToRunner",
     "ServiceLoad",
     "VmLoad",
--- a/samphiregate/core/requests/_messages.py
+++ b/samphiregate/core/requests/_messages.py
@@ -136,31 +136,15 @@
     body: bytes = b""
 
 
-@attrs.frozen
-class RequestDispatched(base.PeerMessage):
-    """The owner sent an attempt to a runner: from now on it may run."""
-
-    request_id: str
-    attempt: int
-    runner_id: str
-
-
 @attrs.frozen
 class RequestRefused(base.PeerMessage):
-    """The owner did not execute an attempt, and never will.
-
-    Parameters
-    ----------
-    final : bool
-        Whether trying elsewhere is useless.
-    """
+    """The owner did not execute an attempt, and never will."""
 
     request_id: str
     attempt: int
     code: errors.ErrorCode
     detail: str = ""
     retry_after_ms: int | None = None
-    final: bool = False
 
 
 @attrs.frozen
@@ -288,6 +272,8 @@
     ----------
     slots_used : int or None
         Slots that the runner said are in use after this answer.
+    leaving : bool
+        Whether the runner said that it is about to stop.
     """
 
     request_id: str
@@ -297,6 +283,7 @@
     content_type: str = BINARY_TYPE
     body: bytes = b""
     slots_used: int | None = None
+    leaving: bool = False
 
 
 @attrs.frozen
@@ -316,3 +303,29 @@
     outcome: model.AttemptOutcome
     detail: str = ""
     slots_used: int | None = None
+    leaving: bool = False
+
+
+@attrs.frozen
+class ProbeRunner(base.Action):
+    """Ask a runner how many of its slots are in use, without any work."""
+
+    runner_id: str
+    endpoint: str
+
+
+@attrs.frozen
+class RunnerProbed(base.Event):
+    """The end of a `ProbeRunner`.
+
+    Parameters
+    ----------
+    slots_used : int or None
+        None when the runner did not answer or could not tell.
+    leaving : bool
+        Whether the runner said that it is about to stop.
+    """
+
+    runner_id: str
+    slots_used: int | None = None
+    leaving: bool = False
--- /dev/null
+++ b/samphiregate/core/requests/_runners.py
@@ -0,0 +1,122 @@
+"""Runners of one owner: slots in use, possibly in use, and foreign use."""
+
+import attrs
+
+from samphiregate.core import model
+
+FIRST_PAUSE_MS = 100
+LONGEST_PAUSE_MS = 2_000
+FIRST_PROBE_GAP_MS = 500
+LONGEST_PROBE_GAP_MS = 10_000
+SETTLE_MS = 2_000
+
+
+@attrs.define
+class UnknownAttempt:
+    """An attempt whose end is not known; it keeps its slot and token.
+
+    Parameters
+    ----------
+    since_ms : int
+        When its outcome became unknown.
+    release_ms : int
+        When it has surely ended, for want of better knowledge.
+    """
+
+    team: str
+    since_ms: int
+    release_ms: int
+
+
+@attrs.define
+class Runner:
+    """A runner and the use of its slots.
+
+    Parameters
+    ----------
+    running : set
+        Keys of the attempts under way.
+    unknown_by_key : dict
+        Attempts that may still run there.
+    foreign : int
+        Slots that others are believed to use.
+    paused_until_ms : int
+        After a refusal, nothing is sent until then.
+    """
+
+    info: model.RunnerInfo
+    shard: model.ShardId
+    owned: bool = True
+    leaving: bool = False
+    running: set = attrs.field(factory=set)
+    unknown_by_key: dict = attrs.field(factory=dict)
+    foreign: int = 0
+    paused_until_ms: int = 0
+    pause_ms: int = 0
+    probe_due_ms: int | None = None
+    probe_gap_ms: int = FIRST_PROBE_GAP_MS
+
+    def used(self):
+        """Returns the slots in use, or possibly in use, by this owner."""
+        return len(self.running) + len(self.unknown_by_key)
+
+    def free(self, now_ms):
+        """Returns the slots that may be given out at `now_ms`."""
+        if not self.usable() or now_ms < self.paused_until_ms:
+            return 0
+        return max(self.info.slots - self.used() - self.foreign, 0)
+
+    def usable(self):
+        """Returns whether new work may go there at all."""
+        return self.owned and not self.leaving and not self.info.leaving
+
+    def pause(self, now_ms):
+        """Takes in a refusal: others use the slots, for a while."""
+        longer_ms = max(self.pause_ms * 2, FIRST_PAUSE_MS)
+        self.pause_ms = min(longer_ms, LONGEST_PAUSE_MS)
+        self.paused_until_ms = now_ms + self.pause_ms
+        self.schedule_probe(now_ms)
+
+    def resume(self):
+        """Takes in an answer: the runner accepts work."""
+        self.pause_ms = 0
+
+    def schedule_probe(self, now_ms):
+        """Asks for a probe, unless one is due already."""
+        if self.probe_due_ms is None:
+            self.probe_gap_ms = FIRST_PROBE_GAP_MS
+            self.probe_due_ms = now_ms
+
+    def probe_sent(self, now_ms):
+        """Sets when the next probe is due if this one tells nothing."""
+        self.probe_due_ms = now_ms + self.probe_gap_ms
+        self.probe_gap_ms = min(self.probe_gap_ms * 2, LONGEST_PROBE_GAP_MS)
+
+    def learn_used(self, slots_used, now_ms):
+        """Takes in the number of slots that the runner says are in use.
+
+        Returns
+        -------
+        list of UnknownAttempt
+            Attempts that have surely ended.
+        """
+        ended = self._settle(slots_used, now_ms)
+        others = slots_used - len(self.running) - len(self.unknown_by_key)
+        self.foreign = min(max(others, 0), self.info.slots)
+        if not self.foreign and not self.unknown_by_key:
+            self.probe_due_ms = None
+        return ended
+
+    def _settle(self, slots_used, now_ms):
+        """Releases unknown attempts in excess of the slots in use.
+
+        An attempt counts as settled only some time after its connection
+        broke, so that bytes still under way can't start it afterwards.
+        """
+        settled = [
+            key
+            for key, attempt in self.unknown_by_key.items()
+            if now_ms - attempt.since_ms >= SETTLE_MS
+        ]
+        excess = max(len(self.unknown_by_key) - slots_used, 0)
+        return [self.unknown_by_key.pop(key) for key in settled[:excess]]
--- /dev/null
+++ b/samphiregate/core/routing/_outliers.py
@@ -0,0 +1,154 @@
+"""Finds endpoints that fail or are slow, and probes them."""
+
+import functools
+
+import attrs
+
+from samphiregate.core import base
+from samphiregate.core.routing import _messages
+from samphiregate import parameters
+
+LATENCY_DECAY = 0.2
+MIN_SLOW_MS = 50.0
+
+
+@attrs.define
+class _Record:
+    """What is known of one endpoint."""
+
+    failures: int = 0
+    attempts: int = 0
+    latency_ms: float = 0.0
+    avoided_until_ms: int = 0
+    gap_ms: int = 0
+
+
+class OutlierJudge(base.Policy):
+    """Says how many slots of an endpoint may be given out.
+
+    An endpoint that fails several times in a row, or whose recent latency is
+    far above the mean of all endpoints, is avoided; once the gap is over, one
+    attempt at a time probes it. A failed probe lengthens the gap, a success
+    ends it.
+
+    Parameters
+    ----------
+    failures_in_row : int
+        Failures after which an endpoint is avoided.
+    slow_factor : float
+        Multiple of the mean latency above which an endpoint is slow.
+    slow_after : int
+        Attempts before an endpoint's latency is judged.
+    first_gap_ms, longest_gap_ms : int
+        Bounds of the gap between probes.
+    most_avoided : float
+        Largest part of the endpoints that may be avoided for slowness.
+    """
+
+    parameter_table = {
+        "failures_in_row": parameters.Interval(int, 1, 100),
+        "slow_factor": parameters.Interval(float, 1.5, 100),
+        "slow_after": parameters.Interval(int, 1, 10_000),
+        "first_gap_ms": parameters.Interval(int, 1, 600_000),
+        "longest_gap_ms": parameters.Interval(int, 1, 3_600_000),
+        "most_avoided": parameters.Interval(float, 0, 1),
+    }
+
+    def __init__(
+        self,
+        *,
+        failures_in_row=3,
+        slow_factor=5.0,
+        slow_after=10,
+        first_gap_ms=1_000,
+        longest_gap_ms=60_000,
+        most_avoided=0.3,
+    ):
+        self.failures_in_row = failures_in_row
+        self.slow_factor = slow_factor
+        self.slow_after = slow_after
+        self.first_gap_ms = first_gap_ms
+        self.longest_gap_ms = longest_gap_ms
+        self.most_avoided = most_avoided
+        self.check_parameters()
+        self.records_by_id_ = {}
+        self.avoided_ids_ = set()
+        self.mean_latency_ms_ = 0.0
+
+    @functools.singledispatchmethod
+    def observe(self, event, now_ms):
+        """Takes in `AttemptEnded` and `EndpointRemoved`."""
+
+    @observe.register
+    def _(self, event: _messages.EndpointRemoved, now_ms):
+        self.records_by_id_.pop(event.endpoint_id, None)
+        self.avoided_ids_.discard(event.endpoint_id)
+
+    @observe.register
+    def _(self, event: _messages.AttemptEnded, now_ms):
+        record = self.records_by_id_.setdefault(event.endpoint_id, _Record())
+        if not event.succeeded:
+            self._note_failure(event.endpoint_id, record, now_ms)
+            return
+        record.failures = 0
+        self._note_latency(record, event.elapsed_ms)
+        if self._is_slow(event.endpoint_id, record):
+            self._avoid(event.endpoint_id, record, now_ms)
+        else:
+            self.avoided_ids_.discard(event.endpoint_id)
+            record.gap_ms = 0
+
+    def choose(self, question, now_ms):
+        """Answers a `SlotsToOffer` with a number of slots."""
+        if question.endpoint_id not in self.avoided_ids_:
+            return question.free
+        record = self.records_by_id_[question.endpoint_id]
+        if now_ms < record.avoided_until_ms or question.running:
+            return 0
+        return min(1, question.free)
+
+    def describe(self):
+        """Returns the ids of the endpoints that are avoided."""
+        return {"avoided": sorted(self.avoided_ids_)}
+
+    def _note_failure(self, endpoint_id, record, now_ms):
+        record.failures += 1
+        probed = endpoint_id in self.avoided_ids_
+        if probed or record.failures >= self.failures_in_row:
+            self._avoid(endpoint_id, record, now_ms)
+
+    def _note_latency(self, record, elapsed_ms):
+        record.attempts += 1
+        record.latency_ms = _decayed(record.latency_ms, elapsed_ms)
+        self.mean_latency_ms_ = _decayed(
+            self.mean_latency_ms_, min(elapsed_ms, self._slow_limit_ms())
+        )
+
+    def _slow_limit_ms(self):
+        if not self.mean_latency_ms_:
+            return float("inf")
+        return max(self.mean_latency_ms_ * self.slow_factor, MIN_SLOW_MS)
+
+    def _is_slow(self, endpoint_id, record):
+        if record.attempts < self.slow_after:
+            return False
+        if record.latency_ms <= self._slow_limit_ms():
+            return False
+        others = len(self.avoided_ids_ - {endpoint_id})
+        return others + 1 <= self.most_avoided * len(self.records_by_id_)
+
+    def _avoid(self, endpoint_id, record, now_ms):
+        if endpoint_id in self.avoided_ids_ and now_ms < (
+            record.avoided_until_ms
+        ):
+            return
+        longer_ms = max(record.gap_ms * 2, self.first_gap_ms)
+        record.gap_ms = min(longer_ms, self.longest_gap_ms)
+        record.avoided_until_ms = now_ms + record.gap_ms
+        self.avoided_ids_.add(endpoint_id)
+
+
+def _decayed(mean, value):
+    if not mean:
+        return float(value)
+    return mean + LATENCY_DECAY * (value - mean)
