--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the behaviour tests."""
--- /dev/null
+++ b/features/support/requests.py
@@ -0,0 +1,370 @@
+"""Entry VMs, runners and links in virtual time, for tests of requests."""
+
+import collections
+import heapq
+import itertools
+import random
+
+from samphiregate.core import base
+from samphiregate.core import fleet
+from samphiregate.core import model
+from samphiregate.core import requests
+from samphiregate import errors
+
+DATA_CENTRE = "north-1"
+SHARD_COUNT = 4
+SERVICE = "booking"
+QUEUE = "holds"
+TICK_MS = 50
+LINK_MS = 1
+DEADLINE_MS = 5_000
+
+
+class FakeReplica:
+    """Configuration and keys, changed at will.
+
+    Each team has the key hash ``hash-<team>``.
+    """
+
+    def __init__(self, teams=("huts", "maps", "parks"), open_to_all=False):
+        plan = model.Plan("standard", 1.0, 100, (QUEUE,))
+        other = model.Plan("other", 1.0, 100, ())
+        by_name = {team: model.Team(team, "standard") for team in teams}
+        by_name["strangers"] = model.Team("strangers", "other")
+        self.configuration = model.Configuration(
+            revision=1,
+            teams_by_name=by_name,
+            plans_by_name={"standard": plan, "other": other},
+            queues_by_name={
+                QUEUE: model.Queue(QUEUE, SERVICE),
+                "open": model.Queue("open", SERVICE, open_to_all=True),
+                "idle": model.Queue("idle", "nobody"),
+            },
+        )
+        self.withdrawn = set()
+
+    def team_for_key_hash(self, key_hash):
+        team = key_hash.removeprefix("hash-")
+        known = team in self.configuration.teams_by_name
+        return team if known and key_hash not in self.withdrawn else None
+
+
+class FakeTokens:
+    """Tokens of teams with a limit; `most_by_team` records the peak."""
+
+    def __init__(self, limit=1_000):
+        self.limit_by_team = collections.defaultdict(lambda: limit)
+        self.held_by_team = collections.Counter()
+        self.most_by_team = collections.Counter()
+
+    def acquire(self, team, now_ms, units=1):
+        if self.held_by_team[team] + units > self.limit_by_team[team]:
+            return False
+        self.held_by_team[team] += units
+        self.most_by_team[team] = max(
+            self.most_by_team[team], self.held_by_team[team]
+        )
+        return True
+
+    def release(self, team, now_ms, units=1):
+        assert self.held_by_team[team] >= units, "released twice"
+        self.held_by_team[team] -= units
+
+
+class FakeMembership:
+    """Which entry VMs are alive; shared by all of them."""
+
+    def __init__(self):
+        self.data_centre_by_vm = {}
+
+    def alive_ids(self, data_centre=None):
+        return tuple(
+            vm_id
+            for vm_id, place in self.data_centre_by_vm.items()
+            if data_centre in (None, place)
+        )
+
+
+class FakeRunner:
+    """A runner with slots, a log of what it executed, and faults.
+
+    Parameters
+    ----------
+    fault : str
+        ``none``, ``hang``, ``cut``, ``refuse``, ``down``, ``error``,
+        ``leaving`` or ``slow``.
+    """
+
+    def __init__(self, info, work_ms=20):
+        self.info = info
+        self.work_ms = work_ms
+        self.fault = "none"
+        self.active = set()
+        self.most_active = 0
+        self.executed = []
+
+
+class World:
+    """Entry VMs with their runners, driven in virtual time."""
+
+    def __init__(self, vms=2, runners=2, slots=2, seed=1, **owner_params):
+        self.random_state = random.Random(seed)
+        self.now_ms = 0
+        self.order = itertools.count()
+        self.heap = []
+        self.replica = FakeReplica()
+        self.membership = FakeMembership()
+        self.tokens = FakeTokens()
+        self.machines_by_vm = {}
+        self.dead = set()
+        self.dropped_links = set()
+        self.answers_by_id = collections.defaultdict(list)
+        self.repeat_messages = False
+        self.runners_by_id = {}
+        self.owner_params = owner_params
+        self.probes = 0
+        for number in range(runners):
+            self.add_runner(f"runner-{number}", slots)
+        for number in range(vms):
+            self.add_vm(f"vm-{number}")
+        self.list_fleet()
+        self.share_shards()
+        self.run(TICK_MS)
+
+    def add_runner(self, runner_id, slots):
+        info = model.RunnerInfo(
+            runner_id, SERVICE, DATA_CENTRE, "rack-1", runner_id, slots
+        )
+        self.runners_by_id[runner_id] = FakeRunner(info)
+
+    def add_vm(self, vm_id, data_centre=DATA_CENTRE):
+        self.membership.data_centre_by_vm[vm_id] = data_centre
+        edge = requests.RequestEdge(
+            vm_id=vm_id,
+            data_centre=data_centre,
+            configuration_replica=self.replica,
+            membership=self.membership,
+            random_state=random.Random(self.random_state.random()),
+            gossip_ms=100,
+        )
+        owner = requests.RunnerOwner(
+            vm_id=vm_id,
+            data_centre=data_centre,
+            tokens=self.tokens,
+            random_state=random.Random(self.random_state.random()),
+            shard_count=SHARD_COUNT,
+            **self.owner_params,
+        )
+        self.machines_by_vm[vm_id] = (edge, owner)
+        self.give(vm_id, fleet.ConfigurationChanged(self.configuration))
+        self.after(TICK_MS, self.tick, vm_id)
+
+    @property
+    def configuration(self):
+        return self.replica.configuration
+
+    def edge(self, vm_id):
+        return self.machines_by_vm[vm_id][0]
+
+    def owner(self, vm_id):
+        return self.machines_by_vm[vm_id][1]
+
+    def list_fleet(self):
+        listed = {
+            runner_id: runner.info
+            for runner_id, runner in self.runners_by_id.items()
+        }
+        self.give_all(fleet.FleetListed({}, {}, listed))
+
+    def share_shards(self):
+        """Gives the shards to the entry VMs in turn."""
+        vm_ids = sorted(set(self.machines_by_vm) - self.dead)
+        for number in range(SHARD_COUNT):
+            self.gain(vm_ids[number % len(vm_ids)], number)
+
+    def gain(self, vm_id, number):
+        shard = model.ShardId(DATA_CENTRE, number)
+        self.give(vm_id, fleet.ShardGained(shard, 1))
+
+    def lose(self, vm_id, number):
+        shard = model.ShardId(DATA_CENTRE, number)
+        self.give(vm_id, fleet.ShardLost(shard))
+
+    def owner_of(self, runner_id):
+        for vm_id, machines in self.machines_by_vm.items():
+            pool = machines[1].pools_by_service_.get(SERVICE)
+            if pool and runner_id in pool.runners_by_id:
+                return vm_id
+        raise AssertionError(f"nobody owns {runner_id}")
+
+    def after(self, delay_ms, call, *args):
+        entry = (self.now_ms + delay_ms, next(self.order), call, args)
+        heapq.heappush(self.heap, entry)
+
+    def run(self, duration_ms):
+        """Plays all that is due in the next `duration_ms`."""
+        end_ms = self.now_ms + duration_ms
+        while self.heap and self.heap[0][0] <= end_ms:
+            self.now_ms, _order, call, args = heapq.heappop(self.heap)
+            call(*args)
+        self.now_ms = end_ms
+
+    def tick(self, vm_id):
+        self.give(vm_id, base.Tick())
+        if vm_id not in self.dead:
+            self.after(TICK_MS, self.tick, vm_id)
+
+    def give_all(self, event):
+        for vm_id in list(self.machines_by_vm):
+            self.give(vm_id, event)
+
+    def give(self, vm_id, event):
+        if vm_id in self.dead:
+            return
+        for machine in self.machines_by_vm[vm_id]:
+            for action in machine.handle(event, self.now_ms):
+                self.act(vm_id, action)
+
+    def act(self, vm_id, action):
+        if isinstance(action, base.Notify):
+            self.give(vm_id, action.event)
+        elif isinstance(action, base.SendToPeer):
+            self.send(vm_id, action)
+        elif isinstance(action, requests.AnswerCaller):
+            self.answers_by_id[action.request_id].append(action)
+        elif isinstance(action, requests.SendToRunner):
+            self.after(LINK_MS, self.reach_runner, vm_id, action)
+        elif isinstance(action, requests.ProbeRunner):
+            self.after(LINK_MS, self.probe, vm_id, action)
+        else:
+            raise AssertionError(f"unexpected {action}")
+
+    def send(self, vm_id, action):
+        delivered = base.PeerDelivered(vm_id, action.message)
+        if action.recipient == vm_id:
+            self.give(vm_id, delivered)
+            return
+        if (vm_id, action.recipient) in self.dropped_links:
+            return
+        for _ in range(2 if self.repeat_messages else 1):
+            self.after(LINK_MS, self.give, action.recipient, delivered)
+
+    def kill(self, vm_id):
+        """Stops an entry VM dead; the others hear of it."""
+        self.dead.add(vm_id)
+        del self.membership.data_centre_by_vm[vm_id]
+        self.give_all(base.PeerUnreachable(vm_id))
+        changed = fleet.PeerStateChanged(
+            vm_id, DATA_CENTRE, fleet.PeerState.DEAD
+        )
+        self.give_all(changed)
+
+    def probe(self, vm_id, action):
+        self.probes += 1
+        runner = self.runners_by_id[action.runner_id]
+        used = None if runner.fault == "down" else len(runner.active)
+        event = requests.RunnerProbed(
+            action.runner_id, used, runner.fault == "leaving"
+        )
+        self.after(LINK_MS, self.give, vm_id, event)
+
+    def reach_runner(self, vm_id, action):
+        runner = self.runners_by_id[action.runner_id]
+        if runner.fault == "down":
+            self.fail(vm_id, action, model.AttemptOutcome.NEVER_SENT)
+        elif runner.fault == "leaving":
+            self.fail(vm_id, action, model.AttemptOutcome.REFUSED, True)
+        elif runner.fault == "refuse" or (
+            len(runner.active) >= runner.info.slots
+        ):
+            self.fail(vm_id, action, model.AttemptOutcome.REFUSED)
+        else:
+            self.execute(vm_id, action, runner)
+
+    def execute(self, vm_id, action, runner):
+        key = (action.request_id, action.attempt)
+        runner.active.add(key)
+        runner.most_active = max(runner.most_active, len(runner.active))
+        runner.executed.append(action.request_id)
+        if runner.fault == "hang":
+            unknown = model.AttemptOutcome.UNKNOWN
+            self.after(action.timeout_ms, self.fail, vm_id, action, unknown)
+            return
+        slower = 10 if runner.fault == "slow" else 1
+        self.after(
+            runner.work_ms * slower, self.end_work, vm_id, action, runner
+        )
+
+    def end_work(self, vm_id, action, runner):
+        runner.active.discard((action.request_id, action.attempt))
+        if runner.fault == "cut":
+            self.fail(vm_id, action, model.AttemptOutcome.UNKNOWN)
+            return
+        event = requests.RunnerAnswered(
+            request_id=action.request_id,
+            attempt=action.attempt,
+            runner_id=action.runner_id,
+            status=500 if runner.fault == "error" else 200,
+            body=b"answer to " + action.body,
+            slots_used=len(runner.active),
+        )
+        self.after(LINK_MS, self.give, vm_id, event)
+
+    def fail(self, vm_id, action, outcome, leaving=False):
+        runner = self.runners_by_id[action.runner_id]
+        told = outcome is model.AttemptOutcome.REFUSED
+        event = requests.RunnerFailed(
+            request_id=action.request_id,
+            attempt=action.attempt,
+            runner_id=action.runner_id,
+            outcome=outcome,
+            slots_used=len(runner.active) if told else None,
+            leaving=leaving,
+        )
+        self.after(LINK_MS, self.give, vm_id, event)
+
+    def arrive(self, request_id, vm_id="vm-0", team="huts", **fields):
+        """Hands a request to an edge."""
+        wait_ms = fields.pop("deadline_in_ms", DEADLINE_MS)
+        event = requests.RequestArrived(
+            request_id=request_id,
+            queue=fields.pop("queue", QUEUE),
+            key_hash=f"hash-{team}" if team else "",
+            deadline_ms=self.now_ms + wait_ms,
+            body=request_id.encode(),
+            **fields,
+        )
+        self.give(vm_id, event)
+
+    def answer(self, request_id):
+        """Returns the one answer to a request."""
+        answers = self.answers_by_id[request_id]
+        assert len(answers) == 1, answers
+        return answers[0]
+
+    def verdict(self, request_id):
+        """Returns ``answered``, or the code and ran of the refusal."""
+        answer = self.answer(request_id)
+        if answer.refusal is None:
+            expected = b"answer to " + request_id.encode()
+            assert answer.body == expected, answer
+            return f"answered {answer.status}"
+        refusal = answer.refusal
+        return f"{refusal.code.value} {refusal.ran.value}"
+
+    def executions(self, request_id):
+        """Returns how often a request was executed."""
+        return sum(
+            runner.executed.count(request_id)
+            for runner in self.runners_by_id.values()
+        )
+
+    def check(self):
+        """Checks what must hold in every run, by an independent count."""
+        for runner in self.runners_by_id.values():
+            assert runner.most_active <= runner.info.slots, runner.info
+        for request_id, answers in self.answers_by_id.items():
+            assert len(answers) == 1, answers
+            refusal = answers[0].refusal
+            if refusal and refusal.ran is errors.Ran.NO:
+                assert not self.executions(request_id), answers
--- a/samphiregate/core/requests/__init__.py
+++ b/samphiregate/core/requests/__init__.py
@@ -1,5 +1,6 @@
 """Callers' requests: admission, attempts, retries, and runners' slots."""
 
+from samphiregate.core.requests._edge import RequestEdge
 from samphiregate.core.requests._messages import AnswerCaller
 from samphiregate.core.requests._messages import BINARY_TYPE
 from samphiregate.core.requests._messages import CallerGone
@@ -19,6 +20,7 @@
 from samphiregate.core.requests._messages import ServiceLoad
 from samphiregate.core.requests._messages import VmLoad
 from samphiregate.core.requests._messages import WithdrawRequest
+from samphiregate.core.requests._owner import RunnerOwner
 
 __all__ = [
     "AnswerCaller",
@@ -31,10 +33,12 @@
     "ProbeRunner",
     "Refusal",
     "RequestArrived",
+    "RequestEdge",
     "RequestFinished",
     "RequestRefused",
     "RunnerAnswered",
     "RunnerFailed",
+    "RunnerOwner",
     "RunnerProbed",
     "SendToRunner",
     "ServiceLoad",
--- /dev/null
+++ b/samphiregate/core/requests/_admission.py
@@ -0,0 +1,67 @@
+"""Whether a request may be taken, and for which team."""
+
+import attrs
+
+from samphiregate.core.requests import _messages
+from samphiregate import errors
+
+_Code = errors.ErrorCode
+
+
+@attrs.frozen
+class Admitted:
+    """A request that may be taken.
+
+    Parameters
+    ----------
+    team : str
+        Team that it is taken for; empty without a key.
+    service : str
+        Service that executes it.
+    """
+
+    team: str
+    service: str
+
+
+def admit(request, replica):
+    """Checks the key and the queue of a request.
+
+    Parameters
+    ----------
+    request : RequestArrived
+        What the caller sent.
+    replica : ConfigurationReplica
+        The configuration and keys in force.
+
+    Returns
+    -------
+    Admitted or Refusal
+    """
+    team = ""
+    if request.key_hash:
+        team = replica.team_for_key_hash(request.key_hash)
+        if team is None:
+            return refuse_key()
+    queue = replica.configuration.queues_by_name.get(request.queue)
+    if queue is None:
+        return _messages.Refusal(_Code.NOT_FOUND, detail="unknown queue")
+    if not queue.open_to_all:
+        if not team:
+            return refuse_key("this queue needs a key")
+        if not _may_use(team, queue.name, replica.configuration):
+            return _messages.Refusal(
+                _Code.NOT_ALLOWED, detail="the team's plan lacks this queue"
+            )
+    return Admitted(team, queue.service)
+
+
+def refuse_key(detail="the key is unknown or was withdrawn"):
+    """Returns the refusal of a key."""
+    return _messages.Refusal(_Code.KEY_REFUSED, detail=detail)
+
+
+def _may_use(team_name, queue_name, configuration):
+    team = configuration.teams_by_name.get(team_name)
+    plan = team and configuration.plans_by_name.get(team.plan)
+    return bool(plan) and queue_name in plan.queues
--- /dev/null
+++ b/samphiregate/core/requests/_attempts.py
@@ -0,0 +1,294 @@
+"""Attempts at pending requests: sent, retried within bounds, and ended."""
+
+import heapq
+
+import attrs
+
+from samphiregate.core import base
+from samphiregate.core import model
+from samphiregate.core.requests import _admission
+from samphiregate.core.requests import _budget
+from samphiregate.core.requests import _messages
+from samphiregate import errors
+
+RETRY_AFTER_MS = 1_000
+
+_Code = errors.ErrorCode
+_MOVING = (_Code.LEAVING, _Code.NO_RUNNER)
+_FINAL = (_Code.DEADLINE_EXCEEDED, _Code.KEY_REFUSED, _Code.CANCELLED)
+
+
+@attrs.frozen
+class RetryBounds:
+    """What bounds the attempts at one request.
+
+    Parameters
+    ----------
+    most_attempts : int
+        Attempts at one request.
+    retry_ratio : float
+        Retries that each success of a team earns.
+    retry_burst : int
+        Retries that a team can save up.
+    owner_wait_ms : int
+        How long a request waits for an owner.
+    answer_grace_ms : int
+        Time after a deadline in which the owner may still answer.
+    """
+
+    most_attempts: int
+    retry_ratio: float
+    retry_burst: int
+    owner_wait_ms: int
+    answer_grace_ms: int
+
+
+class Attempts:
+    """Sees each pending request from its first attempt to its answer.
+
+    Parameters
+    ----------
+    pending : PendingTable
+        The requests.
+    board : LoadBoard
+        Chooses an owner.
+    bounds : RetryBounds
+        Bounds of retries and waits.
+    """
+
+    def __init__(self, *, pending, board, bounds):
+        self.pending = pending
+        self.bounds = bounds
+        self.budgets_by_team = {}
+        self.late_answers = 0
+        self.retries = 0
+        self._board = board
+        self._deadlines = []
+
+    def begin(self, pending, now_ms):
+        """Takes in a new request and sends its first attempt."""
+        self.pending.add(pending)
+        request = pending.request
+        entry = (request.deadline_ms, request.request_id)
+        heapq.heappush(self._deadlines, entry)
+        return self._attempt(pending, now_ms)
+
+    def answered(self, message, sender, now_ms):
+        """Takes in the end of an attempt that was with a runner."""
+        pending = self._take_end(message, sender, now_ms)
+        if pending is None:
+            return []
+        if message.outcome is not model.AttemptOutcome.ANSWERED:
+            return self._after_unknown(pending, message.detail, now_ms)
+        self._budget(pending.team).earn()
+        return self._finish(
+            pending,
+            now_ms,
+            status=message.status,
+            content_type=message.content_type,
+            body=message.body,
+            run_ms=message.run_ms,
+        )
+
+    def refused(self, message, sender, now_ms):
+        """Takes in that an attempt was not executed."""
+        pending = self._take_end(message, sender, now_ms)
+        if pending is None:
+            return []
+        pending.refusal = message
+        return self._after_refusal(pending, sender, now_ms)
+
+    def give_up(self, pending):
+        """Forgets a request that nobody waits for."""
+        actions = self._withdraw(pending, _Code.CANCELLED)
+        self.pending.remove(pending)
+        return actions
+
+    def attempt_waiting(self, now_ms):
+        """Tries again for the requests that no owner was found for."""
+        actions = []
+        missing = set()
+        for pending in self.pending.waiting():
+            waited_ms = now_ms - pending.waiting_since_ms
+            overdue = waited_ms >= self.bounds.owner_wait_ms
+            if pending.service not in missing or overdue:
+                actions += self._attempt(pending, now_ms)
+            if not pending.owner:
+                missing.add(pending.service)
+        return actions
+
+    def lose_owner(self, vm_id, now_ms):
+        """Takes in that an entry VM, or the link to it, was lost."""
+        self._board.forget(vm_id, now_ms)
+        actions = []
+        for pending in self.pending.held_by(vm_id):
+            self.pending.set_owner(pending, "")
+            pending.tried = pending.tried | {vm_id}
+            actions += self._after_unknown(
+                pending, "the entry VM that had it was lost", now_ms
+            )
+        return actions
+
+    def refuse_withdrawn(self, pending, now_ms):
+        """Ends a request whose key was withdrawn, unless it runs."""
+        if pending.withdrawn:
+            return []
+        pending.withdrawn = True
+        if pending.owner:
+            return self._withdraw(pending, _Code.KEY_REFUSED)
+        return self._refuse(pending, now_ms)
+
+    def expire(self, now_ms):
+        """Ends requests whose deadline has passed."""
+        actions = []
+        while self._deadlines and self._deadlines[0][0] <= now_ms:
+            due_ms, request_id = heapq.heappop(self._deadlines)
+            pending = self.pending.get(request_id)
+            if pending is None:
+                continue
+            if pending.owner and due_ms <= pending.request.deadline_ms:
+                later_ms = due_ms + self.bounds.answer_grace_ms + 1
+                heapq.heappush(self._deadlines, (later_ms, request_id))
+            else:
+                actions += self._answer_expired(pending, now_ms)
+        return actions
+
+    def _attempt(self, pending, now_ms):
+        """Sends the next attempt, or waits for an owner."""
+        owner = self._board.pick(pending.service, pending.tried, now_ms)
+        if owner is None:
+            return self._without_owner(pending, now_ms)
+        pending.attempt += 1
+        self.retries += pending.attempt > 1
+        self.pending.set_owner(pending, owner)
+        self._board.sent(owner, pending.service, now_ms)
+        request = pending.request
+        message = _messages.DispatchRequest(
+            request_id=request.request_id,
+            attempt=pending.attempt,
+            team=pending.team,
+            queue=request.queue,
+            service=pending.service,
+            idempotent=request.idempotent,
+            remaining_ms=request.deadline_ms - now_ms,
+            content_type=request.content_type,
+            body=request.body,
+        )
+        return [base.SendToPeer(owner, message)]
+
+    def _without_owner(self, pending, now_ms):
+        if pending.refusal and pending.refusal.code not in _MOVING:
+            return self._refuse(pending, now_ms)
+        pending.tried = frozenset()
+        self.pending.set_waiting(pending, now_ms)
+        if now_ms - pending.waiting_since_ms < self.bounds.owner_wait_ms:
+            return []
+        refusal = _messages.Refusal(
+            _Code.NO_RUNNER,
+            detail="no entry VM has a runner of this service",
+            retry_after_ms=RETRY_AFTER_MS,
+        )
+        return self._finish(pending, now_ms, refusal=refusal)
+
+    def _take_end(self, message, sender, now_ms):
+        """Returns the request whose attempt under way has ended."""
+        pending = self.pending.get(message.request_id)
+        if (
+            pending is None
+            or pending.owner != sender
+            or pending.attempt != message.attempt
+        ):
+            self.late_answers += 1
+            return None
+        self._board.sent(sender, pending.service, now_ms, -1)
+        self.pending.set_owner(pending, "")
+        return pending
+
+    def _after_refusal(self, pending, owner, now_ms):
+        """Retries what was not executed, within the bounds."""
+        code = pending.refusal.code
+        pending.tried = pending.tried | {owner}
+        if pending.withdrawn or code in _FINAL:
+            return self._refuse(pending, now_ms)
+        if pending.attempt >= self.bounds.most_attempts:
+            return self._refuse(pending, now_ms)
+        if code not in _MOVING:
+            self._board.fill(owner, pending.service, now_ms)
+            if not self._budget(pending.team).spend():
+                return self._refuse(pending, now_ms)
+        return self._attempt(pending, now_ms)
+
+    def _after_unknown(self, pending, detail, now_ms):
+        """Retries idempotent requests only; others may have run."""
+        pending.may_have_run = True
+        may_retry = (
+            pending.request.idempotent
+            and not pending.withdrawn
+            and pending.request.deadline_ms > now_ms
+            and pending.attempt < self.bounds.most_attempts
+            and self._budget(pending.team).spend()
+        )
+        if may_retry:
+            pending.refusal = None
+            return self._attempt(pending, now_ms)
+        refusal = _messages.Refusal(
+            _Code.OUTCOME_UNKNOWN,
+            ran=errors.Ran.UNKNOWN,
+            detail=detail or "the request may have been executed",
+        )
+        return self._finish(pending, now_ms, refusal=refusal)
+
+    def _withdraw(self, pending, code):
+        if not pending.owner:
+            return []
+        message = _messages.WithdrawRequest(
+            pending.request.request_id, pending.attempt, code
+        )
+        return [base.SendToPeer(pending.owner, message)]
+
+    def _answer_expired(self, pending, now_ms):
+        may_run = errors.Ran.UNKNOWN if pending.owner else errors.Ran.NO
+        refusal = _messages.Refusal(
+            _Code.DEADLINE_EXCEEDED,
+            ran=may_run,
+            detail="no answer by the deadline",
+        )
+        actions = self._withdraw(pending, _Code.CANCELLED)
+        return actions + self._finish(pending, now_ms, refusal=refusal)
+
+    def _refuse(self, pending, now_ms):
+        """Answers with the last refusal: the request was not executed."""
+        if pending.withdrawn:
+            refusal = _admission.refuse_key()
+        else:
+            told = pending.refusal
+            refusal = _messages.Refusal(
+                told.code,
+                detail=told.detail,
+                retry_after_ms=told.retry_after_ms,
+            )
+        return self._finish(pending, now_ms, refusal=refusal)
+
+    def _finish(self, pending, now_ms, run_ms=0, **answer):
+        self.pending.remove(pending)
+        refusal = answer.get("refusal")
+        if refusal is not None and pending.may_have_run:
+            answer["refusal"] = attrs.evolve(refusal, ran=errors.Ran.UNKNOWN)
+        return [
+            _messages.AnswerCaller(
+                request_id=pending.request.request_id,
+                team=pending.team,
+                wait_ms=max(now_ms - pending.arrived_ms - run_ms, 0),
+                run_ms=run_ms,
+                **answer,
+            )
+        ]
+
+    def _budget(self, team):
+        budget = self.budgets_by_team.get(team)
+        if budget is None:
+            budget = _budget.RetryBudget(
+                self.bounds.retry_ratio, self.bounds.retry_burst
+            )
+            self.budgets_by_team[team] = budget
+        return budget
--- /dev/null
+++ b/samphiregate/core/requests/_board.py
@@ -0,0 +1,157 @@
+"""What an edge knows of the load of the owners of runners."""
+
+import attrs
+
+from samphiregate.core.requests import _messages
+from samphiregate.core import routing
+
+
+@attrs.define
+class _Heard:
+    """The newest load of one entry VM, and when that VM made it."""
+
+    load: _messages.VmLoad
+    made_ms: int
+    sent_by_service: dict = attrs.field(factory=dict)
+
+
+class LoadBoard:
+    """Loads by entry VM, and the choice of an owner for a request.
+
+    Parameters
+    ----------
+    data_centre : str
+        Data centre whose owners come first.
+    make_router : callable
+        Returns a new routing policy.
+    valid_ms : int
+        Age at which a load is forgotten.
+    """
+
+    def __init__(self, *, data_centre, make_router, valid_ms):
+        self.data_centre = data_centre
+        self.valid_ms = valid_ms
+        self.heard_by_vm = {}
+        self._make_router = make_router
+        self._routers_by_place = {}
+
+    def take(self, load, now_ms):
+        """Takes in a load, unless a newer one is known."""
+        made_ms = now_ms - load.age_ms
+        if load.age_ms >= self.valid_ms:
+            return
+        known = self.heard_by_vm.get(load.vm_id)
+        if known is None:
+            self.heard_by_vm[load.vm_id] = _Heard(load, made_ms)
+        elif load.sequence < known.load.sequence:
+            return
+        elif load.sequence == known.load.sequence:
+            known.made_ms = max(known.made_ms, made_ms)
+            return
+        else:
+            self._unlist(known.load, now_ms, keep=load)
+            self.heard_by_vm[load.vm_id] = _Heard(load, made_ms)
+        for service in load.services:
+            self._offer(load.vm_id, service, now_ms)
+
+    def forget(self, vm_id, now_ms):
+        """Forgets an entry VM that is dead."""
+        heard = self.heard_by_vm.pop(vm_id, None)
+        if heard is not None:
+            self._unlist(heard.load, now_ms)
+
+    def forget_old(self, now_ms):
+        """Forgets the loads that are too old."""
+        old = [
+            vm_id
+            for vm_id, heard in self.heard_by_vm.items()
+            if now_ms - heard.made_ms >= self.valid_ms
+        ]
+        for vm_id in old:
+            self.forget(vm_id, now_ms)
+
+    def pick(self, service, excluded, now_ms):
+        """Returns the entry VM for a request, or None.
+
+        Free slots of this data centre come first, then those of others,
+        then the shortest queue of this data centre, then of others.
+        """
+        for only_free in (True, False):
+            question = routing.PickEndpoint(excluded, only_free)
+            for local in (True, False):
+                router = self._routers_by_place.get((service, local))
+                chosen = router and router.choose(question, now_ms)
+                if chosen:
+                    return chosen
+        return None
+
+    def sent(self, vm_id, service, now_ms, count=1):
+        """Counts a request that was sent since the load was made."""
+        heard = self.heard_by_vm.get(vm_id)
+        if heard is None:
+            return
+        before = heard.sent_by_service.get(service, 0)
+        heard.sent_by_service[service] = max(before + count, 0)
+        for load in heard.load.services:
+            if load.service == service:
+                self._offer(vm_id, load, now_ms)
+
+    def fill(self, vm_id, service, now_ms):
+        """Takes in a refusal: nothing is free there, as far as known."""
+        heard = self.heard_by_vm.get(vm_id)
+        if heard is None:
+            return
+        for load in heard.load.services:
+            if load.service == service:
+                self.sent(vm_id, service, now_ms, load.slots)
+
+    def sample(self, vm_id, count, random_state, now_ms):
+        """Returns loads to pass on, with their ages.
+
+        Parameters
+        ----------
+        vm_id : str
+            Entry VM whose load is left out.
+        count : int
+            Largest number of loads.
+        """
+        heard = [
+            item
+            for item in self.heard_by_vm.values()
+            if item.load.vm_id != vm_id
+        ]
+        if len(heard) > count:
+            heard = random_state.sample(heard, count)
+        return tuple(
+            attrs.evolve(item.load, age_ms=now_ms - item.made_ms)
+            for item in heard
+        )
+
+    def _router(self, service, local):
+        place = (service, local)
+        if place not in self._routers_by_place:
+            self._routers_by_place[place] = self._make_router()
+        return self._routers_by_place[place]
+
+    def _offer(self, vm_id, service, now_ms):
+        heard = self.heard_by_vm[vm_id]
+        sent = heard.sent_by_service.get(service.service, 0)
+        taken = service.running + service.queued + sent
+        event = routing.EndpointChanged(
+            endpoint_id=vm_id,
+            free=max(service.slots - taken, 0),
+            load=taken / max(service.slots, 1),
+            latency_ms=service.latency_ms,
+        )
+        local = heard.load.data_centre == self.data_centre
+        self._router(service.service, local).observe(event, now_ms)
+
+    def _unlist(self, load, now_ms, keep=None):
+        """Takes an entry VM out of the routers, but for services kept."""
+        kept = {service.service for service in keep.services} if keep else ()
+        local = load.data_centre == self.data_centre
+        for service in load.services:
+            if service.service not in kept:
+                self._router(service.service, local).observe(
+                    routing.EndpointRemoved(load.vm_id), now_ms
+                )
--- /dev/null
+++ b/samphiregate/core/requests/_dispatcher.py
@@ -0,0 +1,217 @@
+"""Starts queued attempts on runners and sees each to its end."""
+
+import heapq
+
+from samphiregate.core import model
+from samphiregate.core import queueing
+from samphiregate.core.requests import _messages
+from samphiregate.core.requests import _replies
+from samphiregate.core.requests import _runners
+from samphiregate import errors
+
+MOST_SKIPPED = 16
+SERVER_ERROR_STATUS = 500
+
+_Code = errors.ErrorCode
+_Outcome = model.AttemptOutcome
+
+
+class Dispatcher:
+    """Gives slots and tokens to attempts, and takes them back.
+
+    Parameters
+    ----------
+    roster : RunnerRoster
+        The pools.
+    tokens : TokenHolder
+        Tokens of the teams' upper limits.
+    runner_tries : int
+        Runners that are tried for one attempt before it is refused.
+    unknown_hold_ms : int
+        Time after its deadline that an attempt of unknown outcome keeps
+        its slot and token.
+    """
+
+    def __init__(self, *, roster, tokens, runner_tries, unknown_hold_ms):
+        self.runner_tries = runner_tries
+        self.unknown_hold_ms = unknown_hold_ms
+        self.running_by_key = {}
+        self.stopping = False
+        self._roster = roster
+        self._tokens = tokens
+        self._deadlines = []
+
+    def enqueue(self, pool, attempt, now_ms):
+        """Queues a new attempt."""
+        pool.enqueue(attempt, now_ms)
+        entry = (attempt.deadline_ms, attempt.key, pool.service)
+        heapq.heappush(self._deadlines, entry)
+
+    def dispatch(self, pool, now_ms):
+        """Starts queued attempts while there are slots and tokens."""
+        actions = []
+        skipped_teams = set()
+        skipped_items = set()
+        while pool.queued and not self.stopping and pool.has_free(now_ms):
+            question = queueing.NextItem(
+                frozenset(skipped_teams), frozenset(skipped_items)
+            )
+            item = pool.queue.choose(question, now_ms)
+            if item is None or len(skipped_items) >= MOST_SKIPPED:
+                break
+            attempt = pool.queued[item.item_id]
+            runner = pool.pick(attempt.tried, now_ms)
+            if attempt.deadline_ms <= now_ms:
+                actions.append(self._refuse_expired(pool, attempt, now_ms))
+            elif runner is None:
+                skipped_items.add(item.item_id)
+            elif self._acquire(item.team, now_ms):
+                actions.append(self._start(pool, attempt, runner, now_ms))
+            else:
+                skipped_teams.add(item.team)
+        return actions
+
+    def shed(self, pool, bound, retry_after_ms, now_ms):
+        """Refuses queued attempts above the bound of the queue."""
+        actions = []
+        while len(pool.queued) > bound:
+            item = pool.queue.choose(queueing.ItemToShed(), now_ms)
+            attempt = pool.dequeue(item.item_id, now_ms)
+            actions.append(
+                _replies.refuse(attempt, _Code.OVERLOADED, retry_after_ms)
+            )
+        return actions
+
+    def expire(self, now_ms):
+        """Refuses the queued attempts whose deadline has passed."""
+        actions = []
+        while self._deadlines and self._deadlines[0][0] <= now_ms:
+            _deadline_ms, key, service = heapq.heappop(self._deadlines)
+            pool = self._roster.pools_by_service[service]
+            attempt = pool.queued.get(key)
+            if attempt is not None:
+                actions.append(self._refuse_expired(pool, attempt, now_ms))
+        return actions
+
+    def refuse_queued(self, pool, code, now_ms):
+        """Refuses all that is queued in a pool."""
+        return [
+            _replies.refuse(pool.dequeue(key, now_ms), code)
+            for key in list(pool.queued)
+        ]
+
+    def answered(self, attempt, event, now_ms):
+        """Takes in a runner's whole answer."""
+        pool, runner = self._end_running(attempt)
+        run_ms = now_ms - attempt.sent_ms
+        succeeded = event.status < SERVER_ERROR_STATUS
+        pool.ended(runner, succeeded, run_ms, now_ms)
+        runner.resume()
+        self._free(pool, attempt.message.team, now_ms)
+        self.learn(pool, runner, event, now_ms)
+        finished = _replies.finish(
+            attempt,
+            _Outcome.ANSWERED,
+            run_ms,
+            status=event.status,
+            content_type=event.content_type,
+            body=event.body,
+        )
+        return [finished, *self.dispatch(pool, now_ms)]
+
+    def failed(self, attempt, event, now_ms):
+        """Takes in that no whole answer came."""
+        pool, runner = self._end_running(attempt)
+        if event.outcome is _Outcome.UNKNOWN:
+            actions = self._hold(pool, runner, attempt, event, now_ms)
+        else:
+            actions = self._put_back(pool, runner, attempt, event, now_ms)
+        self.learn(pool, runner, event, now_ms)
+        return actions + self.dispatch(pool, now_ms)
+
+    def learn(self, pool, runner, event, now_ms):
+        """Takes in what a runner said of itself."""
+        told = event.leaving or event.slots_used is not None
+        if told and event.leaving != runner.leaving:
+            runner.leaving = event.leaving
+            runner.schedule_probe(now_ms)
+            pool.capacity_changed(now_ms)
+        if event.slots_used is not None:
+            for ended in runner.learn_used(event.slots_used, now_ms):
+                self._free(pool, ended.team, now_ms)
+        pool.offer(runner, now_ms)
+
+    def release_lapsed(self, pool, now_ms):
+        """Frees what attempts of unknown outcome can hold no longer."""
+        for runner in pool.runners_by_id.values():
+            for ended in runner.release_lapsed(now_ms):
+                self._free(pool, ended.team, now_ms)
+
+    def _start(self, pool, attempt, runner, now_ms):
+        pool.dequeue(attempt.key, now_ms)
+        attempt.runner_id = runner.info.runner_id
+        attempt.sent_ms = now_ms
+        runner.running.add(attempt.key)
+        self.running_by_key[attempt.key] = attempt
+        message = attempt.message
+        pool.started(message.team, now_ms)
+        pool.offer(runner, now_ms)
+        return _messages.SendToRunner(
+            request_id=message.request_id,
+            attempt=message.attempt,
+            runner_id=runner.info.runner_id,
+            endpoint=runner.info.endpoint,
+            queue=message.queue,
+            timeout_ms=attempt.deadline_ms - now_ms,
+            content_type=message.content_type,
+            body=message.body,
+        )
+
+    def _end_running(self, attempt):
+        del self.running_by_key[attempt.key]
+        pool, runner = self._roster.place_of(attempt)
+        runner.running.discard(attempt.key)
+        return pool, runner
+
+    def _hold(self, pool, runner, attempt, event, now_ms):
+        """Keeps slot and token of an attempt that may still run."""
+        run_ms = now_ms - attempt.sent_ms
+        pool.ended(runner, False, run_ms, now_ms)
+        latest_ms = max(attempt.deadline_ms, now_ms) + self.unknown_hold_ms
+        runner.unknown_by_key[attempt.key] = _runners.UnknownAttempt(
+            attempt.message.team, now_ms, latest_ms
+        )
+        runner.schedule_probe(now_ms)
+        return [
+            _replies.finish(
+                attempt, _Outcome.UNKNOWN, run_ms, detail=event.detail
+            )
+        ]
+
+    def _put_back(self, pool, runner, attempt, event, now_ms):
+        """Tries another runner for an attempt that was not executed."""
+        self._free(pool, attempt.message.team, now_ms)
+        if event.outcome is _Outcome.REFUSED:
+            runner.pause(now_ms)
+        else:
+            run_ms = now_ms - attempt.sent_ms
+            pool.ended(runner, False, run_ms, now_ms)
+        attempt.tried = attempt.tried | {attempt.runner_id}
+        if self.stopping:
+            return [_replies.refuse(attempt, _Code.LEAVING)]
+        if len(attempt.tried) >= self.runner_tries:
+            return [_replies.refuse(attempt, _Code.RUNNER_FAILED)]
+        pool.enqueue(attempt, now_ms, at_front=True)
+        return []
+
+    def _refuse_expired(self, pool, attempt, now_ms):
+        pool.dequeue(attempt.key, now_ms)
+        return _replies.refuse(attempt, _Code.DEADLINE_EXCEEDED)
+
+    def _acquire(self, team, now_ms):
+        return not team or self._tokens.acquire(team, now_ms)
+
+    def _free(self, pool, team, now_ms):
+        pool.stopped(team, now_ms)
+        if team:
+            self._tokens.release(team, now_ms)
--- /dev/null
+++ b/samphiregate/core/requests/_edge.py
@@ -0,0 +1,284 @@
+"""The edge: admits callers' requests and sees each attempt to its end."""
+
+import functools
+import random
+
+from samphiregate.core import base
+from samphiregate.core import fleet
+from samphiregate.core.requests import _admission
+from samphiregate.core.requests import _attempts
+from samphiregate.core.requests import _board
+from samphiregate.core.requests import _gossip
+from samphiregate.core.requests import _messages
+from samphiregate.core.requests import _pending
+from samphiregate.core import routing
+from samphiregate import errors
+from samphiregate import parameters
+
+KEY_CHECK_MS = 1_000
+LOADS_VALID_GAPS = 30
+
+_Code = errors.ErrorCode
+
+
+class RequestEdge(base.StateMachine, parameters.Parameterised):
+    """Admits requests, chooses an owner for each, and answers callers.
+
+    Parameters
+    ----------
+    vm_id : str
+        Id of this entry VM.
+    data_centre : str
+        Its data centre.
+    configuration_replica : ConfigurationReplica
+        `configuration` and `team_for_key_hash`.
+    membership : Membership
+        `alive_ids`, for the gossip of loads.
+    random_state : random.Random
+        Source of randomness.
+    routing_policy : str
+        Name of the policy that chooses an owner.
+    most_pending : int
+        Requests that may wait for their answer at this entry VM.
+    most_body_mib : int
+        Memory for the bodies of pending requests, in MiB.
+    most_attempts : int
+        Attempts at one request.
+    retry_ratio : float
+        Retries that each success of a team earns.
+    retry_burst : int
+        Retries that a team can save up.
+    owner_wait_ms : int
+        How long a request waits for an owner of its service's runners.
+    answer_grace_ms : int
+        Time after a deadline in which the owner may still tell whether
+        the request was executed.
+    gossip_ms : int
+        Time between two summaries of loads.
+
+    Attributes
+    ----------
+    pending_ : PendingTable
+        Requests that have not been answered.
+    """
+
+    parameter_table = {
+        "most_pending": parameters.Interval(int, 1, 1_000_000),
+        "most_body_mib": parameters.Interval(int, 1, 65_536),
+        "most_attempts": parameters.Interval(int, 1, 100),
+        "retry_ratio": parameters.Interval(float, 0, 1),
+        "retry_burst": parameters.Interval(int, 0, 10_000),
+        "owner_wait_ms": parameters.Interval(int, 0, 600_000),
+        "answer_grace_ms": parameters.Interval(int, 0, 60_000),
+        "gossip_ms": parameters.Interval(int, 50, 60_000),
+    }
+
+    def __init__(
+        self,
+        *,
+        vm_id,
+        data_centre,
+        configuration_replica,
+        membership,
+        random_state=None,
+        routing_policy="power-of-two",
+        most_pending=20_000,
+        most_body_mib=16,
+        most_attempts=4,
+        retry_ratio=0.2,
+        retry_burst=20,
+        owner_wait_ms=3_000,
+        answer_grace_ms=250,
+        gossip_ms=1_000,
+    ):
+        self.vm_id = vm_id
+        self.data_centre = data_centre
+        self.random_state = random_state or random.Random(0)
+        self.routing_policy = routing_policy
+        self.most_pending = most_pending
+        self.most_body_mib = most_body_mib
+        self.most_attempts = most_attempts
+        self.retry_ratio = retry_ratio
+        self.retry_burst = retry_burst
+        self.owner_wait_ms = owner_wait_ms
+        self.answer_grace_ms = answer_grace_ms
+        self.gossip_ms = gossip_ms
+        self.check_parameters()
+        self.pending_ = _pending.PendingTable()
+        self.stopping_ = False
+        self._replica = configuration_replica
+        self._keys_checked_ms = 0
+        self._board = _board.LoadBoard(
+            data_centre=data_centre,
+            make_router=self._make_router,
+            valid_ms=LOADS_VALID_GAPS * gossip_ms,
+        )
+        self._attempts = _attempts.Attempts(
+            pending=self.pending_,
+            board=self._board,
+            bounds=_attempts.RetryBounds(
+                most_attempts=most_attempts,
+                retry_ratio=retry_ratio,
+                retry_burst=retry_burst,
+                owner_wait_ms=owner_wait_ms,
+                answer_grace_ms=answer_grace_ms,
+            ),
+        )
+        self._gossip = _gossip.LoadGossip(
+            vm_id=vm_id,
+            data_centre=data_centre,
+            board=self._board,
+            membership=membership,
+            random_state=self.random_state,
+            interval_ms=gossip_ms,
+        )
+
+    @property
+    def in_flight(self):
+        """Number of requests that have not been answered."""
+        return len(self.pending_)
+
+    def describe(self):
+        """Returns counts of what is pending, as plain values."""
+        return {
+            "pending": len(self.pending_),
+            "pending_body_bytes": self.pending_.body_bytes,
+            "pending_by_team": dict(self.pending_.count_by_team),
+            "retries": self._attempts.retries,
+            "late_answers": self._attempts.late_answers,
+            "owners_known": len(self._board.heard_by_vm),
+        }
+
+    @functools.singledispatchmethod
+    def handle(self, event, now_ms):
+        """Takes one event; see `StateMachine.handle`."""
+        return []
+
+    @handle.register
+    def _(self, event: _messages.RequestArrived, now_ms):
+        if self.pending_.get(event.request_id) is not None:
+            return []
+        refusal = self._refuse_early(event, now_ms)
+        admitted = refusal or _admission.admit(event, self._replica)
+        if isinstance(admitted, _admission.Admitted):
+            refusal = self._over_bound(admitted.team, event)
+        else:
+            refusal = admitted
+        if refusal is not None:
+            return [_messages.AnswerCaller(event.request_id, refusal)]
+        pending = _pending.PendingRequest(
+            event, admitted.team, admitted.service, now_ms
+        )
+        return self._attempts.begin(pending, now_ms)
+
+    @handle.register
+    def _(self, event: _messages.CallerGone, now_ms):
+        pending = self.pending_.get(event.request_id)
+        if pending is None:
+            return []
+        return self._attempts.give_up(pending)
+
+    @handle.register
+    def _(self, event: base.PeerDelivered, now_ms):
+        return self._deliver(event.message, event.sender, now_ms)
+
+    @functools.singledispatchmethod
+    def _deliver(self, message, sender, now_ms):
+        return []
+
+    @_deliver.register
+    def _(self, message: _messages.RequestRefused, sender, now_ms):
+        return self._attempts.refused(message, sender, now_ms)
+
+    @_deliver.register
+    def _(self, message: _messages.RequestFinished, sender, now_ms):
+        return self._attempts.answered(message, sender, now_ms)
+
+    @_deliver.register
+    def _(self, message: _messages.LoadSummary, sender, now_ms):
+        self._gossip.heard(message, now_ms)
+        return self._attempts.attempt_waiting(now_ms)
+
+    @handle.register
+    def _(self, event: _messages.LoadChanged, now_ms):
+        actions = self._gossip.own_changed(event.load, now_ms)
+        return actions + self._attempts.attempt_waiting(now_ms)
+
+    @handle.register
+    def _(self, event: base.PeerUnreachable, now_ms):
+        return self._attempts.lose_owner(event.peer_id, now_ms)
+
+    @handle.register
+    def _(self, event: fleet.PeerStateChanged, now_ms):
+        if event.state is fleet.PeerState.ALIVE:
+            return self._gossip.greet(event.vm_id, now_ms)
+        self._board.forget(event.vm_id, now_ms)
+        if event.state is fleet.PeerState.DEAD:
+            return self._attempts.lose_owner(event.vm_id, now_ms)
+        return []
+
+    @handle.register
+    def _(self, event: fleet.ConfigurationChanged, now_ms):
+        return self._check_keys(now_ms)
+
+    @handle.register
+    def _(self, event: base.StopRequested, now_ms):
+        self.stopping_ = True
+        return []
+
+    @handle.register
+    def _(self, event: base.Tick, now_ms):
+        actions = self._attempts.expire(now_ms)
+        actions += self._gossip.tick(now_ms)
+        actions += self._attempts.attempt_waiting(now_ms)
+        if now_ms - self._keys_checked_ms >= KEY_CHECK_MS:
+            actions += self._check_keys(now_ms)
+        return actions
+
+    def _refuse_early(self, request, now_ms):
+        if self.stopping_:
+            return _messages.Refusal(
+                _Code.LEAVING,
+                detail="this entry VM is leaving",
+                retry_after_ms=0,
+            )
+        if request.deadline_ms <= now_ms:
+            return _messages.Refusal(
+                _Code.DEADLINE_EXCEEDED, detail="the deadline has passed"
+            )
+        return None
+
+    def _over_bound(self, team, request):
+        """Refuses above the bounds; teams above their part come first."""
+        most_bytes = self.most_body_mib << 20
+        body_bytes = self.pending_.body_bytes + request.body_bytes
+        fill = max(
+            (len(self.pending_) + 1) / self.most_pending,
+            body_bytes / most_bytes,
+        )
+        teams = len(self.pending_.count_by_team | {team: 0})
+        part = self.most_pending / teams
+        above = self.pending_.count_by_team.get(team, 0) >= part
+        if fill <= 0.75 or (fill <= 1 and not above):
+            return None
+        return _messages.Refusal(
+            _Code.OVERLOADED,
+            detail="too many requests wait at this entry VM",
+            retry_after_ms=_attempts.RETRY_AFTER_MS,
+        )
+
+    def _check_keys(self, now_ms):
+        """Ends the requests that are queued under withdrawn keys."""
+        self._keys_checked_ms = now_ms
+        actions = []
+        for key_hash in list(self.pending_.ids_by_key_hash):
+            if self._replica.team_for_key_hash(key_hash) is not None:
+                continue
+            for pending in self.pending_.with_key(key_hash):
+                actions += self._attempts.refuse_withdrawn(pending, now_ms)
+        return actions
+
+    def _make_router(self):
+        if self.routing_policy == "power-of-two":
+            return routing.PowerOfTwo(random_state=self.random_state)
+        return routing.make_router(self.routing_policy)
--- /dev/null
+++ b/samphiregate/core/requests/_gossip.py
@@ -0,0 +1,120 @@
+"""Spreads the loads of owners between entry VMs."""
+
+from samphiregate.core import base
+from samphiregate.core.requests import _messages
+
+LOCAL_PEERS = 2
+REMOTE_PEERS = 1
+PASSED_ON = 4
+
+
+class LoadGossip:
+    """Sends the own load, and a few that were heard, to a few peers.
+
+    A change of the slots that this VM offers is told to its whole data
+    centre at once; all else reaches a few random peers at an interval, so
+    that the cost does not grow with the fleet.
+
+    Parameters
+    ----------
+    vm_id : str
+        Id of this entry VM.
+    data_centre : str
+        Its data centre.
+    board : LoadBoard
+        Where loads are kept.
+    membership : Membership
+        `alive_ids`.
+    random_state : random.Random
+        Source of randomness.
+    interval_ms : int
+        Time between two summaries.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm_id,
+        data_centre,
+        board,
+        membership,
+        random_state,
+        interval_ms,
+    ):
+        self.vm_id = vm_id
+        self.data_centre = data_centre
+        self.interval_ms = interval_ms
+        self._board = board
+        self._membership = membership
+        self._random_state = random_state
+        self._own = None
+        self._due_ms = 0
+
+    def own_changed(self, load, now_ms):
+        """Takes in the own load; tells the data centre of new slots."""
+        before = _slots_by_service(self._own)
+        self._own = load
+        self._board.take(load, now_ms)
+        if _slots_by_service(load) == before:
+            return []
+        message = _messages.LoadSummary((load,))
+        return [
+            base.SendToPeer(vm_id, message)
+            for vm_id in self._peers(self.data_centre)
+        ]
+
+    def heard(self, summary, now_ms):
+        """Takes in a summary; loads of VMs not alive are left out."""
+        alive = set(self._membership.alive_ids()) - {self.vm_id}
+        for load in summary.loads:
+            if load.vm_id in alive:
+                self._board.take(load, now_ms)
+
+    def greet(self, vm_id, now_ms):
+        """Tells the own load to an entry VM that is new."""
+        if self._own is None or vm_id == self.vm_id:
+            return []
+        message = _messages.LoadSummary((self._own,))
+        return [base.SendToPeer(vm_id, message)]
+
+    def tick(self, now_ms):
+        """Sends summaries when they are due."""
+        if now_ms < self._due_ms:
+            return []
+        self._due_ms = now_ms + self.interval_ms
+        self._board.forget_old(now_ms)
+        loads = self._board.sample(
+            self.vm_id, PASSED_ON, self._random_state, now_ms
+        )
+        if self._own is not None:
+            self._board.take(self._own, now_ms)
+            loads = (self._own, *loads)
+        if not loads:
+            return []
+        message = _messages.LoadSummary(loads)
+        return [
+            base.SendToPeer(vm_id, message) for vm_id in self._recipients()
+        ]
+
+    def _recipients(self):
+        local = self._peers(self.data_centre)
+        here = set(local)
+        remote = [name for name in self._peers() if name not in here]
+        return self._draw(local, LOCAL_PEERS) + self._draw(
+            remote, REMOTE_PEERS
+        )
+
+    def _peers(self, data_centre=None):
+        alive = self._membership.alive_ids(data_centre)
+        return [vm_id for vm_id in sorted(alive) if vm_id != self.vm_id]
+
+    def _draw(self, vm_ids, count):
+        if len(vm_ids) <= count:
+            return vm_ids
+        return self._random_state.sample(vm_ids, count)
+
+
+def _slots_by_service(load):
+    if load is None:
+        return {}
+    return {service.service: service.slots for service in load.services}
--- a/samphiregate/core/requests/_pool.py
+++ b/samphiregate/core/requests/_pool.py
@@ -4,6 +4,7 @@
 
 from samphiregate.core import base
 from samphiregate.core import model
+from samphiregate.core import queueing
 from samphiregate.core.requests import _messages
 from samphiregate.core import routing
 
@@ -11,6 +12,11 @@
 SLOT_SIZE = model.Resources(cpu_millis=1_000)
 
 
+def attempt_key(request_id, attempt):
+    """Returns the identity of an attempt as one string."""
+    return f"{request_id}#{attempt}"
+
+
 @attrs.define
 class Attempt:
     """An attempt that is queued at the owner or with a runner.
@@ -33,7 +39,18 @@
     @property
     def key(self):
         """Identity of the attempt on every entry VM."""
-        return self.message.request_id, self.message.attempt
+        return attempt_key(self.message.request_id, self.message.attempt)
+
+    def item(self, now_ms):
+        """Returns the attempt as an item of a queue policy."""
+        return queueing.QueuedItem(
+            item_id=self.key,
+            team=self.message.team,
+            work_class=model.WorkClass.REQUEST,
+            resources=SLOT_SIZE,
+            enqueued_ms=now_ms,
+            deadline_ms=self.deadline_ms,
+        )
 
 
 @attrs.define
@@ -70,16 +87,34 @@
         """Returns the slots in use, or possibly in use."""
         return sum(runner.used() for runner in self.runners_by_id.values())
 
+    def offered_slots(self):
+        """Returns the slots of good runners, and one of each avoided."""
+        avoided = self.judge.describe()["avoided"]
+        return sum(
+            1 if runner.info.runner_id in avoided else runner.info.slots
+            for runner in self.runners_by_id.values()
+            if runner.usable()
+        )
+
     def load(self):
         """Returns the `ServiceLoad` for the edges."""
         return _messages.ServiceLoad(
             service=self.service,
-            slots=self.slots(),
+            slots=self.offered_slots(),
             running=self.used(),
             queued=len(self.queued),
             latency_ms=round(self.latency_ms, 1),
         )
 
+    def has_free(self, now_ms):
+        """Returns whether any runner offers a slot."""
+        return self.router.choose(routing.PickEndpoint(), now_ms) is not None
+
+    def pick(self, excluded, now_ms):
+        """Returns the runner for an attempt, or None."""
+        question = routing.PickEndpoint(excluded)
+        return self.runners_by_id.get(self.router.choose(question, now_ms))
+
     def offer(self, runner, now_ms):
         """Tells the routing policy how many slots a runner offers."""
         runner_id = runner.info.runner_id
@@ -96,17 +131,62 @@
             endpoint_id=runner_id,
             free=free,
             load=(runner.used() + runner.foreign) / slots,
-            latency_ms=self.latency_ms,
+            latency_ms=runner.latency_ms or self.latency_ms,
         )
         self.router.observe(event, now_ms)
 
-    def ended(self, runner_id, succeeded, elapsed_ms, now_ms):
+    def ended(self, runner, succeeded, elapsed_ms, now_ms):
         """Takes in the end of an attempt at a runner."""
-        event = routing.AttemptEnded(runner_id, succeeded, elapsed_ms)
+        event = routing.AttemptEnded(
+            runner.info.runner_id, succeeded, elapsed_ms
+        )
         self.judge.observe(event, now_ms)
         if succeeded:
-            step_ms = LATENCY_DECAY * (elapsed_ms - self.latency_ms)
-            self.latency_ms += step_ms if self.latency_ms else elapsed_ms
+            runner.latency_ms = _decayed(runner.latency_ms, elapsed_ms)
+            self.latency_ms = _decayed(self.latency_ms, elapsed_ms)
+
+    def started(self, team, now_ms):
+        """Tells the queue policy that a slot is in use by a team."""
+        event = queueing.ItemStarted(team, SLOT_SIZE, model.WorkClass.REQUEST)
+        self.queue.observe(event, now_ms)
+
+    def stopped(self, team, now_ms):
+        """Tells the queue policy that a team's slot is free again."""
+        event = queueing.ItemEnded(team, SLOT_SIZE, model.WorkClass.REQUEST)
+        self.queue.observe(event, now_ms)
+
+    def capacity_changed(self, now_ms):
+        """Tells the queue policy how many slots there are."""
+        total = model.Resources(cpu_millis=self.slots() * SLOT_SIZE.cpu_millis)
+        self.queue.observe(queueing.CapacityChanged(total), now_ms)
+
+    def enqueue(self, attempt, now_ms, at_front=False):
+        """Puts an attempt into the queue."""
+        self.queued[attempt.key] = attempt
+        event = queueing.ItemQueued(attempt.item(now_ms), at_front)
+        self.queue.observe(event, now_ms)
+
+    def dequeue(self, key, now_ms):
+        """Takes an attempt out of the queue and returns it, or None."""
+        attempt = self.queued.pop(key, None)
+        if attempt is not None:
+            self.queue.observe(queueing.ItemRemoved(key), now_ms)
+        return attempt
+
+    def bound(self, wait_ms, fewest, most):
+        """Returns how many requests may wait.
+
+        Parameters
+        ----------
+        wait_ms : int
+            Longest wait that the queue should make, at the recent latency.
+        fewest, most : int
+            Bounds of the result.
+        """
+        if not self.latency_ms:
+            return most
+        served = self.slots() * wait_ms / self.latency_ms
+        return int(min(max(served, fewest), most))
 
     def remove(self, runner_id, now_ms):
         """Forgets a runner."""
@@ -114,3 +194,7 @@
         event = routing.EndpointRemoved(runner_id)
         self.router.observe(event, now_ms)
         self.judge.observe(event, now_ms)
+
+
+def _decayed(mean, value):
+    return mean + LATENCY_DECAY * (value - mean) if mean else float(value)
--- a/samphiregate/core/requests/_runners.py
+++ b/samphiregate/core/requests/_runners.py
@@ -53,8 +53,9 @@
     foreign: int = 0
     paused_until_ms: int = 0
     pause_ms: int = 0
-    probe_due_ms: int | None = None
+    probe_due_ms: int | None = 0
     probe_gap_ms: int = FIRST_PROBE_GAP_MS
+    latency_ms: float = 0.0
 
     def used(self):
         """Returns the slots in use, or possibly in use, by this owner."""
@@ -105,8 +106,19 @@
         self.foreign = min(max(others, 0), self.info.slots)
         if not self.foreign and not self.unknown_by_key:
             self.probe_due_ms = None
+        else:
+            self.schedule_probe(now_ms)
         return ended
 
+    def release_lapsed(self, now_ms):
+        """Releases the unknown attempts that have surely ended by now."""
+        lapsed = [
+            key
+            for key, attempt in self.unknown_by_key.items()
+            if attempt.release_ms <= now_ms
+        ]
+        return [self.unknown_by_key.pop(key) for key in lapsed]
+
     def _settle(self, slots_used, now_ms):
         """Releases unknown attempts in excess of the slots in use.
 
