--- a/samphiregate/adapters/http/_client.py
+++ b/samphiregate/adapters/http/_client.py
@@ -10,6 +10,8 @@
 
 from samphiregate import errors
 
+READ_BYTES = 65_536
+
 
 @attrs.frozen
 class Answer:
@@ -45,6 +47,11 @@
         Connections at a time; further callers wait for one.
     timeout_ms : int
         Longest wait for connecting and for each read.
+    connect_timeout_ms : int or None
+        Longest wait for connecting, if it is to differ.
+    most_body_bytes : int or None
+        Longest answer body that is read; a longer one counts as no whole
+        answer.
 
     Notes
     -----
@@ -52,9 +59,18 @@
     a POST. Calls that must take effect at most once are POSTs.
     """
 
-    def __init__(self, endpoint, *, connections=8, timeout_ms=5_000):
+    def __init__(
+        self,
+        endpoint,
+        *,
+        connections=8,
+        timeout_ms=5_000,
+        connect_timeout_ms=None,
+        most_body_bytes=None,
+    ):
         host, _colon, port = endpoint.rpartition(":")
         self.endpoint = endpoint
+        self._most_body_bytes = most_body_bytes
         self._client = geventhttpclient.HTTPClient(host, int(port))
         self._client._connection_pool = _NoDelayPool(
             host,
@@ -62,7 +78,7 @@
             host,
             int(port),
             size=connections,
-            connection_timeout=timeout_ms / 1000,
+            connection_timeout=(connect_timeout_ms or timeout_ms) / 1000,
             network_timeout=timeout_ms / 1000,
         )
 
@@ -93,7 +109,7 @@
             response = self._client.request(
                 method, path, body=body, headers=headers or {}
             )
-            content = bytes(response.read())
+            content = self._read(response)
         except _NotConnectedError as error:
             raise errors.UnavailableError(
                 f"no connection to {self.endpoint}"
@@ -106,6 +122,17 @@
         received = {name.lower(): value for name, value in response.items()}
         return Answer(response.status_code, received, content)
 
+    def _read(self, response):
+        if self._most_body_bytes is None:
+            return bytes(response.read())
+        content = bytearray()
+        while block := response.read(READ_BYTES):
+            content += block
+            if len(content) > self._most_body_bytes:
+                response.release()
+                raise http_response.HTTPParseError("the answer is too long")
+        return bytes(content)
+
     def request_json(self, method, path, document, *, headers=None):
         """Sends `document` as JSON; see `request`."""
         sent = {"Content-Type": "application/json", **(headers or {})}
--- a/samphiregate/adapters/runners/_exchange.py
+++ b/samphiregate/adapters/runners/_exchange.py
@@ -1,7 +1,8 @@
 """One HTTP exchange with a runner, and the event that it ends in."""
 
+import functools
+
 import gevent
-import orjson
 
 from samphiregate.core import model
 from samphiregate.core import requests
@@ -12,27 +13,40 @@
 LEAVING_HEADER = "samphiregate-leaving"
 REFUSED_STATUS = 503
 NO_BODY_STATUSES = (204, 304)
+PROBE_TIMEOUT_MS = 2_000
+PROBE_ERRORS = (errors.UnavailableError, KeyError, TypeError, ValueError)
 
 _Outcome = model.AttemptOutcome
 
 
-def execute(client, action):
-    """Sends an attempt once and returns how it ended.
+@functools.singledispatch
+def carry_out(action, client, waited_ms):
+    """Carries an action out once and returns the event that it ends in.
 
     Parameters
     ----------
+    action : SendToRunner or ProbeRunner
+        What to send.
     client : adapters.http.Client
         Connection to the runner.
-    action : SendToRunner
-        What to send.
+    waited_ms : int
+        Time that the action waited for the connection.
 
     Returns
     -------
-    RunnerAnswered or RunnerFailed
+    RunnerAnswered, RunnerFailed or RunnerProbed
     """
+    raise TypeError(f"not an action for a runner: {action!r}")
+
+
+@carry_out.register
+def _(action: requests.SendToRunner, client, waited_ms):
+    remaining_ms = action.timeout_ms - waited_ms
+    if remaining_ms <= 0:
+        return _failure(action, _Outcome.NEVER_SENT, "no free connection")
     try:
-        with gevent.Timeout(max(action.timeout_ms, 1) / 1000):
-            answer = _post(client, action)
+        with gevent.Timeout(remaining_ms / 1000):
+            answer = _post(client, action, remaining_ms)
     except gevent.Timeout:
         return _failure(action, _Outcome.UNKNOWN, "no answer in time")
     except errors.UnavailableError as error:
@@ -42,38 +56,38 @@
     return _end(action, answer)
 
 
-def probe(client, action, timeout_ms):
-    """Asks a runner for its slots in use.
-
-    Returns
-    -------
-    RunnerProbed
-    """
+@carry_out.register
+def _(action: requests.ProbeRunner, client, waited_ms):
     try:
-        with gevent.Timeout(timeout_ms / 1000):
-            document = client.request("GET", "/slots").json()
-        return requests.RunnerProbed(
-            runner_id=action.runner_id,
-            slots_used=int(document["used"]),
-            leaving=bool(document.get("leaving", False)),
-        )
-    except (
-        gevent.Timeout,
-        errors.UnavailableError,
-        orjson.JSONDecodeError,
-        AttributeError,
-        KeyError,
-        TypeError,
-        ValueError,
-    ):
+        with gevent.Timeout(PROBE_TIMEOUT_MS / 1000):
+            answer = client.request("GET", "/slots")
+        return _probed(action, answer.json())
+    except (*PROBE_ERRORS, gevent.Timeout):
         return requests.RunnerProbed(runner_id=action.runner_id)
 
 
-def _post(client, action):
+def is_whole(event):
+    """Returns whether the connection is at the end of a whole answer."""
+    if isinstance(event, requests.RunnerFailed):
+        return event.outcome is _Outcome.REFUSED
+    if isinstance(event, requests.RunnerProbed):
+        return event.slots_used is not None
+    return True
+
+
+def _probed(action, document):
+    return requests.RunnerProbed(
+        runner_id=action.runner_id,
+        slots_used=int(document["used"]),
+        leaving=bool(document.get("leaving", False)),
+    )
+
+
+def _post(client, action, remaining_ms):
     headers = {
         "Content-Type": action.content_type,
         "Samphiregate-Request-Id": action.request_id,
-        "Samphiregate-Deadline-Ms": str(action.timeout_ms),
+        "Samphiregate-Deadline-Ms": str(remaining_ms),
     }
     return client.request(
         "POST",
@@ -103,9 +117,7 @@
         attempt=action.attempt,
         runner_id=action.runner_id,
         status=answer.status,
-        content_type=answer.headers.get(
-            "content-type", requests.BINARY_TYPE
-        ),
+        content_type=answer.headers.get("content-type", requests.BINARY_TYPE),
         body=answer.body,
         slots_used=slots_used,
         leaving=leaving,
--- a/samphiregate/adapters/runners/_pool.py
+++ b/samphiregate/adapters/runners/_pool.py
@@ -2,16 +2,11 @@
 
 import functools
 
-import gevent
-from gevent import queue as gevent_queue
-
 from samphiregate.adapters import http
-from samphiregate.adapters.runners import _exchange
+from samphiregate.adapters.runners import _link
 from samphiregate.core import requests
 
 CONNECT_TIMEOUT_MS = 2_000
-IDLE_MS = 30_000
-PROBE_TIMEOUT_MS = 2_000
 
 
 class RunnerPool:
@@ -43,7 +38,7 @@
     ):
         self._submit = submit
         self._connections = connections
-        self._links_by_endpoint = {}
+        self._links_by_key = {}
         self._open_client = functools.partial(
             http.Client,
             connections=1,
@@ -60,10 +55,8 @@
 
     def close(self):
         """Ends every connection; attempts under way get no event."""
-        for links in self._links_by_endpoint.values():
-            for link in links:
-                link.close()
-        self._links_by_endpoint.clear()
+        for link in list(self._links_by_key.values()):
+            link.close()
 
     @functools.singledispatchmethod
     def perform(self, action):
@@ -71,30 +64,19 @@
 
     @perform.register
     def _(self, action: requests.SendToRunner):
-        self._links(action.endpoint)[0].put(action)
+        self._link(action.endpoint, "work", self._connections).put(action)
 
     @perform.register
     def _(self, action: requests.ProbeRunner):
-        self._links(action.endpoint)[1].put(action)
-
-    def _links(self, endpoint):
-        links = self._links_by_endpoint.get(endpoint)
-        if links is None:
-            links = (
-                _Link(self._connections, self._serve_work(endpoint)),
-                _Link(1, self._serve_probe(endpoint)),
+        self._link(action.endpoint, "probe", 1).put(action)
+
+    def _link(self, endpoint, purpose, connections):
+        key = (endpoint, purpose)
+        if key not in self._links_by_key:
+            self._links_by_key[key] = _link.Link(
+                connections=connections,
+                open_client=functools.partial(self._open_client, endpoint),
+                submit=self._submit,
+                on_idle=functools.partial(self._links_by_key.pop, key, None),
             )
-            self._links_by_endpoint[endpoint] = links
-        return links
-
-    def _serve_work(self, endpoint):
-        def serve(client, action):
-            self._submit(_exchange.execute(client, action))
-
-        return _Connection(functools.partial(self._open_client, endpoint), serve)
-
-    def _serve_probe(self, endpoint):
-        def serve(client, action):
-            self._submit(_exchange.probe(client, action, PROBE_TIMEOUT_MS))
-
-        return _Connection(functools.partial(self._open_client, endpoint), serve)
+        return self._links_by_key[key]
