Wire requests: edge, runner owner, runner pool, graceful stop

Cause: the thin whole path needs callers' requests to reach runners. Change: the daemon builds RequestEdge and RunnerOwner, serves callers with EdgeServer, and stops in the order: not ready, notice, hand over, finish.

--- a/samphiregate/daemon/_machines.py
+++ b/samphiregate/daemon/_machines.py
@@ -9,6 +9,7 @@
 from samphiregate.core import limits
 from samphiregate.core import membership
 from samphiregate.core import ownership
+from samphiregate.core import requests
 from samphiregate.core import vm
 
 
@@ -21,6 +22,8 @@
     ownership: base.StateMachine
     configuration: base.StateMachine
     limits: base.StateMachine
+    request_edge: base.StateMachine
+    runner_owner: base.StateMachine
 
 
 def build(settings):
@@ -56,7 +59,13 @@
     tokens = limits.TokenHolder(
         membership=members, ownership=owners, **common()
     )
-    machines = (members, owners, replica, tokens)
+    edge = requests.RequestEdge(
+        configuration_replica=replica, membership=members, **common()
+    )
+    runner_owner = requests.RunnerOwner(
+        tokens=tokens, shard_count=settings.shard_count, **common()
+    )
+    machines = (members, owners, replica, tokens, edge, runner_owner)
     entry_vm = vm.EntryVm(vm_id=settings.vm_id, machines=machines)
     return Machines(
         entry_vm=entry_vm,
@@ -64,4 +73,6 @@
         ownership=owners,
         configuration=replica,
         limits=tokens,
+        request_edge=edge,
+        runner_owner=runner_owner,
     )
--- a/samphiregate/daemon/_main.py
+++ b/samphiregate/daemon/_main.py
@@ -50,7 +50,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stop_requested.set)
     with _node.Node(settings) as node:
-        logging.info("daemon: started.")
+        logging.info("daemon: serving at %s.", node.http_endpoint)
         stop_requested.wait()
         logging.info("daemon: stopping gracefully.")
         finished = node.drain()
--- a/samphiregate/daemon/_node.py
+++ b/samphiregate/daemon/_node.py
@@ -6,17 +6,23 @@
 from absl import logging
 import gevent
 
+from samphiregate.adapters import edge
 from samphiregate.adapters import peers
 from samphiregate.adapters import platform
+from samphiregate.adapters import runners
 from samphiregate.core import base
 from samphiregate.core import fleet
+from samphiregate.core import jobs
+from samphiregate.core import requests
 from samphiregate.core import store
 from samphiregate.daemon import _loop
 from samphiregate.daemon import _machines
+from samphiregate.daemon import _status
 from samphiregate import metrics
 from samphiregate import timers
 
 DRAIN_POLL_S = 0.05
+MS_PER_SECOND = 1_000
 
 
 class Node(contextlib.ExitStack):
@@ -42,6 +48,8 @@
         super().__enter__()
         self.enter_context(self.timers)
         self._start_peers()
+        self._start_runners()
+        self._start_edge()
         self._start_platform()
         tick = self.timers.every(self.settings.tick_ms, self._tick)
         self.enter_context(tick)
@@ -55,16 +63,38 @@
         bool
             Whether all work ended or was handed over in time.
         """
-        self.loop.deliver(base.StopRequested())
         end_ms = self.timers.now_ms() + self.settings.drain_ms
+        self._edge.start_draining()
+        gevent.sleep(self.settings.notice_ms / MS_PER_SECOND)
+        self.loop.deliver(base.StopRequested())
+        left_ms = max(end_ms - self.timers.now_ms(), 0)
+        finished = self._edge.finish(left_ms)
         while not self._is_idle():
             if self.timers.now_ms() > end_ms:
                 return False
             gevent.sleep(DRAIN_POLL_S)
-        return True
+        return finished
+
+    @property
+    def http_endpoint(self):
+        """The ``ip:port`` that callers connect to."""
+        return self._edge.endpoint
+
+    def status(self):
+        """Returns the document of ``GET /v1/status``."""
+        return _status.document(self)
+
+    def is_ready(self):
+        """Returns whether this entry VM can serve requests."""
+        return self.machines.configuration.configuration.revision > 0
 
     def _is_idle(self):
-        return self._hub.is_drained
+        machines = self.machines
+        return (
+            self._hub.is_drained
+            and not machines.runner_owner.in_flight
+            and not machines.ownership.owned_shards
+        )
 
     def _tick(self, _now_ms):
         self.loop.deliver(base.Tick())
@@ -85,6 +115,35 @@
     def _send_to_peer(self, action):
         self._hub.send(action.recipient, action.message)
 
+    def _start_runners(self):
+        self._runners = runners.RunnerPool(submit=self.loop.deliver)
+        self.loop.perform_with(
+            self._runners.perform,
+            requests.SendToRunner,
+            requests.ProbeRunner,
+        )
+        self.enter_context(self._runners)
+
+    def _start_edge(self):
+        settings = self.settings
+        self._edge = edge.EdgeServer(
+            endpoint=settings.http_listen,
+            submit=self.loop.deliver,
+            vm_id=settings.vm_id,
+            configuration_replica=self.machines.configuration,
+            metrics=self.metrics,
+            status=self.status,
+            ready=self.is_ready,
+            certificate_file=settings.tls_certificate,
+            key_file=settings.tls_key,
+            most_connections=settings.max_connections,
+            most_body_bytes=settings.max_body_bytes,
+        )
+        self.loop.perform_with(
+            self._edge.perform, requests.AnswerCaller, jobs.JobAnswer
+        )
+        self.enter_context(self._edge)
+
     def _start_platform(self):
         self._platform = platform.PlatformClient(
             endpoint=self.settings.platform,
--- a/samphiregate/daemon/_settings.py
+++ b/samphiregate/daemon/_settings.py
@@ -119,6 +119,14 @@
     max_connections: typing.Annotated[
         int, _flag("max-connections", "Callers' connections at a time.", 2_000)
     ]
+    notice_ms: typing.Annotated[
+        int,
+        _flag(
+            "notice-ms",
+            "How long calls are still taken after SIGTERM, ms.",
+            2_000,
+        ),
+    ]
     drain_ms: typing.Annotated[
         int,
         _flag("drain-ms", "Longest graceful stop after SIGTERM, ms.", 30_000),
@@ -175,6 +183,7 @@
     "max_body_bytes": (1, 8_388_608),
     "max_connections": (1, 100_000),
     "drain_ms": (100, 600_000),
+    "notice_ms": (0, 60_000),
     "offline_ms": (0, 86_400_000),
     "seed": (1, 2**64),
 }
