--- a/samphiregate/core/requests/__init__.py
+++ b/samphiregate/core/requests/__init__.py
@@ -1,5 +1,7 @@
 """Callers' requests: admission, attempts, retries, and runners' slots."""
 
+from samphiregate.core.requests._admission import admit
+from samphiregate.core.requests._admission import Admitted
 from samphiregate.core.requests._edge import RequestEdge
 from samphiregate.core.requests._messages import AnswerCaller
 from samphiregate.core.requests._messages import BINARY_TYPE
@@ -23,6 +25,7 @@
 from samphiregate.core.requests._owner import RunnerOwner
 
 __all__ = [
+    "Admitted",
     "AnswerCaller",
     "BINARY_TYPE",
     "CallerGone",
@@ -44,4 +47,5 @@
     "ServiceLoad",
     "VmLoad",
     "WithdrawRequest",
+    "admit",
 ]
--- a/samphiregate/core/requests/_admission.py
+++ b/samphiregate/core/requests/_admission.py
@@ -24,13 +24,15 @@
     service: str
 
 
-def admit(request, replica):
-    """Checks the key and the queue of a request.
+def admit(queue_name, key_hash, replica):
+    """Checks the queue and the key of a request.
 
     Parameters
     ----------
-    request : RequestArrived
-        What the caller sent.
+    queue_name : str
+        Queue that it is addressed to.
+    key_hash : str
+        Hash of the key that came with it; empty without one.
     replica : ConfigurationReplica
         The configuration and keys in force.
 
@@ -39,11 +41,11 @@
     Admitted or Refusal
     """
     team = ""
-    if request.key_hash:
-        team = replica.team_for_key_hash(request.key_hash)
+    if key_hash:
+        team = replica.team_for_key_hash(key_hash)
         if team is None:
             return refuse_key()
-    queue = replica.configuration.queues_by_name.get(request.queue)
+    queue = replica.configuration.queues_by_name.get(queue_name)
     if queue is None:
         return _messages.Refusal(_Code.NOT_FOUND, detail="unknown queue")
     if not queue.open_to_all:
--- a/samphiregate/core/requests/_edge.py
+++ b/samphiregate/core/requests/_edge.py
@@ -159,7 +159,9 @@
         if self.pending_.get(event.request_id) is not None:
             return []
         refusal = self._refuse_early(event, now_ms)
-        admitted = refusal or _admission.admit(event, self._replica)
+        admitted = refusal or _admission.admit(
+            event.queue, event.key_hash, self._replica
+        )
         if isinstance(admitted, _admission.Admitted):
             refusal = self._over_bound(admitted.team, event)
         else:
--- a/samphiregate/core/requests/_owner.py
+++ b/samphiregate/core/requests/_owner.py
@@ -63,7 +63,7 @@
         data_centre,
         tokens,
         random_state=None,
-        queue="fair",
+        queue="fair-share",
         routing_policy="power-of-two",
         shard_count=64,
         queue_wait_ms=5_000,
