--- /dev/null
+++ b/features/support/oracle.py
@@ -0,0 +1,115 @@
+"""Sees everything in a virtual cluster and notes what must not happen."""
+
+import collections
+
+import attrs
+
+
+@attrs.frozen
+class Violation:
+    """Something that must not happen, and when it did."""
+
+    time_ms: int
+    rule: str
+    detail: str
+
+
+class Oracle:
+    """Checks the properties that must always hold.
+
+    Parameters
+    ----------
+    loop : VirtualLoop
+        Source of time.
+    settle_ms : int
+        Time in which a lowered limit takes effect.
+    """
+
+    def __init__(self, *, loop, settle_ms):
+        self.loop = loop
+        self.settle_ms = settle_ms
+        self.violations = []
+        self.started_count = 0
+        self.running_by_team = collections.Counter()
+        self.peak_by_team = collections.Counter()
+        self._tasks = set()
+        self._limits = {}
+        self._owner_by_epoch = {}
+        self._commander_by_epoch = {}
+        self._epoch_by_shard = {}
+        self._stored_epochs = {}
+
+    def fail(self, rule, detail):
+        """Notes a violation."""
+        self.violations.append(Violation(self.loop.now_ms, rule, detail))
+
+    def set_limit(self, team, limit):
+        """Notes an accepted edit of a limit."""
+        self._limits.setdefault(team, []).append((self.loop.now_ms, limit))
+
+    def limit(self, team):
+        """Returns the highest limit that may be in force somewhere."""
+        entries = self._limits.get(team, [(0, 0)])
+        since_ms = self.loop.now_ms - self.settle_ms
+        recent = [limit for time_ms, limit in entries if time_ms > since_ms]
+        older = [limit for time_ms, limit in entries if time_ms <= since_ms]
+        return max(recent + older[-1:], default=0)
+
+    # Work.
+
+    def on_start(self, work_id, team):
+        """A worker or runner began to execute something."""
+        if work_id in self._tasks:
+            self.fail("runs once", work_id)
+        self._tasks.add(work_id)
+        self.started_count += 1
+        self.running_by_team[team] += 1
+        running = self.running_by_team[team]
+        self.peak_by_team[team] = max(running, self.peak_by_team[team])
+        if running > self.limit(team):
+            self.fail("limit", f"{team}: {running} above {self.limit(team)}")
+
+    def on_end(self, work_id, team):
+        """It ended, or its lease lapsed."""
+        self._tasks.discard(work_id)
+        self.running_by_team[team] -= 1
+
+    def on_command(self, exchange):
+        """A worker accepted an exchange."""
+        key = (exchange.shard, exchange.epoch)
+        owner = self._commander_by_epoch.setdefault(key, exchange.owner)
+        if owner != exchange.owner:
+            self.fail("one owner a worker", f"{key}: {owner}")
+        highest = self._epoch_by_shard.get(exchange.shard, 0)
+        if exchange.epoch < highest:
+            self.fail("worker's epoch", f"{key} below {highest}")
+        self._epoch_by_shard[exchange.shard] = max(highest, exchange.epoch)
+
+    # Ownership.
+
+    def on_gained(self, vm_id, shard, epoch):
+        """A VM began to act as the owner of a shard."""
+        owner = self._owner_by_epoch.setdefault((shard, epoch), vm_id)
+        if owner != vm_id:
+            self.fail("one owner an epoch", f"{shard} {epoch} {vm_id}")
+
+    def on_table(self, vm_id, epoch_by_shard, known):
+        """Compares a VM's table with what it knew before."""
+        for shard, epoch in known.items():
+            if epoch_by_shard.get(shard, 0) < epoch:
+                self.fail("epochs rise", f"{vm_id} {shard}")
+
+    def on_stored(self, key, entries):
+        """The store took a table of owners."""
+        known = self._stored_epochs.setdefault(key, {})
+        for number, entry in entries.items():
+            if entry.epoch < known.get(number, 0):
+                self.fail("stored epochs rise", f"{key} {number}")
+            known[number] = entry.epoch
+
+    # Tokens.
+
+    def check_tokens(self, team, count):
+        """Compares all tokens that exist with the limit."""
+        if count > self.limit(team):
+            self.fail("tokens", f"{team}: {count} above {self.limit(team)}")
--- /dev/null
+++ b/samphiregate/core/limits/_account.py
@@ -0,0 +1,121 @@
+"""What a granting VM keeps about each holder."""
+
+import attrs
+
+from samphiregate.core.limits import _messages
+
+
+@attrs.define
+class TeamAccount:
+    """One team's tokens on one holder, as the granting VM knows them.
+
+    The holder never has more than `held`: grants are counted when they
+    are sent, returns when they arrive.
+    """
+
+    base: int = 0
+    granted: int = 0
+    returned: int = 0
+    recalled: int = 0
+    released: int = 0
+    in_use: int = 0
+    wanted: int = 0
+    handed_over: int = 0
+    handed_over_ms: int = 0
+    ceiling: int = _messages.NO_CEILING
+
+    @property
+    def held(self):
+        """Tokens that the holder may have."""
+        return self.base + self.granted - self.returned
+
+    @property
+    def booked(self):
+        """Tokens that nobody else may have."""
+        return max(self.held, self.in_use)
+
+    @property
+    def overdraft(self):
+        """Tokens of running work that the holder does not have."""
+        return max(0, self.in_use - self.held)
+
+    @property
+    def demand(self):
+        """Tokens that the holder would use."""
+        return self.in_use + self.wanted
+
+    @property
+    def owed(self):
+        """Tokens that were asked back and have not arrived."""
+        return max(0, self.recalled - self.returned)
+
+
+@attrs.define
+class HolderAccount:
+    """One holder's account.
+
+    Parameters
+    ----------
+    number : int
+        Number that the holder gave it.
+    sequence : int
+        That of the latest report.
+    reported_ms : int
+        When the latest report arrived.
+    teams_by_name : dict
+        `TeamAccount` records, keyed by team.
+    changed_teams : set
+        Teams of which the holder has to be told.
+    """
+
+    number: int
+    sequence: int = 0
+    reported_ms: int = 0
+    teams_by_name: dict = attrs.field(factory=dict)
+    changed_teams: set = attrs.field(factory=set)
+
+    def team(self, name):
+        """Returns the record of a team, made if there is none."""
+        record = self.teams_by_name.get(name)
+        if record is None:
+            record = TeamAccount()
+            self.teams_by_name[name] = record
+        return record
+
+    def grant(self, name, count):
+        """Counts tokens as granted."""
+        self.team(name).granted += count
+        self.changed_teams.add(name)
+
+    def recall(self, name, count):
+        """Asks so many tokens back, beyond those asked for already."""
+        record = self.team(name)
+        record.recalled = record.returned + record.owed + count
+        self.changed_teams.add(name)
+
+    def release(self, name):
+        """Lets the holder give back what it reported as handed over."""
+        record = self.team(name)
+        record.released += record.handed_over
+        record.handed_over = 0
+        self.changed_teams.add(name)
+
+    def set_ceiling(self, name, ceiling):
+        """Sets the running work above which the holder has to stop some."""
+        record = self.team(name)
+        if record.ceiling != ceiling:
+            record.ceiling = ceiling
+            self.changed_teams.add(name)
+
+    def take_lines(self, names):
+        """Returns the `GrantLine` of each given team."""
+        return tuple(
+            _messages.GrantLine(
+                team=name,
+                granted=self.team(name).granted,
+                recalled=self.team(name).recalled,
+                released=self.team(name).released,
+                ceiling=self.team(name).ceiling,
+            )
+            for name in sorted(names)
+        )
--- a/samphiregate/core/limits/_holder.py
+++ b/samphiregate/core/limits/_holder.py
@@ -1,13 +1,22 @@
-"""The tokens that one entry VM holds."""
+"""The state machine that holds one entry VM's tokens."""
 
 import functools
+import itertools
 
 from samphiregate.core import base
 from samphiregate.core import fleet
+from samphiregate.core.limits import _holding
+from samphiregate.core.limits import _home
+from samphiregate.core.limits import _messages
 from samphiregate.core import model
+from samphiregate.core import store
+from samphiregate import parameters
 
+REPORT_PERIOD_MS = 1_000
+MAX_LINES = 32
 
-class TokenHolder(base.StateMachine):
+
+class TokenHolder(base.StateMachine, parameters.Parameterised):
     """Holds tokens of each team; a start needs one in hand.
 
     Parameters
@@ -17,52 +26,153 @@
     data_centre : str
         Its data centre.
     membership : Membership
-        The same VM's beliefs about others.
+        The same VM's beliefs; it handles each event first.
     ownership : Ownership
-        The same VM's shards; the owner of shard 0 grants tokens.
+        The same VM's shards; it handles each event before this machine.
     random_state : random.Random
         Source of randomness.
+    lapse_ms : int
+        Time after which work of a VM that is gone has surely ended: above
+        the longest lease of a task and the longest deadline of a request.
+    isolation_ms : int
+        Time without a word from any VM or from the platform after which
+        no token is used, if the data centre has further VMs.
+    pause_limit_ms : int
+        Longest gap between events that is not taken for a pause.
+    write_period_ms : int
+        Least time between two writes of the ledger.
+
+    Attributes
+    ----------
+    limit_by_team_ : dict
+        Upper limits of the latest configuration.
+
+    Notes
+    -----
+    The owner of shard 0 of a data centre grants its tokens. A holder keeps
+    what it has for as long as it lives, so that an outage of the store or
+    of the granting VM stops moves of tokens, and not their use.
     """
 
+    parameter_table = {
+        "lapse_ms": parameters.Interval(int, 100, 3_600_000),
+        "isolation_ms": parameters.Interval(int, 100, 3_600_000),
+        "pause_limit_ms": parameters.Interval(int, 200, 600_000),
+        "write_period_ms": parameters.Interval(int, 0, 600_000),
+    }
+
     def __init__(
-        self, *, vm_id, data_centre, membership, ownership, random_state
+        self,
+        *,
+        vm_id,
+        data_centre,
+        membership,
+        ownership,
+        random_state,
+        lapse_ms=30_000,
+        isolation_ms=15_000,
+        pause_limit_ms=2_000,
+        write_period_ms=1_000,
     ):
         self.vm_id = vm_id
         self.data_centre = data_centre
         self.membership = membership
         self.ownership = ownership
         self.random_state = random_state
+        self.lapse_ms = lapse_ms
+        self.isolation_ms = isolation_ms
+        self.pause_limit_ms = pause_limit_ms
+        self.write_period_ms = write_period_ms
+        self.check_parameters()
         self.limit_by_team_ = {}
-        self._in_use_by_team = {}
+        self.revision_ = 0
+        self._shard = model.ShardId(data_centre, 0)
+        self._holdings_by_team = {}
+        self._home = None
+        self._epoch = 0
+        self._account = 1
+        self._sequence = 0
+        self._registered = False
+        self._leaving = False
+        self._isolated = False
+        self._listed_ms = None
+        self._changed_teams = {}
+        self._returning_teams = set()
+        self._next_report_ms = 0
+        self._call_ids = itertools.count(1)
+        self._pause = base.PauseDetector(limit_ms=pause_limit_ms)
+
+    # Plain calls of the other machines.
 
     def acquire(self, team, now_ms, units=1):
-        """Takes tokens for a start; returns whether there were enough."""
-        if self.ownership.owns(model.ShardId(self.data_centre, 0)) is None:
-            return False
-        in_use = self._in_use_by_team.get(team, 0)
-        if in_use + units > self.limit_by_team_.get(team, 0):
+        """Takes tokens for a start.
+
+        Parameters
+        ----------
+        team : str
+            Team whose work starts.
+        now_ms : int
+            Time in milliseconds.
+        units : int
+            Tokens that are taken together.
+
+        Returns
+        -------
+        bool
+            Whether there were enough; if not, none is taken and more are
+            asked for.
+        """
+        holding = self._holding(team)
+        if self._isolated or holding.idle < units:
+            holding.miss(units, now_ms)
             return False
-        self._in_use_by_team[team] = in_use + units
+        holding.in_use += units
+        self._changed_teams[team] = True
         return True
 
     def release(self, team, now_ms, units=1):
         """Gives tokens back after work surely ended."""
-        in_use = self._in_use_by_team.get(team, 0)
-        self._in_use_by_team[team] = max(0, in_use - units)
+        holding = self._holding(team)
+        holding.in_use = max(0, holding.in_use - units)
+        self._changed_teams[team] = True
+        if holding.settle():
+            self._returning_teams.add(team)
+
+    def hand_over(self, team, now_ms, units=1):
+        """Sets tokens aside whose work goes on under another owner.
+
+        To be called in place of `release` for work of a shard that this
+        VM lost: the new owner counts that work with `restore`.
+        """
+        self._holding(team).park(units, now_ms)
+        self._changed_teams[team] = True
 
     def restore(self, team, units):
         """Counts work that was found running after a takeover."""
-        in_use = self._in_use_by_team.get(team, 0)
-        self._in_use_by_team[team] = in_use + units
+        self._holding(team).in_use += units
+        self._changed_teams[team] = True
 
     def excess(self, team):
         """Returns how many units must stop under a lowered limit."""
-        in_use = self._in_use_by_team.get(team, 0)
-        return max(0, in_use - self.limit_by_team_.get(team, 0))
+        holding = self._holdings_by_team.get(team)
+        if holding is None or holding.ceiling == _messages.NO_CEILING:
+            return 0
+        return max(0, holding.in_use - holding.ceiling)
+
+    def idle(self, team):
+        """Returns the tokens that a start could take now."""
+        holding = self._holdings_by_team.get(team)
+        return max(0, holding.idle) if holding else 0
+
+    # Events.
 
     def handle(self, event, now_ms):
         """See `StateMachine.handle`."""
         actions = []
+        if self._pause.observe(now_ms):
+            self._home = None
+            self._open_account()
+        self._follow_home(now_ms)
         self._on_event(event, now_ms, actions)
         return actions
 
@@ -72,9 +182,208 @@
 
     @_on_event.register
     def _(self, event: fleet.ConfigurationChanged, now_ms, actions):
-        plans = event.configuration.plans_by_name
+        configuration = event.configuration
+        if configuration.revision < self.revision_:
+            return
+        plans = configuration.plans_by_name
+        self.revision_ = configuration.revision
         self.limit_by_team_ = {
             team.name: plans[team.plan].max_running
-            for team in event.configuration.teams_by_name.values()
+            for team in configuration.teams_by_name.values()
             if team.plan in plans
         }
+
+    @_on_event.register
+    def _(self, event: fleet.FleetListed, now_ms, actions):
+        if self.vm_id in event.entry_vms_by_id:
+            self._listed_ms = now_ms
+
+    @_on_event.register
+    def _(self, event: base.StopRequested, now_ms, actions):
+        self._leaving = True
+
+    @_on_event.register
+    def _(self, event: base.Tick, now_ms, actions):
+        self._check_isolation(now_ms)
+        if self._home is not None:
+            self._home.revision_ = self.revision_
+            self._home.limit_by_team_ = self.limit_by_team_
+            self._home.tick(now_ms, actions)
+        if self._leaving:
+            self._give_back_all()
+        self._report(now_ms, actions)
+
+    @_on_event.register
+    def _(self, event: store.StoreAnswered, now_ms, actions):
+        if self._home is not None:
+            self._home.on_store(event, now_ms, actions)
+
+    @_on_event.register
+    def _(self, event: base.PeerDelivered, now_ms, actions):
+        self._on_message(event.message, event.sender, now_ms, actions)
+
+    # Messages.
+
+    @functools.singledispatchmethod
+    def _on_message(self, message, sender, now_ms, actions):
+        """Ignores messages of other parts."""
+
+    @_on_message.register
+    def _(self, message: _messages.TokenReport, sender, now_ms, actions):
+        if self._home is not None:
+            self._home.on_report(message, sender, now_ms, actions)
+
+    @_on_message.register
+    def _(self, message: _messages.TokenDemand, sender, now_ms, actions):
+        if self._home is not None:
+            self._home.on_demand(message, now_ms)
+
+    @_on_message.register
+    def _(
+        self, message: _messages.ApportionmentMoved, sender, now_ms, actions
+    ):
+        if self._home is not None:
+            if message.version > self._home.ledger.version_:
+                self._home.ledger.ask_for_read()
+
+    @_on_message.register
+    def _(self, message: _messages.TokenGrant, sender, now_ms, actions):
+        if message.epoch != self._epoch or message.account != self._account:
+            return
+        if not message.registered:
+            if self._registered:
+                self._open_account()
+            return
+        self._registered = True
+        for line in message.lines:
+            holding = self._holding(line.team)
+            returned = holding.returned
+            holding.take_grant(line)
+            if holding.returned != returned:
+                self._returning_teams.add(line.team)
+
+    # Tokens in hand.
+
+    def _holding(self, team):
+        holding = self._holdings_by_team.get(team)
+        if holding is None:
+            holding = _holding.Holding()
+            self._holdings_by_team[team] = holding
+        return holding
+
+    def _open_account(self):
+        """Gives up what was held, but for the tokens of running work."""
+        self._account += 1
+        self._sequence = 0
+        self._registered = False
+        for holding in self._holdings_by_team.values():
+            holding.drop_idle()
+            holding.begin_epoch()
+
+    def _give_back_all(self):
+        for team, holding in self._holdings_by_team.items():
+            if holding.give_back(holding.idle):
+                self._returning_teams.add(team)
+
+    def _check_isolation(self, now_ms):
+        contact_ms = max(self.membership.heard_ms_, self._listed_ms or 0)
+        alone = not any(
+            peer.data_centre == self.data_centre
+            for peer in self.membership.peers_by_id_.values()
+        )
+        silent = now_ms - contact_ms > self.isolation_ms
+        isolated = silent and not alone
+        if isolated and not self._isolated:
+            self._open_account()
+        self._isolated = isolated
+
+    # The granting VM.
+
+    def _follow_home(self, now_ms):
+        """Notices who grants tokens now, this VM included."""
+        entry = self.ownership.entry_of(self._shard)
+        epoch = entry.epoch if entry is not None else 0
+        owned_epoch = self.ownership.owns(self._shard)
+        home_epoch = self._home.epoch if self._home is not None else None
+        if owned_epoch != home_epoch:
+            self._change_home(owned_epoch, now_ms)
+        if epoch != self._epoch:
+            self._epoch = epoch
+            self._registered = False
+            self._sequence = 0
+            for holding in self._holdings_by_team.values():
+                holding.begin_epoch()
+
+    def _change_home(self, epoch, now_ms):
+        if self._home is not None:
+            for team in self._home.teams():
+                self._holding(team).held += max(0, self._home.pool(team))
+        self._home = None
+        if epoch is not None:
+            self._home = _home.TokenHome(
+                vm_id=self.vm_id,
+                data_centre=self.data_centre,
+                epoch=epoch,
+                gained_ms=now_ms,
+                membership=self.membership,
+                ownership=self.ownership,
+                call_ids=self._call_ids,
+                random_state=self.random_state,
+                lapse_ms=self.lapse_ms,
+                write_period_ms=self.write_period_ms,
+            )
+
+    def _report(self, now_ms, actions):
+        entry = self.ownership.entry_of(self._shard)
+        if entry is None or not entry.owner:
+            return
+        due = now_ms >= self._next_report_ms
+        urgent = self._urgent_teams(now_ms, due)
+        if not due and not urgent:
+            return
+        if due:
+            self._next_report_ms = now_ms + REPORT_PERIOD_MS
+        teams = self._holdings_by_team
+        if self._registered:
+            teams = self._teams_to_report(urgent)
+        self._sequence += 1
+        message = _messages.TokenReport(
+            epoch=self._epoch,
+            account=self._account,
+            sequence=self._sequence,
+            complete=not self._registered,
+            lines=tuple(self._line(team, now_ms) for team in sorted(teams)),
+        )
+        actions.append(base.SendToPeer(entry.owner, message))
+
+    def _urgent_teams(self, now_ms, due):
+        """Returns the teams that wait, or gave tokens back."""
+        urgent = set(self._returning_teams)
+        for team, holding in self._holdings_by_team.items():
+            if due or holding.missed:
+                if holding.update_wanted(now_ms):
+                    urgent.add(team)
+            if holding.in_use > holding.held or holding.parcels:
+                self._changed_teams[team] = True
+        self._returning_teams.clear()
+        return urgent
+
+    def _teams_to_report(self, urgent):
+        """Returns at most `MAX_LINES` teams; the rest wait their turn."""
+        chosen = urgent | {
+            team
+            for team in self._changed_teams
+            if self._holdings_by_team[team].idle < 0
+        }
+        for team in self._changed_teams:
+            if len(chosen) >= MAX_LINES:
+                break
+            chosen.add(team)
+        for team in chosen:
+            self._changed_teams.pop(team, None)
+        return chosen
+
+    def _line(self, team, now_ms):
+        holding = self._holding(team)
+        handed_over = holding.parked_until(now_ms - self.lapse_ms)
+        return holding.line(team, handed_over)
--- /dev/null
+++ b/samphiregate/core/limits/_holding.py
@@ -0,0 +1,151 @@
+"""One team's tokens on one entry VM."""
+
+import attrs
+
+from samphiregate.core.limits import _messages
+
+WANTED_TTL_MS = 1_500
+WANTED_STEP = 8
+
+
+@attrs.define
+class Holding:
+    """One team's tokens on one entry VM.
+
+    Parameters
+    ----------
+    held : int
+        Tokens in hand, those of running work included.
+    in_use : int
+        Tokens of running work; above `held` after a takeover.
+    base, granted, returned, recalled, released : int
+        See `HoldingLine` and `GrantLine`.
+    ceiling : int
+        Running work above it has to stop.
+    wanted : int
+        Further tokens that work is waiting for.
+    missed : int
+        Most units that a start lacked since the last report.
+    missed_ms : int or None
+        When a start last lacked tokens.
+    parcels : list of tuple
+        Handed-over tokens that are still held: when and how many.
+    """
+
+    held: int = 0
+    in_use: int = 0
+    base: int = 0
+    granted: int = 0
+    returned: int = 0
+    recalled: int = 0
+    released: int = 0
+    ceiling: int = _messages.NO_CEILING
+    wanted: int = 0
+    missed: int = 0
+    missed_ms: int | None = None
+    parcels: list = attrs.field(factory=list)
+
+    @property
+    def parked(self):
+        """Tokens of work whose shard went to another VM."""
+        return sum(count for _, count in self.parcels)
+
+    @property
+    def idle(self):
+        """Tokens that a start can take; negative after a takeover."""
+        return self.held - self.in_use - self.parked
+
+    @property
+    def empty(self):
+        """Whether nothing is left to tell about the team."""
+        return not (self.held or self.in_use or self.wanted)
+
+    def begin_epoch(self):
+        """Starts counting anew, for another granting VM."""
+        self.base = self.held
+        self.granted = 0
+        self.returned = 0
+        self.recalled = 0
+        self.released = 0
+        self.ceiling = _messages.NO_CEILING
+
+    def drop_idle(self):
+        """Keeps only the tokens of running work."""
+        self.held = min(self.held, self.in_use + self.parked)
+
+    def give_back(self, count):
+        """Gives up to `count` idle tokens back."""
+        count = min(count, self.idle)
+        if count > 0:
+            self.held -= count
+            self.returned += count
+        return max(0, count)
+
+    def settle(self):
+        """Gives back what was asked for, as far as it is idle."""
+        return self.give_back(self.recalled - self.returned)
+
+    def take_grant(self, line):
+        """Takes in a `GrantLine`; repeated or older lines change nothing."""
+        if line.granted > self.granted:
+            self.held += line.granted - self.granted
+            self.granted = line.granted
+        self.recalled = max(self.recalled, line.recalled)
+        self.ceiling = line.ceiling
+        if line.released > self.released:
+            self._release(line.released - self.released)
+            self.released = line.released
+        self.settle()
+
+    def _release(self, count):
+        while count > 0 and self.parcels:
+            parked_ms, parked = self.parcels.pop(0)
+            freed = min(count, parked)
+            count -= freed
+            self.held -= freed
+            self.returned += freed
+            if parked > freed:
+                self.parcels.insert(0, (parked_ms, parked - freed))
+
+    def park(self, units, now_ms):
+        """Sets aside tokens of work that another VM owns now."""
+        units = min(units, self.in_use)
+        owned = max(0, min(units, self.held - self.parked))
+        self.in_use -= units
+        if owned:
+            self.parcels.append((now_ms, owned))
+
+    def parked_until(self, time_ms):
+        """Returns the tokens that were set aside up to `time_ms`."""
+        return sum(n for parked_ms, n in self.parcels if parked_ms <= time_ms)
+
+    def miss(self, units, now_ms):
+        """Notes that a start lacked tokens."""
+        self.missed = max(self.missed, units - max(0, self.idle))
+        self.missed_ms = now_ms
+
+    def update_wanted(self, now_ms):
+        """Returns whether `wanted` changed; called at each report."""
+        wanted = self.wanted
+        if self.missed:
+            most = self.in_use + WANTED_STEP
+            wanted = max(self.missed, min(2 * wanted, most))
+            self.missed = 0
+        elif self.missed_ms is not None:
+            if now_ms - self.missed_ms > WANTED_TTL_MS:
+                wanted = 0
+                self.missed_ms = None
+        changed = wanted != self.wanted
+        self.wanted = wanted
+        return changed
+
+    def line(self, team, handed_over):
+        """Returns the `HoldingLine` about this holding."""
+        return _messages.HoldingLine(
+            team=team,
+            base=self.base,
+            returned=self.returned,
+            in_use=self.in_use,
+            wanted=self.wanted,
+            handed_over=handed_over,
+        )
--- /dev/null
+++ b/samphiregate/core/limits/_home.py
@@ -0,0 +1,560 @@
+"""The part of a data centre's owner of shard 0 that grants tokens."""
+
+from samphiregate.core import base
+from samphiregate.core import fleet
+from samphiregate.core.limits import _account
+from samphiregate.core.limits import _ledger
+from samphiregate.core.limits import _ledger_client
+from samphiregate.core.limits import _messages
+from samphiregate.core.limits import _sharing
+from samphiregate.core import model
+
+SHARE_PERIOD_MS = 200
+RESEND_PERIOD_MS = 1_000
+DEMAND_PERIOD_MS = 1_000
+LEDGER_READ_PERIOD_MS = 30_000
+SHORT_READ_PERIOD_MS = 2_000
+ROTATION_MS = 4_000
+PLEDGE_MS = 5_000
+FIRST_PART_MS = 10_000
+DEMAND_RECIPIENTS = 3
+
+
+class TokenHome:
+    """Grants a data centre's tokens under one epoch of shard 0.
+
+    Parameters
+    ----------
+    vm_id : str
+        This entry VM.
+    data_centre : str
+        Its data centre.
+    epoch : int
+        Epoch of shard 0 under which it grants.
+    gained_ms : int
+        When the shard was gained.
+    membership : Membership
+        The same VM's beliefs.
+    ownership : Ownership
+        The same VM's tables of owners.
+    call_ids : iterator of int
+        Source of ids of calls to the store.
+    random_state : random.Random
+        Source of randomness.
+    lapse_ms : int
+        Time after which work of a VM that is gone has surely ended.
+    write_period_ms : int
+        Least time between two writes of the ledger.
+
+    Notes
+    -----
+    Until every VM of the data centre has reported, or is gone, and
+    `lapse_ms` have passed, only tokens that were given back to this epoch
+    or credited to it are granted. After that, all tokens of the ledger
+    that no holder has are.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm_id,
+        data_centre,
+        epoch,
+        gained_ms,
+        membership,
+        ownership,
+        call_ids,
+        random_state,
+        lapse_ms,
+        write_period_ms,
+    ):
+        self.vm_id = vm_id
+        self.data_centre = data_centre
+        self.epoch = epoch
+        self.gained_ms = gained_ms
+        self.membership = membership
+        self.ownership = ownership
+        self.lapse_ms = lapse_ms
+        self.ledger = _ledger_client.LedgerClient(
+            data_centre=data_centre,
+            epoch=epoch,
+            call_ids=call_ids,
+            random_state=random_state,
+            write_period_ms=write_period_ms,
+        )
+        self.accounts_by_vm_ = {}
+        self.audited_ = False
+        self.revision_ = 0
+        self.limit_by_team_ = {}
+        self._carried_by_team = {}
+        self._pledges_by_team = {}
+        self._short_by_team = {}
+        self._dirty_teams = set()
+        self._gone_ms_by_vm = {}
+        self._scanned = None
+        self._balanced_key = None
+        self._unbalanced_teams = set()
+        self._next_share_ms = 0
+        self._next_resend_ms = 0
+        self._next_demand_ms = 0
+
+    # Tokens that are here.
+
+    def pool(self, team):
+        """Returns the tokens that may be granted; negative if overdrawn."""
+        records = self._records(team)
+        tokens = self.ledger.tokens(team) - self.ledger.reserved(team)
+        if self.audited_:
+            return tokens - sum(record.booked for record in records)
+        credited = tokens - self.ledger.claimed_tokens_by_team_.get(team, 0)
+        if not self.ledger.claimed_:
+            credited = 0
+        moved = sum(
+            record.returned - record.granted - record.overdraft
+            for record in records
+        )
+        return credited + moved + self._carried_by_team.get(team, 0)
+
+    def _records(self, team):
+        return [
+            account.teams_by_name[team]
+            for account in self.accounts_by_vm_.values()
+            if team in account.teams_by_name
+        ]
+
+    def teams(self):
+        """Returns every team that has a limit, tokens or an account."""
+        teams = self.ledger.teams() | set(self.limit_by_team_)
+        for account in self.accounts_by_vm_.values():
+            teams.update(account.teams_by_name)
+        return teams
+
+    # Messages.
+
+    def on_report(self, report, sender, now_ms, actions):
+        """Takes in a `TokenReport`."""
+        if report.epoch != self.epoch:
+            return
+        account = self.accounts_by_vm_.get(sender)
+        if account is not None and report.account < account.number:
+            return
+        if account is None or report.account > account.number:
+            if not report.complete:
+                self._reject(report, sender, actions)
+                return
+            self._close(sender)
+            account = _account.HolderAccount(number=report.account)
+            self.accounts_by_vm_[sender] = account
+        if report.sequence <= account.sequence:
+            return
+        account.sequence = report.sequence
+        account.reported_ms = now_ms
+        for line in report.lines:
+            self._take_line(account, line, now_ms)
+        if report.complete:
+            self._send(sender, account, account.teams_by_name, actions)
+        if any(line.wanted for line in report.lines):
+            self._next_share_ms = now_ms
+
+    def _take_line(self, account, line, now_ms):
+        record = account.team(line.team)
+        record.base = line.base
+        record.returned = line.returned
+        record.in_use = line.in_use
+        record.wanted = line.wanted
+        handed_over = line.handed_over
+        if handed_over and handed_over != record.handed_over:
+            record.handed_over_ms = now_ms
+        record.handed_over = handed_over
+        self._dirty_teams.add(line.team)
+
+    def _reject(self, report, sender, actions):
+        message = _messages.TokenGrant(
+            epoch=self.epoch, account=report.account, registered=False
+        )
+        actions.append(base.SendToPeer(sender, message))
+
+    def _close(self, vm_id):
+        """Ends an account; what it gave back stays here."""
+        account = self.accounts_by_vm_.pop(vm_id, None)
+        if account is None:
+            return
+        for team, record in account.teams_by_name.items():
+            carried = self._carried_by_team.get(team, 0)
+            moved = record.returned - record.granted
+            self._carried_by_team[team] = carried + moved
+
+    def on_demand(self, message, now_ms):
+        """Takes in a `TokenDemand` of another data centre."""
+        for line in message.lines:
+            count = self._giveable(line, message.data_centre, now_ms)
+            if count > 0:
+                pledges = self._pledges_by_team.setdefault(line.team, {})
+                pledges[message.data_centre] = (count, now_ms + PLEDGE_MS)
+
+    def _giveable(self, line, data_centre, now_ms):
+        tokens = self.ledger.tokens(line.team)
+        demand = sum(record.demand for record in self._records(line.team))
+        demands = {self.data_centre: demand, data_centre: line.demand}
+        split = _sharing.fair_split(
+            tokens + line.allotment, demands, now_ms // ROTATION_MS
+        )
+        spare = tokens - split[self.data_centre]
+        if tokens > demand:
+            spare = max(spare // 2, min(1, spare))
+        return min(spare, line.wanted)
+
+    # Time.
+
+    def tick(self, now_ms, actions):
+        """Shares tokens, asks for more, and drives the ledger."""
+        self._audit(now_ms)
+        self._scan()
+        if now_ms >= self._next_share_ms:
+            self._next_share_ms = now_ms + SHARE_PERIOD_MS
+            self._dirty_teams.update(self._short_by_team)
+            self._dirty_teams.update(self._pledges_by_team)
+            for team in sorted(self._dirty_teams):
+                self._share(team, now_ms)
+            self._dirty_teams.clear()
+        self._send_changes(now_ms, actions)
+        self._refresh_ledger(now_ms)
+        self.ledger.drive(
+            self._changes(now_ms),
+            self.revision_,
+            self.limit_by_team_,
+            now_ms,
+            actions,
+        )
+        if now_ms >= self._next_demand_ms:
+            self._next_demand_ms = now_ms + DEMAND_PERIOD_MS
+            self._send_demands(actions)
+
+    def _scan(self):
+        """Looks at every team again after what concerns them all."""
+        seen = (
+            self.audited_,
+            self.revision_,
+            self.ledger.version_,
+            self.ledger.settled,
+            self.membership.present_ids(self.data_centre),
+            self._centres(),
+        )
+        if seen != self._scanned:
+            self._scanned = seen
+            self._dirty_teams.update(self.teams())
+            self._next_share_ms = 0
+
+    def on_store(self, event, now_ms, actions):
+        """Takes in a `StoreAnswered`."""
+        changes = self.ledger.on_answer(event, now_ms)
+        if changes is None:
+            return
+        centres = set()
+        for given in changes.given_by_team.values():
+            centres.update(given)
+        for centre in sorted(centres):
+            for team, given in changes.given_by_team.items():
+                if centre in given:
+                    self._pledges_by_team.get(team, {}).pop(centre, None)
+            self._send_to_home(
+                centre,
+                _messages.ApportionmentMoved(self.ledger.version_),
+                actions,
+            )
+
+    def _audit(self, now_ms):
+        reported_ms = self._reported_ms(now_ms)
+        for vm_id in tuple(self.accounts_by_vm_):
+            if self._is_closable(vm_id, reported_ms, now_ms):
+                self._close(vm_id)
+                self._scanned = None
+        self._release_handed_over(reported_ms)
+        if self.audited_ or not self.ledger.claimed_:
+            return
+        complete = reported_ms >= self.gained_ms + self.lapse_ms
+        self.audited_ = complete or self.ledger.unused_before_
+
+    def _reported_ms(self, now_ms):
+        """Returns since when every VM that is not gone has reported."""
+        reported_ms = now_ms
+        vm_ids = {
+            peer.vm_id
+            for peer in self.membership.peers_by_id_.values()
+            if peer.data_centre == self.data_centre
+            and not self.membership.is_gone(peer.vm_id, self.lapse_ms, now_ms)
+        }
+        for vm_id in vm_ids | {self.vm_id}:
+            account = self.accounts_by_vm_.get(vm_id)
+            if account is None:
+                return -1
+            reported_ms = min(reported_ms, account.reported_ms)
+        return reported_ms
+
+    def _is_closable(self, vm_id, reported_ms, now_ms):
+        """Returns whether work of a VM that is gone is known of or over."""
+        if not self.membership.is_gone(vm_id, self.lapse_ms, now_ms):
+            self._gone_ms_by_vm.pop(vm_id, None)
+            return False
+        gone_ms = self._gone_ms_by_vm.setdefault(vm_id, now_ms)
+        return reported_ms > gone_ms
+
+    def _release_handed_over(self, reported_ms):
+        for account in self.accounts_by_vm_.values():
+            for team, record in account.teams_by_name.items():
+                if record.handed_over and reported_ms > record.handed_over_ms:
+                    account.release(team)
+
+    # Sharing inside the data centre.
+
+    def _share(self, team, now_ms):
+        holders = {
+            vm_id: account
+            for vm_id, account in self.accounts_by_vm_.items()
+            if self.membership.state_of(vm_id) is fleet.PeerState.ALIVE
+            or vm_id == self.vm_id
+        }
+        if not holders:
+            return
+        cut = max(0, self._cut(team) - self.ledger.reserved(team))
+        pool = self.pool(team)
+        records = {v: a.team(team) for v, a in holders.items()}
+        demands = {v: record.demand for v, record in records.items()}
+        booked = sum(record.booked for record in records.values())
+        pledged = self._pledged(team, now_ms)
+        total = max(0, pool + booked - cut - pledged)
+        targets = _sharing.fair_split(total, demands, now_ms // ROTATION_MS)
+        self._set_ceilings(team, holders, total if cut else None)
+        if not cut:
+            even = (total - sum(targets.values())) // len(holders)
+            targets = {v: count + even for v, count in targets.items()}
+        pool = self._grant(team, holders, targets, pool - cut - pledged)
+        short = sum(
+            max(0, min(demands[v], targets[v]) - record.held)
+            for v, record in records.items()
+        )
+        self._recall(team, holders, targets, short - pool)
+        missing = sum(demands.values()) - total
+        if missing > 0 and not cut:
+            self._short_by_team[team] = missing
+        else:
+            self._short_by_team.pop(team, None)
+
+    def _grant(self, team, holders, targets, pool):
+        """Grants up to the targets; returns what is left in the pool."""
+        if pool < 0:
+            return pool
+        for vm_id, account in holders.items():
+            record = account.team(team)
+            lacking = targets[vm_id] - record.held
+            covered = min(lacking, record.overdraft)
+            count = covered + min(lacking - covered, pool)
+            if count > 0:
+                account.grant(team, count)
+                pool -= count - covered
+        return pool
+
+    def _recall(self, team, holders, targets, needed):
+        """Asks back what is above the targets, until enough is under way."""
+        needed -= sum(a.team(team).owed for a in holders.values())
+        surplus = {
+            vm_id: account.team(team).held
+            - account.team(team).owed
+            - min(targets[vm_id], account.team(team).demand)
+            for vm_id, account in holders.items()
+        }
+        for vm_id in sorted(surplus, key=surplus.get, reverse=True):
+            count = min(needed, surplus[vm_id])
+            if count <= 0:
+                return
+            holders[vm_id].recall(team, count)
+            needed -= count
+
+    def _set_ceilings(self, team, holders, total):
+        """Tells holders what to stop if `total` is less than is in use."""
+        in_use = {v: a.team(team).in_use for v, a in holders.items()}
+        ceilings = in_use
+        if total is not None:
+            ceilings = _sharing.fair_split(total, in_use)
+        for vm_id, account in holders.items():
+            above = in_use[vm_id] > ceilings[vm_id]
+            ceiling = ceilings[vm_id] if above else _messages.NO_CEILING
+            account.set_ceiling(team, ceiling)
+
+    def _send_changes(self, now_ms, actions):
+        resend = now_ms >= self._next_resend_ms
+        if resend:
+            self._next_resend_ms = now_ms + RESEND_PERIOD_MS
+        for vm_id, account in self.accounts_by_vm_.items():
+            names = set(account.changed_teams)
+            account.changed_teams.clear()
+            if resend:
+                names.update(
+                    name
+                    for name, record in account.teams_by_name.items()
+                    if record.owed
+                    or record.ceiling != _messages.NO_CEILING
+                    or record.wanted
+                )
+            if names:
+                self._send(vm_id, account, names, actions)
+
+    def _send(self, vm_id, account, names, actions):
+        message = _messages.TokenGrant(
+            epoch=self.epoch,
+            account=account.number,
+            lines=account.take_lines(names),
+        )
+        actions.append(base.SendToPeer(vm_id, message))
+
+    # Sharing between data centres.
+
+    def _cut(self, team):
+        """Returns the tokens to give up under a lowered limit."""
+        ledger = self.ledger.ledger_
+        if ledger is None or not self.ledger.claimed_:
+            return 0
+        if self.revision_ < ledger.revision:
+            return 0
+        tokens = self.ledger.tokens(team)
+        total = ledger.total(team)
+        limit = self.limit_by_team_.get(team, 0)
+        if total <= limit or not tokens:
+            return 0
+        return max(1, tokens - tokens * limit // total)
+
+    def _changes(self, now_ms):
+        """Returns what to change in the ledger, of what is in the pool."""
+        if not self.ledger.may_write(now_ms):
+            return _ledger.Changes()
+        taken, burnt, given = {}, {}, {}
+        for team in self._movable_teams():
+            if self.ledger.claimed_:
+                pool = max(0, self.pool(team))
+                cut = min(pool, self._cut(team))
+                if cut:
+                    burnt[team] = cut
+                    continue
+                gifts = self._gifts(team, pool, now_ms)
+                if gifts:
+                    given[team] = gifts
+                    continue
+            wanted = self._takeable(team, now_ms)
+            if wanted > 0:
+                taken[team] = wanted
+        return _ledger.Changes(
+            taken_by_team=taken, burnt_by_team=burnt, given_by_team=given
+        )
+
+    def _movable_teams(self):
+        """Returns the teams whose line in the ledger may have to change."""
+        ledger = self.ledger.ledger_
+        if ledger is None:
+            return ()
+        key = (self.revision_, self.ledger.version_, self._centres())
+        if key != self._balanced_key:
+            self._balanced_key = key
+            self._unbalanced_teams = {
+                team
+                for team in self.teams() | set(ledger.tokens_by_team)
+                if ledger.total(team) != self.limit_by_team_.get(team, 0)
+            }
+        moving = set(self._pledges_by_team) | set(self._short_by_team)
+        return sorted(self._unbalanced_teams | moving)
+
+    def _gifts(self, team, pool, now_ms):
+        gifts = {}
+        pledges = self._pledges_by_team.get(team, {})
+        for centre, (count, expiry_ms) in pledges.items():
+            gift = min(count, pool)
+            if gift > 0 and now_ms < expiry_ms:
+                gifts[centre] = gift
+                pool -= gift
+        return gifts
+
+    def _pledged(self, team, now_ms):
+        pledges = self._pledges_by_team.get(team)
+        if pledges is None:
+            return 0
+        for centre, (_, expiry_ms) in tuple(pledges.items()):
+            if now_ms >= expiry_ms:
+                del pledges[centre]
+        if not pledges:
+            del self._pledges_by_team[team]
+        return sum(count for count, _ in pledges.values())
+
+    def _takeable(self, team, now_ms):
+        """Returns how many of the tokens that nobody has to ask for.
+
+        Data centres that are new to the ledger are left their even part
+        for a while.
+        """
+        ledger = self.ledger.ledger_
+        if ledger is None or self.revision_ < ledger.revision:
+            return 0
+        limit = self.limit_by_team_.get(team, 0)
+        room = limit - ledger.total(team)
+        centres = self._centres()
+        even = limit // len(centres)
+        needed = even - ledger.tokens(team, self.data_centre)
+        young = now_ms - self.gained_ms < FIRST_PART_MS
+        if not young or set(centres) <= set(ledger.epoch_by_centre):
+            needed = max(needed, self._short_by_team.get(team, 0))
+        return min(room, needed)
+
+    def _centres(self):
+        centres = {
+            peer.data_centre for peer in self.membership.peers_by_id_.values()
+        }
+        return tuple(sorted(centres | {self.data_centre}))
+
+    def _refresh_ledger(self, now_ms):
+        if self.ledger.read_ms_ is None:
+            return
+        age_ms = now_ms - self.ledger.read_ms_
+        period = LEDGER_READ_PERIOD_MS
+        if self._short_by_team:
+            period = SHORT_READ_PERIOD_MS
+        if age_ms >= period:
+            self.ledger.ask_for_read()
+
+    def _send_demands(self, actions):
+        ledger = self.ledger.ledger_
+        if ledger is None or not self.ledger.claimed_:
+            return
+        lines_by_centre = {}
+        for team, short in sorted(self._short_by_team.items()):
+            if not short or ledger.total(team) == 0:
+                continue
+            line = self._demand_line(team, short)
+            for centre in self._richest(ledger, team):
+                lines_by_centre.setdefault(centre, []).append(line)
+        for centre, lines in lines_by_centre.items():
+            message = _messages.TokenDemand(
+                data_centre=self.data_centre, lines=tuple(lines)
+            )
+            self._send_to_home(centre, message, actions)
+
+    def _demand_line(self, team, short):
+        return _messages.DemandLine(
+            team=team,
+            wanted=short,
+            demand=sum(record.demand for record in self._records(team)),
+            allotment=self.ledger.tokens(team),
+        )
+
+    def _richest(self, ledger, team):
+        tokens = ledger.tokens_by_team.get(team, {})
+        others = [
+            centre
+            for centre, count in tokens.items()
+            if count > 0 and centre != self.data_centre
+        ]
+        others.sort(key=tokens.get, reverse=True)
+        return others[:DEMAND_RECIPIENTS]
+
+    def _send_to_home(self, data_centre, message, actions):
+        shard = model.ShardId(data_centre, 0)
+        entry = self.ownership.entry_of(shard)
+        if entry is not None and entry.owner:
+            actions.append(base.SendToPeer(entry.owner, message))
--- /dev/null
+++ b/samphiregate/core/limits/_ledger.py
@@ -0,0 +1,145 @@
+"""The store's value that splits each limit over the data centres."""
+
+import attrs
+import orjson
+
+
+@attrs.frozen
+class Ledger:
+    """Tokens of each team by data centre.
+
+    Parameters
+    ----------
+    revision : int
+        Highest revision of the configuration that a writer knew.
+    epoch_by_centre : dict
+        Epoch of the last VM that took charge of a data centre's tokens.
+    tokens_by_team : dict
+        Tokens by data centre, keyed by team.
+    """
+
+    revision: int = 0
+    epoch_by_centre: dict = attrs.field(factory=dict)
+    tokens_by_team: dict = attrs.field(factory=dict)
+
+    def tokens(self, team, data_centre):
+        """Returns the tokens of a team in a data centre."""
+        return self.tokens_by_team.get(team, {}).get(data_centre, 0)
+
+    def total(self, team):
+        """Returns the tokens of a team in all data centres."""
+        return sum(self.tokens_by_team.get(team, {}).values())
+
+
+def encode(ledger):
+    """Returns the store's value for a `Ledger`."""
+    names = sorted(
+        {name for tokens in ledger.tokens_by_team.values() for name in tokens}
+    )
+    teams = {
+        team: [tokens.get(name, 0) for name in names]
+        for team, tokens in sorted(ledger.tokens_by_team.items())
+        if any(tokens.values())
+    }
+    return orjson.dumps(
+        {
+            "revision": ledger.revision,
+            "epochs": ledger.epoch_by_centre,
+            "data_centres": names,
+            "teams": teams,
+        }
+    )
+
+
+def decode(value):
+    """Returns the `Ledger` of a value; an empty one if there is none."""
+    if not value:
+        return Ledger()
+    document = orjson.loads(value)
+    names = document["data_centres"]
+    return Ledger(
+        revision=document["revision"],
+        epoch_by_centre=document["epochs"],
+        tokens_by_team={
+            team: dict(zip(names, tokens, strict=True))
+            for team, tokens in document["teams"].items()
+        },
+    )
+
+
+@attrs.frozen
+class Changes:
+    """What one data centre wants to change.
+
+    Parameters
+    ----------
+    taken_by_team : dict
+        Tokens to take of those that no data centre has.
+    burnt_by_team : dict
+        Tokens to give up.
+    given_by_team : dict
+        Tokens to give to others, by data centre, keyed by team.
+    """
+
+    taken_by_team: dict = attrs.field(factory=dict)
+    burnt_by_team: dict = attrs.field(factory=dict)
+    given_by_team: dict = attrs.field(factory=dict)
+
+    def debits(self):
+        """Returns the tokens that leave the data centre, by team."""
+        debits = dict(self.burnt_by_team)
+        for team, given in self.given_by_team.items():
+            debits[team] = debits.get(team, 0) + sum(given.values())
+        return {team: count for team, count in debits.items() if count}
+
+    def __bool__(self):
+        return bool(self.taken_by_team or self.debits())
+
+
+def apply(ledger, changes, *, data_centre, epoch, revision, limit_by_team):
+    """Returns the ledger after one data centre's changes.
+
+    What is taken never lifts a team's total above its limit, and nothing
+    is taken by a writer that knows an older configuration than the ledger.
+
+    Parameters
+    ----------
+    ledger : Ledger
+        As it stands in the store.
+    changes : Changes
+        What is to change.
+    data_centre : str
+        The data centre that writes.
+    epoch : int
+        Epoch of the writing VM.
+    revision : int
+        Revision of the configuration that the writer knows.
+    limit_by_team : dict
+        Limits of that configuration.
+
+    Returns
+    -------
+    Ledger
+    """
+    tokens_by_team = {
+        team: dict(tokens) for team, tokens in ledger.tokens_by_team.items()
+    }
+    for team, count in changes.debits().items():
+        tokens = tokens_by_team.setdefault(team, {})
+        tokens[data_centre] = tokens.get(data_centre, 0) - count
+    for team, given in changes.given_by_team.items():
+        tokens = tokens_by_team.setdefault(team, {})
+        for name, count in given.items():
+            tokens[name] = tokens.get(name, 0) + count
+    if revision >= ledger.revision:
+        for team, count in changes.taken_by_team.items():
+            tokens = tokens_by_team.setdefault(team, {})
+            room = limit_by_team.get(team, 0) - sum(tokens.values())
+            taken = max(0, min(count, room))
+            tokens[data_centre] = tokens.get(data_centre, 0) + taken
+    epochs = {**ledger.epoch_by_centre, data_centre: epoch}
+    return Ledger(
+        revision=max(revision, ledger.revision),
+        epoch_by_centre=epochs,
+        tokens_by_team=tokens_by_team,
+    )
--- /dev/null
+++ b/samphiregate/core/limits/_ledger_client.py
@@ -0,0 +1,253 @@
+"""One data centre's calls to the store about the ledger."""
+
+import attrs
+
+from samphiregate.core.limits import _ledger
+from samphiregate.core import store
+
+KEY = "limits/apportionment"
+CALL_TIMEOUT_MS = 10_000
+FIRST_BACKOFF_MS = 300
+MAX_BACKOFF_MS = 5_000
+
+
+@attrs.define
+class _Write:
+    """A compare-and-swap that is not settled yet."""
+
+    expected_version: int
+    value: bytes
+    changes: _ledger.Changes
+    debits: dict
+
+
+class LedgerClient:
+    """Reads and changes the ledger for one epoch of a granting VM.
+
+    Parameters
+    ----------
+    data_centre : str
+        The data centre in charge.
+    epoch : int
+        Epoch of the granting VM.
+    call_ids : iterator of int
+        Source of ids that no other call of this VM has.
+    random_state : random.Random
+        Source of randomness.
+    write_period_ms : int
+        Least time between two writes.
+
+    Attributes
+    ----------
+    ledger_ : Ledger or None
+        As last seen in the store.
+    claimed_ : bool
+        Whether the ledger bears this epoch, so that no write of an
+        earlier one can still take effect.
+    deposed_ : bool
+        Whether the ledger bears a higher epoch.
+    unused_before_ : bool
+        Whether nobody had been in charge before this epoch.
+    claimed_tokens_by_team_ : dict
+        Tokens of the data centre when the ledger was claimed.
+
+    Notes
+    -----
+    A write without a clear answer is settled once the store shows a higher
+    version: it took effect then or never will. Until then its debits stay
+    reserved.
+    """
+
+    def __init__(
+        self, *, data_centre, epoch, call_ids, random_state, write_period_ms
+    ):
+        self.data_centre = data_centre
+        self.epoch = epoch
+        self.call_ids = call_ids
+        self.random_state = random_state
+        self.write_period_ms = write_period_ms
+        self.ledger_ = None
+        self.version_ = 0
+        self.read_ms_ = None
+        self.claimed_ = False
+        self.deposed_ = False
+        self.unused_before_ = False
+        self.claimed_tokens_by_team_ = {}
+        self.write_count_ = 0
+        self._tokens_by_team = {}
+        self._write = None
+        self._call_id = None
+        self._call_is_write = False
+        self._call_sent_ms = 0
+        self._next_write_ms = 0
+        self._retry_ms = 0
+        self._backoff_ms = 0
+        self._must_read = True
+
+    def tokens(self, team):
+        """Returns the data centre's tokens; none before the claim."""
+        return self._tokens_by_team.get(team, 0)
+
+    def reserved(self, team):
+        """Returns the tokens that an unsettled write may have given up."""
+        if self._write is None:
+            return 0
+        return self._write.debits.get(team, 0)
+
+    @property
+    def settled(self):
+        """Whether no write is under way."""
+        return self._write is None
+
+    def may_write(self, now_ms):
+        """Returns whether a new write could be sent now."""
+        idle = self._call_id is None and self._write is None
+        due = not self.claimed_ or now_ms >= self._next_write_ms
+        return idle and due and now_ms >= self._retry_ms
+
+    def teams(self):
+        """Returns the teams that have tokens in this data centre."""
+        return set(self._tokens_by_team)
+
+    def ask_for_read(self):
+        """Reads the ledger as soon as possible."""
+        self._must_read = True
+
+    def drive(self, changes, revision, limit_by_team, now_ms, actions):
+        """Starts the call that is due, if any.
+
+        Parameters
+        ----------
+        changes : Changes
+            What is to change; its debits are not in use any more.
+        revision : int
+            Revision of the configuration.
+        limit_by_team : dict
+            Limits of that configuration.
+        now_ms : int
+            Time in milliseconds.
+        actions : list of Action
+            Where calls are added.
+        """
+        if self.deposed_ or now_ms < self._retry_ms:
+            return
+        if self._call_id is not None:
+            if now_ms - self._call_sent_ms < CALL_TIMEOUT_MS:
+                return
+            self._call_id = None
+            self._must_read = True
+        if self._must_read or self.ledger_ is None:
+            self._begin_call(False, now_ms)
+            actions.append(store.ReadKey(self._call_id, KEY))
+        elif self._write is not None:
+            self._send_write(now_ms, actions)
+        elif not self.claimed_ or (changes and now_ms >= self._next_write_ms):
+            self._prepare(changes, revision, limit_by_team)
+            self._next_write_ms = now_ms + self.write_period_ms
+            self._send_write(now_ms, actions)
+
+    def on_answer(self, event, now_ms):
+        """Takes in a `StoreAnswered`; returns changes that took effect.
+
+        Returns
+        -------
+        Changes or None
+        """
+        if event.key != KEY or event.call_id != self._call_id:
+            return None
+        self._call_id = None
+        was_write = self._call_is_write
+        outcome = event.outcome
+        if outcome is store.StoreOutcome.OK:
+            self._backoff_ms = 0
+            return self._on_ok(event, was_write, now_ms)
+        self._back_off(now_ms)
+        if outcome is store.StoreOutcome.CONFLICT and event.value:
+            self._take(event.version, event.value, now_ms)
+        else:
+            self._must_read = True
+        return None
+
+    def _on_ok(self, event, was_write, now_ms):
+        if not was_write:
+            self._must_read = False
+            self._take(event.version, event.value, now_ms)
+            return None
+        write = self._write
+        self._take(event.version, write.value, now_ms)
+        return write.changes
+
+    def _take(self, version, value, now_ms):
+        """Takes in the ledger at a version that the store showed."""
+        if self.ledger_ is not None and version < self.version_:
+            self._must_read = True
+            self._back_off(now_ms)
+            return
+        ledger = _ledger.decode(value)
+        self.version_ = version
+        self.ledger_ = ledger
+        self.read_ms_ = now_ms
+        bearing = ledger.epoch_by_centre.get(self.data_centre, 0)
+        if bearing > self.epoch:
+            self.deposed_ = True
+            return
+        write = self._write
+        if write is not None:
+            if version <= write.expected_version:
+                return
+            self._write = None
+        if bearing == self.epoch:
+            self._tokens_by_team = self._own_tokens(ledger)
+            if not self.claimed_:
+                self.claimed_ = True
+
+    def _own_tokens(self, ledger):
+        return {
+            team: tokens[self.data_centre]
+            for team, tokens in ledger.tokens_by_team.items()
+            if tokens.get(self.data_centre, 0)
+        }
+
+    def _prepare(self, changes, revision, limit_by_team):
+        if not self.claimed_:
+            epochs = self.ledger_.epoch_by_centre
+            self.unused_before_ = self.data_centre not in epochs
+            before = self._own_tokens(self.ledger_)
+            self.claimed_tokens_by_team_ = before
+        ledger = _ledger.apply(
+            self.ledger_,
+            changes,
+            data_centre=self.data_centre,
+            epoch=self.epoch,
+            revision=revision,
+            limit_by_team=limit_by_team,
+        )
+        self._write = _Write(
+            expected_version=self.version_,
+            value=_ledger.encode(ledger),
+            changes=changes,
+            debits=changes.debits(),
+        )
+
+    def _send_write(self, now_ms, actions):
+        self._begin_call(True, now_ms)
+        self.write_count_ += 1
+        actions.append(
+            store.CompareAndSwap(
+                self._call_id,
+                KEY,
+                self._write.expected_version,
+                self._write.value,
+            )
+        )
+
+    def _begin_call(self, is_write, now_ms):
+        self._call_id = next(self.call_ids)
+        self._call_is_write = is_write
+        self._call_sent_ms = now_ms
+
+    def _back_off(self, now_ms):
+        doubled = max(FIRST_BACKOFF_MS, 2 * self._backoff_ms)
+        self._backoff_ms = min(doubled, MAX_BACKOFF_MS)
+        jitter = self.random_state.uniform(0.5, 1.0)
+        self._retry_ms = now_ms + int(self._backoff_ms * jitter)
--- /dev/null
+++ b/samphiregate/core/limits/_sharing.py
@@ -0,0 +1,34 @@
+"""Max-min fair splits of whole tokens."""
+
+
+def fair_split(total, demand_by_name, first=0):
+    """Splits tokens so that the least served gets as much as possible.
+
+    Parameters
+    ----------
+    total : int
+        Tokens to split; a negative number counts as none.
+    demand_by_name : dict
+        What each can use at most, keyed by name.
+    first : int
+        Rotates who gets what cannot be split evenly.
+
+    Returns
+    -------
+    dict
+        Tokens of each, keyed by name; never above the demand, and in all
+        never above `total`.
+    """
+    split = dict.fromkeys(demand_by_name, 0)
+    left = max(0, total)
+    open_names = sorted(n for n, d in demand_by_name.items() if d > 0)
+    while open_names and left >= len(open_names):
+        level = left // len(open_names)
+        for name in open_names:
+            step = min(level, demand_by_name[name] - split[name])
+            split[name] += step
+            left -= step
+        open_names = [n for n in open_names if split[n] < demand_by_name[n]]
+    for index in range(min(left, len(open_names))):
+        split[open_names[(first + index) % len(open_names)]] += 1
+    return split
--- a/samphiregate/core/membership/_membership.py
+++ b/samphiregate/core/membership/_membership.py
@@ -228,6 +228,8 @@
 
     @_on_event.register
     def _(self, event: base.PeerDelivered, now_ms, actions):
+        if event.sender == self.vm_id:
+            return
         self.heard_ms_ = now_ms
         peer = self.peers_by_id_.get(event.sender)
         if peer is not None:
--- a/samphiregate/core/ownership/_ownership.py
+++ b/samphiregate/core/ownership/_ownership.py
@@ -98,7 +98,7 @@
         self.settle_ms = settle_ms
         self.pause_limit_ms = pause_limit_ms
         self.check_parameters()
-        self.key = KEY_PREFIX + data_centre
+        self.key = self.key_of(data_centre)
         self.version_ = None
         self.tables_by_centre_ = {}
         self._table = self._table_of(data_centre)
@@ -126,6 +126,11 @@
         self._next_digest_ms = 0
         self._next_remote_digest_ms = 0
 
+    @staticmethod
+    def key_of(data_centre):
+        """Returns the store's key of a data centre's table."""
+        return KEY_PREFIX + data_centre
+
     # What the other machines ask.
 
     @property
