Bound the head document by bytes

Cause: each change of the head is read whole by every watcher, so that its size times the rate of changes is the watchers' traffic. Change: the head keeps edits within 4 KB instead of a number of them; an edit that a busy head no longer tells is judged by what the configuration holds.

--- a/samphiregate/core/configuration/__init__.py
+++ b/samphiregate/core/configuration/__init__.py
@@ -3,8 +3,7 @@
 from samphiregate.core.configuration._documents import decode_configuration
 from samphiregate.core.configuration._documents import decode_head
 from samphiregate.core.configuration._documents import Edit
-from samphiregate.core.configuration._documents import encode_configuration
-from samphiregate.core.configuration._documents import encode_head
+from samphiregate.core.configuration._documents import encode
 from samphiregate.core.configuration._documents import Head
 from samphiregate.core.configuration._documents import HEAD_KEY
 from samphiregate.core.configuration._documents import MAX_DOCUMENT_BYTES
@@ -13,6 +12,7 @@
 from samphiregate.core.configuration._edits import apply_edits
 from samphiregate.core.configuration._edits import find_edit
 from samphiregate.core.configuration._edits import head_after
+from samphiregate.core.configuration._edits import holds_edit
 from samphiregate.core.configuration._edits import needs_snapshot
 from samphiregate.core.configuration._edits import with_snapshot
 from samphiregate.core.configuration._messages import ConfigurationDelta
@@ -34,10 +34,10 @@
     "apply_edits",
     "decode_configuration",
     "decode_head",
-    "encode_configuration",
-    "encode_head",
+    "encode",
     "find_edit",
     "head_after",
+    "holds_edit",
     "needs_snapshot",
     "with_snapshot",
 ]
--- a/samphiregate/core/configuration/_documents.py
+++ b/samphiregate/core/configuration/_documents.py
@@ -81,9 +81,9 @@
     edits: tuple[Edit, ...] = ()
 
 
-def encode_head(head):
-    """Returns the bytes of a `Head`."""
-    return _encode(head)
+def encode(document):
+    """Returns the bytes of a `Head`, an `Edit` or a `Configuration`."""
+    return orjson.dumps(_CONVERTER.unstructure(document))
 
 
 def decode_head(value):
@@ -97,11 +97,6 @@
     return _decode(value, Head) if value else Head()
 
 
-def encode_configuration(configuration):
-    """Returns the bytes of a whole configuration."""
-    return _encode(configuration)
-
-
 def decode_configuration(value):
     """Returns the `Configuration` in `value`; an empty one for no bytes.
 
@@ -115,10 +110,6 @@
     return _decode(value, model.Configuration)
 
 
-def _encode(document):
-    return orjson.dumps(_CONVERTER.unstructure(document))
-
-
 def _decode(value, kind):
     try:
         return _CONVERTER.structure(orjson.loads(value), kind)
--- a/samphiregate/core/configuration/_edits.py
+++ b/samphiregate/core/configuration/_edits.py
@@ -7,9 +7,7 @@
 from samphiregate import errors
 
 WITHDRAWN_KEYS_KEPT = 4_096
-HEAD_EDITS_MIN = 16
-HEAD_EDITS_MAX = 48
-HEAD_BYTES_MAX = 65_536
+HEAD_BYTES_MAX = 4_096
 
 
 def apply_edit(configuration, edit):
@@ -74,31 +72,29 @@
 def head_after(head, edit):
     """Returns the head that results from one more edit.
 
-    Edits are kept back to the snapshot. Earlier ones are kept, up to
-    `HEAD_EDITS_MIN` and `HEAD_BYTES_MAX`, so that the fate of an edit whose
-    answer was lost can be told.
+    Edits are kept back to the snapshot, and earlier ones as far as they fit
+    into `HEAD_BYTES_MAX`, so that the fate of an edit whose answer was lost
+    can be told.
     """
-    edits = (*head.edits, edit)
-    needed = edit.revision - head.snapshot_revision
-    kept = max(needed, HEAD_EDITS_MIN)
-    after = _documents.Head(
-        revision=edit.revision,
-        snapshot_revision=head.snapshot_revision,
-        edits=edits[-kept:],
+    after = attrs.evolve(
+        head, revision=edit.revision, edits=(*head.edits, edit)
     )
-    size = len(_documents.encode_head(after))
-    if size > HEAD_BYTES_MAX:
-        after = attrs.evolve(after, edits=edits[-needed:])
-    return after
+    spare = _size(after) - HEAD_BYTES_MAX
+    needless = len(after.edits) - (edit.revision - head.snapshot_revision)
+    dropped = 0
+    while spare > 0 and dropped < needless:
+        spare -= _size(after.edits[dropped])
+        dropped += 1
+    return attrs.evolve(after, edits=after.edits[dropped:])
 
 
 def needs_snapshot(head):
     """Returns whether a new snapshot is due before the next edit."""
     since = head.revision - head.snapshot_revision
-    if since >= HEAD_EDITS_MAX:
-        return True
-    size = len(_documents.encode_head(head))
-    return since > 0 and size > HEAD_BYTES_MAX
+    if not since:
+        return False
+    size = sum(_size(edit) for edit in head.edits[-since:])
+    return size > HEAD_BYTES_MAX // 2
 
 
 def with_snapshot(head, snapshot_revision):
@@ -107,6 +103,25 @@
     return attrs.evolve(head, snapshot_revision=min(revision, head.revision))
 
 
+def holds_edit(configuration, edit):
+    """Returns whether a configuration is as an edit would leave it."""
+    tables = (
+        (configuration.teams_by_name, edit.teams, edit.removed_teams),
+        (configuration.plans_by_name, edit.plans, edit.removed_plans),
+        (configuration.queues_by_name, edit.queues, edit.removed_queues),
+    )
+    for entries_by_name, added, removed_names in tables:
+        if any(entries_by_name.get(entry.name) != entry for entry in added):
+            return False
+        if any(name in entries_by_name for name in removed_names):
+            return False
+    keys_by_hash = configuration.keys_by_hash
+    if any(key.key_hash not in keys_by_hash for key in edit.given_keys):
+        return False
+    records = (keys_by_hash.get(key_hash) for key_hash in edit.withdrawn_keys)
+    return all(record is None or record.withdrawn for record in records)
+
+
 def find_edit(head, edit_id):
     """Returns the edit of that id among the head's edits, or None."""
     for edit in head.edits:
@@ -115,6 +130,10 @@
     return None
 
 
+def _size(document):
+    return len(_documents.encode(document))
+
+
 def _put(entries_by_name, added, removed_names):
     if not added and not removed_names:
         return entries_by_name
--- a/samphiregate/lists/_editor.py
+++ b/samphiregate/lists/_editor.py
@@ -149,11 +149,9 @@
         head = stored.head
         if configurations.needs_snapshot(head):
             head = self._write_snapshot(stored)
-        value = configurations.encode_head(
-            configurations.head_after(head, edit)
-        )
+        value = configurations.encode(configurations.head_after(head, edit))
         after = configurations.apply_edit(stored.configuration, edit)
-        whole = configurations.encode_configuration(after)
+        whole = configurations.encode(after)
         largest = configurations.MAX_DOCUMENT_BYTES
         if max(len(value), len(whole)) > largest:
             raise errors.BadInputError(
@@ -169,7 +167,7 @@
             return stored.head
         written = configurations.decode_configuration(present.value)
         if written.revision < stored.head.revision:
-            value = configurations.encode_configuration(stored.configuration)
+            value = configurations.encode(stored.configuration)
             result = self._calls.compare_and_swap(
                 configurations.SNAPSHOT_KEY, present.version, value
             )
@@ -188,7 +186,7 @@
             if result.outcome is store.StoreOutcome.OK:
                 return None
             if result.outcome is store.StoreOutcome.CONFLICT:
-                accepted = _is_accepted(result, edit, answer_lost)
+                accepted = self._is_accepted(result, edit, answer_lost)
                 return None if accepted else result
             answer_lost |= result.outcome is store.StoreOutcome.UNKNOWN
             self._wait_after(attempt)
@@ -196,22 +194,25 @@
             raise _unknown(edit)
         raise errors.UnavailableError("the store takes no edit; none was made")
 
+    def _is_accepted(self, conflict, edit, answer_lost):
+        """Tells an own edit whose answer was lost from a lost race."""
+        head = configurations.decode_head(conflict.value)
+        if configurations.find_edit(head, edit.edit_id) is not None:
+            return True
+        oldest = head.edits[0].revision if head.edits else head.revision + 1
+        if not answer_lost or oldest <= edit.revision:
+            return False
+        # The head no longer tells; what the edit was for may still do.
+        stored = self._stored_from(conflict) or self.read()
+        if configurations.holds_edit(stored.configuration, edit):
+            return True
+        raise _unknown(edit)
+
     def _wait_after(self, attempt):
         longest_ms = min(RETRY_MIN_MS * 2**attempt, RETRY_MAX_MS)
         self._wait(longest_ms * self._random.uniform(0.5, 1.0))
 
 
-def _is_accepted(conflict, edit, answer_lost):
-    """Tells an own edit whose answer was lost from a lost race."""
-    head = configurations.decode_head(conflict.value)
-    if configurations.find_edit(head, edit.edit_id) is not None:
-        return True
-    oldest = head.edits[0].revision if head.edits else head.revision + 1
-    if answer_lost and oldest > edit.revision:
-        raise _unknown(edit)
-    return False
-
-
 def _unknown(edit):
     return errors.SamphiregateError(
         errors.ErrorCode.OUTCOME_UNKNOWN,
