Measure ways of spreading the configuration

Cause: gossip had to be measured against a tree before choosing. Change: replicas in virtual time with a fake store, and a program that compares everyone watching, a tree, gossip and telling directly. Conclusion: one watcher a data centre that tells its peers directly, with the comparison of revisions as repair.

--- /dev/null
+++ b/features/support/configuration_spread.py
@@ -0,0 +1,200 @@
+"""Compares the ways of spreading the configuration, in virtual time.
+
+Run with ``python -m features.support.configuration_spread``; prints one
+table. Seeds are fixed, so that each run gives the same figures.
+"""
+
+import functools
+import random
+import statistics
+
+import attrs
+
+from features.support import configuration_fleet
+from samphiregate.core import configuration as configurations
+from samphiregate.core import model
+
+DATA_CENTRES = 11
+VMS = 130
+WARM_UP_MS = 30_000
+SETTLE_MS = 30_000
+TEAMS = 380
+CHANGES_A_SECOND = 45_000 / 86_400
+BURST_A_SECOND = 20.0
+UNNOTICED_MS = 5_000
+
+
+class WatchOnly(configurations.ConfigurationReplica):
+    """Every VM watches the store and tells nobody."""
+
+    def _watcher_ids(self):
+        return [self.vm_id]
+
+    def _peers_to_tell(self, source):
+        return []
+
+
+class Tree(configurations.ConfigurationReplica):
+    """One VM of the fleet watches; each tells its children in a tree."""
+
+    children = 4
+
+    def _watcher_ids(self):
+        return self._membership.alive_ids()[:1]
+
+    def _peers_to_tell(self, source):
+        alive = self._membership.alive_ids()
+        first = alive.index(self.vm_id) * self.children + 1
+        return alive[first : first + self.children]
+
+
+WAYS = {
+    "everyone watches": functools.partial(
+        configuration_fleet.Fleet, replica_class=WatchOnly
+    ),
+    "tree of 4 over all": functools.partial(
+        configuration_fleet.Fleet, replica_class=Tree
+    ),
+    "gossip, fanout 3": functools.partial(
+        configuration_fleet.Fleet, spread="gossip", fanout=3
+    ),
+    "gossip, fanout 5": functools.partial(
+        configuration_fleet.Fleet, spread="gossip", fanout=5
+    ),
+    "direct": functools.partial(configuration_fleet.Fleet, spread="direct"),
+}
+
+
+def no_fault(fleet):
+    """Nothing fails."""
+
+
+def lossy(fleet):
+    """One message in fifty is lost, and each may be 50 ms late."""
+    fleet.loss = 0.02
+    fleet.jitter_ms = 50
+
+
+def watchers_dead(fleet):
+    """The first VM of each data centre dies, unnoticed for a while."""
+    for number in range(DATA_CENTRES):
+        vm_id = fleet.vms_of(f"dc-{number:02d}")[0]
+        fleet.kill(vm_id, noticed=False)
+        fleet.call(UNNOTICED_MS, fleet.notice, vm_id)
+
+
+def store_cut(fleet):
+    """Three data centres can't reach the store, but their peers can."""
+    for number in range(3):
+        fleet.store.cut_off |= set(fleet.vms_of(f"dc-{number:02d}"))
+
+
+@attrs.frozen
+class Load:
+    """How often, for how long, and under what fault edits come."""
+
+    name: str
+    changes_a_second: float
+    duration_ms: int
+    fault: object = no_fault
+
+
+LOADS = (
+    Load("0.52/s", CHANGES_A_SECOND, 300_000),
+    Load("20/s for 10 s", BURST_A_SECOND, 10_000),
+    Load("0.52/s, lossy", CHANGES_A_SECOND, 120_000, lossy),
+    Load("0.52/s, watchers die", CHANGES_A_SECOND, 60_000, watchers_dead),
+    Load("0.52/s, 3 cut off", CHANGES_A_SECOND, 120_000, store_cut),
+)
+
+
+def measure(make_fleet, load, seed=1):
+    """Runs one way under one load.
+
+    Returns
+    -------
+    dict
+        Times to all VMs in ms, and traffic while edits came.
+    """
+    randoms = random.Random(seed)
+    fleet = make_fleet(data_centres=DATA_CENTRES, vms=VMS, seed=seed)
+    fleet.store.accept(
+        teams=tuple(model.Team(f"team-{i:03d}", "plan") for i in range(TEAMS))
+    )
+    fleet.run(WARM_UP_MS)
+    fleet.counts = configuration_fleet.Counts()
+    load.fault(fleet)
+    accepted_ms = edit_for(fleet, load, randoms)
+    counts = attrs.evolve(
+        fleet.counts,
+        bytes_by_vm=dict(fleet.counts.bytes_by_vm),
+        store_calls_by_second=dict(fleet.counts.store_calls_by_second),
+    )
+    fleet.run(SETTLE_MS)
+    return summarise(fleet, load, accepted_ms, counts)
+
+
+def edit_for(fleet, load, randoms):
+    """Makes the edits of a load; returns when each was accepted."""
+    accepted_ms = {}
+    end_ms = fleet.now_ms + load.duration_ms
+    while True:
+        gap_ms = randoms.expovariate(load.changes_a_second) * 1_000
+        if fleet.now_ms + gap_ms > end_ms:
+            fleet.run(end_ms - fleet.now_ms)
+            return accepted_ms
+        fleet.run(gap_ms)
+        record = model.KeyRecord(
+            key_hash=f"{randoms.getrandbits(256):064x}",
+            key_id=f"{randoms.getrandbits(48):012x}",
+            team="team-000",
+        )
+        edit = fleet.store.accept(given_keys=(record,))
+        accepted_ms[edit.revision] = fleet.now_ms
+
+
+def summarise(fleet, load, accepted_ms, counts):
+    """Returns the figures of one run."""
+    living = len(fleet.revisions())
+    times = [
+        max(fleet.revision_times.get(revision, {0: 0}).values()) - then_ms
+        if count_reached(fleet, revision) >= living
+        else float("inf")
+        for revision, then_ms in accepted_ms.items()
+    ]
+    seconds = load.duration_ms / 1_000
+    rates = [size / seconds for size in counts.bytes_by_vm.values()]
+    return {
+        "edits": len(times),
+        "p50": statistics.median(times),
+        "max": max(times),
+        "messages/s": counts.messages / seconds,
+        "B/s mean": sum(rates) / VMS,
+        "B/s max": max(rates),
+        "store/s": counts.store_calls / seconds,
+        "peak": max(counts.store_calls_by_second.values()),
+    }
+
+
+def count_reached(fleet, revision):
+    """Returns how many living VMs reached a revision."""
+    times = fleet.revision_times.get(revision, {})
+    return sum(vm_id not in fleet.dead for vm_id in times)
+
+
+def main():
+    """Prints one row for each way and load."""
+    titles = None
+    for load in LOADS:
+        for way, make_fleet in WAYS.items():
+            figures = measure(make_fleet, load)
+            if titles is None:
+                titles = list(figures)
+                cells = "".join(f"{title:>12}" for title in titles)
+                print(f"{'load':22}{'way':20}{cells}")
+            cells = "".join(f"{figures[title]:12,.0f}" for title in titles)
+            print(f"{load.name:22}{way:20}{cells}", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/samphiregate/core/configuration/_replica.py
+++ b/samphiregate/core/configuration/_replica.py
@@ -49,7 +49,7 @@
     keys_valid_without_news_ms : int
         A VM that hears neither from the store nor from a peer in touch
         with it goes on with the keys that it knows for this long, and then
-        refuses all; 0 means without end.
+        refuses all.
 
     Attributes
     ----------
@@ -66,7 +66,9 @@
         "compare_interval_ms": parameters.Interval(int, 50, 60_000),
         "check_interval_ms": parameters.Interval(int, 500, 600_000),
         "watch_without_news_ms": parameters.Interval(int, 500, 600_000),
-        "keys_valid_without_news_ms": parameters.Interval(int, 0, 30 * DAY_MS),
+        "keys_valid_without_news_ms": parameters.Interval(
+            int, 1_000, 30 * DAY_MS
+        ),
     }
 
     def __init__(
@@ -122,8 +124,7 @@
     @property
     def cut_off(self):
         """Whether there was no news for so long that all keys are refused."""
-        limit_ms = self.keys_valid_without_news_ms
-        return bool(limit_ms) and self.news_age_ms > limit_ms
+        return self.news_age_ms > self.keys_valid_without_news_ms
 
     def team_for_key_hash(self, key_hash):
         """Returns the team that a key stands for.
@@ -228,15 +229,17 @@
         return actions + self._choose_whether_to_watch()
 
     def _choose_whether_to_watch(self):
-        alive = {self.vm_id, *self._membership.alive_ids(self.data_centre)}
-        first = sorted(alive)[: self.watchers]
         without_news = self.news_age_ms > self.watch_without_news_ms
-        wanted = self.vm_id in first or without_news
+        wanted = without_news or self.vm_id in self._watcher_ids()
         if wanted == self.watching_:
             return []
         self.watching_ = wanted
         return [store.WatchKey(_documents.HEAD_KEY, active=wanted)]
 
+    def _watcher_ids(self):
+        alive = {self.vm_id, *self._membership.alive_ids(self.data_centre)}
+        return sorted(alive)[: self.watchers]
+
     def _compare_with_a_peer(self, now_ms):
         peer_id = self._random_peer()
         return [self._digest_to(peer_id, now_ms)] if peer_id else []
