Match each answer to its own request in the load tool

Cause: runner stand-ins answer with the request's id and body; the load tool compared the body alone and called every answer wrong. The last VM of a data centre waited 30 s at its stop for a taker that cannot exist. Change: compare id and body; a VM with no other in its data centre need not hand over.

--- a/samphiregate/daemon/_node.py
+++ b/samphiregate/daemon/_node.py
@@ -89,12 +89,16 @@
         return self.machines.configuration.configuration.revision > 0
 
     def _is_idle(self):
-        machines = self.machines
-        return (
-            self._hub.is_drained
-            and not machines.runner_owner.in_flight
-            and not machines.ownership.owned_shards
+        busy = self.machines.runner_owner.in_flight
+        return not busy and self._hub.is_drained and self._has_handed_over()
+
+    def _has_handed_over(self):
+        if not self.machines.ownership.owned_shards:
+            return True
+        others = self.machines.membership.present_ids(
+            self.settings.data_centre
         )
+        return not set(others) - {self.settings.vm_id}
 
     def _tick(self, _now_ms):
         self.loop.deliver(base.Tick())
--- a/standins/load/_load.py
+++ b/standins/load/_load.py
@@ -186,7 +186,8 @@
 
 def _judge(answer, body, codes):
     if answer.status == 200:
-        same = answer.body == body
+        request_id = answer.headers.get("samphiregate-request-id", "")
+        same = answer.body == request_id.encode() + b"\n" + body
         return Outcome.ANSWERED if same else Outcome.WRONG_BODY
     try:
         problem = orjson.loads(answer.body)
