Play the failures of requests in virtual time

Cause: each attempt must end truthfully whatever fails, and that is shown only by playing the failures.

Change: a table of 54 scenarios over entry VMs, runners and links in virtual time, and random runs of arrivals, faults, deaths, broken links, moves of shards, withdrawals and stops, all checked by a count apart from the machines. A runner that refused gets one attempt at a time until it answers; an attempt no runner can take is refused at once; without a runner left the refusal says so.

--- /dev/null
+++ b/features/requests.feature
@@ -0,0 +1,234 @@
+Feature: each request ends once, and what is said of it is true
+
+  Scenario Outline: requests: every runner has a fault
+    Given requests: <vms> entry VMs with 2 runners of 2 slots
+    And requests: every runner has the fault <fault>
+    When requests: 1 request arrives, idempotent <idempotent>
+    And requests: 9000 ms pass
+    Then requests: it ended as <verdict>
+    And requests: it was executed <least> to <most> times
+    And requests: all that must hold holds
+
+    Examples:
+      | vms | fault   | idempotent | verdict                  | least | most |
+      | 1   | none    | no         | answered 200             | 1     | 1    |
+      | 1   | error   | no         | answered 500             | 1     | 1    |
+      | 1   | hang    | no         | outcome-unknown unknown  | 1     | 1    |
+      | 1   | hang    | yes        | outcome-unknown unknown  | 1     | 1    |
+      | 1   | cut     | no         | outcome-unknown unknown  | 1     | 1    |
+      | 1   | cut     | yes        | outcome-unknown unknown  | 2     | 4    |
+      | 1   | refuse  | no         | overloaded no            | 0     | 0    |
+      | 2   | refuse  | no         | overloaded no            | 0     | 0    |
+      | 1   | down    | no         | runner-failed no         | 0     | 0    |
+      | 2   | down    | yes        | runner-failed no         | 0     | 0    |
+      | 1   | leaving | no         | no-runner no             | 0     | 0    |
+
+  Scenario Outline: requests: one runner of four has a fault
+    Given requests: 2 entry VMs with 4 runners of 2 slots
+    And requests: runner 0 has the fault <fault>
+    When requests: 200 requests arrive, one each 25 ms, idempotent <idempotent>
+    And requests: 9000 ms pass
+    Then requests: at least <answered> were answered with 200
+    And requests: all that must hold holds
+
+    Examples:
+      | fault   | idempotent | answered |
+      | refuse  | no         | 200      |
+      | down    | no         | 200      |
+      | leaving | no         | 200      |
+      | slow    | no         | 200      |
+      | cut     | yes        | 200      |
+      | cut     | no         | 190      |
+      | hang    | no         | 190      |
+      | error   | no         | 190      |
+
+  Scenario Outline: requests: admission
+    Given requests: 1 entry VMs with 2 runners of 2 slots
+    When requests: a request of team <team> arrives for queue <queue>
+    And requests: 4000 ms pass
+    Then requests: it ended as <verdict>
+    And requests: all that must hold holds
+
+    Examples:
+      | team      | queue | verdict        |
+      | huts      | holds | answered 200   |
+      | none      | holds | key-refused no |
+      | none      | open  | answered 200   |
+      | huts      | open  | answered 200   |
+      | unknown   | holds | key-refused no |
+      | unknown   | open  | key-refused no |
+      | strangers | holds | not-allowed no |
+      | strangers | open  | answered 200   |
+      | huts      | none  | not-found no   |
+      | huts      | idle  | no-runner no   |
+
+  Scenario Outline: requests: an entry VM is lost with attempts under way
+    Given requests: 2 entry VMs with 2 runners of 2 slots
+    When requests: 20 requests arrive at once, idempotent <idempotent>
+    And requests: 10 ms pass
+    And requests: the other entry VM is lost by <how>
+    And requests: 9000 ms pass
+    Then requests: at least <answered> were answered with 200
+    And requests: at least <unknown> ended as outcome-unknown unknown
+    And requests: all that must hold holds
+
+    Examples:
+      | idempotent | how                   | answered | unknown |
+      | yes        | its death             | 20       | 0       |
+      | no         | its death             | 5        | 5       |
+      | yes        | a broken link         | 20       | 0       |
+      | no         | a broken link         | 5        | 5       |
+      | yes        | a broken link to us   | 20       | 0       |
+
+  Scenario: requests: a late answer of a dead attempt is dropped
+    Given requests: 2 entry VMs with 2 runners of 2 slots
+    When requests: 20 requests arrive at once, idempotent yes
+    And requests: 10 ms pass
+    And requests: the other entry VM is lost by a broken link to us
+    And requests: 9000 ms pass
+    Then requests: late answers were dropped
+    And requests: all that must hold holds
+
+  Scenario: requests: every peer message arrives twice
+    Given requests: 3 entry VMs with 3 runners of 2 slots
+    And requests: every peer message arrives twice
+    When requests: 60 requests arrive at once, idempotent no
+    And requests: 9000 ms pass
+    Then requests: at least 60 were answered with 200
+    And requests: all that must hold holds
+
+  Scenario Outline: requests: a key is withdrawn while requests are queued
+    Given requests: <vms> entry VMs with 1 runners of 2 slots
+    When requests: 10 requests arrive at once, idempotent no
+    And requests: 5 ms pass
+    And requests: the key is withdrawn and news <news>
+    And requests: 9000 ms pass
+    Then requests: at least 2 were answered with 200
+    And requests: at least 8 ended as key-refused no
+    And requests: all that must hold holds
+
+    Examples:
+      | vms | news             |
+      | 1   | comes            |
+      | 2   | comes            |
+
+  Scenario: requests: keys are checked again without news of them
+    Given requests: 1 entry VMs with 1 runners of 2 slots
+    And requests: every runner has the fault hang
+    When requests: 10 requests arrive at once, idempotent no
+    And requests: the key is withdrawn and news is lost
+    And requests: 2000 ms pass
+    Then requests: at least 8 ended as key-refused no
+
+  Scenario: requests: a deadline passes in the queue
+    Given requests: 1 entry VMs with 1 runners of 2 slots
+    And requests: every runner has the fault hang
+    When requests: 2 requests arrive at once, idempotent no
+    And requests: a request arrives with 300 ms left
+    And requests: 350 ms pass
+    Then requests: it ended as deadline-exceeded no
+    And requests: it was executed 0 to 0 times
+
+  Scenario Outline: requests: a leaving runner gets nothing new
+    Given requests: 1 entry VMs with 2 runners of 2 slots
+    When requests: 4 requests arrive at once, idempotent no
+    And requests: 5 ms pass
+    And requests: runner 0 is leaving by <word>
+    And requests: 100 ms pass
+    And requests: 40 requests arrive, one each 25 ms, idempotent no
+    And requests: 3000 ms pass
+    Then requests: at least 44 were answered with 200
+    And requests: runner 0 executed nothing of the last 40
+    And requests: all that must hold holds
+
+    Examples:
+      | word         |
+      | the list     |
+      | its own word |
+
+  Scenario Outline: requests: retries are bounded in a storm of failures
+    Given requests: 2 entry VMs with 4 runners of 2 slots
+    And requests: every runner has the fault <fault>
+    When requests: 300 requests arrive, one each 10 ms, idempotent yes
+    And requests: 9000 ms pass
+    Then requests: attempts beyond the first are at most 40
+    And requests: all that must hold holds
+
+    Examples:
+      | fault  |
+      | cut    |
+      | refuse |
+      | down   |
+
+  Scenario: requests: a flood is shed from the team above its share
+    Given requests: 1 entry VMs with 1 runners of 2 slots
+    When requests: 2000 requests of team huts arrive at once
+    And requests: 20 requests of team maps arrive, one each 50 ms
+    And requests: 20000 ms pass
+    Then requests: every request of team maps was answered
+    And requests: requests of team huts were refused as overloaded with a time
+    And requests: all that must hold holds
+
+  Scenario Outline: requests: an entry VM stops gracefully
+    Given requests: 2 entry VMs with 4 runners of 2 slots
+    When requests: 40 requests arrive at once, idempotent no
+    And requests: 5 ms pass
+    And requests: entry VM <stopped> is asked to stop
+    And requests: its shards move to entry VM <heir>
+    And requests: 4000 ms pass
+    Then requests: at least 40 were answered with 200
+    And requests: entry VM <stopped> has nothing under way
+    And requests: all that must hold holds
+
+    Examples:
+      | stopped | heir |
+      | 0       | 1    |
+      | 1       | 0    |
+
+  Scenario: requests: a stopping entry VM refuses new requests
+    Given requests: 1 entry VMs with 1 runners of 2 slots
+    When requests: entry VM 0 is asked to stop
+    And requests: 1 request arrives, idempotent no
+    Then requests: it ended as leaving no
+
+  Scenario: requests: slots in use by a lost owner are not given out again
+    Given requests: 2 entry VMs with 2 runners of 2 slots
+    And requests: every runner has the fault slow
+    When requests: 8 requests arrive at once, idempotent yes
+    And requests: 10 ms pass
+    And requests: the other entry VM is lost by its death
+    And requests: its shards move to entry VM 0
+    And requests: 9000 ms pass
+    Then requests: at least 8 were answered with 200
+    And requests: all that must hold holds
+
+  Scenario: requests: an unknown outcome keeps its slot and token
+    Given requests: 1 entry VMs with 1 runners of 2 slots
+    And requests: every runner has the fault hang
+    When requests: 2 requests arrive at once, idempotent no
+    And requests: 6000 ms pass
+    Then requests: 2 tokens are held
+    And requests: every runner is restarted
+    When requests: 20000 ms pass
+    Then requests: 0 tokens are held
+    When requests: 1 request arrives, idempotent no
+    And requests: 1000 ms pass
+    Then requests: it ended as answered 200
+
+  Scenario Outline: requests: a team never has more running than its limit
+    Given requests: 2 entry VMs with 4 runners of 2 slots
+    And requests: the limit of team huts is <limit>
+    When requests: 40 requests arrive at once, idempotent no
+    And requests: 6000 ms pass
+    Then requests: at least <answered> were answered with 200
+    And requests: at most <limit> of team huts ran at a time
+    And requests: all that must hold holds
+
+    Examples:
+      | limit | answered |
+      | 1     | 40       |
+      | 3     | 40       |
+      | 0     | 0        |
+
+  Scenario: requests: random faults, losses, moves and withdrawals
+    Then requests: in random runs all that must hold holds
--- a/features/support/edge.py
+++ b/features/support/edge.py
@@ -14,6 +14,7 @@
 from samphiregate.core import jobs
 from samphiregate.core import model
 from samphiregate.core import requests
+from samphiregate.core import vm
 from samphiregate import errors
 from samphiregate import metrics
 from samphiregate import timers
@@ -87,7 +88,8 @@
             random_state=random.Random(2),
             shard_count=fakes.SHARD_COUNT,
         )
-        self.machines = (self.edge_machine, self.owner, FakeJobs())
+        machines = (self.edge_machine, self.owner, FakeJobs())
+        self.vm = vm.EntryVm(vm_id=VM_ID, machines=machines)
         self.runners = [
             runner.Runner("127.0.0.1:0", slots=slots, work_ms=2)
             for _ in range(runner_count)
@@ -136,16 +138,7 @@
 
     def submit(self, event):
         """Hands an event to every machine and carries the actions out."""
-        for machine in self.machines:
-            for action in machine.handle(event, timers.monotonic_ms()):
-                self._perform(action)
-
-    def _perform(self, action):
-        if isinstance(action, base.Notify):
-            self.submit(action.event)
-        elif isinstance(action, base.SendToPeer):
-            self.submit(base.PeerDelivered(VM_ID, action.message))
-        else:
+        for action in self.vm.handle(event, timers.monotonic_ms()):
             self.pool.perform(action)
             self.server.perform(action)
 
--- a/samphiregate/core/requests/_dispatcher.py
+++ b/samphiregate/core/requests/_dispatcher.py
@@ -26,7 +26,8 @@
     tokens : TokenHolder
         Tokens of the teams' upper limits.
     runner_tries : int
-        Runners that are tried for one attempt before it is refused.
+        Times that an attempt is sent, and not executed, before it is
+        refused.
     unknown_hold_ms : int
         Time after its deadline that an attempt of unknown outcome keeps
         its slot and token.
@@ -60,7 +61,7 @@
             if item is None or len(skipped_items) >= MOST_SKIPPED:
                 break
             attempt = pool.queued[item.item_id]
-            runner = pool.pick(attempt.tried, now_ms)
+            runner = pool.pick(attempt.avoided, now_ms)
             if attempt.deadline_ms <= now_ms:
                 actions.append(self._refuse_expired(pool, attempt, now_ms))
             elif runner is None:
@@ -126,7 +127,6 @@
             actions = self._hold(pool, runner, attempt, event, now_ms)
         else:
             actions = self._put_back(pool, runner, attempt, event, now_ms)
-        self.learn(pool, runner, event, now_ms)
         return actions + self.dispatch(pool, now_ms)
 
     def learn(self, pool, runner, event, now_ms):
@@ -182,6 +182,7 @@
             attempt.message.team, now_ms, latest_ms
         )
         runner.schedule_probe(now_ms)
+        self.learn(pool, runner, event, now_ms)
         return [
             _replies.finish(
                 attempt, _Outcome.UNKNOWN, run_ms, detail=event.detail
@@ -191,16 +192,24 @@
     def _put_back(self, pool, runner, attempt, event, now_ms):
         """Tries another runner for an attempt that was not executed."""
         self._free(pool, attempt.message.team, now_ms)
+        attempt.tries += 1
+        code = _Code.RUNNER_FAILED
         if event.outcome is _Outcome.REFUSED:
+            code = _Code.OVERLOADED
             runner.pause(now_ms)
         else:
             run_ms = now_ms - attempt.sent_ms
             pool.ended(runner, False, run_ms, now_ms)
-        attempt.tried = attempt.tried | {attempt.runner_id}
+            attempt.avoided = attempt.avoided | {attempt.runner_id}
+        self.learn(pool, runner, event, now_ms)
         if self.stopping:
             return [_replies.refuse(attempt, _Code.LEAVING)]
-        if len(attempt.tried) >= self.runner_tries:
-            return [_replies.refuse(attempt, _Code.RUNNER_FAILED)]
+        if not pool.slots():
+            return [_replies.refuse(attempt, _Code.NO_RUNNER)]
+        if attempt.tries >= self.runner_tries or pool.has_none_but(
+            attempt.avoided
+        ):
+            return [_replies.refuse(attempt, code)]
         pool.enqueue(attempt, now_ms, at_front=True)
         return []
 
--- a/samphiregate/core/requests/_owner.py
+++ b/samphiregate/core/requests/_owner.py
@@ -41,7 +41,8 @@
     fewest_queued, most_queued : int
         Bounds of a service's queue, in requests.
     runner_tries : int
-        Runners that are tried for one attempt before it is refused.
+        Times that an attempt is sent, and not executed, before it is
+        refused.
     unknown_hold_ms : int
         Time after its deadline that an attempt of unknown outcome keeps
         its slot and token, unless the runner tells that it ended.
--- a/samphiregate/core/requests/_pool.py
+++ b/samphiregate/core/requests/_pool.py
@@ -25,14 +25,17 @@
     ----------
     sender : str
         Entry VM that the outcome is told to.
-    tried : frozenset of str
-        Runners that refused it.
+    avoided : frozenset of str
+        Runners that could not be reached with it.
+    tries : int
+        Times that it was sent and not executed.
     """
 
     sender: str
     message: _messages.DispatchRequest
     deadline_ms: int
-    tried: frozenset[str] = frozenset()
+    avoided: frozenset[str] = frozenset()
+    tries: int = 0
     runner_id: str = ""
     sent_ms: int = 0
 
@@ -110,6 +113,13 @@
         """Returns whether any runner offers a slot."""
         return self.router.choose(routing.PickEndpoint(), now_ms) is not None
 
+    def has_none_but(self, runner_ids):
+        """Returns whether no runner is left apart from those given."""
+        return not any(
+            runner.usable() and runner_id not in runner_ids
+            for runner_id, runner in self.runners_by_id.items()
+        )
+
     def pick(self, excluded, now_ms):
         """Returns the runner for an attempt, or None."""
         question = routing.PickEndpoint(excluded)
--- a/samphiregate/core/requests/_runners.py
+++ b/samphiregate/core/requests/_runners.py
@@ -62,10 +62,16 @@
         return len(self.running) + len(self.unknown_by_key)
 
     def free(self, now_ms):
-        """Returns the slots that may be given out at `now_ms`."""
+        """Returns the slots that may be given out at `now_ms`.
+
+        After a refusal, one attempt at a time is sent until an answer comes.
+        """
         if not self.usable() or now_ms < self.paused_until_ms:
             return 0
-        return max(self.info.slots - self.used() - self.foreign, 0)
+        free = max(self.info.slots - self.used() - self.foreign, 0)
+        if self.pause_ms:
+            return 0 if self.running else min(free, 1)
+        return free
 
     def usable(self):
         """Returns whether new work may go there at all."""
