--- /dev/null
+++ b/features/steps/routing_steps.py
@@ -0,0 +1,214 @@
+"""Steps about the routing policies."""
+
+import collections
+import random
+
+import behave
+
+from samphiregate.core import routing
+
+GOOD_MS = 20
+
+
+def make(name, seed=1):
+    params = {}
+    if name == "power-of-two":
+        params["random_state"] = random.Random(seed)
+    return routing.make_router(name, **params)
+
+
+def change(policy, endpoint_id, free, load=0.0, latency_ms=10.0):
+    event = routing.EndpointChanged(endpoint_id, free, load, latency_ms)
+    policy.observe(event, 0)
+
+
+def choices(policy, count, excluded=(), only_free=True):
+    question = routing.PickEndpoint(frozenset(excluded), only_free)
+    return collections.Counter(
+        policy.choose(question, 0) for _ in range(count)
+    )
+
+
+def names(text):
+    return {None} if text == "nothing" else set(text.split())
+
+
+@behave.given("routing: the policy {name}")
+def given_policy(context, name):
+    context.policy = make(name)
+
+
+@behave.given(
+    "routing: endpoints a with {a:d} free, b with {b:d} free,"
+    " c with {c:d} free"
+)
+def given_endpoints(context, a, b, c):
+    for endpoint_id, free, load in (("a", a, 0.5), ("b", b, 1), ("c", c, 0.5)):
+        change(context.policy, endpoint_id, free, load)
+
+
+@behave.when("routing: endpoint {endpoint_id} is removed")
+def when_removed(context, endpoint_id):
+    context.policy.observe(routing.EndpointRemoved(endpoint_id), 0)
+
+
+@behave.when("routing: endpoint {endpoint_id} has no free slot")
+def when_full(context, endpoint_id):
+    change(context.policy, endpoint_id, 0, 2.0)
+
+
+@behave.then("routing: {count:d} choices fall on {expected} only")
+def then_choices(context, count, expected):
+    found = set(choices(context.policy, count))
+    assert found <= names(expected) and found, found
+
+
+@behave.then("routing: {count:d} choices fall on nothing")
+def then_no_choice(context, count):
+    assert set(choices(context.policy, count)) == {None}
+
+
+@behave.then("routing: {count:d} choices without {excluded} fall on nothing")
+def then_none_left(context, count, excluded):
+    found = set(choices(context.policy, count, excluded))
+    assert found == {None}, found
+
+
+@behave.then(
+    "routing: {count:d} choices without {excluded}, full or not,"
+    " fall on {expected} only"
+)
+def then_full_without(context, count, excluded, expected):
+    found = set(choices(context.policy, count, excluded, only_free=False))
+    assert found == names(expected), found
+
+
+@behave.then(
+    "routing: {count:d} choices, full or not, fall on {expected} only"
+)
+def then_full(context, count, expected):
+    found = set(choices(context.policy, count, only_free=False))
+    assert found == names(expected), found
+
+
+@behave.given("routing: {count:d} entry VMs with the policy {name}")
+def given_vms(context, count, name):
+    context.policies = [make(name, seed) for seed in range(count)]
+
+
+@behave.given("routing: all see 10 endpoints with loads from 0 to 0.9")
+def given_view(context):
+    for policy in context.policies:
+        for number in range(10):
+            change(policy, f"e{number}", 1, number / 10)
+
+
+@behave.when("routing: each chooses once")
+def when_each_chooses(context):
+    context.chosen = collections.Counter()
+    for policy in context.policies:
+        context.chosen += choices(policy, 1)
+
+
+@behave.then("routing: no endpoint got more than {most:d} of the 50")
+def then_spread(context, most):
+    assert context.chosen.total() == 50
+    assert max(context.chosen.values()) <= most, context.chosen
+
+
+@behave.given("routing: endpoint a takes {a:d} ms and endpoint b {b:d} ms")
+def given_latencies(context, a, b):
+    change(context.policy, "a", 1, 0.5, a)
+    change(context.policy, "b", 1, 0.5, b)
+
+
+@behave.then("routing: of {count:d} choices at least {least:d} fall on a")
+def then_fall_on_a(context, count, least):
+    found = choices(context.policy, count)
+    assert found["a"] >= least, found
+
+
+@behave.given("routing: a judge that has seen {count:d} good endpoints")
+def given_judge(context, count):
+    context.judge = routing.OutlierJudge()
+    context.now_ms = 0
+    context.good = [f"good-{number}" for number in range(count)]
+    for endpoint_id in context.good:
+        end(context, endpoint_id, True, GOOD_MS, times=20)
+
+
+def end(context, endpoint_id, succeeded, elapsed_ms, times=1):
+    event = routing.AttemptEnded(endpoint_id, succeeded, elapsed_ms)
+    for _ in range(times):
+        context.judge.observe(event, context.now_ms)
+
+
+def offered(context, endpoint_id="a", free=8, running=0):
+    question = routing.SlotsToOffer(endpoint_id, free, running)
+    return context.judge.choose(question, context.now_ms)
+
+
+@behave.when("routing: endpoint a fails {times:d} times in a row")
+def when_fails(context, times):
+    end(context, "a", False, GOOD_MS, times)
+
+
+@behave.when("routing: endpoint a succeeds in {elapsed:d} ms")
+def when_succeeds(context, elapsed):
+    end(context, "a", True, elapsed)
+
+
+@behave.when("routing: endpoint a succeeds {times:d} times in {elapsed:d} ms")
+def when_succeeds_often(context, times, elapsed):
+    end(context, "a", True, elapsed, times)
+
+
+@behave.when("routing: {duration:d} ms pass")
+def when_time_passes(context, duration):
+    context.now_ms += duration
+
+
+@behave.when(
+    "routing: {duration:d} ms pass and every probe of it fails"
+    " {probes:d} times"
+)
+def when_probes_fail(context, duration, probes):
+    context.now_ms += duration
+    context.gaps = []
+    for _ in range(probes):
+        assert offered(context) == 1
+        end(context, "a", False, GOOD_MS)
+        failed_ms = context.now_ms
+        while not offered(context):
+            context.now_ms += 100
+        context.gaps.append(context.now_ms - failed_ms)
+
+
+@behave.then("routing: the gaps between probes are {gaps}")
+def then_gaps(context, gaps):
+    expected = [] if gaps == "none" else [int(g) for g in gaps.split(", ")]
+    assert context.gaps == expected, context.gaps
+
+
+@behave.then("routing: it is offered {slots:d} of 8 slots")
+def then_offered(context, slots):
+    assert offered(context) == slots, offered(context)
+
+
+@behave.then(
+    "routing: it is offered {slots:d} of 8 slots while {running:d} is in use"
+)
+def then_offered_while(context, slots, running):
+    assert offered(context, running=running) == slots
+
+
+@behave.when("routing: all endpoints become slow one after the other")
+def when_all_slow(context):
+    for endpoint_id in context.good:
+        end(context, endpoint_id, True, 5_000, times=30)
+
+
+@behave.then("routing: at most {most:d} are avoided")
+def then_avoided(context, most):
+    avoided = context.judge.describe()["avoided"]
+    assert 0 < len(avoided) <= most, avoided
--- a/samphiregate/core/routing/_outliers.py
+++ b/samphiregate/core/routing/_outliers.py
@@ -1,6 +1,7 @@
 """Finds endpoints that fail or are slow, and probes them."""
 
 import functools
+import statistics
 
 import attrs
 
@@ -9,6 +10,7 @@
 from samphiregate import parameters
 
 LATENCY_DECAY = 0.2
+MEDIAN_EVERY = 16
 MIN_SLOW_MS = 50.0
 
 
@@ -27,16 +29,16 @@
     """Says how many slots of an endpoint may be given out.
 
     An endpoint that fails several times in a row, or whose recent latency is
-    far above the mean of all endpoints, is avoided; once the gap is over, one
-    attempt at a time probes it. A failed probe lengthens the gap, a success
-    ends it.
+    far above the median of all endpoints, is avoided; once the gap is over,
+    one attempt at a time probes it. A failed probe lengthens the gap, a
+    success ends it.
 
     Parameters
     ----------
     failures_in_row : int
         Failures after which an endpoint is avoided.
     slow_factor : float
-        Multiple of the mean latency above which an endpoint is slow.
+        Multiple of the median latency above which an endpoint is slow.
     slow_after : int
         Attempts before an endpoint's latency is judged.
     first_gap_ms, longest_gap_ms : int
@@ -73,7 +75,8 @@
         self.check_parameters()
         self.records_by_id_ = {}
         self.avoided_ids_ = set()
-        self.mean_latency_ms_ = 0.0
+        self.median_ms_ = 0.0
+        self._seen = 0
 
     @functools.singledispatchmethod
     def observe(self, event, now_ms):
@@ -120,14 +123,16 @@
     def _note_latency(self, record, elapsed_ms):
         record.attempts += 1
         record.latency_ms = _decayed(record.latency_ms, elapsed_ms)
-        self.mean_latency_ms_ = _decayed(
-            self.mean_latency_ms_, min(elapsed_ms, self._slow_limit_ms())
-        )
+        if self._seen % MEDIAN_EVERY == 0:
+            self.median_ms_ = statistics.median(
+                known.latency_ms
+                for known in self.records_by_id_.values()
+                if known.attempts
+            )
+        self._seen += 1
 
     def _slow_limit_ms(self):
-        if not self.mean_latency_ms_:
-            return float("inf")
-        return max(self.mean_latency_ms_ * self.slow_factor, MIN_SLOW_MS)
+        return max(self.median_ms_ * self.slow_factor, MIN_SLOW_MS)
 
     def _is_slow(self, endpoint_id, record):
         if record.attempts < self.slow_after:
