Test the configuration under faults in virtual time

Cause: the configuration must never revert, and withdrawn keys stay withdrawn. Change: scenarios of loss, duplicates, stale reads, restarts, pauses, outages, partitions; any order of news as a property.

--- /dev/null
+++ b/features/steps/configuration_steps.py
@@ -0,0 +1,470 @@
+"""Steps about the configuration in virtual time."""
+
+import random
+
+import behave
+import hypothesis
+from hypothesis import strategies
+
+from features.support import configuration_fleet
+from samphiregate.core import base
+from samphiregate.core import configuration as configurations
+from samphiregate.core import model
+from samphiregate.core import store
+
+KEY_HASH = "5a" * 32
+TEAM = "team-a"
+PEER = "peer"
+FLAPS = 8
+
+
+def key_record():
+    """Returns the record of the key that scenarios are about."""
+    return model.KeyRecord(KEY_HASH, "key-1", TEAM)
+
+
+def make_replica(**parameters):
+    """Returns a replica without peers."""
+    fleet = configuration_fleet.Fleet(data_centres=1, vms=0)
+    return configurations.ConfigurationReplica(
+        vm_id="vm",
+        data_centre="dc",
+        membership=configuration_fleet.FakeMembership(fleet, "vm"),
+        random_state=random.Random(1),
+        **parameters,
+    )
+
+
+def make_edits(count, **first_changes):
+    """Returns edits from revision 1 on."""
+    team = model.Team(TEAM, "plan")
+    edits = [configurations.Edit(1, "edit-1", teams=(team,), **first_changes)]
+    edits += [
+        configurations.Edit(
+            revision,
+            f"edit-{revision}",
+            teams=(model.Team("b", str(revision)),),
+        )
+        for revision in range(2, count + 1)
+    ]
+    return edits
+
+
+def deliver(replica, message, now_ms=0):
+    """Hands a peer's message to a replica."""
+    return replica.handle(base.PeerDelivered(PEER, message), now_ms)
+
+
+def stale_reads(fleet):
+    fleet.store.stale_reads = True
+    fleet.start("vm-003")
+    fleet.call(2_000, fleet.start, "vm-000")
+
+
+def watcher_dies(fleet):
+    fleet.kill("vm-000", noticed=False)
+    fleet.call(4_000, fleet.notice, "vm-000")
+
+
+def all_restarted(fleet):
+    for number, vm_id in enumerate(fleet.data_centre_by_vm):
+        fleet.call(500 * number, fleet.start, vm_id)
+
+
+def store_cut_for_all(fleet):
+    fleet.store.cut_off |= set(fleet.data_centre_by_vm)
+
+
+def isolated(fleet):
+    fleet.cut("dc-00", "dc-01")
+    fleet.cut("dc-00", "dc-02")
+    fleet.store.cut_off |= set(fleet.vms_of("dc-00"))
+
+
+def flapping(fleet):
+    for number in range(FLAPS):
+        fleet.call(1_000 * number, isolated, fleet)
+        fleet.call(1_000 * number + 500, fleet.heal)
+
+
+FAULTS = {
+    "none": lambda fleet: None,
+    "loss": lambda fleet: setattr(fleet, "loss", 0.3),
+    "duplicates": lambda fleet: [
+        setattr(fleet, "duplication", 0.5),
+        setattr(fleet, "jitter_ms", 3_000),
+    ],
+    "stale reads": stale_reads,
+    "watcher dies": watcher_dies,
+    "watcher dead, unnoticed": lambda fleet: fleet.kill(
+        "vm-000", noticed=False
+    ),
+    "all restarted": all_restarted,
+    "one paused": lambda fleet: fleet.paused.add("vm-001"),
+    "store cut for one": lambda fleet: fleet.store.cut_off.update(
+        fleet.vms_of("dc-01")
+    ),
+    "store cut for all": store_cut_for_all,
+    "partition": lambda fleet: fleet.cut("dc-00", "dc-01"),
+    "isolated": isolated,
+    "flapping": flapping,
+}
+
+
+@behave.given(
+    "a configuration fleet of {vms:d} VMs in {data_centres:d} data centres, "
+    "seed {seed:d}"
+)
+def given_fleet(context, vms, data_centres, seed):
+    context.fleet = configuration_fleet.Fleet(
+        data_centres=data_centres, vms=vms, seed=seed
+    )
+    context.fleet.run(2_000)
+
+
+@behave.given(
+    "a configuration fleet of {vms:d} VMs in {data_centres:d} data centres, "
+    "keys valid {valid:d} ms"
+)
+def given_fleet_with_bound(context, vms, data_centres, valid):
+    context.fleet = configuration_fleet.Fleet(
+        data_centres=data_centres, vms=vms, keys_valid_without_news_ms=valid
+    )
+    context.fleet.run(2_000)
+
+
+@behave.given("the configuration fault {fault}")
+def given_fault(context, fault):
+    FAULTS[fault](context.fleet)
+
+
+@behave.given("a configuration key that every VM accepts")
+def given_key(context):
+    context.fleet.store.accept(
+        teams=(model.Team(TEAM, "plan"),), given_keys=(key_record(),)
+    )
+    context.fleet.run(3_000)
+    assert teams_of_key(context.fleet) == {TEAM}
+
+
+@behave.given("a configuration replica with a key of revision 1")
+def given_replica_with_key(context):
+    context.replica = make_replica()
+    edits = make_edits(1, given_keys=(key_record(),))
+    deliver(context.replica, configurations.ConfigurationDelta(tuple(edits)))
+    assert context.replica.team_for_key_hash(KEY_HASH) == TEAM
+
+
+@behave.given("a configuration replica that took {count:d} edits")
+def given_replica_with_edits(context, count):
+    context.replica = make_replica()
+    for edit in make_edits(count):
+        deliver(context.replica, configurations.ConfigurationDelta((edit,)))
+    assert context.replica.configuration.revision == count
+
+
+@behave.given(
+    "a configuration replica started at {start:d} ms, keys valid {valid:d} ms"
+)
+def given_started_replica(context, start, valid):
+    context.replica = make_replica(keys_valid_without_news_ms=valid)
+    context.replica.handle(base.Tick(), start)
+
+
+@behave.when("{count:d} configuration edits come, {gap:d} ms apart")
+def when_edits(context, count, gap):
+    for number in range(count):
+        team = model.Team("team-b", f"plan-{number}")
+        context.fleet.store.accept(teams=(team,))
+        context.fleet.run(gap)
+
+
+@behave.when("the configuration faults end")
+def when_faults_end(context):
+    fleet = context.fleet
+    fleet.heal()
+    fleet.loss = fleet.duplication = 0.0
+    fleet.jitter_ms = 0
+    fleet.paused.clear()
+    fleet.store.stale_reads = False
+
+
+@behave.when("the store goes down for the configuration")
+def when_store_down(context):
+    context.fleet.store.down = True
+
+
+@behave.when("the configuration VM {vm_id} is replaced")
+def when_replaced(context, vm_id):
+    context.fleet.start(vm_id)
+
+
+@behave.when("{duration:d} ms of configuration time pass")
+def when_time_passes(context, duration):
+    context.fleet.run(duration)
+
+
+@behave.when(
+    "data centre {data_centre} can't reach the store of the configuration"
+)
+def when_store_cut(context, data_centre):
+    fleet = context.fleet
+    fleet.store.cut_off |= set(fleet.vms_of(data_centre))
+
+
+@behave.when("the configuration key is withdrawn")
+def when_withdrawn(context):
+    context.fleet.store.accept(withdrawn_keys=(KEY_HASH,))
+
+
+@behave.when("the configuration meets {after}")
+def when_meets(context, after):
+    fleet = context.fleet
+    if after == "the key given again":
+        fleet.store.accept(given_keys=(key_record(),))
+    elif after == "every VM replaced":
+        for vm_id in fleet.data_centre_by_vm:
+            fleet.start(vm_id)
+    elif after == "its team removed":
+        fleet.store.accept(removed_teams=(TEAM,))
+    else:
+        send_old_news(fleet, after)
+    fleet.run(3_000)
+
+
+def send_old_news(fleet, kind):
+    """Sends each VM what was true before the withdrawal."""
+    edits = tuple(make_edits(1, given_keys=(key_record(),)))
+    old = configurations.apply_edits(model.Configuration(), edits)
+    if kind == "an old snapshot":
+        message = configurations.ConfigurationSnapshot(old)
+    else:
+        message = configurations.ConfigurationDelta(edits)
+    for vm_id in fleet.data_centre_by_vm:
+        fleet.later(1, vm_id, base.PeerDelivered("vm-001", message))
+
+
+@behave.when(
+    "a configuration peer sends revision {revision:d}, which withdraws the key"
+)
+def when_early_withdrawal(context, revision):
+    edit = configurations.Edit(
+        revision, "withdrawal", withdrawn_keys=(KEY_HASH,)
+    )
+    context.actions = deliver(
+        context.replica, configurations.ConfigurationDelta((edit,))
+    )
+
+
+@behave.when("a configuration peer of revision {revision:d} compares")
+def when_compares(context, revision):
+    digest = configurations.ConfigurationDigest(revision)
+    context.actions = deliver(context.replica, digest)
+
+
+@behave.when("the configuration VM {vm_id} is cut off from {cut}")
+def when_cut_off(context, vm_id, cut):
+    fleet = context.fleet
+    fleet.store.cut_off.add(vm_id)
+    if cut == "everything":
+        # Alone in its data centre, so that the cut leaves it no peer.
+        fleet.data_centre_by_vm[vm_id] = "alone"
+        fleet.cut("alone", "dc-00")
+        fleet.cut("alone", "dc-01")
+
+
+@behave.when("an answer to its comparison of {asked:d} ms comes at {now:d} ms")
+def when_late_answer(context, asked, now):
+    answer = configurations.ConfigurationDigest(
+        0, asked_ms=asked, is_reply=True
+    )
+    deliver(context.replica, answer, now)
+
+
+@behave.when("the store tells the configuration head {document}")
+def when_head(context, document):
+    changed = store.KeyChanged(
+        configurations.HEAD_KEY, 2, document.encode("utf-8")
+    )
+    context.actions = context.replica.handle(changed, 0)
+
+
+@behave.when(
+    "the store tells a configuration head of revisions {first:d} and "
+    "{second:d}"
+)
+def when_head_with_gap(context, first, second):
+    edits = tuple(
+        configurations.Edit(revision, f"edit-{revision}")
+        for revision in (first, second)
+    )
+    head = configurations.Head(second, 0, edits)
+    changed = store.KeyChanged(
+        configurations.HEAD_KEY, 2, configurations.encode(head)
+    )
+    context.actions = context.replica.handle(changed, 0)
+
+
+@behave.then("it reads the configuration's snapshot")
+def then_reads_snapshot(context):
+    (read,) = context.actions
+    assert read.key == configurations.SNAPSHOT_KEY, read
+
+
+@behave.then("within {within:d} ms each VM has the latest configuration")
+def then_latest_within(context, within):
+    context.fleet.run(within)
+    then_latest(context)
+
+
+@behave.then("each VM has the latest configuration")
+def then_latest(context):
+    wanted = context.fleet.store.configuration
+    for vm_id in context.fleet.revisions():
+        held = context.fleet.replica_by_vm[vm_id].configuration
+        assert held == wanted, (vm_id, held.revision, wanted.revision)
+
+
+@behave.then("no VM's configuration ever reverted")
+def then_never_reverted(context):
+    assert not context.fleet.reverted, context.fleet.reverted
+
+
+@behave.then("no VM accepts the configuration key")
+def then_none_accepts(context):
+    assert teams_of_key(context.fleet) == {None}
+
+
+def teams_of_key(fleet):
+    """Returns what the VMs take the key for."""
+    return {
+        fleet.replica_by_vm[vm_id].team_for_key_hash(KEY_HASH)
+        for vm_id in fleet.revisions()
+    }
+
+
+@behave.then("the configuration VM {vm_id} {verdict} the key")
+def then_verdict(context, vm_id, verdict):
+    replica = context.fleet.replica_by_vm[vm_id]
+    wanted = TEAM if verdict == "accepts" else None
+    assert replica.team_for_key_hash(KEY_HASH) == wanted
+    assert replica.cut_off == (verdict == "refuses")
+
+
+@behave.then("the configuration replica refuses the key")
+def then_refuses(context):
+    assert context.replica.team_for_key_hash(KEY_HASH) is None
+
+
+@behave.then("it asks that peer for what lies before")
+def then_asks(context):
+    (asked,) = context.actions
+    assert asked.recipient == PEER
+    assert isinstance(asked.message, configurations.ConfigurationDigest)
+    assert asked.message.revision == 1
+
+
+@behave.then("its configuration is still of revision {revision:d}")
+def then_revision(context, revision):
+    assert context.replica.configuration.revision == revision
+
+
+@behave.then("the configuration replica answers with {kind}")
+def then_answers(context, kind):
+    reply, *updates = (action.message for action in context.actions)
+    assert reply.is_reply
+    kinds = {
+        configurations.ConfigurationDelta: "edits",
+        configurations.ConfigurationSnapshot: "snapshot",
+    }
+    found = [kinds[type(update)] for update in updates]
+    assert found == ([] if kind == "nothing" else [kind]), found
+
+
+@behave.then("the age of its configuration news is {age:d} ms")
+def then_news_age(context, age):
+    assert context.replica.news_age_ms == age, context.replica.news_age_ms
+
+
+@behave.then("the unreadable configuration document is counted")
+def then_unreadable(context):
+    assert context.replica.unreadable_documents_ == 1
+
+
+@behave.then(
+    "the store was called at most {most:d} times a second about the "
+    "configuration"
+)
+def then_few_calls(context, most):
+    counts = context.fleet.counts
+    rate = counts.store_calls * 1_000 / context.fleet.now_ms
+    assert rate <= most, rate
+
+
+@behave.then("no order of configuration news reverts a replica")
+def then_no_order_reverts(context):
+    edits = make_edits(12, given_keys=(key_record(),))
+    edits[5] = configurations.Edit(6, "edit-6", withdrawn_keys=(KEY_HASH,))
+    states = [model.Configuration()]
+    for edit in edits:
+        states.append(configurations.apply_edit(states[-1], edit))
+
+    @hypothesis.settings(derandomize=True, deadline=None, database=None)
+    @hypothesis.given(strategies.lists(news_strategy(edits, states)))
+    def check(news):
+        check_news(news, states)
+
+    check()
+
+
+def news_strategy(edits, states):
+    """Returns a strategy for one piece of news, of any revisions."""
+    numbers = strategies.integers(0, len(edits))
+    deltas = strategies.builds(
+        lambda a, b: configurations.ConfigurationDelta(
+            tuple(edits[min(a, b) : max(a, b)])
+        ),
+        numbers,
+        numbers,
+    )
+    snapshots = strategies.builds(
+        lambda number: configurations.ConfigurationSnapshot(states[number]),
+        numbers,
+    )
+    heads = strategies.builds(
+        lambda number: store.KeyChanged(
+            configurations.HEAD_KEY,
+            number,
+            configurations.encode(
+                configurations.Head(number, 0, tuple(edits[:number]))
+            ),
+        ),
+        numbers,
+    )
+    return strategies.one_of(deltas, snapshots, heads)
+
+
+def check_news(news, states):
+    """Checks the replica after each piece of news."""
+    replica = make_replica()
+    highest = 0
+    withdrawn = False
+    for number, item in enumerate(news):
+        if isinstance(item, store.KeyChanged):
+            replica.handle(item, number)
+        else:
+            deliver(replica, item, number)
+        revision = replica.configuration.revision
+        assert revision >= highest
+        assert replica.configuration == states[revision]
+        highest = revision
+        withdrawn |= revision >= 6 or tells_withdrawal(item)
+        if withdrawn:
+            assert replica.team_for_key_hash(KEY_HASH) is None
+
+
+def tells_withdrawal(item):
+    """Returns whether a piece of news tells of the withdrawal."""
+    if isinstance(item, configurations.ConfigurationDelta):
+        return any(edit.withdrawn_keys for edit in item.edits)
+    return False
--- a/samphiregate/core/configuration/_documents.py
+++ b/samphiregate/core/configuration/_documents.py
@@ -111,12 +111,14 @@
 
 
 def _decode(value, kind):
+    detail = f"the store holds no readable {kind.__name__} document"
     try:
-        return _CONVERTER.structure(orjson.loads(value), kind)
+        document = orjson.loads(value)
+        if not isinstance(document, dict):
+            raise errors.BadInputError(detail)
+        return _CONVERTER.structure(document, kind)
     except (orjson.JSONDecodeError, cattrs.BaseValidationError) as error:
-        raise errors.BadInputError(
-            f"the store holds no readable {kind.__name__} document"
-        ) from error
+        raise errors.BadInputError(detail) from error
 
 
 def _make_converter():
--- a/samphiregate/core/configuration/_history.py
+++ b/samphiregate/core/configuration/_history.py
@@ -38,7 +38,7 @@
         newer = [edit for edit in edits if edit.revision > self.revision]
         if not newer:
             return True
-        if newer[0].revision != self.revision + 1:
+        if not _leads_on(newer, self.revision):
             self._withdraw_early(newer)
             return False
         self.configuration = _edits.apply_edits(self.configuration, newer)
@@ -89,3 +89,9 @@
             for key_hash, revision in self._early_withdrawals.items()
             if revision > self.revision
         }
+
+
+def _leads_on(edits, revision):
+    """Returns whether edits follow a revision, and each other."""
+    expected = range(revision + 1, revision + 1 + len(edits))
+    return [edit.revision for edit in edits] == list(expected)
--- a/samphiregate/core/configuration/_replica.py
+++ b/samphiregate/core/configuration/_replica.py
@@ -82,8 +82,8 @@
         fanout=3,
         watchers=1,
         compare_interval_ms=1_000,
-        check_interval_ms=10_000,
-        watch_without_news_ms=15_000,
+        check_interval_ms=3_000,
+        watch_without_news_ms=9_000,
         keys_valid_without_news_ms=14_400_000,
     ):
         self.vm_id = vm_id
@@ -281,7 +281,8 @@
         if head.revision <= self._history.revision:
             return []
         before = self._history.revision
-        if self._history.take_edits(head.edits):
+        self._history.take_edits(head.edits)
+        if self._history.revision >= head.revision:
             return self._announce(before)
         self._head = head
         return self._read(_documents.SNAPSHOT_KEY, now_ms)
@@ -294,7 +295,8 @@
             return []
         before = self._history.revision
         self._history.take_configuration(configuration)
-        if not self._history.take_edits(self._head.edits):
+        self._history.take_edits(self._head.edits)
+        if self._history.revision < self._head.revision:
             # The store gave a snapshot that is older than its head.
             self._next_check_ms = now_ms + self.compare_interval_ms
         return self._announce(before)
