--- a/samphiregate/core/configuration/_documents.py
+++ b/samphiregate/core/configuration/_documents.py
@@ -81,9 +81,9 @@
     edits: tuple[Edit, ...] = ()
 
 
-def encode_head(head):
-    """Returns the bytes of a `Head`."""
-    return _encode(head)
+def encode(document):
+    """Returns the bytes of a `Head`, an `Edit` or a `Configuration`."""
+    return orjson.dumps(_CONVERTER.unstructure(document))
 
 
 def decode_head(value):
@@ -97,11 +97,6 @@
     return _decode(value, Head) if value else Head()
 
 
-def encode_configuration(configuration):
-    """Returns the bytes of a whole configuration."""
-    return _encode(configuration)
-
-
 def decode_configuration(value):
     """Returns the `Configuration` in `value`; an empty one for no bytes.
 
@@ -115,17 +110,15 @@
     return _decode(value, model.Configuration)
 
 
-def _encode(document):
-    return orjson.dumps(_CONVERTER.unstructure(document))
-
-
 def _decode(value, kind):
+    detail = f"the store holds no readable {kind.__name__} document"
     try:
-        return _CONVERTER.structure(orjson.loads(value), kind)
+        document = orjson.loads(value)
+        if not isinstance(document, dict):
+            raise errors.BadInputError(detail)
+        return _CONVERTER.structure(document, kind)
     except (orjson.JSONDecodeError, cattrs.BaseValidationError) as error:
-        raise errors.BadInputError(
-            f"the store holds no readable {kind.__name__} document"
-        ) from error
+        raise errors.BadInputError(detail) from error
 
 
 def _make_converter():
