Balance the load over ready entry VMs; build the machines of jobs

Change: a balancer that probes /ready every 200 ms; the daemon builds JobOwner and WorkerOwner; status shows what each team has running; a site reports a VM that ended instead of waiting for it.

--- a/samphiregate/core/limits/_holder.py
+++ b/samphiregate/core/limits/_holder.py
@@ -164,6 +164,14 @@
         holding = self._holdings_by_team.get(team)
         return max(0, holding.idle) if holding else 0
 
+    def in_use_by_team(self):
+        """Returns the tokens of running work of each team that has some."""
+        return {
+            team: holding.in_use
+            for team, holding in self._holdings_by_team.items()
+            if holding.in_use
+        }
+
     # Events.
 
     def handle(self, event, now_ms):
--- a/samphiregate/daemon/_machines.py
+++ b/samphiregate/daemon/_machines.py
@@ -6,11 +6,20 @@
 
 from samphiregate.core import base
 from samphiregate.core import configuration
+from samphiregate.core import jobs
 from samphiregate.core import limits
 from samphiregate.core import membership
 from samphiregate.core import ownership
+from samphiregate.core import placement
+from samphiregate.core import preemption
+from samphiregate.core import quarantine
+from samphiregate.core import queueing
 from samphiregate.core import requests
+from samphiregate.core import sizing
 from samphiregate.core import vm
+from samphiregate.core import workers
+
+LAPSE_LEASES = 2
 
 
 @attrs.frozen
@@ -24,6 +33,8 @@
     limits: base.StateMachine
     request_edge: base.StateMachine
     runner_owner: base.StateMachine
+    job_owner: base.StateMachine
+    worker_owner: base.StateMachine
 
 
 def build(settings):
@@ -57,7 +68,10 @@
         **common(),
     )
     tokens = limits.TokenHolder(
-        membership=members, ownership=owners, **common()
+        membership=members,
+        ownership=owners,
+        lapse_ms=LAPSE_LEASES * settings.lease_ms,
+        **common(),
     )
     edge = requests.RequestEdge(
         configuration_replica=replica, membership=members, **common()
@@ -65,7 +79,38 @@
     runner_owner = requests.RunnerOwner(
         tokens=tokens, shard_count=settings.shard_count, **common()
     )
-    machines = (members, owners, replica, tokens, edge, runner_owner)
+    worker_owner = workers.WorkerOwner(
+        ownership=owners,
+        membership=members,
+        tokens=tokens,
+        rooms=placement.make_placement("indexed-best-fit"),
+        learner=sizing.SizeLearner(),
+        judge=quarantine.FailureJudge(),
+        victims=preemption.CheapestVictims(),
+        ladder=sizing.CutBackLadder(),
+        shard_count=settings.shard_count,
+        renew_ms=settings.renew_ms,
+        lease_ms=settings.lease_ms,
+        **common(),
+    )
+    job_owner = jobs.JobOwner(
+        ownership=owners,
+        membership=members,
+        queue=queueing.make_queue("fair-share"),
+        judge=quarantine.FailureJudge(),
+        shard_count=settings.shard_count,
+        **common(),
+    )
+    machines = (
+        members,
+        owners,
+        replica,
+        tokens,
+        edge,
+        runner_owner,
+        worker_owner,
+        job_owner,
+    )
     entry_vm = vm.EntryVm(vm_id=settings.vm_id, machines=machines)
     return Machines(
         entry_vm=entry_vm,
@@ -75,4 +120,6 @@
         limits=tokens,
         request_edge=edge,
         runner_owner=runner_owner,
+        job_owner=job_owner,
+        worker_owner=worker_owner,
     )
--- a/samphiregate/daemon/_status.py
+++ b/samphiregate/daemon/_status.py
@@ -27,6 +27,7 @@
         "news_age_ms": machines.configuration.news_age_ms,
         "peers": _peers(machines.membership),
         "owned_shards": _shards(machines.ownership),
+        "running_by_team": machines.limits.in_use_by_team(),
         "queues": machines.runner_owner.describe(),
         "counts": dict(node.metrics.counts_by_name),
     }
--- a/standins/load/_load.py
+++ b/standins/load/_load.py
@@ -2,7 +2,6 @@
 
 import collections
 import enum
-import itertools
 import random
 import time
 
@@ -12,13 +11,12 @@
 from hdrh import histogram
 import orjson
 
-from samphiregate.adapters import http
 from samphiregate import errors
+from standins.load import _balancer
 
 MAX_IN_FLIGHT = 2_000
 LONGEST_MS = 600_000
-CLIENT_CONNECTIONS = 256
-CLIENT_TIMEOUT_MS = 60_000
+PROGRESS_S = 0.5
 MILLISECONDS = 1_000
 
 
@@ -30,6 +28,7 @@
     REFUSED = "refused"
     UNKNOWN = "unknown"
     CUT = "cut"
+    NO_ENTRY = "no-entry"
 
 
 @attrs.frozen
@@ -100,8 +99,9 @@
     Parameters
     ----------
     loads : iterable of RequestLoad
-    endpoints : sequence of str
-        ``ip:port`` of entry VMs, taken in turn as a balancer would.
+    endpoints : callable
+        Returns the ``ip:port`` of each entry VM that exists now; those that
+        are ready are taken in turn.
     random_state : random.Random
         Source of the times between requests.
     on_progress : callable or None
@@ -113,34 +113,25 @@
         In the order of `loads`.
     """
     results = [LoadResult(load) for load in loads]
-    clients = [
-        http.Client(
-            endpoint,
-            connections=CLIENT_CONNECTIONS,
-            timeout_ms=CLIENT_TIMEOUT_MS,
-        )
-        for endpoint in endpoints
-    ]
-    turns = itertools.cycle(clients)
-    senders = [
-        gevent.spawn(
-            _send_all, result, turns, random.Random(random_state.random())
-        )
-        for result in results
-    ]
-    while gevent.joinall(senders, timeout=0.5) != senders:
-        if on_progress:
-            on_progress(results)
-        if all(sender.ready() for sender in senders):
-            break
-    for sender in senders:
-        sender.get()
-    for client in clients:
-        client.close()
+    with _balancer.Balancer(endpoints) as balancer:
+        senders = [
+            gevent.spawn(
+                _send_all,
+                result,
+                balancer,
+                random.Random(random_state.random()),
+            )
+            for result in results
+        ]
+        while len(gevent.joinall(senders, timeout=PROGRESS_S)) < len(senders):
+            if on_progress:
+                on_progress(results)
+        for sender in senders:
+            sender.get()
     return results
 
 
-def _send_all(result, turns, random_state):
+def _send_all(result, balancer, random_state):
     load = result.load
     pool = gevent.pool.Pool(MAX_IN_FLIGHT)
     start = time.monotonic()
@@ -151,12 +142,16 @@
             break
         gevent.sleep(max(due - time.monotonic(), 0))
         result.sent += 1
-        pool.spawn(_send_one, result, next(turns), result.sent, due)
+        client = balancer.next_client()
+        pool.spawn(_send_one, result, client, result.sent, due)
     pool.join()
 
 
 def _send_one(result, client, number, due):
     load = result.load
+    if client is None:
+        result.counts_by_outcome[Outcome.NO_ENTRY] += 1
+        return
     body = _body(load, number)
     headers = {
         "Content-Type": "application/json",
--- a/standins/site/_site.py
+++ b/standins/site/_site.py
@@ -12,6 +12,7 @@
 SECRET = "a secret for stand-in sites"
 READY_TIMEOUT_S = 30
 FLEET_LAG_MS = 300
+LOG_TAIL = 2_000
 WORKER_CAPACITY = model.Resources(32_000, 65_536, 0)
 ACCELERATED_CAPACITY = model.Resources(64_000, 131_072, 8)
 
@@ -171,6 +172,10 @@
         self.processes_by_name.pop(vm_id, None)
         self._platform.request("DELETE", f"/fleet/entry-vms/{vm_id}")
 
+    def http_endpoints(self):
+        """Returns the ``ip:port`` of every entry VM for callers."""
+        return [vm.http_endpoint for vm in self.vms_by_id.values()]
+
     def wait_until_ready(self):
         """Waits until every entry VM says that it is ready."""
         for vm in self.vms_by_id.values():
@@ -181,7 +186,16 @@
             )
 
     def is_ready(self, vm):
-        """Returns whether an entry VM says that it is ready."""
+        """Returns whether an entry VM says that it is ready.
+
+        Raises
+        ------
+        StartError
+            If its process has ended.
+        """
+        if vm.process.exit_status is not None:
+            log = self.log_of(vm.vm_id)[-LOG_TAIL:]
+            raise processes.StartError(f"{vm.vm_id} ended: {log}")
         answer = self.ask(vm, "/ready")
         return answer is not None and answer.status == 200
 
