Check the callers' API on loopback

Cause: what callers send is not to be trusted, and each must get the whole answer to its own request.

--- a/features/support/edge.py
+++ b/features/support/edge.py
@@ -22,7 +22,8 @@
 
 VM_ID = "vm-0"
 TICK_MS = 20
-KEY_HASH_PREFIX = "hash-"
+SOCKET_TIMEOUT_S = 10
+WAITING_JOB = "waiting-job"
 
 
 class HashedReplica(fakes.FakeReplica):
@@ -42,12 +43,18 @@
 
 
 class FakeJobs(base.StateMachine):
-    """Answers calls about jobs at once."""
+    """Answers calls about jobs, those about `WAITING_JOB` when told to."""
+
+    def __init__(self):
+        self.waiting_ids = []
 
     def handle(self, event, now_ms):
         if isinstance(event, jobs.SubmitJob):
-            view = self._view("job-1", event.spec)
+            view = self.view("job-1", event.spec)
             return [jobs.JobAnswer(event.call_id, (view,))]
+        if getattr(event, "job_id", "") == WAITING_JOB:
+            self.waiting_ids.append(event.call_id)
+            return []
         if isinstance(event, (jobs.ShowJob, jobs.CancelJob)):
             refused = errors.ErrorCode.NOT_FOUND
             return [jobs.JobAnswer(event.call_id, error=refused)]
@@ -55,7 +62,8 @@
             return [jobs.JobAnswer(event.call_id, complete=False)]
         return []
 
-    def _view(self, job_id, spec):
+    def view(self, job_id, spec):
+        """Returns a job as it is shown."""
         return jobs.JobView(
             job_id=job_id,
             team=spec.team,
@@ -88,7 +96,8 @@
             random_state=random.Random(2),
             shard_count=fakes.SHARD_COUNT,
         )
-        machines = (self.edge_machine, self.owner, FakeJobs())
+        self.jobs = FakeJobs()
+        machines = (self.edge_machine, self.owner, self.jobs)
         self.vm = vm.EntryVm(vm_id=VM_ID, machines=machines)
         self.runners = [
             runner.Runner("127.0.0.1:0", slots=slots, work_ms=2)
@@ -150,10 +159,36 @@
         with http.Client(self.server.endpoint, connections=1) as client:
             return client.request(method, path, body=body, headers=sent)
 
+    def end_waits(self):
+        """Answers the calls about `WAITING_JOB`."""
+        spec = model.JobSpec(
+            job_id=WAITING_JOB,
+            team="huts",
+            work_class=model.WorkClass.BATCH,
+            task_count=1,
+            resources=model.Resources(1),
+        )
+        for call_id in self.jobs.waiting_ids:
+            view = self.jobs.view(WAITING_JOB, spec)
+            self.server.perform(jobs.JobAnswer(call_id, (view,)))
+
+    def connect(self):
+        """Returns a new connection."""
+        host, _colon, port = self.server.endpoint.rpartition(":")
+        address = (host, int(port))
+        return socket.create_connection(address, SOCKET_TIMEOUT_S)
+
+    def idle_connections(self):
+        """Returns how many connections wait for a request."""
+        return self.server.describe()["idle_connections"]
+
+    def bytes_being_read(self):
+        """Returns the bytes that bodies being read may take."""
+        return self.server.describe()["bytes_being_read"]
+
     def send_raw(self, data, half_close=True):
         """Sends bytes over a new connection and reads to the end."""
-        host, _colon, port = self.server.endpoint.rpartition(":")
-        with socket.create_connection((host, int(port)), timeout=10) as sock:
+        with self.connect() as sock:
             sock.sendall(data)
             if half_close:
                 sock.shutdown(socket.SHUT_WR)
@@ -162,8 +197,8 @@
                 received += block
         return received
 
-    def send_many(self, count, clients=200):
-        """Sends distinct requests concurrently.
+    def send_many(self, count, clients):
+        """Sends distinct requests over kept connections.
 
         Returns
         -------
@@ -176,12 +211,27 @@
             with http.Client(self.server.endpoint, connections=1) as client:
                 for index in range(number, count, clients):
                     body = b"body %d" % index
-                    answers_by_body[body] = client.request(
-                        "POST",
-                        "/v1/queues/holds/requests",
-                        body=body,
-                        headers={"Authorization": "Bearer huts"},
-                    )
+                    answers_by_body[body] = self.post(client, body)
 
         gevent.joinall([gevent.spawn(send, n) for n in range(clients)])
         return answers_by_body
+
+    def send_each(self, bodies):
+        """Sends each body at once over a connection of its own."""
+        answers_by_body = {}
+
+        def send(body):
+            with http.Client(self.server.endpoint, connections=1) as client:
+                answers_by_body[body] = self.post(client, body)
+
+        gevent.joinall([gevent.spawn(send, body) for body in bodies])
+        return answers_by_body
+
+    def post(self, client, body):
+        """Sends one request of team huts."""
+        headers = {
+            "Authorization": "Bearer huts",
+            "Content-Type": "application/json",
+        }
+        path = "/v1/queues/holds/requests"
+        return client.request("POST", path, body=body, headers=headers)
--- a/samphiregate/adapters/edge/_bodies.py
+++ b/samphiregate/adapters/edge/_bodies.py
@@ -28,7 +28,7 @@
         self.most_body_bytes = most_body_bytes
         self.most_reading_bytes = most_reading_bytes
         self.timeout_ms = timeout_ms
-        self._reserved = 0
+        self.bytes_being_read = 0
 
     def read(self, environ):
         """Returns the whole body of a request.
@@ -71,17 +71,17 @@
 
     @contextlib.contextmanager
     def _reservation(self, size):
-        if self._reserved + size > self.most_reading_bytes:
+        if self.bytes_being_read + size > self.most_reading_bytes:
             raise errors.SamphiregateError(
                 _Code.OVERLOADED,
                 "too many bodies are being read",
                 retry_after_ms=1_000,
             )
-        self._reserved += size
+        self.bytes_being_read += size
         try:
             yield
         finally:
-            self._reserved -= size
+            self.bytes_being_read -= size
 
     def _too_large(self):
         return errors.SamphiregateError(
--- a/samphiregate/adapters/edge/_connections.py
+++ b/samphiregate/adapters/edge/_connections.py
@@ -22,6 +22,11 @@
     def __len__(self):
         return len(self._open)
 
+    @property
+    def idle_count(self):
+        """Number of connections that wait for their next request."""
+        return len(self._idle)
+
     def opened(self, sock):
         """Takes in a new connection.
 
--- a/samphiregate/adapters/edge/_server.py
+++ b/samphiregate/adapters/edge/_server.py
@@ -82,7 +82,7 @@
             configuration_replica=configuration_replica,
             operator_networks=operator_networks,
         )
-        bodies = _bodies.BodyReader(
+        self._bodies = _bodies.BodyReader(
             most_body_bytes=most_body_bytes,
             most_reading_bytes=most_reading_bytes,
             timeout_ms=body_timeout_ms,
@@ -90,13 +90,13 @@
         application = _application.EdgeApplication(
             requests_api=_requests_api.RequestsApi(
                 access=access,
-                bodies=bodies,
+                bodies=self._bodies,
                 calls=self._calls,
                 configuration_replica=configuration_replica,
                 metrics=metrics,
             ),
             jobs_api=_jobs_api.JobsApi(
-                access=access, bodies=bodies, calls=self._calls
+                access=access, bodies=self._bodies, calls=self._calls
             ),
             status_api=_status_api.StatusApi(
                 access=access,
@@ -130,6 +130,15 @@
         """Number of calls that wait for their answer."""
         return len(self._calls)
 
+    def describe(self):
+        """Returns counts of connections and calls, as plain values."""
+        return {
+            "calls": len(self._calls),
+            "connections": len(self._connections),
+            "idle_connections": self._connections.idle_count,
+            "bytes_being_read": self._bodies.bytes_being_read,
+        }
+
     @functools.singledispatchmethod
     def perform(self, action):
         """Takes an action that answers a call; others are ignored."""
