--- a/samphiregate/lists/_fields.py
+++ b/samphiregate/lists/_fields.py
@@ -48,11 +48,15 @@
     return isinstance(value, str) and bool(_NAME.fullmatch(value))
 
 
+def matches(name, names):
+    """Returns the set of the one name that is most like `name`, if any."""
+    return set(difflib.get_close_matches(str(name), list(names), n=1))
+
+
 def closest(name, names):
-    """Returns a hint with the names most like `name`."""
-    matches = difflib.get_close_matches(str(name), list(names), n=1)
-    if matches:
-        return f"did you mean {matches[0]}?"
+    """Returns a hint with the name most like `name`."""
+    for match in matches(name, names):
+        return f"did you mean {match}?"
     return "known: " + ", ".join(sorted(names)[:10]) if names else ""
 
 
--- a/samphiregate/lists/_lists.py
+++ b/samphiregate/lists/_lists.py
@@ -73,7 +73,7 @@
     checker = _Checker(teams_source, plans_source)
     lists = checker.check()
     if checker.problems:
-        raise _problems.InvalidListsError(checker.problems)
+        raise _problems.InvalidListsError(sorted(checker.problems, key=_place))
     return lists
 
 
@@ -136,12 +136,15 @@
             header = ".".join(path)
             self._add(source, path, "is not a table", f"write [{header}]")
             return {}
+        misspelt = set()
         for name in entry.keys() - fields.keys():
+            misspelt |= _fields.matches(name, fields.keys() - entry.keys())
             hint = _fields.closest(name, fields)
             self._add(source, (*path, name), "is not known here", hint)
         return {
             name: self._value(source, (*path, name), entry, field)
             for name, field in fields.items()
+            if name not in misspelt
         }
 
     def _value(self, source, path, entry, field):
@@ -207,6 +210,10 @@
         self.problems.append(source.problem(path, detail, hint))
 
 
+def _place(problem):
+    return problem.file, problem.line, problem.path
+
+
 def _make(entries_by_name, make):
     return {name: make(name, entry) for name, entry in entries_by_name.items()}
 
--- a/samphiregate/lists/_source.py
+++ b/samphiregate/lists/_source.py
@@ -1,5 +1,6 @@
 """One file of a list: its text, what it says, and where it says it."""
 
+import os
 import re
 import tomllib
 
@@ -94,8 +95,9 @@
             here = table + _split(assignment[1])
         else:
             continue
-        if here == path[: len(here)] and len(here) > best_depth:
-            best_line, best_depth = number, len(here)
+        depth = len(os.path.commonprefix([here, path]))
+        if depth in (len(here), len(path)) and depth > best_depth:
+            best_line, best_depth = number, depth
     return best_line
 
 
