--- a/standins/platform/_values.py
+++ b/standins/platform/_values.py
@@ -57,8 +57,8 @@
 
     def __init__(self, *, reads_per_second, writes_per_second, clock_ms):
         self.counts = Counts()
-        self._reads = Rate(reads_per_second)
-        self._writes = Rate(writes_per_second)
+        self.read_rate = Rate(reads_per_second)
+        self.write_rate = Rate(writes_per_second)
         self._clock_ms = clock_ms
         self._entries_by_key = {}
         self._previous_by_key = {}
@@ -67,12 +67,12 @@
     def take_read(self):
         """Counts a read and returns whether it is within the rate."""
         self.counts.reads += 1
-        return self._take(self._reads)
+        return self._take(self.read_rate)
 
     def take_write(self):
         """Counts a write and returns whether it is within the rate."""
         self.counts.writes += 1
-        return self._take(self._writes)
+        return self._take(self.write_rate)
 
     def read(self, key, *, stale=False):
         """Returns the entry of a key, or with `stale` the one before."""
@@ -118,6 +118,6 @@
         self.counts.over_rate += not within
         self.counts.busiest_second = max(
             self.counts.busiest_second,
-            self._reads.in_second + self._writes.in_second,
+            self.read_rate.in_second + self.write_rate.in_second,
         )
         return within
