--- a/samphiregate/daemon/_node.py
+++ b/samphiregate/daemon/_node.py
@@ -10,11 +10,13 @@
 from samphiregate.adapters import peers
 from samphiregate.adapters import platform
 from samphiregate.adapters import runners
+from samphiregate.adapters import workers as worker_exchanges
 from samphiregate.core import base
 from samphiregate.core import fleet
 from samphiregate.core import jobs
 from samphiregate.core import requests
 from samphiregate.core import store
+from samphiregate.core import workers
 from samphiregate.daemon import _loop
 from samphiregate.daemon import _machines
 from samphiregate.daemon import _status
@@ -23,6 +25,8 @@
 
 DRAIN_POLL_S = 0.05
 MS_PER_SECOND = 1_000
+EXCHANGE_TIMEOUT_MS = 2_000
+EXCHANGES_PER_LEASE = 4
 
 
 class Node(contextlib.ExitStack):
@@ -49,6 +53,7 @@
         self.enter_context(self.timers)
         self._start_peers()
         self._start_runners()
+        self._start_workers()
         self._start_edge()
         self._start_platform()
         tick = self.timers.every(self.settings.tick_ms, self._tick)
@@ -128,6 +133,17 @@
         )
         self.enter_context(self._runners)
 
+    def _start_workers(self):
+        exchanges = worker_exchanges.WorkerExchanges(
+            deliver=self.loop.deliver,
+            timeout_ms=min(
+                EXCHANGE_TIMEOUT_MS,
+                self.settings.lease_ms // EXCHANGES_PER_LEASE,
+            ),
+        )
+        self.loop.perform_with(exchanges.perform, workers.ExchangeWithWorker)
+        self.enter_context(exchanges)
+
     def _start_edge(self):
         settings = self.settings
         self._edge = edge.EdgeServer(
