Take late successes, keep workers for starved gangs, hand tokens over

Cause: an attempt that was given up as its worker was out of reach may have succeeded; its task ran again although the worker told so later. Samples that still contain ended tasks counted as stray use after the book of a worker changed, which closed its room for up to 5 s. A worker that did not answer was asked again only after a whole renewal interval. Change: a late success ends the task and stops a later attempt; the ended part of a sample is marked as released; an unreachable worker is asked again after a second. Gangs that wait 15 s have workers drained for them. Tokens of work that goes on under another owner are handed over.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -99,6 +99,11 @@
       | each fifth message is lost |
       | a worker restarts          |
 
+  Scenario: a large gang is not starved by a stream of small tasks
+    Given a job site of 3 entry VMs and 4 workers of 8 cores, where a team may run 90 tasks
+    When 600 batch tasks of 5 s are queued and then a gang of 4 tasks of 8 cores
+    Then the gang of the job site ends within 90 s, before the stream
+
   Scenario Outline: a service is kept at its count and spread over racks: <fault>
     Given a job site of 3 entry VMs and 12 workers of 8 cores, where a team may run 60 tasks
     And a service of 6 replicas that runs
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -277,6 +277,29 @@
     assert longest_ms <= limit_s * 1_000, longest_ms
 
 
+@behave.when(
+    "{count:d} batch tasks of {run_s:d} s are queued and then a gang of "
+    "{size:d} tasks of {cores:d} cores"
+)
+def when_stream_and_gang(context, count, run_s, size, cores):
+    site = context.site
+    site.submit("vm0", "batch", "batch", count, run_time_ms=run_s * 1_000)
+    assert site.run_until(lambda: len(site.running()) > 20, 10_000)
+    site.submit("vm1", "gang", "gang", size, resources=_resources(cores))
+
+
+@behave.then(
+    "the gang of the job site ends within {limit_s:d} s, before the stream"
+)
+def then_gang_not_starved(context, limit_s):
+    site = context.site
+    _accepted(site, "gang")
+    gang_id = site.job_of("gang")
+    ended = site.run_until(lambda: site.has_ended(gang_id), limit_s * 1_000)
+    assert ended, site.record_of(gang_id).count_by_state
+    assert not site.has_ended(site.job_of("batch"))
+
+
 @behave.then(
     "within {limit_s:d} s the service has {count:d} replicas on {racks:d} "
     "racks again"
--- a/features/support/jobs.py
+++ b/features/support/jobs.py
@@ -56,6 +56,10 @@
         part = self.part_by_team.get(team, 0)
         self.part_by_team[team] = part + units
 
+    def hand_over(self, team, now_ms, units=1):
+        self.release(team, now_ms, units)
+        self.part_by_team[team] -= units
+
     def excess(self, team):
         part = self.part_by_team.get(team, 0)
         return max(0, self.used_by_team[team] - part)
--- a/samphiregate/core/jobs/_owner.py
+++ b/samphiregate/core/jobs/_owner.py
@@ -27,7 +27,12 @@
 from samphiregate import parameters
 
 LIVE_STATES_TO_ASK = frozenset(
-    {_records.STARTING, _records.STOPPING, _records.RECALLING}
+    {
+        _records.STARTING,
+        _records.STOPPING,
+        _records.RECALLING,
+        _records.SETTLING,
+    }
 )
 
 
--- a/samphiregate/core/jobs/_records.py
+++ b/samphiregate/core/jobs/_records.py
@@ -15,11 +15,14 @@
 RUNNING = "running"
 RECALLING = "recalling"
 STOPPING = "stopping"
+SETTLING = "settling"
 SUCCEEDED = "succeeded"
 FAILED = "failed"
 CANCELLED = "cancelled"
-LIVE_STATES = frozenset({STARTING, RUNNING, RECALLING, STOPPING})
+LIVE_STATES = frozenset({STARTING, RUNNING, RECALLING, STOPPING, SETTLING})
 ENDED_STATES = frozenset({SUCCEEDED, FAILED, CANCELLED})
+FINAL_STATES = ENDED_STATES | {SETTLING}
+"""States whose outcome is known; `SETTLING` waits for a later attempt."""
 FAILED_WORKERS_MAX = 4
 
 
@@ -112,7 +115,7 @@
         self._count(task.state, -1)
         self._count(state, 1)
         task.state = state
-        if state in ENDED_STATES:
+        if state in FINAL_STATES:
             self.changed.add(task.index)
         return True
 
@@ -213,17 +216,23 @@
 
 
 def _shown(state):
-    return STOPPING if state == RECALLING else state
+    return STOPPING if state in (RECALLING, SETTLING) else state
 
 
 def _has_mark(task):
-    return task.state in ENDED_STATES or task.failures or task.checkpoint
+    return task.state in FINAL_STATES or task.failures or task.checkpoint
+
+
+def _final_state(task):
+    if task.state == SETTLING:
+        return SUCCEEDED
+    return task.state if task.state in ENDED_STATES else ""
 
 
 def _mark(task):
     return _peer.TaskMark(
         task.index,
-        task.state if task.state in ENDED_STATES else "",
+        _final_state(task),
         failures=task.failures,
         starts=task.starts,
         checkpoint=task.checkpoint,
--- a/samphiregate/core/jobs/_tasks.py
+++ b/samphiregate/core/jobs/_tasks.py
@@ -17,6 +17,9 @@
         workers.TaskReason.LEAVING,
     }
 )
+STOPPED_STATES = frozenset(
+    {_records.STOPPING, _records.RECALLING, _records.SETTLING}
+)
 BACKOFF_DOUBLINGS_MAX = 6
 
 
@@ -83,6 +86,8 @@
         task = job.tasks[news.task_id.index]
         if news.attempt > task.attempt:
             self._adopt(shard, job, task, news, now_ms)
+        if news.attempt < task.attempt:
+            self._overtaken(shard, job, task, news, now_ms)
         if news.attempt != task.attempt or not task.is_live:
             self._disown(shard, news, sender)
             return
@@ -121,7 +126,7 @@
         if news.phase is workers.TaskPhase.RUNNING:
             if job.step(task, "started") or task.starts == 0:
                 task.starts += 1
-        if task.state in (_records.STOPPING, _records.RECALLING):
+        if task.state in STOPPED_STATES:
             self.stop_again(job, task, now_ms)
 
     def _over(self, shard, job, task, news, sender, now_ms):
@@ -245,6 +250,27 @@
             if job.cancelled:
                 job.step(task, "cancel")
 
+    def _overtaken(self, shard, job, task, news, now_ms):
+        """An attempt that was given up has succeeded after all.
+
+        A later one that was ordered meanwhile is stopped.
+        """
+        if news.phase is not workers.TaskPhase.SUCCEEDED:
+            return
+        if job.spec.work_class is model.WorkClass.SERVICE:
+            return
+        was_queued = task.state == _records.QUEUED
+        if not job.step(task, "overtaken"):
+            return
+        shard.sender.touch(job)
+        if was_queued:
+            job_id = job.spec.job_id
+            self._dispatcher.withdraw(job_id, task.index, now_ms)
+        else:
+            self.stop_again(job, task, now_ms)
+        if job.is_over and job.ended_ms is None:
+            self._finish(shard, job, now_ms)
+
     def _disown(self, shard, news, sender):
         """Answers news of an attempt that this owner does not want."""
         if shard.phase is not _shards.ShardPhase.READY:
@@ -261,7 +287,9 @@
     def _stop(self, job, task):
         task_id = model.TaskId(job.spec.job_id, task.index)
         stop = workers.TaskStop(
-            task_id, task.attempt, checkpoint=not job.cancelled
+            task_id,
+            task.attempt,
+            checkpoint=task.state == _records.RECALLING,
         )
         self._orders.stop(task.vm_id, stop)
 
--- a/samphiregate/core/workers/_exchange.py
+++ b/samphiregate/core/workers/_exchange.py
@@ -15,6 +15,7 @@
     _messages.WorkerTaskState.REFUSED: _peer.TaskPhase.NOT_STARTED,
 }
 REFUSED_RETRY_MS = 100
+UNREACHABLE_RETRY_MS = 1_000
 END_GRACE_MS = 100
 ENDED_SINCE_SAMPLE = model.TaskId("", 0)
 
@@ -100,6 +101,7 @@
         """
         exchange, record.flying = record.flying, None
         record.phase = _records.WorkerPhase.INVENTORY
+        record.next_exchange_ms = now_ms + UNREACHABLE_RETRY_MS
         if outcome is model.AttemptOutcome.UNKNOWN:
             record.commands[:0] = _repeatable(exchange.commands)
         else:
@@ -200,6 +202,7 @@
         used_by_task = dict(record.used_by_task)
         known = sum(used_by_task.values(), start=model.Resources())
         used_by_task[ENDED_SINCE_SAMPLE] = record.used_ours - known
+        record.book.release(ENDED_SINCE_SAMPLE)
         record.book.observe_report(
             record.used_total, used_by_task, record.sampled_ms, now_ms
         )
--- a/samphiregate/core/workers/_gangs.py
+++ b/samphiregate/core/workers/_gangs.py
@@ -23,6 +23,22 @@
     places: list[tuple[model.TaskId, str]] = attrs.field(factory=list)
 
 
+@attrs.define
+class StarvedGang:
+    """A gang for which workers are drained.
+
+    Parameters
+    ----------
+    seen_ms : int
+        When it last asked for places.
+    ask_again_ms : int
+        When more workers are drained, if it still waits.
+    """
+
+    seen_ms: int
+    ask_again_ms: int = 0
+
+
 class GangHolds:
     """Holds room for gangs on the workers of one entry VM.
 
@@ -30,6 +46,9 @@
     ----------
     ledger : Ledger
         Bookings and tokens.
+    starved_ms : int
+        Wait from which on workers are drained for a gang; also the time
+        between two such requests, and after the last of which they end.
 
     Notes
     -----
@@ -37,9 +56,11 @@
     itself. So half-placed gangs cannot block each other for good.
     """
 
-    def __init__(self, *, ledger):
+    def __init__(self, *, ledger, starved_ms):
         self._ledger = ledger
+        self._starved_ms = starved_ms
         self.holds_by_id_ = {}
+        self.starved_by_job_ = {}
 
     def reserve(self, message, now_ms):
         """Holds up to the asked count and returns the answer."""
@@ -55,6 +76,7 @@
             if not self._hold_place(hold, message, index, now_ms):
                 self._ledger.tokens.release(message.team, now_ms)
                 break
+        self._note_starved(message, len(hold.places), now_ms)
         return _peer.GangReserved(
             message.reservation, len(hold.places), limited
         )
@@ -88,14 +110,36 @@
         for hold in tuple(self.holds_by_id_.values()):
             if now_ms >= hold.until_ms:
                 self.release(hold.reservation, now_ms)
+        self._expire_starved(now_ms)
 
-    def _hold_place(self, hold, message, index, now_ms):
-        question = placement.PlaceTask(
-            message.job_id, model.WorkClass.GANG, message.resources
+    def _note_starved(self, message, held, now_ms):
+        """Has workers drained for a gang that waits too long."""
+        if message.waited_ms < self._starved_ms or held == message.count:
+            return
+        starved = self.starved_by_job_.setdefault(
+            message.job_id, StarvedGang(now_ms)
         )
-        worker_id = self._ledger.rooms.choose(question, now_ms)
-        if worker_id is None:
+        starved.seen_ms = now_ms
+        if now_ms >= starved.ask_again_ms:
+            starved.ask_again_ms = now_ms + self._starved_ms
+            event = placement.GangStarved(
+                message.job_id, message.resources, message.count
+            )
+            self._ledger.rooms.observe(event, now_ms)
+
+    def _expire_starved(self, now_ms):
+        for job_id, starved in tuple(self.starved_by_job_.items()):
+            if now_ms - starved.seen_ms >= self._starved_ms:
+                del self.starved_by_job_[job_id]
+                event = placement.GangWithdrawn(job_id)
+                self._ledger.rooms.observe(event, now_ms)
+
+    def _hold_place(self, hold, message, index, now_ms):
+        question = placement.PlaceGang(message.job_id, message.resources, 1)
+        places = self._ledger.rooms.choose(question, now_ms)
+        if places is None:
             return False
+        (worker_id,) = places
         task_id = model.TaskId(message.reservation, index)
         record = self._ledger.workers_by_id[worker_id]
         record.book.book(task_id, message.resources)
--- a/samphiregate/core/workers/_ledger.py
+++ b/samphiregate/core/workers/_ledger.py
@@ -17,7 +17,8 @@
     Parameters
     ----------
     tokens : object
-        Has `acquire`, `release` and `restore` of a team's tokens.
+        Has `acquire`, `release`, `restore` and `hand_over` of a team's
+        tokens.
     rooms : base.Policy
         Placement policy.
     judge : base.Policy
@@ -66,7 +67,10 @@
         self.live_by_task[task_id] = booking
         team = self.live_by_team.setdefault(booking.team, {})
         team[booking.attempt_id] = booking
-        placed = placement.TaskPlaced(task_id.job_id, booking.worker_id)
+        end_ms = now_ms + booking.run_time_ms if booking.run_time_ms else 0
+        placed = placement.TaskPlaced(
+            task_id.job_id, booking.worker_id, end_ms
+        )
         self.rooms.observe(placed, now_ms)
         self.judge.observe(
             quarantine.TaskBegun(booking.worker_id, task_id.job_id), now_ms
@@ -162,11 +166,15 @@
             record.commands.append(command)
 
     def drop_worker(self, worker_id, now_ms):
-        """Forgets a worker that is gone or owned by another entry VM."""
+        """Forgets a worker that is gone or owned by another entry VM.
+
+        Tokens of what may run there go to the next owner.
+        """
         record = self.workers_by_id.pop(worker_id)
         for booking in record.bookings_by_id.values():
             if not booking.is_over:
                 self._unbook(booking, now_ms)
+                self.tokens.hand_over(booking.team, now_ms)
             self.unkept_by_id.pop(booking.attempt_id, None)
         removed = placement.WorkerRemoved(worker_id)
         self.rooms.observe(removed, now_ms)
--- a/samphiregate/core/workers/_owner.py
+++ b/samphiregate/core/workers/_owner.py
@@ -47,6 +47,8 @@
         Added to a lease before it counts as surely lapsed.
     urgent_wait_ms : int
         How long an urgent order waits for preempted work to end.
+    gang_starved_ms : int
+        Wait from which on workers are drained for a gang.
     news_ms : int
         Time after which ends that are not kept are told again.
     summary_ms : int
@@ -65,6 +67,7 @@
         "lease_ms": parameters.Interval(int, 100, 3_600_000),
         "margin_ms": parameters.Interval(int, 0, 600_000),
         "urgent_wait_ms": parameters.Interval(int, 0, 60_000),
+        "gang_starved_ms": parameters.Interval(int, 0, 3_600_000),
         "news_ms": parameters.Interval(int, 100, 600_000),
         "summary_ms": parameters.Interval(int, 100, 60_000),
     }
@@ -88,6 +91,7 @@
         lease_ms=15_000,
         margin_ms=500,
         urgent_wait_ms=3_000,
+        gang_starved_ms=15_000,
         news_ms=2_000,
         summary_ms=1_000,
     ):
@@ -102,6 +106,7 @@
         self.lease_ms = lease_ms
         self.margin_ms = margin_ms
         self.urgent_wait_ms = urgent_wait_ms
+        self.gang_starved_ms = gang_starved_ms
         self.news_ms = news_ms
         self.summary_ms = summary_ms
         self.check_parameters()
@@ -117,7 +122,9 @@
             victims=victims,
             outbox=self.outbox_,
         )
-        self.holds_ = _gangs.GangHolds(ledger=self.ledger_)
+        self.holds_ = _gangs.GangHolds(
+            ledger=self.ledger_, starved_ms=gang_starved_ms
+        )
         self.desk_ = _orders.OrderDesk(
             ledger=self.ledger_,
             holds=self.holds_,
