--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -66,6 +66,18 @@
       | none              |
       | job owner crashes |
 
+  Scenario Outline: what a caller was told survives the crash of the job owner <moment> ms later: <call>
+    Given a job site of 3 entry VMs and 4 workers of 8 cores, where a team may run 60 tasks
+    When a job owner of the job site crashes <moment> ms after it answered <call>, with all that it had sent
+    Then the job of the job site still <outcome>
+
+    Examples:
+      | moment | call   | outcome            |
+      | 0      | submit | succeeds           |
+      | 1      | submit | succeeds           |
+      | 0      | cancel | shows as cancelled |
+      | 1      | cancel | shows as cancelled |
+
   Scenario Outline: a cancelled job leaves no ghost: cancelled after <moment> ms, <fault>
     Given a job site of 3 entry VMs and 4 workers of 8 cores, where a team may run 60 tasks
     When a batch job of 60 tasks is cancelled <moment> ms after it was accepted, with <fault>
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -173,6 +173,55 @@
     assert answer.error is errors.ErrorCode.CONFLICT, answer
 
 
+def _answered_at_owner(site, call_id):
+    """Runs until the owner has sent an answer; returns the owner."""
+    sent = []
+    deliver = site.peer_filter
+
+    def watch(sender, recipient, message):
+        answer = getattr(message, "answer", None)
+        if answer is not None and answer.call_id == call_id:
+            sent.append((sender, answer))
+        return deliver(sender, recipient, message)
+
+    site.peer_filter = watch
+    while not sent:
+        site.run_for(1)
+    return sent[0]
+
+
+@behave.when(
+    "a job owner of the job site crashes {moment:d} ms after it answered "
+    "{call}, with all that it had sent"
+)
+def when_owner_crashes_after(context, moment, call):
+    site = context.site
+    site.submit("vm0", "job", "batch", 4)
+    owner, answer = _answered_at_owner(site, "job")
+    context.job_id = answer.jobs[0].job_id
+    if call == "cancel":
+        site.run_for(50)
+        caller = next(one for one in site.vms_by_id if one != owner)
+        cancel = jobs.CancelJob("cancel", FULL_PLAN_TEAM, context.job_id)
+        site.deliver(caller, cancel)
+        _answered_at_owner(site, "cancel")
+    site.run_for(moment)
+    site.crash(owner, lose_sent=True)
+
+
+@behave.then("the job of the job site still {outcome}")
+def then_still(context, outcome):
+    site = context.site
+    ended = site.run_until(lambda: site.has_ended(context.job_id), 60_000)
+    assert ended, "the job is lost"
+    state = site.record_of(context.job_id).state()
+    wanted = {
+        "succeeds": model.JobState.SUCCEEDED,
+        "shows as cancelled": model.JobState.CANCELLED,
+    }
+    assert state is wanted[outcome], state
+
+
 @behave.when(
     "a batch job of {count:d} tasks is cancelled {moment:d} ms after it was "
     "accepted, with {fault}"
--- a/features/support/jobs.py
+++ b/features/support/jobs.py
@@ -156,7 +156,7 @@
         self.clock_rate_by_worker = {}
         self._heap = []
         self._order = itertools.count()
-        self._links = {}
+        self._cut_senders = set()
         self._seen_history = collections.Counter()
         self._vm_count = vm_count
         self.workers_by_id = {}
@@ -220,9 +220,14 @@
         )
         self._at(TICK_MS, lambda: self._tick(vm_id))
 
-    def crash(self, vm_id):
-        """Ends a VM at once; the others take over after a while."""
+    def crash(self, vm_id, *, lose_sent=False):
+        """Ends a VM at once; the others take over after a while.
+
+        With `lose_sent`, what it sent and is still on its way is lost.
+        """
         self.vms_by_id.pop(vm_id)
+        if lose_sent:
+            self._cut_senders.add(vm_id)
         self._at(DETECT_MS, lambda: self.declare_dead(vm_id))
 
     def declare_dead(self, vm_id):
@@ -510,9 +515,13 @@
         for delay_ms in delays:
             self._at(
                 PEER_DELAY_MS + delay_ms,
-                lambda: self.deliver(recipient, event),
+                lambda: self._arrive(sender, recipient, event),
             )
 
+    def _arrive(self, sender, recipient, event):
+        if sender not in self._cut_senders:
+            self.deliver(recipient, event)
+
     def _exchange(self, vm_id, exchange):
         worker_id = exchange.worker_id
         fate = self.exchange_filter(vm_id, exchange)
