Look at a worker when something changed, not at each event

Cause: every event looked at every owned worker, and each second every room was reckoned again. Change: an exchange is looked for with the workers that an event touched, and with all of them five times a second; rooms are reckoned with each answer, over-use is looked at with each sample.

--- a/samphiregate/core/workers/_ledger.py
+++ b/samphiregate/core/workers/_ledger.py
@@ -38,6 +38,8 @@
         Attempts that ended and whose end is not kept yet.
     live_by_team : dict of str to dict
         Live bookings of each team by attempt, oldest first.
+    touched_by_id : dict of str to WorkerRecord
+        Workers for which an exchange may be due at once.
     """
 
     def __init__(self, *, tokens, rooms, judge, victims, outbox):
@@ -50,6 +52,12 @@
         self.live_by_task = {}
         self.unkept_by_id = {}
         self.live_by_team = {}
+        self.touched_by_id = {}
+
+    def command(self, record, command):
+        """Adds a command to the next exchange with a worker."""
+        record.commands.append(command)
+        self.touched_by_id[record.info.worker_id] = record
 
     def find(self, attempt_id):
         """Returns the booking of an attempt, live or unkept, or None."""
@@ -127,7 +135,7 @@
             return
         saved = checkpoint and booking.checkpointable
         kind = _messages.CheckpointTask if saved else _messages.StopTask
-        record.commands.append(kind(task_id, booking.attempt_id.attempt))
+        self.command(record, kind(task_id, booking.attempt_id.attempt))
 
     def end(self, booking, news, now_ms):
         """Ends a live booking; its token and room are free again."""
@@ -163,7 +171,7 @@
             command = _messages.ForgetTask(
                 attempt_id.task_id, attempt_id.attempt
             )
-            record.commands.append(command)
+            self.command(record, command)
 
     def drop_worker(self, worker_id, now_ms):
         """Forgets a worker that is gone or owned by another entry VM.
@@ -171,6 +179,7 @@
         Tokens of what may run there go to the next owner.
         """
         record = self.workers_by_id.pop(worker_id)
+        self.touched_by_id.pop(worker_id, None)
         for booking in record.bookings_by_id.values():
             if not booking.is_over:
                 self._unbook(booking, now_ms)
@@ -192,8 +201,8 @@
         )
         record.usable = usable
         if usable:
-            room = record.book.room(now_ms)
-            event = placement.WorkerRoomChanged(record.info, room)
+            record.room = record.book.room(now_ms)
+            event = placement.WorkerRoomChanged(record.info, record.room)
         else:
             event = placement.WorkerRemoved(worker_id)
         self.rooms.observe(event, now_ms)
--- a/samphiregate/core/workers/_orders.py
+++ b/samphiregate/core/workers/_orders.py
@@ -213,7 +213,7 @@
         )
         self._ledger.book(booking, now_ms)
         record = self._ledger.workers_by_id[worker_id]
-        record.commands.append(_start(order, amount))
+        self._ledger.command(record, _start(order, amount))
         self._ledger.outbox.tell(self._booked_news(booking))
 
     def _preempt(self, order, now_ms):
--- a/samphiregate/core/workers/_owner.py
+++ b/samphiregate/core/workers/_owner.py
@@ -19,6 +19,8 @@
 from samphiregate.core.workers import _summary
 from samphiregate import parameters
 
+SCAN_MS = 200
+
 
 class WorkerOwner(base.StateMachine, parameters.Parameterised):
     """Books, starts, renews and ends tasks on the workers that it owns.
@@ -148,6 +150,7 @@
         self.gone_ms_by_id_ = {}
         self._next_news_ms = 0
         self._next_summary_ms = 0
+        self._next_scan_ms = 0
 
     def handle(self, event, now_ms):
         """Takes one event and returns what has to be done."""
@@ -163,16 +166,15 @@
     @_take.register
     def _(self, event: base.Tick, now_ms):
         self.holds_.expire(now_ms)
-        for record in tuple(self.ledger_.workers_by_id.values()):
-            self._check_lapse(record, now_ms)
+        if now_ms >= self._next_scan_ms:
+            for record in tuple(self.ledger_.workers_by_id.values()):
+                self._check_lapse(record, now_ms)
         self.relief_.enforce_limits(now_ms)
         if now_ms >= self._next_news_ms:
             self._next_news_ms = now_ms + self.news_ms
             self._repeat_news()
         if now_ms >= self._next_summary_ms:
             self._next_summary_ms = now_ms + self.summary_ms
-            self.relief_.cut_over_use(now_ms)
-            self._refresh_rooms(now_ms)
             self._send_summary(now_ms)
 
     @_take.register
@@ -220,7 +222,9 @@
         record = self._record_of(event)
         if record is not None:
             self.exchanges_.answered(record, event.report, now_ms)
+            self.relief_.cut_over_use(record, now_ms)
             self._learn(record, event.report, now_ms)
+            self.ledger_.touched_by_id[event.worker_id] = record
 
     @_take.register
     def _(self, event: _messages.WorkerUnreachable, now_ms):
@@ -303,7 +307,7 @@
     def _add_worker(self, info, now_ms):
         shard = self._shard_of(info.worker_id)
         previous = self.previous_owner_by_shard_.get(shard, "")
-        self.ledger_.workers_by_id[info.worker_id] = _records.WorkerRecord(
+        record = _records.WorkerRecord(
             info=info,
             shard=shard,
             epoch=self.epochs_by_shard_[shard],
@@ -312,6 +316,8 @@
             known=not previous,
             next_exchange_ms=now_ms,
         )
+        self.ledger_.workers_by_id[info.worker_id] = record
+        self.ledger_.touched_by_id[info.worker_id] = record
 
     def _record_of(self, event):
         record = self.ledger_.workers_by_id.get(event.worker_id)
@@ -323,7 +329,12 @@
         return record
 
     def _exchange_due(self, now_ms):
-        for record in self.ledger_.workers_by_id.values():
+        records = self.ledger_.touched_by_id
+        if now_ms >= self._next_scan_ms:
+            self._next_scan_ms = now_ms + SCAN_MS
+            records = self.ledger_.workers_by_id
+        self.ledger_.touched_by_id = {}
+        for record in records.values():
             exchange = self.exchanges_.next_for(record, now_ms)
             if exchange is not None:
                 self.outbox_.act(exchange)
@@ -404,10 +415,6 @@
         for booking in self.ledger_.unkept_by_id.values():
             self.outbox_.tell(booking.news)
 
-    def _refresh_rooms(self, now_ms):
-        for record in self.ledger_.workers_by_id.values():
-            self.ledger_.refresh_room(record, now_ms)
-
     def _send_summary(self, now_ms):
         message = self.summary_.build(now_ms, self.desk_.leaving)
         self._broadcast(message)
--- a/samphiregate/core/workers/_records.py
+++ b/samphiregate/core/workers/_records.py
@@ -102,6 +102,12 @@
     ----------
     previous_owner : str
         Owner before this one, which may have renewed leases on the worker.
+    usable : bool
+        Whether it takes new work.
+    room : model.Resources
+        What it could take when that was last reckoned.
+    was_exceeded : bool
+        Whether its last sample showed more in use than it has.
     known : bool
         Whether every attempt that may run there is in `bookings_by_id`.
     clock_ms, clock_read_ms : int
@@ -129,6 +135,8 @@
     renewed_ms: int | None = None
     next_exchange_ms: int = 0
     usable: bool = True
+    room: model.Resources = model.Resources()
+    was_exceeded: bool = False
     flying: _messages.ExchangeWithWorker | None = None
     commands: list[_messages.Command] = attrs.field(factory=list)
     bookings_by_id: dict[_peer.AttemptId, Booking] = attrs.field(factory=dict)
--- a/samphiregate/core/workers/_relief.py
+++ b/samphiregate/core/workers/_relief.py
@@ -32,14 +32,14 @@
             if excess > 0:
                 self._end_excess(team, excess, now_ms)
 
-    def cut_over_use(self, now_ms):
-        """Gives back what workers are over-given, by the mildest step.
+    def cut_over_use(self, record, now_ms):
+        """Gives back what a worker is over-given, by the mildest step.
 
-        The next step waits for a sample taken after the last one's effect.
+        To be called with each sample. The next step waits for a sample
+        taken after the last one's effect.
         """
-        for record in self._ledger.workers_by_id.values():
-            if record.phase is _records.WorkerPhase.READY:
-                self._cut(record, now_ms)
+        if record.phase is _records.WorkerPhase.READY:
+            self._cut(record, now_ms)
 
     def _end_excess(self, team, excess, now_ms):
         bookings = tuple(self._ledger.live_by_team[team].values())
@@ -62,6 +62,9 @@
     def _cut(self, record, now_ms):
         worker_id = record.info.worker_id
         excess = record.book.excess()
+        if excess == NOTHING and not record.was_exceeded:
+            return
+        record.was_exceeded = excess != NOTHING
         self._ladder.observe(sizing.WorkerExcess(worker_id, excess), now_ms)
         if excess == NOTHING or record.sampled_ms < record.seen_cut_ms:
             return
@@ -107,4 +110,4 @@
         command = _messages.ThrottleTask(
             attempt.task_id, attempt.attempt, booking.resources
         )
-        record.commands.append(command)
+        self._ledger.command(record, command)
--- a/samphiregate/core/workers/_summary.py
+++ b/samphiregate/core/workers/_summary.py
@@ -32,9 +32,8 @@
         for record in records:
             if not record.usable:
                 continue
-            room = record.book.room(now_ms)
-            free = free + room
-            largest = _largest(largest, room)
+            free = free + record.room
+            largest = _largest(largest, record.room)
         return _peer.RoomSummary(
             capacity=_ledger.total_of(records),
             free=free,
