--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -55,6 +55,13 @@
       | 3      | job owner crashes while messages come twice    |
       | 3      | worker owner crashes while a worker is cut off |
 
+  Scenario: an old owner that cannot reach its workers gives nothing up
+    Given a job site of 4 entry VMs and 6 workers of 8 cores, where a team may run 80 tasks
+    And a batch job of 40 tasks of 40 s that has begun to run for 500 ms
+    When this happens at the job site: worker owner is taken for dead, and loses reach of its workers
+    Then every task of the job succeeds exactly once within 240 s
+    And no room and no token of the job site is held any more
+
   Scenario Outline: a submission repeated with its key makes one job: <fault> in between
     Given a job site of 4 entry VMs and 4 workers of 8 cores, where a team may run 80 tasks
     When a job is submitted with a key on vm0, then <fault>, then again on vm1
--- a/features/support/job_faults.py
+++ b/features/support/job_faults.py
@@ -229,3 +229,18 @@
     site.crash(vm_id)
     site.run_for(30_000)
     site.exchange_filter = lambda *_arguments: "carry"
+
+
+@fault("worker owner is taken for dead, and loses reach of its workers")
+def _stale_owner(site, job_id):
+    vm_id = other_vm(site, job_id)
+    late = site.vms_by_id[vm_id]
+    late.ownership.stale_table = dict(site.table)
+
+    def choose(sender, _exchange):
+        return "lose" if sender == vm_id else "carry"
+
+    site.exchange_filter = choose
+    site.declare_dead(vm_id)
+    site.run_for(25_000)
+    site.learn_table(vm_id)
--- a/features/support/jobs.py
+++ b/features/support/jobs.py
@@ -475,7 +475,8 @@
             gained.append((shard, entry.owner, owner))
         changed = fleet.ShardTableChanged(DATA_CENTRE, dict(self.table))
         for shard, old_owner, _owner in gained:
-            if old_owner in self.alive or old_owner in self.vms_by_id:
+            late = self.vms_by_id.get(old_owner)
+            if late is not None and late.ownership.stale_table is None:
                 self.deliver(old_owner, fleet.ShardLost(shard))
         self._to_all(changed)
         for shard, _old_owner, owner in gained:
--- a/samphiregate/core/jobs/_owner.py
+++ b/samphiregate/core/jobs/_owner.py
@@ -14,10 +14,11 @@
 from samphiregate.core.jobs import _dispatch
 from samphiregate.core.jobs import _gangs
 from samphiregate.core.jobs import _holds
+from samphiregate.core.jobs import _keeper
 from samphiregate.core.jobs import _messages
 from samphiregate.core.jobs import _orders
 from samphiregate.core.jobs import _peer
-from samphiregate.core.jobs import _records
+from samphiregate.core.jobs import _recovery
 from samphiregate.core.jobs import _rooms
 from samphiregate.core.jobs import _shards
 from samphiregate.core.jobs import _tasks
@@ -26,15 +27,6 @@
 from samphiregate.core import workers
 from samphiregate import parameters
 
-LIVE_STATES_TO_ASK = frozenset(
-    {
-        _records.STARTING,
-        _records.STOPPING,
-        _records.RECALLING,
-        _records.SETTLING,
-    }
-)
-
 
 class JobOwner(base.StateMachine, parameters.Parameterised):
     """Keeps the jobs of owned shards and has their tasks run.
@@ -156,7 +148,7 @@
         self.check_parameters()
         self.shards_by_id_ = {}
         self.admission_ = _admission.Admission(data_centre=data_centre)
-        self.keeper_ = _copies.CopyKeeper(data_centre=data_centre)
+        self.keeper_ = _keeper.CopyKeeper(data_centre=data_centre)
         self.rooms_ = _rooms.RoomEstimates(
             vm_id=vm_id, random_state=random_state
         )
@@ -200,6 +192,25 @@
             timeout_ms=call_timeout_ms,
             retry_ms=call_retry_ms,
         )
+        self.recovery_ = _recovery.Recovery(
+            vm_id=vm_id,
+            data_centre=data_centre,
+            ownership=ownership,
+            membership=membership,
+            shards_by_id=self.shards_by_id_,
+            keeper=self.keeper_,
+            life=self.life_,
+            orders=self.orders_,
+            desk=self.desk_,
+            copies=copies,
+            shard_count=shard_count,
+            times=_recovery.RecoveryTimes(
+                retry_ms=call_retry_ms,
+                ask_ms=ask_ms,
+                retention_ms=retention_ms,
+                copy_ttl_ms=copy_ttl_ms,
+            ),
+        )
         self._counter = itertools.count(1)
         self._actions = []
         self._next_sweep_ms = 0
@@ -228,10 +239,10 @@
         self.gangs_.tick(now_ms)
         self.dispatcher_.tick(now_ms)
         for shard in self.shards_by_id_.values():
-            self._advance(shard, now_ms)
+            self.recovery_.advance(shard, now_ms)
         if now_ms >= self._next_sweep_ms:
             self._next_sweep_ms = now_ms + self.ask_ms
-            self._sweep(now_ms)
+            self.recovery_.sweep(now_ms)
 
     @_take.register
     def _(self, event: fleet.FleetListed, now_ms):
@@ -276,8 +287,8 @@
         )
         self.shards_by_id_[event.shard] = shard
         for copy in self.keeper_.release(event.shard):
-            self._take_copy(shard, copy, now_ms)
-        self._advance(shard, now_ms)
+            self.recovery_.take_copy(shard, copy, now_ms)
+        self.recovery_.advance(shard, now_ms)
 
     @_take.register
     def _(self, event: fleet.ShardLost, now_ms):
@@ -287,7 +298,7 @@
     @_take.register
     def _(self, event: fleet.ShardTableChanged, now_ms):
         if event.data_centre == self.data_centre:
-            self._inquire_all(now_ms)
+            self.recovery_.inquire_all(now_ms)
 
     @_take.register
     def _(self, event: fleet.PeerStateChanged, now_ms):
@@ -295,10 +306,10 @@
             return
         if event.state is fleet.PeerState.DEAD:
             self.rooms_.forget(event.vm_id)
-            self._inquire_all(now_ms)
+            self.recovery_.inquire_all(now_ms)
         elif event.state is fleet.PeerState.ALIVE:
             for shard in self.shards_by_id_.values():
-                self._ask_copies(shard, event.vm_id)
+                self.recovery_.ask_copies(shard, event.vm_id)
 
     @_take.register
     def _(self, event: base.PeerDelivered, now_ms):
@@ -353,8 +364,8 @@
             return
         shard.copies_from.add(sender)
         for copy in message.copies:
-            self._take_copy(shard, copy, now_ms)
-        self._advance(shard, now_ms)
+            self.recovery_.take_copy(shard, copy, now_ms)
+        self.recovery_.advance(shard, now_ms)
 
     @_take_message.register
     def _(self, message: workers.TaskNewsBatch, sender, now_ms):
@@ -371,7 +382,7 @@
         shard.inquiry.take(message)
         for news in message.news:
             self._take_news(news, sender, now_ms)
-        self._conclude(shard, now_ms)
+        self.recovery_.conclude(shard, now_ms)
 
     @_take_message.register
     def _(self, message: workers.GangReserved, sender, now_ms):
@@ -415,136 +426,6 @@
         if job is not None and job.ended_ms is not None:
             self.desk_.job_ended(shard, job)
 
-    def _take_copy(self, shard, copy, now_ms):
-        known = shard.jobs_by_id.get(copy.spec.job_id)
-        if known is not None and known.version >= copy.version:
-            return
-        if shard.phase is _shards.ShardPhase.READY and known is not None:
-            return
-        job = _records.job_from_copy(copy, shard.shard, now_ms)
-        shard.jobs_by_id[copy.spec.job_id] = job
-        job.is_new = True
-        shard.sender.touch(job)
-        if shard.phase is _shards.ShardPhase.READY:
-            self.life_.admit(shard, job, now_ms)
-
-    def _peers(self):
-        alive = set(self.membership.alive_ids(self.data_centre))
-        return sorted(alive - {self.vm_id})
-
-    def _advance(self, shard, now_ms):
-        """Brings a shard forward, as far as is known by now."""
-        holders = [
-            vm_id
-            for vm_id in self.ownership.candidates(shard.shard)
-            if vm_id != self.vm_id
-        ]
-        self._actions += shard.sender.set_holders(
-            holders[: self.copies], now_ms
-        )
-        if shard.phase is _shards.ShardPhase.READING_COPIES:
-            self._read_copies(shard, now_ms)
-        if shard.inquiry is not None:
-            self._ask_tasks(shard, now_ms)
-            self._conclude(shard, now_ms)
-
-    def _read_copies(self, shard, now_ms):
-        open_ids = [
-            one for one in self._peers() if one not in shard.copies_from
-        ]
-        if not open_ids:
-            shard.phase = _shards.ShardPhase.COPIES_READ
-            shard.inquire(now_ms)
-            return
-        asked_ms = shard.asked_copies_ms
-        if asked_ms is None or now_ms - asked_ms >= self.call_retry_ms:
-            shard.asked_copies_ms = now_ms
-            for vm_id in open_ids:
-                self._ask_copies(shard, vm_id)
-
-    def _ask_copies(self, shard, vm_id):
-        message = _peer.AskForJobs(shard.shard.number, shard.epoch)
-        self._actions.append(base.SendToPeer(vm_id, message))
-
-    def _ask_tasks(self, shard, now_ms):
-        inquiry = shard.inquiry
-        asked_ms = inquiry.asked_ms
-        if asked_ms is not None and now_ms - asked_ms < self.call_retry_ms:
-            return
-        inquiry.asked_ms = now_ms
-        for vm_id in [self.vm_id, *self._peers()]:
-            message = workers.AskForTasks(
-                shard.shard.number,
-                shard.epoch,
-                inquiry.number,
-                self.orders_.next_sequence(vm_id),
-            )
-            self._actions.append(base.SendToPeer(vm_id, message))
-
-    def _conclude(self, shard, now_ms):
-        if shard.inquiry is None:
-            return
-        if not shard.is_accounted(self.ownership, self.shard_count):
-            return
-        lost = list(shard.unaccounted())
-        shard.inquiry = None
-        for job, task in lost:
-            self.life_.lost(shard, job, task, now_ms)
-            if job.ended_ms is not None:
-                self.desk_.job_ended(shard, job)
-        if shard.phase is not _shards.ShardPhase.READY:
-            self._become_ready(shard, now_ms)
-
-    def _become_ready(self, shard, now_ms):
-        shard.phase = _shards.ShardPhase.READY
-        for job in tuple(shard.jobs_by_id.values()):
-            if job.cancelled and job.ended_ms is None:
-                self.life_.cancel(shard, job, now_ms)
-            elif job.ended_ms is None:
-                self.life_.admit(shard, job, now_ms)
-
-    def _inquire_all(self, now_ms):
-        for shard in self.shards_by_id_.values():
-            if shard.phase is not _shards.ShardPhase.READING_COPIES:
-                shard.inquire(now_ms)
-                self._ask_tasks(shard, now_ms)
-
-    def _sweep(self, now_ms):
-        """Asks about silent tasks, and drops what is too old."""
-        for shard in self.shards_by_id_.values():
-            self._sweep_shard(shard, now_ms)
-        for shard, kept in self.keeper_.shards_by_id_.items():
-            if now_ms - kept.refreshed_ms < self.copy_ttl_ms:
-                continue
-            entry = self.ownership.entry_of(shard)
-            alive = self.membership.alive_ids(self.data_centre)
-            if entry is not None and entry.owner in alive:
-                self.keeper_.expire(shard)
-
-    def _sweep_shard(self, shard, now_ms):
-        silent = False
-        for job in tuple(shard.jobs_by_id.values()):
-            if job.ended_ms is not None:
-                if now_ms - job.ended_ms >= self.retention_ms:
-                    del shard.jobs_by_id[job.spec.job_id]
-                    shard.sender.drop(job.spec.job_id)
-                continue
-            if job.live_count:
-                silent |= self._ask_again(job, now_ms)
-        if silent and shard.inquiry is None:
-            shard.inquire(now_ms)
-            self._ask_tasks(shard, now_ms)
-
-    def _ask_again(self, job, now_ms):
-        silent = False
-        for task in job.tasks:
-            if task.state not in LIVE_STATES_TO_ASK:
-                continue
-            if now_ms - task.asked_ms >= self.ask_ms:
-                silent = True
-                task.asked_ms = now_ms
-        return silent
-
     def _drop_shard(self, shard_id, now_ms):
         shard = self.shards_by_id_.pop(shard_id)
         copies = tuple(job.copy() for job in shard.jobs_by_id.values())
@@ -574,6 +455,7 @@
     def _flush(self, now_ms):
         self._defer_kept()
         actions, self._actions = self._actions, []
+        actions += self.recovery_.flush()
         actions += self.gangs_.flush()
         actions += self.orders_.flush()
         for shard in self.shards_by_id_.values():
--- /dev/null
+++ b/samphiregate/core/jobs/_recovery.py
@@ -0,0 +1,238 @@
+"""Brings owned shards of jobs forward, and asks about silent tasks."""
+
+import attrs
+
+from samphiregate.core import base
+from samphiregate.core.jobs import _peer
+from samphiregate.core.jobs import _records
+from samphiregate.core.jobs import _shards
+from samphiregate.core import workers
+
+LIVE_STATES_TO_ASK = frozenset(
+    {
+        _records.STARTING,
+        _records.STOPPING,
+        _records.RECALLING,
+        _records.SETTLING,
+    }
+)
+
+
+@attrs.frozen
+class RecoveryTimes:
+    """Periods of a `Recovery`, in milliseconds.
+
+    Parameters
+    ----------
+    retry_ms : int
+        When an unanswered question is asked again.
+    ask_ms : int
+        How long a task may give no news before it is asked about.
+    retention_ms : int
+        How long a job is shown after its end.
+    copy_ttl_ms : int
+        Age at which a copy is dropped that its living owner refreshes no
+        more.
+    """
+
+    retry_ms: int
+    ask_ms: int
+    retention_ms: int
+    copy_ttl_ms: int
+
+
+class Recovery:
+    """Reads copies, holds inquiries, and drops what is too old.
+
+    Parameters
+    ----------
+    vm_id, data_centre : str
+        This entry VM and its data centre.
+    ownership, membership : object
+        Tell owners, candidates and who is alive.
+    shards_by_id : dict of model.ShardId to JobShard
+        Owned shards; shared with the owner.
+    keeper : CopyKeeper
+        Copies kept for others.
+    life : TaskLife
+        Takes what the inquiries find.
+    orders : OrderBook
+        Numbers the messages.
+    desk : CallDesk
+        Told of jobs that ended.
+    copies : int
+        Other entry VMs that keep a copy of each job.
+    shard_count : int
+        Shards of the data centre.
+    times : RecoveryTimes
+        Periods.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm_id,
+        data_centre,
+        ownership,
+        membership,
+        shards_by_id,
+        keeper,
+        life,
+        orders,
+        desk,
+        copies,
+        shard_count,
+        times,
+    ):
+        self.vm_id = vm_id
+        self.data_centre = data_centre
+        self.ownership = ownership
+        self.membership = membership
+        self.shards_by_id_ = shards_by_id
+        self.keeper_ = keeper
+        self.life_ = life
+        self.orders_ = orders
+        self.desk_ = desk
+        self.copies = copies
+        self.shard_count = shard_count
+        self.times = times
+        self._actions = []
+
+    def flush(self):
+        """Returns the actions that are due, and forgets them."""
+        actions, self._actions = self._actions, []
+        return actions
+
+    def take_copy(self, shard, copy, now_ms):
+        """Takes in the copy of a job, unless it is known better."""
+        known = shard.jobs_by_id.get(copy.spec.job_id)
+        if known is not None and known.version >= copy.version:
+            return
+        if shard.phase is _shards.ShardPhase.READY and known is not None:
+            return
+        job = _records.job_from_copy(copy, shard.shard, now_ms)
+        shard.jobs_by_id[copy.spec.job_id] = job
+        job.is_new = True
+        shard.sender.touch(job)
+        if shard.phase is _shards.ShardPhase.READY:
+            self.life_.admit(shard, job, now_ms)
+
+    def _peers(self):
+        alive = set(self.membership.alive_ids(self.data_centre))
+        return sorted(alive - {self.vm_id})
+
+    def advance(self, shard, now_ms):
+        """Brings a shard forward, as far as is known by now."""
+        holders = [
+            vm_id
+            for vm_id in self.ownership.candidates(shard.shard)
+            if vm_id != self.vm_id
+        ]
+        self._actions += shard.sender.set_holders(
+            holders[: self.copies], now_ms
+        )
+        if shard.phase is _shards.ShardPhase.READING_COPIES:
+            self._read_copies(shard, now_ms)
+        if shard.inquiry is not None:
+            self._ask_tasks(shard, now_ms)
+            self.conclude(shard, now_ms)
+
+    def _read_copies(self, shard, now_ms):
+        open_ids = [
+            one for one in self._peers() if one not in shard.copies_from
+        ]
+        if not open_ids:
+            shard.phase = _shards.ShardPhase.COPIES_READ
+            shard.inquire(now_ms)
+            return
+        asked_ms = shard.asked_copies_ms
+        if asked_ms is None or now_ms - asked_ms >= self.times.retry_ms:
+            shard.asked_copies_ms = now_ms
+            for vm_id in open_ids:
+                self.ask_copies(shard, vm_id)
+
+    def ask_copies(self, shard, vm_id):
+        """Asks an entry VM for its copies."""
+        message = _peer.AskForJobs(shard.shard.number, shard.epoch)
+        self._actions.append(base.SendToPeer(vm_id, message))
+
+    def _ask_tasks(self, shard, now_ms):
+        inquiry = shard.inquiry
+        asked_ms = inquiry.asked_ms
+        if asked_ms is not None and now_ms - asked_ms < self.times.retry_ms:
+            return
+        inquiry.asked_ms = now_ms
+        for vm_id in [self.vm_id, *self._peers()]:
+            message = workers.AskForTasks(
+                shard.shard.number,
+                shard.epoch,
+                inquiry.number,
+                self.orders_.next_sequence(vm_id),
+            )
+            self._actions.append(base.SendToPeer(vm_id, message))
+
+    def conclude(self, shard, now_ms):
+        """Ends the inquiry once everything is accounted for."""
+        if shard.inquiry is None:
+            return
+        if not shard.is_accounted(self.ownership, self.shard_count):
+            return
+        lost = list(shard.unaccounted())
+        shard.inquiry = None
+        for job, task in lost:
+            self.life_.lost(shard, job, task, now_ms)
+            if job.ended_ms is not None:
+                self.desk_.job_ended(shard, job)
+        if shard.phase is not _shards.ShardPhase.READY:
+            self._become_ready(shard, now_ms)
+
+    def _become_ready(self, shard, now_ms):
+        shard.phase = _shards.ShardPhase.READY
+        for job in tuple(shard.jobs_by_id.values()):
+            if job.cancelled and job.ended_ms is None:
+                self.life_.cancel(shard, job, now_ms)
+            elif job.ended_ms is None:
+                self.life_.admit(shard, job, now_ms)
+
+    def inquire_all(self, now_ms):
+        """Starts an inquiry for each shard, as something changed."""
+        for shard in self.shards_by_id_.values():
+            if shard.phase is not _shards.ShardPhase.READING_COPIES:
+                shard.inquire(now_ms)
+                self._ask_tasks(shard, now_ms)
+
+    def sweep(self, now_ms):
+        """Asks about silent tasks, and drops what is too old."""
+        for shard in self.shards_by_id_.values():
+            self._sweep_shard(shard, now_ms)
+        for shard, kept in self.keeper_.shards_by_id_.items():
+            if now_ms - kept.refreshed_ms < self.times.copy_ttl_ms:
+                continue
+            entry = self.ownership.entry_of(shard)
+            alive = self.membership.alive_ids(self.data_centre)
+            if entry is not None and entry.owner in alive:
+                self.keeper_.expire(shard)
+
+    def _sweep_shard(self, shard, now_ms):
+        silent = False
+        for job in tuple(shard.jobs_by_id.values()):
+            if job.ended_ms is not None:
+                if now_ms - job.ended_ms >= self.times.retention_ms:
+                    del shard.jobs_by_id[job.spec.job_id]
+                    shard.sender.drop(job.spec.job_id)
+                continue
+            if job.live_count:
+                silent |= self._ask_again(job, now_ms)
+        if silent and shard.inquiry is None:
+            shard.inquire(now_ms)
+            self._ask_tasks(shard, now_ms)
+
+    def _ask_again(self, job, now_ms):
+        silent = False
+        for task in job.tasks:
+            if task.state not in LIVE_STATES_TO_ASK:
+                continue
+            if now_ms - task.asked_ms >= self.times.ask_ms:
+                silent = True
+                task.asked_ms = now_ms
+        return silent
--- /dev/null
+++ b/samphiregate/core/workers/_lapse.py
@@ -0,0 +1,79 @@
+"""Tells when the leases on a worker out of reach have surely lapsed."""
+
+import attrs
+
+from samphiregate.core.workers import _records
+
+
+@attrs.frozen
+class Release:
+    """The word of an earlier owner that it renews nothing more."""
+
+    vm_id: str
+    epoch: int
+    released_ms: int
+
+
+class LapseWatch:
+    """Gives up what ran on workers that are out of reach for too long.
+
+    Parameters
+    ----------
+    ledger : Ledger
+        Owned workers.
+    exchanges : Exchanges
+        Tells when leases given by this entry VM have lapsed.
+    lapse_ms : int
+        Lease and margin together.
+
+    Attributes
+    ----------
+    listed_vms : frozenset of str or None
+        Entry VMs in the platform's list; None before it was read.
+    """
+
+    def __init__(self, *, ledger, exchanges, lapse_ms):
+        self._ledger = ledger
+        self._exchanges = exchanges
+        self._lapse_ms = lapse_ms
+        self.listed_vms = None
+        self._releases_by_shard = {}
+        self._gone_ms_by_id = {}
+
+    def released(self, shard, epoch, sender, now_ms):
+        """Takes in `WorkersReleased`."""
+        self._releases_by_shard[shard] = Release(sender, epoch, now_ms)
+
+    def check(self, record, now_ms):
+        """Ends what ran on a worker whose leases have surely lapsed."""
+        if record.phase is not _records.WorkerPhase.INVENTORY:
+            return
+        if record.flying is not None:
+            return
+        lapsed_ms = self._exchanges.surely_lapsed_ms(record)
+        if not record.known:
+            lapsed_ms = self._inherited_lapse_ms(record, now_ms)
+        if lapsed_ms is not None and now_ms >= lapsed_ms:
+            self._exchanges.lapse(record, now_ms)
+        if record.known and not record.listed and record.renewed_ms is None:
+            self._ledger.drop_worker(record.info.worker_id, now_ms)
+
+    def _inherited_lapse_ms(self, record, now_ms):
+        """Returns when leases of the owner before have lapsed, or None."""
+        released_ms = self._released_ms(record, now_ms)
+        if released_ms is None:
+            return None
+        return released_ms + self._lapse_ms
+
+    def _released_ms(self, record, now_ms):
+        release = self._releases_by_shard.get(record.shard)
+        if release is not None:
+            before = (record.previous_owner, record.epoch - 1)
+            if (release.vm_id, release.epoch) == before:
+                return release.released_ms
+        gone_id = record.previous_owner
+        if not record.listed:
+            gone_id = record.info.worker_id
+        elif self.listed_vms is None or gone_id in self.listed_vms:
+            return None
+        return self._gone_ms_by_id.setdefault(gone_id, now_ms)
--- a/samphiregate/core/workers/_owner.py
+++ b/samphiregate/core/workers/_owner.py
@@ -9,6 +9,7 @@
 from samphiregate.core import sizing
 from samphiregate.core.workers import _exchange
 from samphiregate.core.workers import _gangs
+from samphiregate.core.workers import _lapse
 from samphiregate.core.workers import _ledger
 from samphiregate.core.workers import _messages
 from samphiregate.core.workers import _orders
@@ -140,14 +141,16 @@
             lease_ms=lease_ms,
             margin_ms=margin_ms,
         )
+        self.lapse_ = _lapse.LapseWatch(
+            ledger=self.ledger_,
+            exchanges=self.exchanges_,
+            lapse_ms=lease_ms + margin_ms,
+        )
         self.relief_ = _relief.Relief(ledger=self.ledger_, ladder=ladder)
         self.summary_ = _summary.Summary(ledger=self.ledger_)
         self.epochs_by_shard_ = {}
         self.infos_by_id_ = {}
-        self.listed_vms_ = None
         self.previous_owner_by_shard_ = {}
-        self.releases_by_shard_ = {}
-        self.gone_ms_by_id_ = {}
         self._next_news_ms = 0
         self._next_summary_ms = 0
         self._next_scan_ms = 0
@@ -168,7 +171,7 @@
         self.holds_.expire(now_ms)
         if now_ms >= self._next_scan_ms:
             for record in tuple(self.ledger_.workers_by_id.values()):
-                self._check_lapse(record, now_ms)
+                self.lapse_.check(record, now_ms)
         self.relief_.enforce_limits(now_ms)
         if now_ms >= self._next_news_ms:
             self._next_news_ms = now_ms + self.news_ms
@@ -179,7 +182,7 @@
 
     @_take.register
     def _(self, event: fleet.FleetListed, now_ms):
-        self.listed_vms_ = frozenset(event.entry_vms_by_id)
+        self.lapse_.listed_vms = frozenset(event.entry_vms_by_id)
         self.infos_by_id_ = {
             worker_id: info
             for worker_id, info in event.workers_by_id.items()
@@ -288,8 +291,7 @@
     @_take_message.register
     def _(self, message: _peer.WorkersReleased, sender, now_ms):
         shard = model.ShardId(self.data_centre, message.shard_number)
-        release = _records.Release(sender, message.epoch, now_ms)
-        self.releases_by_shard_[shard] = release
+        self.lapse_.released(shard, message.epoch, sender, now_ms)
 
     def _shard_of(self, worker_id):
         return model.shard_of(worker_id, self.data_centre, self.shard_count)
@@ -339,39 +341,6 @@
             if exchange is not None:
                 self.outbox_.act(exchange)
 
-    def _check_lapse(self, record, now_ms):
-        if record.phase is not _records.WorkerPhase.INVENTORY:
-            return
-        if record.flying is not None:
-            return
-        lapsed_ms = self.exchanges_.surely_lapsed_ms(record)
-        if not record.known:
-            lapsed_ms = self._inherited_lapse_ms(record, now_ms)
-        if lapsed_ms is not None and now_ms >= lapsed_ms:
-            self.exchanges_.lapse(record, now_ms)
-        if record.known and not record.listed and record.renewed_ms is None:
-            self.ledger_.drop_worker(record.info.worker_id, now_ms)
-
-    def _inherited_lapse_ms(self, record, now_ms):
-        """Returns when leases of the owner before have lapsed, or None."""
-        released_ms = self._released_ms(record, now_ms)
-        if released_ms is None:
-            return None
-        return released_ms + self.lease_ms + self.margin_ms
-
-    def _released_ms(self, record, now_ms):
-        release = self.releases_by_shard_.get(record.shard)
-        if release is not None:
-            before = (record.previous_owner, record.epoch - 1)
-            if (release.vm_id, release.epoch) == before:
-                return release.released_ms
-        gone_id = record.previous_owner
-        if not record.listed:
-            gone_id = record.info.worker_id
-        elif self.listed_vms_ is None or gone_id in self.listed_vms_:
-            return None
-        return self.gone_ms_by_id_.setdefault(gone_id, now_ms)
-
     def _drop_shard(self, shard, now_ms):
         """Stops acting for the workers of a shard; they run on."""
         if self.epochs_by_shard_.pop(shard, None) is None:
--- a/samphiregate/core/workers/_records.py
+++ b/samphiregate/core/workers/_records.py
@@ -73,15 +73,6 @@
         return self.state == OVER
 
 
-@attrs.frozen
-class Release:
-    """The word of an earlier owner that it renews nothing more."""
-
-    vm_id: str
-    epoch: int
-    released_ms: int
-
-
 class WorkerPhase(enum.Enum):
     """How far an owner knows a worker.
 
