Dispatch without a new wrapper a call

Cause: functools.singledispatchmethod copies the method's name and text onto a new function at each look-up. Change: base.dispatchmethod, used by the owners of jobs and workers.

--- a/samphiregate/core/jobs/_owner.py
+++ b/samphiregate/core/jobs/_owner.py
@@ -1,6 +1,5 @@
 """The machine that owns jobs."""
 
-import functools
 import itertools
 
 import attrs
@@ -227,7 +226,7 @@
         self.dispatcher_.run(now_ms, self.gangs_.start)
         return self._flush(now_ms)
 
-    @functools.singledispatchmethod
+    @base.dispatchmethod
     def _take(self, event, now_ms):
         """Ignores events that are not for this machine."""
 
@@ -321,7 +320,7 @@
     def _(self, event: base.PeerDelivered, now_ms):
         self._take_message(event.message, event.sender, now_ms)
 
-    @functools.singledispatchmethod
+    @base.dispatchmethod
     def _take_message(self, message, sender, now_ms):
         """Ignores messages that are not for this machine."""
 
--- a/samphiregate/core/workers/_owner.py
+++ b/samphiregate/core/workers/_owner.py
@@ -1,6 +1,5 @@
 """The machine that owns workers."""
 
-import functools
 
 from samphiregate.core import base
 from samphiregate.core import fleet
@@ -162,7 +161,7 @@
         self._exchange_due(now_ms)
         return self.outbox_.flush()
 
-    @functools.singledispatchmethod
+    @base.dispatchmethod
     def _take(self, event, now_ms):
         """Ignores events that are not for this machine."""
 
@@ -245,7 +244,7 @@
     def _(self, event: base.PeerDelivered, now_ms):
         self._take_message(event.message, event.sender, now_ms)
 
-    @functools.singledispatchmethod
+    @base.dispatchmethod
     def _take_message(self, message, sender, now_ms):
         """Ignores messages that are not for this machine."""
 
