Test a site of real processes through failures

Cause: the parts had been proved one by one, in virtual time; nothing showed the whole under kills, pauses, cuts and outages.

--- a/standins/platform/_fleet.py
+++ b/standins/platform/_fleet.py
@@ -59,7 +59,7 @@
         self.show_due()
         return {
             kind: [
-                entry
+                _entry_for(entry, data_centre)
                 for entry in self._shown[kind].values()
                 if data_centre in (None, entry.get("data_centre"))
                 or kind == "entry_vms"
@@ -88,3 +88,15 @@
     def _change(self, kind, entry_id, document):
         due_ms = self._clock_ms() + self.lag_ms
         self._pending.append((due_ms, kind, entry_id, document))
+
+
+def _entry_for(entry, data_centre):
+    """Returns an entry as one data centre sees it.
+
+    Tests put proxies between data centres: the others are shown
+    ``remote_peer_endpoint``, if there is one, as the peer endpoint.
+    """
+    remote = entry.get("remote_peer_endpoint")
+    if remote is None or data_centre in (None, entry["data_centre"]):
+        return entry
+    return {**entry, "peer_endpoint": remote}
--- a/standins/runner/_runner.py
+++ b/standins/runner/_runner.py
@@ -107,6 +107,9 @@
             self.faults = Faults(**orjson.loads(body))
         if path in ("/faults", "/slots"):
             return self._describe(start_response)
+        if path == "/executed":
+            content = orjson.dumps(dict(self.times_by_id))
+            return _answer(start_response, "200 OK", content, ())
         return _answer(start_response, "404 Not Found", b"", ())
 
     def _describe(self, start_response):
--- a/standins/site/_site.py
+++ b/standins/site/_site.py
@@ -1,5 +1,6 @@
 """Starts the stand-ins and entry VMs of a small site, and registers them."""
 
+import contextlib
 import signal
 
 import attrs
@@ -8,6 +9,7 @@
 from samphiregate.core import model
 from samphiregate import errors
 from standins import processes
+from standins import proxy
 
 SECRET = "a secret for stand-in sites"
 READY_TIMEOUT_S = 30
@@ -17,7 +19,38 @@
 ACCELERATED_CAPACITY = model.Resources(64_000, 131_072, 8)
 
 
-@attrs.define
+@attrs.frozen
+class EntryVmEndpoints:
+    """The ``ip:port`` of each server of an entry VM, and of its proxies.
+
+    Parameters
+    ----------
+    http, peer : str
+        Where the daemon listens.
+    platform : str
+        Where it finds the platform.
+    local_peer, remote_peer : str
+        Peer endpoint as shown to its own data centre and to others; empty
+        without proxies.
+    """
+
+    http: str
+    peer: str
+    platform: str
+    local_peer: str = ""
+    remote_peer: str = ""
+
+
+@attrs.frozen
+class VmProxies:
+    """Proxies in front of one VM's peer endpoint and of its platform."""
+
+    local: proxy.FaultProxy
+    remote: proxy.FaultProxy
+    platform: proxy.FaultProxy
+
+
+@attrs.frozen
 class EntryVm:
     """A running entry VM.
 
@@ -25,18 +58,22 @@
     ----------
     vm_id : str
         Its id in the fleet list.
-    http_endpoint, peer_endpoint : str
-        ``ip:port`` of each server.
+    endpoints : EntryVmEndpoints
+        Its addresses.
     process : Process
         The daemon.
     """
 
     vm_id: str
     data_centre: str
-    http_endpoint: str
-    peer_endpoint: str
+    endpoints: EntryVmEndpoints
     process: processes.Process
 
+    @property
+    def http_endpoint(self):
+        """``ip:port`` for callers."""
+        return self.endpoints.http
+
 
 class Site(processes.ProcessGroup):
     """A platform, entry VMs, runners and workers; a context manager.
@@ -49,10 +86,29 @@
         Further flags of each entry VM.
     fleet_lag_ms : int
         Lag of the platform's list of machines.
+    proxied : bool
+        Whether a fault-injecting proxy stands before each VM's peer
+        endpoint, one for each side of a cut between data centres, and
+        between it and the platform.
+
+    Attributes
+    ----------
+    proxies_by_vm : dict
+        `VmProxies` by id of the entry VM.
     """
 
-    def __init__(self, log_folder, *, vm_flags=(), fleet_lag_ms=FLEET_LAG_MS):
+    def __init__(
+        self,
+        log_folder,
+        *,
+        vm_flags=(),
+        fleet_lag_ms=FLEET_LAG_MS,
+        proxied=False,
+    ):
         super().__init__(log_folder)
+        self.proxied = proxied
+        self.proxies_by_vm = {}
+        self._proxies = contextlib.ExitStack()
         self.vm_flags = tuple(vm_flags)
         self.fleet_lag_ms = fleet_lag_ms
         self.platform_endpoint = processes.free_endpoint()
@@ -70,30 +126,37 @@
             raise
         return self
 
-    def add_entry_vm(self, data_centre, *flags, platform_endpoint=None):
+    def stop_all(self):
+        """Stops the newest first; returns exit statuses by name."""
+        statuses = super().stop_all()
+        self._proxies.close()
+        return statuses
+
+    def add_entry_vm(self, data_centre, *flags):
         """Starts and registers an entry VM; returns an `EntryVm`."""
         vm_id = self._next_name(f"{data_centre}-vm")
-        http_endpoint = processes.free_endpoint()
-        peer_endpoint = processes.free_endpoint()
+        endpoints = EntryVmEndpoints(
+            http=processes.free_endpoint(),
+            peer=processes.free_endpoint(),
+            platform=self.platform_endpoint,
+        )
+        if self.proxied:
+            endpoints = self._put_proxies(vm_id, endpoints)
         process = self.start(
             vm_id,
             "samphiregate.daemon",
             *("--vm-id", vm_id, "--data-centre", data_centre),
-            *("--platform", platform_endpoint or self.platform_endpoint),
+            *("--platform", endpoints.platform),
             *("--secret", SECRET),
-            *("--http-listen", http_endpoint, "--peer-listen", peer_endpoint),
+            *("--http-listen", endpoints.http),
+            *("--peer-listen", endpoints.peer),
             *("--fleet-poll-ms", "500"),
             *self.vm_flags,
             *flags,
         )
-        vm = EntryVm(vm_id, data_centre, http_endpoint, peer_endpoint, process)
+        vm = EntryVm(vm_id, data_centre, endpoints, process)
         self.vms_by_id[vm_id] = vm
-        self._register(
-            "entry-vms",
-            model.EntryVmInfo(
-                vm_id, data_centre, peer_endpoint, http_endpoint
-            ),
-        )
+        self._register_entry_vm(vm)
         return vm
 
     def add_runner(self, data_centre, service, *, slots=8, work_ms=20):
@@ -144,16 +207,7 @@
     def stop_entry_vm(self, vm_id):
         """Announces that a VM leaves, stops it, and returns its status."""
         vm = self.vms_by_id[vm_id]
-        self._register(
-            "entry-vms",
-            model.EntryVmInfo(
-                vm_id,
-                vm.data_centre,
-                vm.peer_endpoint,
-                vm.http_endpoint,
-                leaving=True,
-            ),
-        )
+        self._register_entry_vm(vm, leaving=True)
         vm.process.signal(signal.SIGTERM)
         status = vm.process.wait()
         self.forget_entry_vm(vm_id)
@@ -233,9 +287,42 @@
         except errors.UnavailableError:
             return False
 
-    def _register(self, kind, info):
+    def _put_proxies(self, vm_id, endpoints):
+        proxies = VmProxies(
+            *(
+                self._proxies.enter_context(proxy.FaultProxy(target))
+                for target in (
+                    endpoints.peer,
+                    endpoints.peer,
+                    endpoints.platform,
+                )
+            )
+        )
+        self.proxies_by_vm[vm_id] = proxies
+        return attrs.evolve(
+            endpoints,
+            local_peer=proxies.local.endpoint,
+            remote_peer=proxies.remote.endpoint,
+            platform=proxies.platform.endpoint,
+        )
+
+    def _register_entry_vm(self, vm, leaving=False):
+        endpoints = vm.endpoints
+        info = model.EntryVmInfo(
+            vm.vm_id,
+            vm.data_centre,
+            endpoints.local_peer or endpoints.peer,
+            endpoints.http,
+            leaving=leaving,
+        )
+        extra = {}
+        if endpoints.remote_peer:
+            extra["remote_peer_endpoint"] = endpoints.remote_peer
+        self._register("entry-vms", info, **extra)
+
+    def _register(self, kind, info, **extra):
         answer = self._platform.request_json(
-            "POST", f"/fleet/{kind}", attrs.asdict(info)
+            "POST", f"/fleet/{kind}", {**attrs.asdict(info), **extra}
         )
         if answer.status != 200:
             raise processes.StartError(f"the list refused {info}")
--- a/standins/worker/_application.py
+++ b/standins/worker/_application.py
@@ -149,6 +149,7 @@
                 for one in worker.attempts_by_key.values()
             ],
             "foreign": sorted(worker.foreign_by_id),
+            "history": list(worker.history),
         }
 
     def _pause_left_ms(self, worker_id, now_ms):
