--- a/samphiregate/core/placement/_worker_book.py
+++ b/samphiregate/core/placement/_worker_book.py
@@ -6,6 +6,7 @@
 from samphiregate import parameters
 
 NOTHING = model.Resources()
+MAX_DOUBLINGS = 20
 
 
 def _largest(first, second):
@@ -50,8 +51,7 @@
         Age of the last report, in milliseconds, from which on the worker
         has no room for new work.
     refusal_hold_ms : int
-        How long the first refused start caps the room, in milliseconds;
-        each further one without a start in between doubles it.
+        How long the first refused start caps the room, in milliseconds.
     refusal_hold_cap_ms : int
         Upper bound of that time, in milliseconds.
 
@@ -68,6 +68,9 @@
     ----------
     own_ : model.Resources
         The larger of booking and last seen use, over our tasks.
+    stray_ : model.Resources
+        Use by reported tasks of ours that are neither booked nor released,
+        as after a change of owner.
     foreign_ : model.Resources
         Foreign use that is allowed for.
     """
@@ -83,7 +86,7 @@
         self,
         worker,
         *,
-        foreign_memory_ms=5_000,
+        foreign_memory_ms=2_000,
         report_ttl_ms=15_000,
         refusal_hold_ms=1_000,
         refusal_hold_cap_ms=60_000,
@@ -97,16 +100,20 @@
         self.booking_by_task_ = {}
         self.used_by_task_ = {}
         self.own_ = NOTHING
+        self.stray_ = NOTHING
         self.foreign_ = NOTHING
         self.report_ms_ = None
         self.refusals_ = 0
         self.cap_ = None
         self.cap_until_ms_ = 0
+        self.refused_ms_ = -1
+        self._released = set()
         self._foreign_reports = collections.deque()
 
     def book(self, task_id, resources):
         """Books an amount for a task, in place of its earlier booking."""
         self.release(task_id)
+        self._released.discard(task_id)
         self.booking_by_task_[task_id] = resources
         self.own_ = self.own_ + resources
 
@@ -116,6 +123,7 @@
             self.own_ = self.own_ - self._held_by(task_id)
             del self.booking_by_task_[task_id]
             self.used_by_task_.pop(task_id, None)
+        self._released.add(task_id)
 
     def observe_report(self, used_total, used_by_task, report_ms, now_ms):
         """Takes in a usage report.
@@ -144,8 +152,13 @@
         self._forget_reports(report_ms)
         self.foreign_ = self._largest_foreign()
         started = used_by_task.keys() & self.booking_by_task_.keys()
-        if started - self.used_by_task_.keys():
+        is_news = report_ms > self.refused_ms_
+        if is_news and started - self.used_by_task_.keys():
             self._start_seen()
+        self._released &= used_by_task.keys()
+        strays = used_by_task.keys() - started - self._released
+        strays_used = (used_by_task[task] for task in strays)
+        self.stray_ = sum(strays_used, start=NOTHING)
         self.used_by_task_ = {task: used_by_task[task] for task in started}
         held = (self._held_by(task) for task in self.booking_by_task_)
         self.own_ = sum(held, start=NOTHING)
@@ -154,10 +167,14 @@
         """Takes in that the worker refused a start for want of room.
 
         The booking of the refused task is released by the caller. The room
-        stays below `resources` for a while that grows with each refusal.
+        stays below `resources` for a while, which doubles with each refusal
+        that a report from after the last one did not prevent.
         """
-        hold_ms = self.refusal_hold_ms * 2 ** min(self.refusals_, 20)
-        self.refusals_ += 1
+        if self.report_ms_ is None or self.report_ms_ >= self.refused_ms_:
+            self.refusals_ += 1
+        doublings = min(self.refusals_ - 1, MAX_DOUBLINGS)
+        hold_ms = self.refusal_hold_ms * 2**doublings
+        self.refused_ms_ = now_ms
         cap = _just_below(resources, self.worker.capacity)
         if self.cap_ is not None and now_ms < self.cap_until_ms_:
             cap = _smallest(cap, self.cap_)
@@ -179,9 +196,17 @@
         Notes
         -----
         Foreign work is not ours to stop, so this is what our own tasks
-        have to give back by throttle, checkpoint or stop.
+        have to give back by throttle, checkpoint or stop. It goes by the
+        last report alone, with the tasks that were in it: room is granted
+        by the largest foreign use of late, but work is stopped only for
+        what was there at one instant.
         """
-        return _largest(NOTHING - self._balance(), NOTHING)
+        if not self._foreign_reports:
+            return NOTHING
+        _report_ms, total = self._foreign_reports[-1]
+        for task_id in self.used_by_task_:
+            total = total + self._held_by(task_id)
+        return _largest(total - self.worker.capacity, NOTHING)
 
     def _held_by(self, task_id):
         booking = self.booking_by_task_[task_id]
@@ -195,7 +220,8 @@
         return total
 
     def _balance(self):
-        return self.worker.capacity - self.own_ - self.foreign_
+        taken = self.own_ + self.stray_ + self.foreign_
+        return self.worker.capacity - taken
 
     def _has_fresh_report(self, now_ms):
         if self.report_ms_ is None:
--- a/samphiregate/core/preemption/_cheapest.py
+++ b/samphiregate/core/preemption/_cheapest.py
@@ -44,6 +44,8 @@
     shares : FairShareQueue or None
         Tells each team's `share` and `due`; without it, no team's tasks are
         protected by its share.
+    tolerance : float
+        Part of its due that a team may be taken below it.
     candidates : int
         Tasks of each team that are looked at.
     teams : int
@@ -54,22 +56,36 @@
     Notes
     -----
     A team's urgent work may always take the place of its own other work.
-    It may take that of another team only while its team is below its due,
-    and only from a team that stays at or above its own due. Urgent tasks
-    are never taken. Each team's tasks are kept in the order of cost:
-    checkpointable ones first, then by class, then the ones started last,
-    so a decision looks at a bounded number of them.
+    It may take that of another team only while the urgent work of its team,
+    alone, is below its due, and only from a team that keeps its own due
+    less the tolerance; such a team is then first in line for the next room.
+    Without a tolerance nothing could be taken where every team is just at
+    its due. Urgent tasks are never taken, nor are those of a gang that
+    cannot be checkpointed, as the whole gang would be lost.
+
+    Each team's tasks are kept in the order of cost: checkpointable ones
+    first, then by class, then the ones started last, so a decision looks at
+    a bounded number of them. The urgent item must be queued in `shares`
+    when the question is asked: a team without work has no due.
     """
 
     parameter_table = {
+        "tolerance": parameters.Interval(float, 0.0, 1.0),
         "candidates": parameters.Interval(int, 1, 10_000),
         "teams": parameters.Interval(int, 1, 10_000),
     }
 
     def __init__(
-        self, *, shares=None, candidates=16, teams=8, random_state=None
+        self,
+        *,
+        shares=None,
+        tolerance=0.1,
+        candidates=16,
+        teams=8,
+        random_state=None,
     ):
         self.shares = shares
+        self.tolerance = tolerance
         self.candidates = candidates
         self.teams = teams
         self.random_state = random_state
@@ -159,11 +175,12 @@
         if self.shares is None:
             budgets.update(dict.fromkeys(self._order_by_team, float("inf")))
             return budgets
-        if self.shares.share(team) >= self.shares.due(team):
+        if self.shares.urgent_share(team) >= self.shares.due(team):
             return budgets
         above = []
         for name in self._order_by_team:
-            surplus = self.shares.share(name) - self.shares.due(name)
+            floor = self.shares.due(name) * (1.0 - self.tolerance)
+            surplus = self.shares.share(name) - floor
             if name != team and surplus > 0:
                 above.append((-surplus, name))
         for surplus, name in sorted(above)[: self.teams]:
--- a/samphiregate/core/queueing/_fair_share.py
+++ b/samphiregate/core/queueing/_fair_share.py
@@ -13,6 +13,7 @@
 MIN_WEIGHT = 1e-6
 NEGLIGIBLE_SHARE = 1e-6
 UNKNOWN_TOTAL = model.Resources(1, 1, 1)
+URGENT_LANES = (_team.URGENT,)
 PROMPT_LANES = (_team.URGENT, _team.QUICK)
 
 
@@ -45,9 +46,10 @@
     the others used, and halves with each half-life.
 
     Within a team, urgent work goes first, then requests, then the rest,
-    each in the order of arrival. Teams that run less than their part of the
-    teams that have work have their urgent work and requests started before
-    other work.
+    each in the order of arrival. Between teams, urgent work goes first as
+    long as the urgent work of its team, alone, is below the team's part
+    among the teams that have work; then the requests of teams whose work
+    altogether is below that part.
 
     References
     ----------
@@ -145,7 +147,7 @@
         self.total_ = event.total
         for team in self.teams_by_name_.values():
             team.settle(now_ms, self.half_life_ms)
-            team.share = team.running.share_of(self.total_)
+            team.measure(self.total_)
         self._rank_all()
 
     @_observe.register
@@ -224,23 +226,33 @@
         team = self.teams_by_name_.get(name)
         return team.share if team is not None else 0.0
 
+    def urgent_share(self, name):
+        """Returns the dominant share of a team's running urgent work."""
+        team = self.teams_by_name_.get(name)
+        return team.urgent_share if team is not None else 0.0
+
     def _first_prompt(self, question):
+        quick = None
         for _score, name in self._prompt:
             if name in question.skipped_teams:
                 continue
             team = self.teams_by_name_[name]
-            if team.share * self._active_weight >= team.weight:
-                continue
-            item = team.first(question.skipped_items, PROMPT_LANES)
-            if item is not None:
-                return item
-        return None
+            due = team.weight / self._active_weight
+            if team.urgent_share < due:
+                item = team.first(question.skipped_items, URGENT_LANES)
+                if item is not None:
+                    return item
+            if quick is None and team.share < due:
+                quick = team.first(question.skipped_items, PROMPT_LANES)
+        return quick
 
     def _change_running(self, event, sign, now_ms):
         team = self._team(event.team, now_ms)
         team.settle(now_ms, self.half_life_ms)
         team.running.change(event.resources, sign)
-        team.share = team.running.share_of(self.total_)
+        if event.urgent:
+            team.running_urgent.change(event.resources, sign)
+        team.measure(self.total_)
         self._rank(team)
 
     def _team(self, name, now_ms):
--- a/samphiregate/core/queueing/_messages.py
+++ b/samphiregate/core/queueing/_messages.py
@@ -72,11 +72,14 @@
     ----------
     resources : model.Resources
         Amount of all of its units together.
+    urgent : bool
+        Whether it is urgent.
     """
 
     team: str
     resources: model.Resources
     work_class: model.WorkClass
+    urgent: bool = False
 
 
 @attrs.frozen
@@ -86,6 +89,7 @@
     team: str
     resources: model.Resources
     work_class: model.WorkClass
+    urgent: bool = False
 
 
 @attrs.frozen
--- a/samphiregate/core/queueing/_team.py
+++ b/samphiregate/core/queueing/_team.py
@@ -65,6 +65,8 @@
         Its share when everything is full.
     share : float
         Dominant share of its running work.
+    urgent_share : float
+        Dominant share of its running urgent work.
     remote_share : float
         Dominant share of its work in other data centres.
     history : float
@@ -79,10 +81,12 @@
     weight: float
     settled_ms: int
     share: float = 0.0
+    urgent_share: float = 0.0
     remote_share: float = 0.0
     history: float = 0.0
     active: bool = False
     running: Amount = attrs.field(factory=Amount)
+    running_urgent: Amount = attrs.field(factory=Amount)
     queued: Amount = attrs.field(factory=Amount)
     lanes: tuple = attrs.field(
         factory=lambda: (_lane.Lane(), _lane.Lane(), _lane.Lane())
@@ -113,6 +117,11 @@
                 return item
         return None
 
+    def measure(self, total):
+        """Works out the shares of running work."""
+        self.share = self.running.share_of(total)
+        self.urgent_share = self.running_urgent.share_of(total)
+
     def settle(self, now_ms, half_life_ms):
         """Brings `history` up to a time, with `share` constant until then."""
         elapsed_ms = now_ms - self.settled_ms
