Bind dispatching methods once for each policy

singledispatchmethod builds a wrapper with functools.update_wrapper on each access.

The size learner keeps each quantile until the next sample.

--- a/samphiregate/core/placement/_first_fit.py
+++ b/samphiregate/core/placement/_first_fit.py
@@ -24,6 +24,7 @@
     def __init__(self, *, random_state=None):
         self.random_state = random_state
         self.check_parameters()
+        self.bind_dispatch()
         self.room_by_worker_ = {}
 
     @functools.singledispatchmethod
--- a/samphiregate/core/placement/_indexed.py
+++ b/samphiregate/core/placement/_indexed.py
@@ -27,6 +27,7 @@
         self.spread_candidates = spread_candidates
         self.random_state = random_state
         self.check_parameters()
+        self.bind_dispatch()
         self.index_ = _index.WorkerIndex()
         self.spread_ = _spread.SpreadCounter()
         self.desk_ = _reservation.ReservationDesk(self.index_)
--- a/samphiregate/core/sizing/_learner.py
+++ b/samphiregate/core/sizing/_learner.py
@@ -24,22 +24,29 @@
     and resource.
     """
 
-    __slots__ = ("counts", "total")
+    __slots__ = ("counts", "known_quantiles", "total")
 
     def __init__(self):
         self.counts = [0] * BUCKET_COUNT
         self.total = 0
+        self.known_quantiles = {}
 
     def add(self, ratio, window):
         """Counts a ratio; at `window` samples all counts are halved."""
         self.counts[_bucket_of(ratio)] += 1
         self.total += 1
+        self.known_quantiles.clear()
         if self.total >= window:
             self.counts = [count // 2 for count in self.counts]
             self.total = sum(self.counts)
 
     def quantile(self, part):
         """Returns the upper bound of the bucket that holds a quantile."""
+        if part not in self.known_quantiles:
+            self.known_quantiles[part] = self._find_quantile(part)
+        return self.known_quantiles[part]
+
+    def _find_quantile(self, part):
         wanted = part * self.total
         passed = 0
         for bucket, count in enumerate(self.counts):
@@ -99,6 +106,7 @@
         self.window = window
         self.random_state = random_state
         self.check_parameters()
+        self.bind_dispatch()
         self.histograms_by_kind_ = {}
 
     @functools.singledispatchmethod
