--- /dev/null
+++ b/features/queueing.feature
@@ -0,0 +1,63 @@
+Feature: teams get their shares
+
+  Scenario Outline: full means shares, whatever the sizes and lengths
+    Given a fair queue with weights <weights> and history weight <history>
+    When teams keep it full for 120 s with <cores> core tasks of <seconds> s
+    Then every part over 10 s is within <percent> % of its due
+
+    Examples:
+      | weights | history | cores | seconds | percent |
+      | 1,1     | 0.25    | 1,1   | 1,1     | 1       |
+      | 3,1     | 0.25    | 1,1   | 1,1     | 1       |
+      | 1,1,1   | 0.25    | 1,4,8 | 2,2,2   | 2       |
+      | 5,2,1   | 0.25    | 8,2,1 | 1,3,9   | 3       |
+      | 5,2,1   | 0.0     | 8,2,1 | 1,3,9   | 3       |
+
+  Scenario: one team alone gets everything
+    Given a fair queue with weights 1,9 and history weight 0.25
+    When only the first team keeps it full for 30 s
+    Then it has everything
+
+  Scenario Outline: an idle team gets its part, and no more for long
+    Given a fair queue with weights 1,1 and history weight 0.25
+    When the second team idles <idle> s and both then keep it full
+    Then the second team's first part is between 45 % and <most> %
+    And its part after 120 s is between 48 % and 52 %
+
+    Examples:
+      | idle | most |
+      | 10   | 65   |
+      | 3600 | 65   |
+
+  Scenario: urgent work of a team at its due goes before other teams' work
+    Given a fair queue with weights 1,1 and history weight 0.25
+    And 70 cores of the first team run and 10 of the second
+    When both queue batch work and the first also urgent work
+    Then the first team's urgent work is next
+
+  Scenario: urgent work above its team's due waits for its turn
+    Given a fair queue with weights 1,1 and history weight 0.25
+    And 70 urgent cores of the first team run and 10 of the second
+    When both queue batch work and the first also urgent work
+    Then the second team's batch work is next
+
+  Scenario: requests of a team below its due go before batch work
+    Given a fair queue with weights 1,9 and history weight 0.25
+    And 5 cores of the first team run and 10 of the second
+    When both queue batch work and the first also a request
+    Then the first team's request is next
+
+  Scenario: what is shed is the newest of the team that asks for most
+    Given a fair queue with weights 1,1 and history weight 0.25
+    When the first team queues 100 items and the second 3
+    Then the item to shed is the first team's last
+
+  Scenario: work that comes back goes before what its team has queued
+    Given a fair queue with weights 1,1 and history weight 0.25
+    When the first team queues 5 items and one returns
+    Then the one that came back is next
+
+  Scenario: use elsewhere counts until it is too old
+    Given a fair queue with weights 1,1 and history weight 0.0
+    When the first team uses 50 cores elsewhere and both queue work
+    Then the second team is next until 30000 ms have passed
--- a/samphiregate/core/placement/_gang.py
+++ b/samphiregate/core/placement/_gang.py
@@ -5,7 +5,7 @@
 from samphiregate.core.placement import _index
 
 
-def place_gang(index, question, kept, probes):
+def place_gang(index, question, kept, search):
     """Returns a worker for each task of a gang, or None.
 
     Parameters
@@ -16,8 +16,8 @@
         The gang.
     kept : list of WorkerRecord
         Workers that are reserved for this gang.
-    probes : int
-        Workers that may prove too small before a cell is given up.
+    search : Search
+        How far to look.
 
     Returns
     -------
@@ -33,18 +33,20 @@
     gang's size and the cells, not the number of workers.
     """
     if not kept:
-        single = _single_worker(index, question, question.count, probes)
+        single = _single_worker(index, question, question.count, search)
         if single is not None:
             return (single.worker_id,) * question.count
     if not _may_fit(index, question, kept):
         return None
     places = []
     taken = set(question.excluded_workers)
-    for record in _roomiest(index, question, kept, probes):
+    for record in _roomiest(index, question, kept, search):
         missing = question.count - len(places)
         units = record.units_of(question.resources)
         if units > missing and not kept:
-            record = _remainder(index, question, missing, taken, record)
+            record = _remainder(
+                index, question, missing, taken, record, search
+            )
         units = min(units, missing)
         places.extend([record.worker_id] * units)
         taken.add(record.worker_id)
@@ -61,18 +63,18 @@
     )
 
 
-def _single_worker(index, question, count, probes, excluded=None):
+def _single_worker(index, question, count, search, excluded=None):
     need = _times(question.resources, count)
     excluded = question.excluded_workers if excluded is None else excluded
     for grid in index.grids_for(need):
-        record = grid.tightest(need, excluded, probes)
+        record = grid.tightest(need, excluded, search)
         if record is not None:
             return record
     return None
 
 
-def _remainder(index, question, missing, taken, record):
-    tightest = _single_worker(index, question, missing, 1, taken)
+def _remainder(index, question, missing, taken, record, search):
+    tightest = _single_worker(index, question, missing, search, taken)
     return record if tightest is None else tightest
 
 
@@ -99,14 +101,14 @@
     return min(units, default=1)
 
 
-def _roomiest(index, question, kept, probes):
+def _roomiest(index, question, kept, search):
     for record in kept:
         if record.worker_id not in question.excluded_workers:
             yield record
     for grid in index.grids_for(question.resources, empty_first=True):
         cells = grid.cells_from_largest(question.resources)
         for _place, cell in cells:
-            yield from _fitting(cell, question, probes)
+            yield from _fitting(cell, question, search.probes)
 
 
 def _fitting(cell, question, probes):
--- a/samphiregate/core/placement/_grid.py
+++ b/samphiregate/core/placement/_grid.py
@@ -1,11 +1,43 @@
 """Workers in cells by their room, found by the tightest cell that fits."""
 
+import attrs
+
 from samphiregate.core.placement import _cell
 
 MANTISSA_BITS = 3
+LEFT_WEIGHT = 0.01
 MANTISSA = 1 << MANTISSA_BITS
 
 
+@attrs.frozen
+class Search:
+    """How far a search goes.
+
+    Parameters
+    ----------
+    cells : int
+        Cells with a fitting worker that are compared.
+    probes : int
+        Workers of one cell that may prove too small before the next.
+    """
+
+    cells: int
+    probes: int
+
+
+def unevenness(record, need):
+    """Returns how far apart the parts are that a worker would keep.
+
+    Equal ones are told apart by what is left in all.
+    """
+    capacity, room = record.worker.capacity, record.room
+    processor = (room.cpu_millis - need.cpu_millis) / (
+        capacity.cpu_millis or 1
+    )
+    memory = (room.memory_mib - need.memory_mib) / (capacity.memory_mib or 1)
+    return abs(processor - memory) + LEFT_WEIGHT * (processor + memory)
+
+
 def bucket_of(amount):
     """Returns the number of the logarithmic bucket that holds an amount.
 
@@ -43,7 +75,7 @@
     Bitmaps tell which rows and cells hold workers, so that a search costs
     a few steps for each row in use, however many workers there are. In the
     row and the column of the need itself a worker may be too small: there
-    at most `probes` workers of a cell are looked at.
+    a bounded number of each cell's workers is looked at.
     """
 
     __slots__ = ("_cells", "_columns_by_row", "_rows", "size")
@@ -82,8 +114,8 @@
             del self._columns_by_row[row]
             self._rows ^= 1 << row
 
-    def tightest(self, need, excluded, probes):
-        """Returns a worker that fits with about the least room left.
+    def tightest(self, need, excluded, search):
+        """Returns a worker that fits, with little and even room left.
 
         Parameters
         ----------
@@ -91,30 +123,39 @@
             What has to fit.
         excluded : frozenset of str
             Workers that must not be used.
-        probes : int
-            Workers of a cell to look at before the next is tried.
+        search : Search
+            How far to look.
 
         Returns
         -------
         WorkerRecord or None
+
+        Notes
+        -----
+        Of the first few cells with a fitting worker, from little processor
+        room upwards, the one is taken whose worker would keep the most even
+        parts of its processor and memory: uneven rests find no use.
         """
-        first_row = bucket_of(need.cpu_millis)
+        best, best_score = None, None
+        for record in self._fitting(need, excluded, search):
+            score = unevenness(record, need)
+            if best is None or score < best_score:
+                best, best_score = record, score
+        return best
+
+    def _fitting(self, need, excluded, search):
+        left = search.cells
         first_column = bucket_of(need.memory_mib)
-        best, best_slack = None, None
-        for row in bits_from(self._rows, first_row):
-            slack = row - first_row
-            if best is not None and slack >= best_slack:
-                break
+        for row in bits_from(self._rows, bucket_of(need.cpu_millis)):
             for column in bits_from(self._columns_by_row[row], first_column):
-                slack = row - first_row + column - first_column
-                if best is not None and slack >= best_slack:
-                    break
                 cell = self._cells[row, column]
-                found = first_fitting(cell, need, excluded, probes)
-                if found is not None:
-                    best, best_slack = found, slack
-                    break
-        return best
+                found = first_fitting(cell, need, excluded, search.probes)
+                if found is None:
+                    continue
+                yield found
+                left -= 1
+                if not left:
+                    return
 
     def candidates(self, need, excluded, start, count):
         """Yields workers that fit, the tighter cells first.
--- a/samphiregate/core/placement/_indexed.py
+++ b/samphiregate/core/placement/_indexed.py
@@ -5,6 +5,7 @@
 from samphiregate.core import base
 from samphiregate.core import model
 from samphiregate.core.placement import _gang
+from samphiregate.core.placement import _grid
 from samphiregate.core.placement import _index
 from samphiregate.core.placement import _messages
 from samphiregate.core.placement import _reservation
@@ -22,12 +23,14 @@
     `_place_anywhere`.
     """
 
-    def __init__(self, *, probes, spread_candidates, random_state=None):
+    def __init__(self, *, cells, probes, spread_candidates, random_state=None):
+        self.cells = cells
         self.probes = probes
         self.spread_candidates = spread_candidates
         self.random_state = random_state
         self.check_parameters()
         self.bind_dispatch()
+        self.search_ = _grid.Search(cells, probes)
         self.index_ = _index.WorkerIndex()
         self.spread_ = _spread.SpreadCounter()
         self.desk_ = _reservation.ReservationDesk(self.index_)
@@ -92,7 +95,7 @@
     @choose.register
     def _(self, question: _messages.PlaceGang, now_ms):
         kept = self.desk_.records_for(question.job_id)
-        return _gang.place_gang(self.index_, question, kept, self.probes)
+        return _gang.place_gang(self.index_, question, kept, self.search_)
 
     def describe(self):
         """Returns counts of workers, of kept ones, and of spread jobs."""
@@ -118,7 +121,7 @@
         need = question.resources
         for grid in self.index_.grids_for(need):
             record = grid.tightest(
-                need, question.excluded_workers, self.probes
+                need, question.excluded_workers, self.search_
             )
             if record is not None:
                 return record
@@ -155,6 +158,8 @@
 
     Parameters
     ----------
+    cells : int
+        Cells with a fitting worker that are compared.
     probes : int
         Workers of one cell that may prove too small before the search goes
         on to the next cell.
@@ -176,12 +181,21 @@
     """
 
     parameter_table = {
+        "cells": parameters.Interval(int, 1, 1_000),
         "probes": parameters.Interval(int, 1, 10_000),
         "spread_candidates": parameters.Interval(int, 1, 1_000),
     }
 
-    def __init__(self, *, probes=32, spread_candidates=16, random_state=None):
+    def __init__(
+        self,
+        *,
+        cells=8,
+        probes=32,
+        spread_candidates=16,
+        random_state=None,
+    ):
         super().__init__(
+            cells=cells,
             probes=probes,
             spread_candidates=spread_candidates,
             random_state=random_state,
--- a/samphiregate/core/placement/_sampled.py
+++ b/samphiregate/core/placement/_sampled.py
@@ -19,7 +19,7 @@
     rounds : int
         Rounds before the index is asked, so that work is placed where any
         worker has room.
-    probes, spread_candidates : int
+    cells, probes, spread_candidates : int
         As in `IndexedBestFit`.
     random_state : random.Random or None
         Source of the seed.
@@ -33,6 +33,7 @@
     parameter_table = {
         "samples": parameters.Interval(int, 1, 1_000),
         "rounds": parameters.Interval(int, 1, 100),
+        "cells": parameters.Interval(int, 1, 1_000),
         "probes": parameters.Interval(int, 1, 10_000),
         "spread_candidates": parameters.Interval(int, 1, 1_000),
     }
@@ -42,6 +43,7 @@
         *,
         samples=16,
         rounds=2,
+        cells=8,
         probes=32,
         spread_candidates=16,
         random_state=None,
@@ -49,6 +51,7 @@
         self.samples = samples
         self.rounds = rounds
         super().__init__(
+            cells=cells,
             probes=probes,
             spread_candidates=spread_candidates,
             random_state=random_state,
