--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -69,6 +69,8 @@
         self.alive = True
         self.paused = False
         self.leaving = False
+        self.hidden = False
+        self.paused_ms = 0
         self.rate = 1.0
         self.offset_ms = cluster.random_state.randint(0, 1_000_000)
         self._inbox = []
@@ -136,6 +138,11 @@
     def resume(self):
         """Ends a pause; what arrived meanwhile comes first."""
         self.paused = False
+        self.cluster.oracle.on_resumed(
+            self.vm_id,
+            self.ownership.owned_shards,
+            self.cluster.loop.now_ms - self.paused_ms,
+        )
         inbox, self._inbox = self._inbox, []
         for event in inbox:
             self.deliver(event)
@@ -153,7 +160,7 @@
     def token_count(self, team):
         """Returns the tokens that this VM has in hand or may grant."""
         holding = self.tokens._holdings_by_team.get(team)
-        count = holding.held if holding else 0
+        count = holding.held - holding.void if holding else 0
         if self.tokens._home is not None:
             count += max(0, self.tokens._home.pool(team))
         return count
@@ -172,6 +179,8 @@
         Entry VMs of each at the start.
     limit_by_team : dict
         Upper limits at the start.
+    appetite_by_team : dict
+        Units that each VM wants to have running of each team.
     machine_factories : tuple of callable
         Each makes a further machine of a node.
     """
@@ -183,6 +192,7 @@
         centres=("a", "b"),
         vms_per_centre=3,
         limit_by_team=None,
+        appetite_by_team=None,
         shard_count=SHARD_COUNT,
         machine_factories=(),
         fenced=True,
@@ -202,6 +212,7 @@
         self.shard_count = shard_count
         self.machine_factories = machine_factories
         self.centres = centres
+        self.appetite_by_team = appetite_by_team or {}
         self.nodes_by_id = {}
         self.network.nodes_by_id = self.nodes_by_id
         self.cut_from_platform = set()
@@ -230,11 +241,16 @@
         vm_id = f"{centre}-{self._next_vm}"
         node = Node(cluster=self, vm_id=vm_id, data_centre=centre)
         self.nodes_by_id[vm_id] = node
+        self.feed(node)
         self.note_fleet()
         self.loop.after(self.random_state.randint(0, TICK_MS), node.tick)
         self.send_configuration(node, self.configuration)
         return node
 
+    def feed(self, node):
+        """Gives a node the usual appetite."""
+        node.load.appetite_by_team = dict(self.appetite_by_team)
+
     def nodes(self, centre=None):
         """Returns the live nodes, of one data centre or of all."""
         return [
@@ -257,10 +273,22 @@
         self.loop.after(LIST_NOTICES_MS, self.note_fleet)
 
     def pause(self, node, duration_ms):
-        """Stops a node for a while."""
+        """Stops a node for a while; the platform takes it for ended."""
         node.paused = True
+        node.paused_ms = self.loop.now_ms
+        self.hide(node, duration_ms)
         self.loop.after(duration_ms, node.resume)
 
+    def hide(self, node, duration_ms):
+        """Leaves a live node out of the platform's list for a while."""
+        self.loop.after(LIST_NOTICES_MS, self._set_hidden, node, True)
+        end_ms = max(duration_ms, LIST_NOTICES_MS)
+        self.loop.after(end_ms, self._set_hidden, node, False)
+
+    def _set_hidden(self, node, hidden):
+        node.hidden = hidden
+        self.note_fleet()
+
     def drain(self, node):
         """Stops a node gracefully."""
         node.leaving = True
@@ -287,7 +315,7 @@
                 leaving=node.leaving,
             )
             for node in self.nodes_by_id.values()
-            if node.alive
+            if node.alive and not node.hidden
         }
 
     def note_fleet(self):
@@ -368,10 +396,20 @@
         for node in self.nodes():
             node.check_table(self.oracle)
         for team in self.configuration.teams_by_name:
-            count = sum(node.token_count(team) for node in self.nodes())
-            self.oracle.check_tokens(team, count)
+            self.oracle.check_tokens(team, self.token_count(team))
         self.loop.after(CHECK_PERIOD_MS, self._check)
 
+    def token_count(self, team):
+        """Returns the tokens of the VMs that run and are listed.
+
+        Those of a paused or isolated one are void before it acts again.
+        """
+        return sum(
+            node.token_count(team)
+            for node in self.nodes()
+            if not node.paused and not node.hidden
+        )
+
     def worker(self, shard):
         """Returns the worker of a shard."""
         worker = self._workers_by_shard.get(shard)
@@ -406,6 +444,7 @@
 
 @_carry_out.register
 def _(action: virtual_work.Exchange, cluster, node):
+    cluster.oracle.on_sent(action)
     if cluster.random_state.random() >= cluster.work_loss:
         delay_ms = cluster.random_state.randint(1, 300)
         cluster.loop.after(delay_ms, cluster.exchange, node, action)
--- /dev/null
+++ b/features/support/fault_matrix.py
@@ -0,0 +1,231 @@
+"""Plays every fault at every step, alone and in pairs.
+
+Run ``python -m features.support.fault_matrix --help`` for the whole matrix.
+"""
+
+import argparse
+import collections
+import concurrent.futures
+import itertools
+import random
+import sys
+
+import attrs
+
+from features.support import cluster as cluster_module
+from features.support import faults
+from features.support import mutations
+from samphiregate.core import fleet
+from samphiregate.core import model
+
+LIMITS = {"one": 1, "few": 4, "many": 18}
+APPETITE = {"one": 1, "few": 2, "many": 5}
+WARM_MS = 12_000
+SPREAD_MS = 2_500
+DURATION_MS = 8_000
+END_MS = 75_000
+LOOK_MS = 12_000
+PROCESS_COUNT = 3
+
+
+@attrs.frozen
+class Cell:
+    """One run: faults during a step, under a seed.
+
+    Parameters
+    ----------
+    guard : str
+        Name of the guard that is taken out; empty for none.
+    """
+
+    faults: tuple[str, ...]
+    step: str
+    seed: int = 1
+    guard: str = ""
+
+
+@attrs.frozen
+class Verdict:
+    """What came of a cell; green if there is no complaint."""
+
+    cell: Cell
+    complaints: tuple[str, ...]
+
+
+def cells(*, sizes=(1,), seeds=(1,), guard=""):
+    """Returns cells of every combination of faults, and every step."""
+    return [
+        Cell(faults=names, step=step, seed=seed, guard=guard)
+        for size in sizes
+        for names in itertools.combinations(faults.FAULTS_BY_NAME, size)
+        for step in faults.STEPS_BY_NAME
+        for seed in seeds
+    ]
+
+
+def run_cell(cell):
+    """Plays one cell from start to end.
+
+    Returns
+    -------
+    Verdict
+    """
+    name = "/".join((*cell.faults, cell.step, str(cell.seed)))
+    random_state = random.Random(name)
+    with mutations.without(cell.guard):
+        cluster = cluster_module.Cluster(
+            seed=random_state.randint(0, 2**31),
+            limit_by_team=LIMITS,
+            appetite_by_team=APPETITE,
+            fenced=cell.guard != mutations.FENCING,
+        )
+        scene = faults.Scene(
+            cluster=cluster,
+            random_state=random_state,
+            duration_ms=DURATION_MS,
+        )
+        cluster.loop.run_until(WARM_MS)
+        for fault in cell.faults:
+            delay_ms = random_state.randint(0, SPREAD_MS)
+            start = faults.FAULTS_BY_NAME[fault]
+            cluster.loop.after(delay_ms, start, scene)
+        delay_ms = random_state.randint(0, SPREAD_MS)
+        cluster.loop.after(delay_ms, faults.STEPS_BY_NAME[cell.step], scene)
+        cluster.loop.run_until(END_MS)
+        complaints = [
+            f"{each.rule}: {each.detail} at {each.time_ms}"
+            for each in cluster.oracle.violations[:3]
+        ]
+        complaints.extend(unsettled(cluster))
+    return Verdict(cell=cell, complaints=tuple(complaints))
+
+
+def unsettled(cluster):
+    """Yields what is still wrong long after all faults ended."""
+    cluster.oracle.violations.clear()
+    best = collections.Counter()
+    busy = collections.Counter()
+    started = cluster.oracle.started_by_team.copy()
+    for _ in range(LOOK_MS // 500):
+        cluster.loop.run_until(cluster.loop.now_ms + 500)
+        for team in LIMITS:
+            best[team] = max(best[team], cluster.token_count(team))
+            busy[team] += cluster.oracle.running_by_team[team]
+    for violation in cluster.oracle.violations[:1]:
+        yield f"{violation.rule} at the end: {violation.detail}"
+    for team in LIMITS:
+        limit = cluster.oracle.limit(team)
+        if best[team] < limit:
+            yield f"tokens lost: {team} has {best[team]} of {limit}"
+        idle = cluster.oracle.started_by_team[team] == started[team]
+        if idle and not busy[team]:
+            yield f"no start: {team}"
+    for centre in cluster.centres:
+        yield from _unsettled_shards(cluster, centre)
+    for node in cluster.nodes():
+        yield from _unsettled_beliefs(cluster, node)
+
+
+def _unsettled_shards(cluster, centre):
+    for number in range(cluster.shard_count):
+        shard = model.ShardId(centre, number)
+        owners = [
+            node.vm_id
+            for node in cluster.nodes()
+            if node.ownership.owns(shard) is not None
+        ]
+        if len(owners) != 1:
+            yield f"owners of {centre}/{number}: {owners}"
+        entries = {node.ownership.entry_of(shard) for node in cluster.nodes()}
+        if len(entries) != 1:
+            yield f"tables differ: {centre}/{number}"
+
+
+def _unsettled_beliefs(cluster, node):
+    for other in cluster.nodes_by_id.values():
+        if other is node:
+            continue
+        alive = node.membership.state_of(other.vm_id)
+        if (alive is fleet.PeerState.ALIVE) != other.alive:
+            yield f"{node.vm_id} takes {other.vm_id} for {alive.value}"
+
+
+def run_cells(chosen, process_count=1):
+    """Plays cells; returns their verdicts in the same order."""
+    if process_count == 1:
+        return [run_cell(cell) for cell in chosen]
+    with concurrent.futures.ProcessPoolExecutor(process_count) as pool:
+        return list(pool.map(run_cell, chosen, chunksize=8))
+
+
+def table(verdicts):
+    """Returns the matrix as text: red cells of all, by fault and step."""
+    runs = collections.Counter()
+    reds = collections.Counter()
+    for verdict in verdicts:
+        for fault in verdict.cell.faults:
+            key = (fault, verdict.cell.step)
+            runs[key] += 1
+            reds[key] += bool(verdict.complaints)
+    steps = tuple(faults.STEPS_BY_NAME)
+    lines = ["".join(f"{name:>14}" for name in ("red of run", *steps))]
+    for fault in faults.FAULTS_BY_NAME:
+        counts = [f"{reds[fault, s]}/{runs[fault, s]}" for s in steps]
+        lines.append("".join(f"{c:>14}" for c in (fault, *counts)))
+    red = sum(bool(verdict.complaints) for verdict in verdicts)
+    lines.append(f"cells run: {len(verdicts)}, cells red: {red}")
+    return "\n".join(lines)
+
+
+def print_guards():
+    """Takes out each guard and prints how many cells turn red."""
+    missed = 0
+    for guard in mutations.GUARDS:
+        verdicts = run_cells(cells(guard=guard), PROCESS_COUNT)
+        red = [verdict for verdict in verdicts if verdict.complaints]
+        missed += not red
+        example = red[0].complaints[0] if red else ""
+        print(f"{len(red):>4} of {len(verdicts)} red without: {guard}")
+        if red:
+            cell = red[0].cell
+            print(f"       {'+'.join(cell.faults)} x {cell.step}: {example}")
+    return int(missed > 0)
+
+
+def main(arguments):
+    """Plays the matrix and prints it; returns the exit status."""
+    parser = argparse.ArgumentParser(description=main.__doc__)
+    parser.add_argument("--pairs", action="store_true", help="also pairs")
+    parser.add_argument("--seeds", type=int, default=1, help="seeds a cell")
+    parser.add_argument("--step", help="only this step")
+    parser.add_argument("--fault", help="only with this fault")
+    parser.add_argument("--guard", default="", help="guard to take out")
+    parser.add_argument(
+        "--guards", action="store_true", help="take out each guard in turn"
+    )
+    options = parser.parse_args(arguments)
+    if options.guards:
+        return print_guards()
+    chosen = cells(
+        sizes=(1, 2) if options.pairs else (1,),
+        seeds=tuple(range(1, options.seeds + 1)),
+        guard=options.guard,
+    )
+    chosen = [
+        cell
+        for cell in chosen
+        if options.step in (None, cell.step)
+        and (options.fault is None or options.fault in cell.faults)
+    ]
+    verdicts = run_cells(chosen, PROCESS_COUNT)
+    for verdict in verdicts:
+        if verdict.complaints:
+            cell = verdict.cell
+            name = f"{' + '.join(cell.faults)} x {cell.step}, {cell.seed}"
+            print(f"red: {name}: {verdict.complaints[:2]}")
+    print(table(verdicts))
+    return int(any(verdict.complaints for verdict in verdicts))
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/features/support/faults.py
@@ -0,0 +1,231 @@
+"""Faults and steps of the fault matrix, played in a virtual cluster."""
+
+from features.support import virtual_network
+from features.support import virtual_store
+
+REPLACED_AFTER_MS = 5_000
+ISOLATED_MS = 25_000
+LOWERED_MS = 32_000
+
+
+class Scene:
+    """One cell's cluster, its victim, and the time that faults last.
+
+    Parameters
+    ----------
+    cluster : Cluster
+        The cluster, warmed up.
+    random_state : random.Random
+        Source of randomness.
+    duration_ms : int
+        How long faults last.
+    """
+
+    def __init__(self, *, cluster, random_state, duration_ms):
+        self.cluster = cluster
+        self.random_state = random_state
+        self.duration_ms = duration_ms
+        self.centre = cluster.centres[0]
+
+    def victim(self):
+        """Returns the VM that grants tokens, or another of its centre."""
+        nodes = self.cluster.nodes(self.centre)
+        owner = self.cluster.owner(self.centre, 0)
+        if owner is not None and self.random_state.random() < 0.5:
+            return owner
+        return self.random_state.choice(nodes)
+
+    def others(self, node):
+        """Returns the ids of the other VMs of a VM's data centre."""
+        nodes = self.cluster.nodes(node.data_centre)
+        return [each.vm_id for each in nodes if each is not node]
+
+    def ids(self, centre=None):
+        """Returns the ids of the live VMs."""
+        return [node.vm_id for node in self.cluster.nodes(centre)]
+
+    def later(self, function, *arguments):
+        """Calls a function when faults end."""
+        self.cluster.loop.after(self.duration_ms, function, *arguments)
+
+    def replace(self, node):
+        """Starts another VM in place of one that ended."""
+        self.cluster.loop.after(
+            REPLACED_AFTER_MS, self.cluster.start_node, node.data_centre
+        )
+
+
+def _store_fault(name, value):
+    def fault(scene):
+        store = scene.cluster.store
+        setattr(store.faults, name, value)
+        none = getattr(virtual_store.StoreFaults(), name)
+        scene.later(setattr, store.faults, name, none)
+
+    return fault
+
+
+def _link_fault(**values):
+    def fault(scene):
+        network = scene.cluster.network
+        for name, value in values.items():
+            setattr(network.faults, name, value)
+            none = getattr(virtual_network.LinkFaults(), name)
+            scene.later(setattr, network.faults, name, none)
+
+    return fault
+
+
+def _crash(scene):
+    node = scene.victim()
+    scene.cluster.crash(node)
+    scene.replace(node)
+
+
+def _pause(scene):
+    pause_ms = scene.random_state.choice((1_500, 4_000, 25_000))
+    scene.cluster.pause(scene.victim(), pause_ms)
+
+
+def _list_stale(scene):
+    cluster = scene.cluster
+    normal_ms = cluster.list_lag_ms
+    cluster.list_lag_ms = 20_000
+    scene.later(setattr, cluster, "list_lag_ms", normal_ms)
+
+
+def _cut(scene, senders, recipients, both=True):
+    network = scene.cluster.network
+    network.cut(senders, recipients, both)
+    scene.later(network.cut_links.clear)
+
+
+def _partition_centres(scene):
+    first, second = scene.cluster.centres[:2]
+    _cut(scene, scene.ids(first), scene.ids(second))
+
+
+def _partition_inside(scene):
+    node = scene.victim()
+    _cut(scene, [node.vm_id], scene.others(node))
+
+
+def _one_way(scene):
+    node = scene.victim()
+    senders, recipients = [node.vm_id], scene.others(node)
+    if scene.random_state.random() < 0.5:
+        senders, recipients = recipients, senders
+    _cut(scene, senders, recipients, both=False)
+
+
+def _cut_platform(scene):
+    cut = scene.cluster.cut_from_platform
+    cut.update(scene.ids(scene.centre))
+    scene.later(cut.clear)
+
+
+def _isolate(scene):
+    node = scene.victim()
+    everyone = [each for each in scene.ids() if each != node.vm_id]
+    network = scene.cluster.network
+    network.cut([node.vm_id], everyone)
+    cut = scene.cluster.cut_from_platform
+    cut.add(node.vm_id)
+    loop = scene.cluster.loop
+    loop.after(ISOLATED_MS, network.cut_links.clear)
+    loop.after(ISOLATED_MS, cut.clear)
+    scene.cluster.hide(node, ISOLATED_MS)
+
+
+def _clock_drift(scene):
+    for node in scene.cluster.nodes():
+        now_ms = scene.cluster.loop.now_ms
+        rate = scene.random_state.choice((0.98, 1.0, 1.02))
+        node.offset_ms += int(now_ms * (node.rate - rate))
+        node.rate = rate
+
+
+def _racing_edits(scene):
+    cluster = scene.cluster
+    for delay_ms, limit in ((0, 2), (20, 9), (40, 4), (300, 6)):
+        cluster.loop.after(delay_ms, cluster.set_limit, "few", limit)
+
+
+def _work_loss(scene):
+    cluster = scene.cluster
+    cluster.work_loss = 0.3
+    scene.later(setattr, cluster, "work_loss", 0.0)
+
+
+FAULTS_BY_NAME = {
+    "crash": _crash,
+    "pause": _pause,
+    "store down": _store_fault("down", True),
+    "store slow": _store_fault("slow_ms", 900),
+    "answer lost": _store_fault("answers_lost", True),
+    "change late": _store_fault("applied_late_ms", 2_500),
+    "read stale": _store_fault("stale_reads", True),
+    "message lost": _link_fault(loss=0.3),
+    "duplicated": _link_fault(duplication=0.5),
+    "reordered": _link_fault(reorder_ms=1_500),
+    "late": _link_fault(late=0.3, late_ms=4_000),
+    "list stale": _list_stale,
+    "centres cut": _partition_centres,
+    "vm cut": _partition_inside,
+    "one way": _one_way,
+    "platform cut": _cut_platform,
+    "vm isolated": _isolate,
+    "clock drift": _clock_drift,
+    "racing edits": _racing_edits,
+    "worker link": _work_loss,
+}
+
+
+def _renew(scene):
+    """Goes on renewing what is there."""
+
+
+def _takeover(scene):
+    node = scene.cluster.owner(scene.centre, 0)
+    if node is not None:
+        scene.cluster.crash(node)
+        scene.replace(node)
+
+
+def _token_move(scene):
+    nodes = scene.cluster.nodes()
+    scene.random_state.shuffle(nodes)
+    hungry = nodes[: len(nodes) // 3]
+    for node in nodes:
+        appetite = 12 if node in hungry else 0
+        node.load.appetite_by_team = {
+            team: appetite for team in node.load.appetite_by_team
+        }
+    scene.later(_share_appetite, scene.cluster)
+
+
+def _share_appetite(cluster):
+    for node in cluster.nodes():
+        cluster.feed(node)
+
+
+def _drain(scene):
+    node = scene.cluster.owner(scene.centre, 0)
+    if node is not None:
+        scene.cluster.drain(node)
+        scene.replace(node)
+
+
+def _edit(scene):
+    cluster = scene.cluster
+    cluster.set_limit("many", 5)
+    cluster.loop.after(LOWERED_MS, cluster.set_limit, "many", 18)
+
+
+STEPS_BY_NAME = {
+    "renew": _renew,
+    "takeover": _takeover,
+    "token move": _token_move,
+    "drain": _drain,
+    "edit": _edit,
+}
--- /dev/null
+++ b/features/support/mutations.py
@@ -0,0 +1,163 @@
+"""Takes single guards out, to show that the matrix notices."""
+
+import contextlib
+from unittest import mock
+
+from samphiregate.core.limits import _account
+from samphiregate.core.limits import _holder
+from samphiregate.core.limits import _holding
+from samphiregate.core.limits import _home
+from samphiregate.core.limits import _ledger
+from samphiregate.core.limits import _ledger_client
+from samphiregate.core.membership import _membership
+from samphiregate.core.ownership import _ownership
+from samphiregate.core.ownership import _table
+
+FENCING = "worker refuses older epochs"
+
+
+@contextlib.contextmanager
+def without(guard):
+    """Runs a block with one guard taken out; with all for an empty name."""
+    with contextlib.ExitStack() as stack:
+        if guard and guard != FENCING:
+            for target, name, value in PATCHES_BY_GUARD[guard]:
+                patch = mock.patch.object(target, name, new=value)
+                stack.enter_context(patch)
+        yield
+
+
+def _newer_by_difference(self, entry_by_number):
+    return {
+        number: entry
+        for number, entry in entry_by_number.items()
+        if entry != self.entry(number)
+    }
+
+
+def _propose_and_act(original):
+    def propose(self, moves, now_ms, actions):
+        original(self, moves, now_ms, actions)
+        self._adopt(self._table, self._call.proposal, now_ms, actions)
+
+    return propose
+
+
+def _grant_without_total(self, line):
+    self.held += line.granted
+    self.granted = line.granted
+    self.recalled = max(self.recalled, line.recalled)
+    self.settle()
+
+
+def _give_back_without_debit(self, count):
+    count = max(0, min(count, self.idle))
+    self.returned += count
+    return count
+
+
+def _forget_write(original):
+    def take(self, version, value, now_ms):
+        self._write = None
+        original(self, version, value, now_ms)
+
+    return take
+
+
+def _audit_at_once(self, now_ms):
+    self.audited_ = self.ledger.claimed_
+
+
+def _release_at_once(self, team, now_ms, units=1):
+    self.release(team, now_ms, units)
+
+
+def _apply_without_limit(original):
+    def apply(ledger, changes, *, limit_by_team, **others):
+        unlimited = dict.fromkeys(changes.taken_by_team, 10**6)
+        return original(ledger, changes, limit_by_team=unlimited, **others)
+
+    return apply
+
+
+def _keep_all(self):
+    """Keeps every token, also those not of running work."""
+
+
+def _no_refutation(self, rumour, actions):
+    """Lets others believe what they believe."""
+
+
+def _held(self):
+    return self.held
+
+
+def _take_what_is_short(self, team, now_ms):
+    return self._short_by_team.get(team, 0)
+
+
+def _no_isolation(self, now_ms):
+    """Uses tokens however long nothing is heard."""
+
+
+def _no_cut(self, team):
+    return 0
+
+
+def _no_drop(self, actions):
+    """Goes on owning what was owned before the pause."""
+
+
+PATCHES_BY_GUARD = {
+    "only a higher epoch replaces an entry": [
+        (_table.ShardTable, "newer", _newer_by_difference),
+    ],
+    "an entry counts once the store has it": [
+        (
+            _ownership.Ownership,
+            "_propose",
+            _propose_and_act(_ownership.Ownership._propose),
+        ),
+    ],
+    "shards are dropped after a pause": [
+        (_ownership.Ownership, "_drop_all", _no_drop),
+    ],
+    "a VM refutes its own death": [
+        (_membership.Membership, "_refute", _no_refutation),
+    ],
+    "grants are running totals": [
+        (_holding.Holding, "take_grant", _grant_without_total),
+    ],
+    "tokens are debited before they move": [
+        (_holding.Holding, "give_back", _give_back_without_debit),
+    ],
+    "an unclear write stays reserved until settled": [
+        (
+            _ledger_client.LedgerClient,
+            "_take",
+            _forget_write(_ledger_client.LedgerClient._take),
+        ),
+    ],
+    "tokens out of sight wait for reports and the lapse": [
+        (_home.TokenHome, "_audit", _audit_at_once),
+    ],
+    "tokens of handed-over work stay aside": [
+        (_holder.TokenHolder, "hand_over", _release_at_once),
+    ],
+    "work found running is booked": [
+        (_account.TeamAccount, "booked", property(_held)),
+        (_account.TeamAccount, "overdraft", 0),
+    ],
+    "the ledger never exceeds a limit": [
+        (_ledger, "apply", _apply_without_limit(_ledger.apply)),
+        (_home.TokenHome, "_takeable", _take_what_is_short),
+    ],
+    "a lowered limit burns tokens": [(_home.TokenHome, "_cut", _no_cut)],
+    "idle tokens are dropped after a pause": [
+        (_holding.Holding, "drop_idle", _keep_all),
+    ],
+    "an isolated VM uses no tokens": [
+        (_holder.TokenHolder, "_check_isolation", _no_isolation),
+    ],
+}
+GUARDS = (FENCING, *PATCHES_BY_GUARD)
--- a/features/support/oracle.py
+++ b/features/support/oracle.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+PAUSE_LIMIT_MS = 2_300
+
 
 @attrs.frozen
 class Violation:
@@ -29,10 +31,11 @@
         self.loop = loop
         self.settle_ms = settle_ms
         self.violations = []
-        self.started_count = 0
+        self.started_by_team = collections.Counter()
         self.running_by_team = collections.Counter()
         self.peak_by_team = collections.Counter()
         self._tasks = set()
+        self._untrusted = set()
         self._limits = {}
         self._owner_by_epoch = {}
         self._commander_by_epoch = {}
@@ -62,7 +65,7 @@
         if work_id in self._tasks:
             self.fail("runs once", work_id)
         self._tasks.add(work_id)
-        self.started_count += 1
+        self.started_by_team[team] += 1
         self.running_by_team[team] += 1
         running = self.running_by_team[team]
         self.peak_by_team[team] = max(running, self.peak_by_team[team])
@@ -85,6 +88,18 @@
             self.fail("worker's epoch", f"{key} below {highest}")
         self._epoch_by_shard[exchange.shard] = max(highest, exchange.epoch)
 
+    def on_resumed(self, vm_id, epoch_by_shard, pause_ms):
+        """A VM goes on after a pause, and owned shards before it."""
+        if pause_ms > PAUSE_LIMIT_MS:
+            for shard, epoch in epoch_by_shard.items():
+                self._untrusted.add((vm_id, shard, epoch))
+
+    def on_sent(self, exchange):
+        """A VM sent an exchange to a worker."""
+        key = (exchange.owner, exchange.shard, exchange.epoch)
+        if key in self._untrusted:
+            self.fail("paused VM acts", str(key))
+
     # Ownership.
 
     def on_gained(self, vm_id, shard, epoch):
--- a/features/support/virtual_work.py
+++ b/features/support/virtual_work.py
@@ -14,6 +14,8 @@
 
 TASK_LEASE_MS = 4_000
 TASK_MS = (1_000, 5_000)
+LONG_TASK_MS = (20_000, 40_000)
+LONG_FRACTION = 0.2
 REQUEST_MS = (50, 2_000)
 REQUEST_HOLD_MS = 6_000
 EXCHANGE_MS = 500
@@ -28,6 +30,7 @@
     epoch: int
     sequence: int
     starts: tuple = ()
+    stops: tuple = ()
 
 
 @attrs.frozen
@@ -158,10 +161,14 @@
         self._next_ms = now_ms + EXCHANGE_MS
         self._expire_requests(now_ms)
         for shard_id, shard in self._shards.items():
-            starts = self._starts(shard, now_ms)
             shard.sequence += 1
             exchange = Exchange(
-                shard_id, self.vm_id, shard.epoch, shard.sequence, starts
+                shard_id,
+                self.vm_id,
+                shard.epoch,
+                shard.sequence,
+                starts=self._starts(shard, now_ms),
+                stops=self._stops(shard),
             )
             actions.append(exchange)
         self._start_requests(now_ms, actions)
@@ -179,6 +186,13 @@
                 starts.append((task_id, team))
         return tuple(starts)
 
+    def _stops(self, shard):
+        return tuple(
+            task_id
+            for task_id, team in shard.tasks.items()
+            if self.tokens.excess(team)
+        )
+
     def _start_requests(self, now_ms, actions):
         if self.leaving or not self._shards:
             return
@@ -245,6 +259,10 @@
         for task_id, team in action.starts:
             if task_id not in self.tasks:
                 self._start(task_id, team)
+        for task_id in action.stops:
+            task = self.tasks.pop(task_id, None)
+            if task is not None:
+                self.oracle.on_end(task_id, task.team)
         running = tuple((i, task.team) for i, task in self.tasks.items())
         return ExchangeAnswered(
             action.shard, action.epoch, action.sequence, True, running
@@ -252,7 +270,9 @@
 
     def _start(self, task_id, team):
         now_ms = self.loop.now_ms
-        run_ms = self.random_state.randint(*TASK_MS)
+        long = self.random_state.random() < LONG_FRACTION
+        span = LONG_TASK_MS if long else TASK_MS
+        run_ms = self.random_state.randint(*span)
         lease_ms = now_ms + TASK_LEASE_MS
         self.tasks[task_id] = _Task(team, now_ms + run_ms, lease_ms)
         self.oracle.on_start(task_id, team)
--- a/samphiregate/core/limits/_account.py
+++ b/samphiregate/core/limits/_account.py
@@ -22,6 +22,8 @@
     wanted: int = 0
     handed_over: int = 0
     handed_over_ms: int = 0
+    granted_seen: int = 0
+    ceiling_seen: int = _messages.NO_CEILING
     ceiling: int = _messages.NO_CEILING
 
     @property
@@ -49,6 +51,16 @@
         """Tokens that were asked back and have not arrived."""
         return max(0, self.recalled - self.returned)
 
+    @property
+    def unseen(self):
+        """Whether the holder has not heard of everything yet."""
+        return (
+            self.owed > 0
+            or self.granted_seen != self.granted
+            or self.ceiling_seen != self.ceiling
+            or self.handed_over > self.released
+        )
+
 
 @attrs.define
 class HolderAccount:
@@ -60,6 +72,8 @@
         Number that the holder gave it.
     sequence : int
         That of the latest report.
+    acknowledged : int
+        Latest report that was acknowledged.
     reported_ms : int
         When the latest report arrived.
     teams_by_name : dict
@@ -70,6 +84,7 @@
 
     number: int
     sequence: int = 0
+    acknowledged: int = 0
     reported_ms: int = 0
     teams_by_name: dict = attrs.field(factory=dict)
     changed_teams: set = attrs.field(factory=set)
@@ -96,8 +111,7 @@
     def release(self, name):
         """Lets the holder give back what it reported as handed over."""
         record = self.team(name)
-        record.released += record.handed_over
-        record.handed_over = 0
+        record.released = record.handed_over
         self.changed_teams.add(name)
 
     def set_ceiling(self, name, ceiling):
--- a/samphiregate/core/limits/_holder.py
+++ b/samphiregate/core/limits/_holder.py
@@ -98,6 +98,7 @@
         self._listed_ms = None
         self._changed_teams = {}
         self._returning_teams = set()
+        self._unacknowledged = {}
         self._next_report_ms = 0
         self._call_ids = itertools.count(1)
         self._pause = base.PauseDetector(limit_ms=pause_limit_ms)
@@ -255,13 +256,20 @@
                 self._open_account()
             return
         self._registered = True
+        self._on_acknowledged(message.sequence)
         for line in message.lines:
             holding = self._holding(line.team)
             returned = holding.returned
             holding.take_grant(line)
+            self._changed_teams[line.team] = True
             if holding.returned != returned:
                 self._returning_teams.add(line.team)
 
+    def _on_acknowledged(self, sequence):
+        for team, changed in tuple(self._unacknowledged.items()):
+            if changed <= sequence:
+                del self._unacknowledged[team]
+
     # Tokens in hand.
 
     def _holding(self, team):
@@ -274,12 +282,16 @@
     def _open_account(self):
         """Gives up what was held, but for the tokens of running work."""
         self._account += 1
-        self._sequence = 0
-        self._registered = False
+        self._begin_reports()
         for holding in self._holdings_by_team.values():
             holding.drop_idle()
             holding.begin_epoch()
 
+    def _begin_reports(self):
+        self._sequence = 0
+        self._registered = False
+        self._unacknowledged.clear()
+
     def _give_back_all(self):
         for team, holding in self._holdings_by_team.items():
             if holding.give_back(holding.idle):
@@ -293,8 +305,10 @@
         )
         silent = now_ms - contact_ms > self.isolation_ms
         isolated = silent and not alone
-        if isolated and not self._isolated:
+        if isolated != self._isolated:
             self._open_account()
+            if self._home is not None:
+                self._home.ledger.doubt()
         self._isolated = isolated
 
     # The granting VM.
@@ -309,8 +323,7 @@
             self._change_home(owned_epoch, now_ms)
         if epoch != self._epoch:
             self._epoch = epoch
-            self._registered = False
-            self._sequence = 0
+            self._begin_reports()
             for holding in self._holdings_by_team.values():
                 holding.begin_epoch()
 
@@ -343,10 +356,13 @@
             return
         if due:
             self._next_report_ms = now_ms + REPORT_PERIOD_MS
-        teams = self._holdings_by_team
-        if self._registered:
-            teams = self._teams_to_report(urgent)
         self._sequence += 1
+        teams = self._teams_to_report(urgent)
+        for team in teams:
+            self._unacknowledged[team] = self._sequence
+        teams = set(self._unacknowledged)
+        if not self._registered:
+            teams = self._holdings_by_team
         message = _messages.TokenReport(
             epoch=self._epoch,
             account=self._account,
@@ -369,7 +385,7 @@
         return urgent
 
     def _teams_to_report(self, urgent):
-        """Returns at most `MAX_LINES` teams; the rest wait their turn."""
+        """Returns the teams with news; most wait for their turn."""
         chosen = urgent | {
             team
             for team in self._changed_teams
--- a/samphiregate/core/limits/_holding.py
+++ b/samphiregate/core/limits/_holding.py
@@ -28,6 +28,9 @@
         Most units that a start lacked since the last report.
     missed_ms : int or None
         When a start last lacked tokens.
+    void : int
+        Tokens of running work that are given back when it ends, since
+        others may have them by now.
     parcels : list of tuple
         Handed-over tokens that are still held: when and how many.
     """
@@ -43,6 +46,7 @@
     wanted: int = 0
     missed: int = 0
     missed_ms: int | None = None
+    void: int = 0
     parcels: list = attrs.field(factory=list)
 
     @property
@@ -70,8 +74,9 @@
         self.ceiling = _messages.NO_CEILING
 
     def drop_idle(self):
-        """Keeps only the tokens of running work."""
+        """Keeps only the tokens of running work, until it ends."""
         self.held = min(self.held, self.in_use + self.parked)
+        self.void = self.held
 
     def give_back(self, count):
         """Gives up to `count` idle tokens back."""
@@ -83,7 +88,9 @@
 
     def settle(self):
         """Gives back what was asked for, as far as it is idle."""
-        return self.give_back(self.recalled - self.returned)
+        returned = self.give_back(self.void)
+        self.void -= returned
+        return returned + self.give_back(self.recalled - self.returned)
 
     def take_grant(self, line):
         """Takes in a `GrantLine`; repeated or older lines change nothing."""
@@ -104,6 +111,7 @@
             count -= freed
             self.held -= freed
             self.returned += freed
+            self.void -= min(self.void, freed)
             if parked > freed:
                 self.parcels.insert(0, (parked_ms, parked - freed))
 
@@ -147,5 +155,7 @@
             returned=self.returned,
             in_use=self.in_use,
             wanted=self.wanted,
-            handed_over=handed_over,
+            handed_over=self.released + handed_over,
+            granted=self.granted,
+            ceiling=self.ceiling,
         )
--- a/samphiregate/core/limits/_home.py
+++ b/samphiregate/core/limits/_home.py
@@ -102,6 +102,8 @@
 
     def pool(self, team):
         """Returns the tokens that may be granted; negative if overdrawn."""
+        if self.ledger.deposed_ or not self.ledger.confirmed_:
+            return 0
         records = self._records(team)
         tokens = self.ledger.tokens(team) - self.ledger.reserved(team)
         if self.audited_:
@@ -162,10 +164,11 @@
         record.returned = line.returned
         record.in_use = line.in_use
         record.wanted = line.wanted
-        handed_over = line.handed_over
-        if handed_over and handed_over != record.handed_over:
+        record.granted_seen = line.granted
+        record.ceiling_seen = line.ceiling
+        if line.handed_over != record.handed_over:
             record.handed_over_ms = now_ms
-        record.handed_over = handed_over
+        record.handed_over = line.handed_over
         self._dirty_teams.add(line.team)
 
     def _reject(self, report, sender, actions):
@@ -302,7 +305,8 @@
     def _release_handed_over(self, reported_ms):
         for account in self.accounts_by_vm_.values():
             for team, record in account.teams_by_name.items():
-                if record.handed_over and reported_ms > record.handed_over_ms:
+                due = record.handed_over > record.released
+                if due and reported_ms > record.handed_over_ms:
                     account.release(team)
 
     # Sharing inside the data centre.
@@ -392,17 +396,17 @@
                 names.update(
                     name
                     for name, record in account.teams_by_name.items()
-                    if record.owed
-                    or record.ceiling != _messages.NO_CEILING
-                    or record.wanted
+                    if record.unseen
                 )
-            if names:
+            if names or account.sequence != account.acknowledged:
                 self._send(vm_id, account, names, actions)
 
     def _send(self, vm_id, account, names, actions):
+        account.acknowledged = account.sequence
         message = _messages.TokenGrant(
             epoch=self.epoch,
             account=account.number,
+            sequence=account.sequence,
             lines=account.take_lines(names),
         )
         actions.append(base.SendToPeer(vm_id, message))
--- a/samphiregate/core/limits/_ledger_client.py
+++ b/samphiregate/core/limits/_ledger_client.py
@@ -44,6 +44,9 @@
     claimed_ : bool
         Whether the ledger bears this epoch, so that no write of an
         earlier one can still take effect.
+    confirmed_ : bool
+        Whether the store was read since there was last a doubt about
+        being in charge.
     deposed_ : bool
         Whether the ledger bears a higher epoch.
     unused_before_ : bool
@@ -70,6 +73,7 @@
         self.version_ = 0
         self.read_ms_ = None
         self.claimed_ = False
+        self.confirmed_ = True
         self.deposed_ = False
         self.unused_before_ = False
         self.claimed_tokens_by_team_ = {}
@@ -109,6 +113,12 @@
         """Returns the teams that have tokens in this data centre."""
         return set(self._tokens_by_team)
 
+    def doubt(self):
+        """Takes nothing for granted until the store is read again."""
+        self.confirmed_ = False
+        self._call_id = None
+        self._must_read = True
+
     def ask_for_read(self):
         """Reads the ledger as soon as possible."""
         self._must_read = True
@@ -171,6 +181,7 @@
     def _on_ok(self, event, was_write, now_ms):
         if not was_write:
             self._must_read = False
+            self.confirmed_ = True
             self._take(event.version, event.value, now_ms)
             return None
         write = self._write
--- a/samphiregate/core/limits/_messages.py
+++ b/samphiregate/core/limits/_messages.py
@@ -27,8 +27,12 @@
     wanted : int
         Further tokens that work is waiting for.
     handed_over : int
-        Tokens of work whose shard went to another VM long enough ago;
-        they may be given back once that VM's work is known of.
+        Tokens of work whose shard went to another VM long enough ago, in
+        all; they may be given back once that VM's work is known of.
+    granted : int
+        Tokens that arrived, in all.
+    ceiling : int
+        The ceiling that arrived last.
     """
 
     team: str
@@ -37,6 +41,8 @@
     in_use: int
     wanted: int
     handed_over: int = 0
+    granted: int = 0
+    ceiling: int = NO_CEILING
 
 
 @attrs.frozen
@@ -50,7 +56,8 @@
     account : int
         Raised by the holder when it no longer trusts what it held.
     sequence : int
-        Rises with each report of an account.
+        Rises with each report of an account. A report repeats all lines
+        of earlier ones that are not acknowledged.
     complete : bool
         Whether teams without a line hold nothing.
     """
@@ -94,11 +101,14 @@
     registered : bool
         False if the account is unknown or was closed, so that the holder
         has to open another.
+    sequence : int
+        Acknowledges the report with that number and all before it.
     """
 
     epoch: int
     account: int
     registered: bool = True
+    sequence: int = 0
     lines: tuple[GrantLine, ...] = ()
 
 
--- a/samphiregate/core/membership/_membership.py
+++ b/samphiregate/core/membership/_membership.py
@@ -47,6 +47,8 @@
         Time between probes of VMs that are believed dead.
     forget_ms : int
         Time after which a dead VM that is not listed is forgotten.
+    remote_forget_ms : int
+        The same for any VM of another data centre.
     pause_limit_ms : int
         Longest gap between events that is not taken for a pause.
 
@@ -72,6 +74,7 @@
         "remote_period_ms": parameters.Interval(int, 50, 60_000),
         "revival_period_ms": parameters.Interval(int, 100, 600_000),
         "forget_ms": parameters.Interval(int, 1_000, 86_400_000),
+        "remote_forget_ms": parameters.Interval(int, 1_000, 86_400_000),
         "pause_limit_ms": parameters.Interval(int, 200, 600_000),
     }
 
@@ -87,6 +90,7 @@
         remote_period_ms=500,
         revival_period_ms=5_000,
         forget_ms=600_000,
+        remote_forget_ms=30_000,
         pause_limit_ms=2_000,
     ):
         self.vm_id = vm_id
@@ -98,6 +102,7 @@
         self.remote_period_ms = remote_period_ms
         self.revival_period_ms = revival_period_ms
         self.forget_ms = forget_ms
+        self.remote_forget_ms = remote_forget_ms
         self.pause_limit_ms = pause_limit_ms
         self.check_parameters()
         self.peers_by_id_ = {}
@@ -210,9 +215,10 @@
             peer.listed = False
             peer.unlisted_ms = now_ms
         if peer.data_centre != self.data_centre:
-            silent = peer.state is fleet.PeerState.SUSPECT
-            if silent and peer.data_centre in self.unreachable_:
+            if now_ms - peer.unlisted_ms >= self.remote_forget_ms:
                 self._fire(peer, "forgotten", now_ms, actions)
+                del self.peers_by_id_[peer.vm_id]
+            return
         if self.is_gone(peer.vm_id, self.forget_ms, now_ms):
             del self.peers_by_id_[peer.vm_id]
 
