Hold the runners while the drain's requests gather

Change: the runner stand-in can pause until the fault ends; the scenario pauses the runners, drains, and lets them go on.

--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -53,7 +53,7 @@
         context,
         runners,
         slots,
-        body_timeout_ms=200,
+        body_timeout_ms=1_000,
         most_body_bytes=wire.MOST_BODY_BYTES,
     )
 
@@ -226,6 +226,7 @@
 
 @behave.then("edge: only the longest idle connection was closed")
 def then_longest_closed(context):
+    wait_until(lambda: is_closed(context.sockets[0]))
     closed = [is_closed(sock) for sock in context.sockets]
     assert closed == [True, False, False, False, False], closed
     for sock in context.sockets:
@@ -233,10 +234,11 @@
 
 
 def is_closed(sock):
-    sock.settimeout(0.05)
+    """Returns whether the other end has closed a connection."""
+    sock.setblocking(False)
     try:
         return not sock.recv(1)
-    except TimeoutError:
+    except BlockingIOError:
         return False
 
 
@@ -290,13 +292,17 @@
 def when_drained(context, count):
     site = context.site
     for served in site.runners:
-        served.work_ms = 20
+        served.faults = runner.Faults(pause=True)
     bodies = [b"body %d" % number for number in range(count)]
     sending = gevent.spawn(site.send_each, bodies)
     wait_until(lambda: site.server.in_flight == count)
     site.server.start_draining()
     context.ready = site.call("GET", "/ready")
-    context.finished = site.server.finish(DRAIN_TIMEOUT_MS)
+    finishing = gevent.spawn(site.server.finish, DRAIN_TIMEOUT_MS)
+    gevent.idle()
+    for served in site.runners:
+        served.faults = runner.Faults()
+    context.finished = finishing.get()
     context.answers_by_body = sending.get()
     context.count = count
 
--- a/standins/runner/_runner.py
+++ b/standins/runner/_runner.py
@@ -26,6 +26,8 @@
         Answers end in the middle of their body.
     fail : bool
         Requests are answered with status 500.
+    pause : bool
+        Requests take a slot and wait until the fault ends.
     refuse : bool
         Requests are refused although slots are free.
     slow_ms : int
@@ -35,6 +37,7 @@
     hang: bool = False
     cut: bool = False
     fail: bool = False
+    pause: bool = False
     refuse: bool = False
     slow_ms: int = 0
 
@@ -68,7 +71,8 @@
     def __init__(self, endpoint, *, slots=8, connections=60, work_ms=20):
         self.slots = slots
         self.work_ms = work_ms
-        self.faults = Faults()
+        self._faults = Faults()
+        self._faults_changed = gevent.event.Event()
         self.times_by_id = collections.Counter()
         self.most_used = 0
         self.refused = 0
@@ -93,6 +97,17 @@
         """``ip:port`` that it listens on."""
         return f"{self._server.server_host}:{self._server.server_port}"
 
+    @property
+    def faults(self):
+        """Faults that hold now."""
+        return self._faults
+
+    @faults.setter
+    def faults(self, faults):
+        self._faults = faults
+        self._faults_changed.set()
+        self._faults_changed.clear()
+
     def drain(self):
         """Refuses new requests and waits for those that run."""
         self.draining = True
@@ -171,6 +186,8 @@
         work_ms += self.faults.slow_ms
         if self.faults.hang:
             work_ms = HANG_MS
+        while self.faults.pause:
+            self._faults_changed.wait()
         if work_ms:
             gevent.sleep(work_ms / 1000)
 
