--- a/samphiregate/cli/_entry.py
+++ b/samphiregate/cli/_entry.py
@@ -82,16 +82,28 @@
 
 
 def error_of(answer):
-    """Returns the error that a problem document describes."""
+    """Returns the error that a problem document describes.
+
+    A code that this version does not know counts as `ErrorCode.INTERNAL`.
+    """
     try:
         problem = answer.json()
-        code = errors.ErrorCode(problem["code"])
-        ran = errors.Ran(problem.get("ran", "unknown"))
-        detail = problem.get("detail") or problem.get("title", "")
-        retry_after_ms = problem.get("retry_after_ms")
-    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError):
-        code, ran = errors.ErrorCode.INTERNAL, errors.Ran.UNKNOWN
-        detail, retry_after_ms = f"refused with status {answer.status}", None
+    except orjson.JSONDecodeError:
+        problem = {}
+    if not isinstance(problem, dict):
+        problem = {}
+    detail = problem.get("detail") or problem.get("title")
     return errors.SamphiregateError(
-        code, detail, ran=ran, retry_after_ms=retry_after_ms
+        _member(errors.ErrorCode, problem.get("code"), _UNKNOWN_CODE),
+        detail or f"refused with status {answer.status}",
+        ran=_member(errors.Ran, problem.get("ran"), errors.Ran.UNKNOWN),
+        retry_after_ms=problem.get("retry_after_ms"),
     )
+
+
+def _member(kind, value, default):
+    """Returns the member of an enum that has a value, or the default."""
+    return next((member for member in kind if member.value == value), default)
+
+
+_UNKNOWN_CODE = errors.ErrorCode.INTERNAL
