--- /dev/null
+++ b/samphiregate/core/workers/_relief.py
@@ -0,0 +1,104 @@
+"""Ends or cuts running work where limits or workers are exceeded."""
+
+from samphiregate.core import model
+from samphiregate.core import sizing
+from samphiregate.core.workers import _messages
+from samphiregate.core.workers import _peer
+from samphiregate.core.workers import _records
+
+NOTHING = model.Resources()
+
+
+class Relief:
+    """Stops the excess of lowered limits, and cuts back over-use.
+
+    Parameters
+    ----------
+    ledger : Ledger
+        Bookings.
+    ladder : base.Policy
+        Chooses what is throttled, checkpointed or stopped.
+    """
+
+    def __init__(self, *, ledger, ladder):
+        self._ledger = ledger
+        self._ladder = ladder
+
+    def enforce_limits(self, now_ms):
+        """Ends what runs above a limit that was lowered, newest first."""
+        for team in tuple(self._ledger.live_by_team):
+            excess = self._ledger.tokens.excess(team)
+            if excess > 0:
+                self._end_excess(team, excess, now_ms)
+
+    def cut_over_use(self, now_ms):
+        """Gives back what workers are over-given, by the mildest step."""
+        for record in self._ledger.workers_by_id.values():
+            if record.phase is _records.WorkerPhase.READY:
+                self._cut(record, now_ms)
+
+    def _end_excess(self, team, excess, now_ms):
+        bookings = tuple(self._ledger.live_by_team[team].values())
+        ending = sum(
+            booking.reason is not _peer.TaskReason.NONE for booking in bookings
+        )
+        candidates = sorted(
+            reversed(bookings), key=lambda one: not one.checkpointable
+        )
+        for booking in candidates:
+            if ending >= excess:
+                return
+            if booking.reason is not _peer.TaskReason.NONE:
+                continue
+            self._ledger.ask_end(
+                booking, _peer.TaskReason.OVER_LIMIT, now_ms, checkpoint=True
+            )
+            ending += 1
+
+    def _cut(self, record, now_ms):
+        worker_id = record.info.worker_id
+        excess = record.book.excess()
+        self._ladder.observe(sizing.WorkerExcess(worker_id, excess), now_ms)
+        if excess == NOTHING:
+            return
+        tasks = tuple(self._sizes(record))
+        question = sizing.CutBackQuestion(worker_id, excess, tasks)
+        cut = self._ladder.choose(question, now_ms)
+        if cut is None:
+            return
+        for task_id in cut.task_ids:
+            booking = self._ledger.live_by_task[task_id]
+            self._carry_out(record, booking, cut.step, now_ms)
+
+    def _sizes(self, record):
+        for booking in record.bookings_by_id.values():
+            if booking.state != _records.RUNNING:
+                continue
+            if booking.reason is not _peer.TaskReason.NONE:
+                continue
+            task_id = booking.attempt_id.task_id
+            yield sizing.TaskSize(
+                task_id=task_id,
+                work_class=booking.work_class,
+                booked=booking.resources,
+                used=record.used_by_task.get(task_id, NOTHING),
+                checkpointable=booking.checkpointable,
+                urgent=booking.urgent,
+                throttled=booking.throttled,
+            )
+
+    def _carry_out(self, record, booking, step, now_ms):
+        if step is not sizing.CutBackStep.THROTTLE:
+            self._ledger.ask_end(
+                booking,
+                _peer.TaskReason.OVER_USE,
+                now_ms,
+                checkpoint=step is sizing.CutBackStep.CHECKPOINT,
+            )
+            return
+        booking.throttled = True
+        attempt = booking.attempt_id
+        command = _messages.ThrottleTask(
+            attempt.task_id, attempt.attempt, booking.resources
+        )
+        record.commands.append(command)
