Check placement, books, sizes, preemption and quarantine in tables

The tables found, and each is now a row: - a refusal that no later report could have prevented doubled the hold after a refused start, as the times were compared with "not before"; - a service that had run for a short time was stopped rather than batch work; - nothing could be preempted where foreign work held a part of the site, as every team was below its part of the total. A team's due is now its part of what the teams with work use."

--- /dev/null
+++ b/features/policies_preemption.feature
@@ -0,0 +1,28 @@
+Feature: urgent work takes the place of what costs least
+
+  Scenario Outline: victims
+    Given 50 cores of birch that may not be taken
+    And a full worker for each of these tasks: <tasks>
+    When urgent work of ash asks for <cores> cores
+    Then task <victims> makes room
+
+    Examples: team cores started, C checkpointable, U urgent, S service, G gang
+      | tasks                                  | cores | victims |
+      | birch 4 100, ash 2 0                   | 4     | 0       |
+      | birch 4 100, birch 4 200 C, ash 2 0    | 4     | 1       |
+      | birch 4 100, birch 4 900, ash 2 0      | 4     | 1       |
+      | birch 4 100 S, birch 4 50, ash 2 0     | 4     | 1       |
+      | birch 4 0 U, ash 2 0                   | 4     | none    |
+      | birch 4 0 G, ash 2 0                   | 4     | none    |
+      | birch 4 0 GC, ash 2 0                  | 4     | 0       |
+      | birch 4 0, ash 8 900                   | 4     | 1       |
+      | birch 2 0, ash 2 0                     | 4     | none    |
+      | birch 60 0, ash 2 0                    | 4     | none    |
+      | birch 4 0, ash 60 0 U                  | 4     | none    |
+      | birch 4 100, cedar 4 900, ash 2 0      | 4     | 0       |
+
+  Scenario: only as many as are needed, on one worker
+    Given 50 cores of birch that may not be taken
+    And one full worker with birch tasks of 4,4,16,4 cores
+    When urgent work of ash asks for 16 cores
+    Then task 2 makes room
--- /dev/null
+++ b/features/steps/placement_steps.py
@@ -0,0 +1,150 @@
+"""Steps about placement."""
+
+import behave
+
+from features.support import packing
+from samphiregate.core import model
+from samphiregate.core import placement
+
+CORE = 1_000
+
+
+@behave.given("{plain:d} plain workers and {gpu:d} GPU workers under {policy}")
+def given_workers(context, plain, gpu, policy):
+    context.yard = packing.Yard(plain, gpu, policy)
+    context.gang = None
+
+
+@behave.when("{count:d} tasks of 2 cores are placed")
+def when_tasks(context, count):
+    for _task in range(count):
+        context.yard.place(2)
+
+
+@behave.when("{count:d} tasks of 2 cores are placed that end at {end:d} ms")
+def when_tasks_that_end(context, count, end):
+    for _task in range(count):
+        context.yard.place(2, end_ms=end)
+
+
+@behave.when("a service of {replicas:d} replicas is placed")
+def when_service(context, replicas):
+    for _replica in range(replicas):
+        context.yard.place(2, work_class=model.WorkClass.SERVICE)
+
+
+@behave.when("the replica on one rack is gone and placed again")
+def when_replica_gone(context):
+    context.yard.remove(context.yard.services[0])
+    context.yard.place(2, work_class=model.WorkClass.SERVICE)
+
+
+@behave.when("a gang of {count:d} tasks of {cores:d} cores starves")
+def when_starves(context, count, cores):
+    context.yard.starve("gang-1", count, cores)
+
+
+@behave.when("two gangs of {count:d} tasks of {cores:d} cores starve")
+def when_two_starve(context, count, cores):
+    context.yard.starve("gang-1", count, cores)
+    context.yard.starve("gang-2", count, cores)
+    context.yard.starve("gang-1", count, cores)
+
+
+@behave.when("every task ends while others keep coming")
+def when_drains(context):
+    for task in tuple(context.yard.tasks):
+        context.yard.remove(task)
+        context.gang = context.gang or context.yard.gang_places(
+            "gang-1", 4, 16
+        )
+        context.yard.place(2)
+
+
+@behave.then("no GPU worker is used")
+def then_no_gpu(context):
+    assert not [each for each in context.yard.used() if "gpu" in each]
+
+
+@behave.then("{count:d} plain workers are empty")
+def then_empty_workers(context, count):
+    assert len(context.yard.empty("plain")) == count, context.yard.used()
+
+
+@behave.then("it is on {racks:d} racks and on {workers:d} workers")
+def then_spread(context, racks, workers):
+    places = [worker_id for worker_id, *_rest in context.yard.services]
+    used = {context.yard.workers_by_id[each].rack for each in places}
+    assert len(used) == racks, used
+    assert len(set(places)) == workers, places
+
+
+@behave.then(
+    "a gang of {count:d} tasks of {cores:d} cores gets {places:d} places"
+)
+def then_gang_gets(context, count, cores, places):
+    got = context.yard.gang_places("gang-1", count, cores)
+    assert len(got or ()) == places, got
+
+
+@behave.then("the gang has its places")
+def then_gang_placed(context):
+    assert context.gang is not None and len(context.gang) == 4
+
+
+@behave.then("the gang has no places")
+def then_gang_not_placed(context):
+    assert context.gang is None, context.gang
+
+
+@behave.then("workers are kept for the first gang alone")
+def then_kept_for_first(context):
+    _then_kept(context, "gang-1")
+
+
+@behave.then("once it is withdrawn they are kept for the second")
+def then_kept_for_second(context):
+    context.yard.observe(placement.GangWithdrawn("gang-1"))
+    _then_kept(context, "gang-2")
+
+
+@behave.then("once that is withdrawn none are kept")
+def then_none_kept(context):
+    context.yard.observe(placement.GangWithdrawn("gang-2"))
+    description = context.yard.policy.describe()
+    assert description["reserved"] == 0, description
+
+
+def _then_kept(context, gang):
+    description = context.yard.policy.describe()
+    assert description["reserved_for"] == gang, description
+    assert description["reserved"] >= 6, description
+
+
+@behave.then("at {now:d} ms a task that runs {length:d} ms finds {found}")
+def then_finds(context, now, length, found):
+    worker_id = context.yard.ask(2, run_time_ms=length, now_ms=now)
+    assert (worker_id is not None) == (found == "a worker"), worker_id
+
+
+@behave.given("the book of a worker with {cores:d} cores")
+def given_book(context, cores):
+    context.book = placement.WorkerBook(packing.make_worker(cores))
+
+
+@behave.when("it sees {events}")
+def when_book_sees(context, events):
+    if events == "nothing":
+        return
+    for event in events.split(", "):
+        packing.tell_book(context.book, event)
+
+
+@behave.then(
+    "at {now:d} ms it has room for {room:g} cores and {excess:g} too many"
+)
+def then_room(context, now, room, excess):
+    found = context.book.room(now).cpu_millis
+    assert found == round(room * CORE), found
+    found = context.book.excess().cpu_millis
+    assert found == round(excess * CORE), found
--- /dev/null
+++ b/features/steps/quarantine_steps.py
@@ -0,0 +1,106 @@
+"""Steps about failing workers and jobs."""
+
+import behave
+
+from samphiregate.core import quarantine
+
+
+def _end(context, job_id, worker_id, succeeded, now_ms):
+    event = quarantine.TaskEnded(worker_id, job_id, succeeded)
+    context.judge.observe(event, now_ms)
+
+
+def _may_use(context, now_ms):
+    question = quarantine.MayUseWorker("1")
+    return context.judge.choose(question, now_ms)
+
+
+@behave.given("a failure judge")
+def given_judge(context):
+    context.judge = quarantine.FailureJudge()
+
+
+@behave.given("a failure judge that remembers {count:d} jobs")
+def given_small_judge(context, count):
+    context.judge = quarantine.FailureJudge(max_jobs=count)
+
+
+@behave.step("worker 1 is quarantined at {now:d} ms")
+def given_quarantined(context, now):
+    for number in range(3):
+        _end(context, f"job-{now}-{number}", "1", False, now)
+    assert not _may_use(context, now)
+
+
+@behave.when("tasks end as {ends}")
+def when_ends(context, ends):
+    for text in ends.split():
+        _end(context, text[0], text[1:-1], text[-1] == "+", 0)
+
+
+@behave.when("probes at {times} ms fail")
+def when_probes(context, times):
+    if times == "no":
+        return
+    for text in times.split(","):
+        now_ms = int(text)
+        job_id = f"probe-{now_ms}"
+        assert _may_use(context, now_ms)
+        context.judge.observe(quarantine.TaskBegun("1", job_id), now_ms)
+        assert not _may_use(context, now_ms)
+        _end(context, job_id, "1", False, now_ms)
+
+
+@behave.when("a probe begins at {now:d} ms")
+def when_probe_begins(context, now):
+    context.judge.observe(quarantine.TaskBegun("1", "probe"), now)
+
+
+@behave.when("a probe begins at {now:d} ms and succeeds")
+def when_probe_succeeds(context, now):
+    context.judge.observe(quarantine.TaskBegun("1", "probe"), now)
+    _end(context, "probe", "1", True, now + 1)
+
+
+@behave.when("{count:d} jobs fail once each on workers of their own")
+def when_many_fail(context, count):
+    context.worker_ids = [f"w-{number}" for number in range(count)]
+    for worker_id in context.worker_ids:
+        _end(context, f"job-{worker_id}", worker_id, False, 0)
+
+
+@behave.then("the quarantined workers are {workers} and the bad jobs {jobs}")
+def then_charged(context, workers, jobs):
+    description = context.judge.describe()
+    expected = [] if workers == "none" else workers.split(",")
+    assert description["quarantined"] == expected, description
+    expected = [] if jobs == "none" else jobs.split(",")
+    assert description["bad_jobs"] == expected, description
+    for job_id in "abcd":
+        question = quarantine.MayRetryJob(job_id)
+        may_retry = context.judge.choose(question, 0)
+        assert may_retry == (job_id not in expected), job_id
+
+
+@behave.then("it may not be used at {before:d} ms but at {after:d} ms")
+def then_not_before(context, before, after):
+    assert not _may_use(context, before)
+    assert _may_use(context, after)
+
+
+@behave.then("it may be used at {now:d} ms")
+def then_may_use(context, now):
+    assert _may_use(context, now)
+
+
+@behave.then("it remembers {count:d} jobs")
+def then_remembers(context, count):
+    assert len(context.judge.jobs_by_id_) == count
+
+
+@behave.then("no worker once all are forgotten")
+def then_forgets(context):
+    for worker_id in context.worker_ids:
+        event = quarantine.WorkerForgotten(worker_id)
+        context.judge.observe(event, 0)
+    assert not context.judge.workers_by_id_
--- /dev/null
+++ b/features/steps/sizing_steps.py
@@ -0,0 +1,80 @@
+"""Steps about sizes and over-use."""
+
+import behave
+
+from samphiregate.core import model
+from samphiregate.core import sizing
+
+BATCH = model.WorkClass.BATCH
+CAPACITY = model.Resources(64_000, 64_000, 0)
+
+
+def _amount(millicores):
+    return model.Resources(millicores, 1_000, 0)
+
+
+@behave.when(
+    "{count:d} tasks declare {declared:d} millicores and use {used:d}"
+)
+def when_declare(context, count, declared, used):
+    if not hasattr(context, "learner"):
+        context.learner = sizing.SizeLearner()
+    event = sizing.UsageSeen("ash", BATCH, _amount(declared), _amount(used))
+    for _task in range(count):
+        context.learner.observe(event, 0)
+
+
+@behave.then(
+    "{low:d} to {high:d} are booked for a task that declares {declared:d}"
+)
+def then_booked(context, low, high, declared):
+    question = sizing.BookingQuestion(
+        "ash", BATCH, _amount(declared), CAPACITY
+    )
+    booked = context.learner.choose(question, 0).cpu_millis
+    assert low <= booked <= high, booked
+
+
+@behave.given(
+    "a worker over by {cores:d} cores since {since:d} ms with tasks {tasks}"
+)
+def given_over_given(context, cores, since, tasks):
+    context.ladder = sizing.CutBackLadder()
+    excess = model.Resources(cores * 1_000, 0, 0)
+    event = sizing.WorkerExcess("w-1", excess)
+    context.ladder.observe(event, since)
+    sizes = tuple(_task_size(text) for text in tasks.split(", "))
+    context.question = sizing.CutBackQuestion("w-1", excess, sizes)
+
+
+def _task_size(text):
+    name, amounts, *marks = text.split()
+    booked, used = (int(part) * 1_000 for part in amounts.split("/"))
+    is_service = "S" in marks
+    return sizing.TaskSize(
+        task_id=model.TaskId(name, 0),
+        work_class=model.WorkClass.SERVICE if is_service else BATCH,
+        booked=model.Resources(booked, 0, 0),
+        used=model.Resources(used, 0, 0),
+        checkpointable="C" in marks,
+        urgent="U" in marks,
+        throttled="T" in marks,
+    )
+
+
+@behave.when("it is asked at {now:d} ms what to do")
+def when_asked(context, now):
+    context.cut_back = context.ladder.choose(context.question, now)
+
+
+@behave.then("it answers nothing")
+def then_nothing(context):
+    assert context.cut_back is None, context.cut_back
+
+
+@behave.then("it answers {step} {tasks}")
+def then_answers(context, step, tasks):
+    assert context.cut_back is not None
+    assert context.cut_back.step.value == step, context.cut_back
+    names = [task_id.job_id for task_id in context.cut_back.task_ids]
+    assert names == tasks.split(","), names
--- a/samphiregate/core/placement/_worker_book.py
+++ b/samphiregate/core/placement/_worker_book.py
@@ -170,9 +170,9 @@
         stays below `resources` for a while, which doubles with each refusal
         that a report from after the last one did not prevent.
         """
-        if self.report_ms_ is None or self.report_ms_ >= self.refused_ms_:
+        if self.report_ms_ is None or self.report_ms_ > self.refused_ms_:
             self.refusals_ += 1
-        doublings = min(self.refusals_ - 1, MAX_DOUBLINGS)
+        doublings = min(max(self.refusals_ - 1, 0), MAX_DOUBLINGS)
         hold_ms = self.refusal_hold_ms * 2**doublings
         self.refused_ms_ = now_ms
         cap = _just_below(resources, self.worker.capacity)
--- a/samphiregate/core/preemption/_cheapest.py
+++ b/samphiregate/core/preemption/_cheapest.py
@@ -27,8 +27,9 @@
     Parameters
     ----------
     cost : tuple
-        Tasks that are stopped for good, work lost in core milliseconds,
-        and tasks in all; compared in this order.
+        Services that are stopped, tasks that are stopped without a
+        checkpoint, work lost in core milliseconds, and tasks in all;
+        compared in this order.
     """
 
     cost: tuple
@@ -248,8 +249,11 @@
 
 def _cost(tasks, now_ms):
     stopped = [task for task in tasks if not task.checkpointable]
+    services = sum(
+        1 for task in stopped if task.work_class is model.WorkClass.SERVICE
+    )
     lost = sum(
         (now_ms - task.started_ms) * task.resources.cpu_millis // 1_000
         for task in stopped
     )
-    return (len(stopped), lost, len(tasks))
+    return (services, len(stopped), lost, len(tasks))
--- a/samphiregate/core/queueing/_fair_share.py
+++ b/samphiregate/core/queueing/_fair_share.py
@@ -91,6 +91,7 @@
         self._prompt = _ranking.Ranking()
         self._load = _ranking.Ranking()
         self._active_weight = 0.0
+        self._used_share = 0.0
         self._next_step_ms = 0
         self._remote_until_ms = None
 
@@ -205,7 +206,7 @@
         }
 
     def due(self, name):
-        """Returns a team's part among the teams that have work.
+        """Returns a team's part of what the teams that have work now use.
 
         Parameters
         ----------
@@ -215,12 +216,18 @@
         Returns
         -------
         float
-            Fraction of the total; 0 for a team without work.
+            Dominant share; 0 for a team without work.
+
+        Notes
+        -----
+        It is a part of what is used, not of the total: where the older
+        scheduler or failed workers take room away, nobody could come to a
+        part of the total.
         """
         team = self.teams_by_name_.get(name)
         if team is None or not self._is_active(team):
             return 0.0
-        return team.weight / self._active_weight
+        return team.weight / self._active_weight * self._used_share
 
     def share(self, name):
         """Returns the dominant share of a team's running work."""
@@ -253,7 +260,9 @@
         team.running.change(event.resources, sign)
         if event.urgent:
             team.running_urgent.change(event.resources, sign)
+        self._used_share -= team.share
         team.measure(self.total_)
+        self._used_share += team.share
         self._rank(team)
 
     def _team(self, name, now_ms):
@@ -297,7 +306,9 @@
 
     def _rank_all(self):
         self._active_weight = 0.0
+        self._used_share = 0.0
         for team in self.teams_by_name_.values():
+            self._used_share += team.share
             team.active = False
             self._rank(team)
 
