--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -55,6 +55,13 @@
       | 3      | job owner crashes while messages come twice    |
       | 3      | worker owner crashes while a worker is cut off |
 
+  Scenario: an old owner that cannot reach its workers gives nothing up
+    Given a job site of 4 entry VMs and 6 workers of 8 cores, where a team may run 80 tasks
+    And a batch job of 40 tasks of 40 s that has begun to run for 500 ms
+    When this happens at the job site: worker owner is taken for dead, and loses reach of its workers
+    Then every task of the job succeeds exactly once within 240 s
+    And no room and no token of the job site is held any more
+
   Scenario Outline: a submission repeated with its key makes one job: <fault> in between
     Given a job site of 4 entry VMs and 4 workers of 8 cores, where a team may run 80 tasks
     When a job is submitted with a key on vm0, then <fault>, then again on vm1
@@ -66,6 +73,18 @@
       | none              |
       | job owner crashes |
 
+  Scenario Outline: what a caller was told survives the crash of the job owner <moment> ms later: <call>
+    Given a job site of 3 entry VMs and 4 workers of 8 cores, where a team may run 60 tasks
+    When a job owner of the job site crashes <moment> ms after it answered <call>, with all that it had sent
+    Then the job of the job site still <outcome>
+
+    Examples:
+      | moment | call   | outcome            |
+      | 0      | submit | succeeds           |
+      | 1      | submit | succeeds           |
+      | 0      | cancel | shows as cancelled |
+      | 1      | cancel | shows as cancelled |
+
   Scenario Outline: a cancelled job leaves no ghost: cancelled after <moment> ms, <fault>
     Given a job site of 3 entry VMs and 4 workers of 8 cores, where a team may run 60 tasks
     When a batch job of 60 tasks is cancelled <moment> ms after it was accepted, with <fault>
@@ -99,6 +118,11 @@
       | each fifth message is lost |
       | a worker restarts          |
 
+  Scenario: a large gang is not starved by a stream of small tasks
+    Given a job site of 3 entry VMs and 4 workers of 8 cores, where a team may run 90 tasks
+    When 600 batch tasks of 5 s are queued and then a gang of 4 tasks of 8 cores
+    Then the gang of the job site ends within 90 s, before the stream
+
   Scenario Outline: a service is kept at its count and spread over racks: <fault>
     Given a job site of 3 entry VMs and 12 workers of 8 cores, where a team may run 60 tasks
     And a service of 6 replicas that runs
