Check every guard of requests by taking it out

Change: scenarios for late answers of other attempts and owners, budgets, silence, deadlines that pass before a slot is free, dead edges, dead owners' loads, foreign slots, starts after a broken connection, bounds by team, waits without an owner, and mismatched TLS keys. An unknown outcome is tried again at another entry VM.

--- a/features/edge.feature
+++ b/features/edge.feature
@@ -32,6 +32,7 @@
       | a length with a sign         | 400    | bad-input      |
       | a body cut short             | 400    | bad-input      |
       | a body longer than allowed   | 413    | body-too-large |
+      | a length beyond the bound    | 413    | body-too-large |
       | chunks longer than allowed   | 413    | body-too-large |
       | chunks that are not valid    | 400    | bad-input      |
       | chunks cut short             | 400    | bad-input      |
@@ -125,6 +126,9 @@
     When edge: the files are replaced by rubbish
     Then edge: callers see the second certificate
     And edge: the fault of the files is told
+    When edge: the files are replaced by a key that does not match
+    Then edge: callers see the second certificate
+    And edge: the fault of the files is told
     And edge: a caller without TLS is refused and harms nobody
 
   Scenario: edge: histograms and status are shown to those they concern
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -76,6 +76,8 @@
       | idempotent | how                   | answered | unknown |
       | yes        | its death             | 20       | 0       |
       | no         | its death             | 5        | 5       |
+      | yes        | news of its death     | 20       | 0       |
+      | no         | news of its death     | 5        | 5       |
       | yes        | a broken link         | 20       | 0       |
       | no         | a broken link         | 5        | 5       |
       | yes        | a broken link to us   | 20       | 0       |
@@ -89,6 +91,25 @@
     Then requests: late answers were dropped
     And requests: all that must hold holds
 
+  Scenario: requests: the answer of another entry VM never comes
+    Given requests: 2 entry VMs with 2 runners of 2 slots
+    When requests: 20 requests arrive at once, idempotent no
+    And requests: the other entry VM is lost by silence
+    And requests: 9000 ms pass
+    Then requests: at least 5 were answered with 200
+    And requests: at least 5 ended as deadline-exceeded unknown
+    And requests: all that must hold holds
+
+  Scenario: requests: what a lost edge had queued is not executed
+    Given requests: 2 entry VMs with 1 runners of 2 slots
+    And requests: every runner has the fault slow
+    When requests: 10 requests arrive at once, idempotent no
+    And requests: 5 ms pass
+    And requests: entry VM 0 is lost by its death
+    And requests: its shards move to entry VM 1
+    And requests: 9000 ms pass
+    Then requests: the runners executed at most 2
+
   Scenario: requests: every peer message arrives twice
     Given requests: 3 entry VMs with 3 runners of 2 slots
     And requests: every peer message arrives twice
@@ -129,6 +150,14 @@
     Then requests: it ended as deadline-exceeded no
     And requests: it was executed 0 to 0 times
 
+  Scenario: requests: a slot is free only after the deadline
+    Given requests: 1 entry VMs with 1 runners of 1 slots
+    When requests: 1 request arrives, idempotent no
+    And requests: a request arrives with 15 ms left
+    And requests: 40 ms pass
+    Then requests: it ended as deadline-exceeded no
+    And requests: it was executed 0 to 0 times
+
   Scenario Outline: requests: a leaving runner gets nothing new
     Given requests: 1 entry VMs with 2 runners of 2 slots
     When requests: 4 requests arrive at once, idempotent no
@@ -160,6 +189,14 @@
       | refuse |
       | down   |
 
+  Scenario: requests: runners that refuse are asked seldom
+    Given requests: 1 entry VMs with 2 runners of 8 slots
+    And requests: every runner has the fault refuse
+    When requests: 300 requests arrive, one each 10 ms, idempotent no
+    And requests: 6000 ms pass
+    Then requests: the runners were asked at most 100 times
+    And requests: all that must hold holds
+
   Scenario: requests: a flood is shed from the team above its share
     Given requests: 1 entry VMs with 1 runners of 2 slots
     When requests: 2000 requests of team huts arrive at once
@@ -200,6 +237,35 @@
     And requests: its shards move to entry VM 0
     And requests: 9000 ms pass
     Then requests: at least 8 were answered with 200
+    And requests: the runners were asked at most 14 times
+    And requests: all that must hold holds
+
+  Scenario: requests: slots that others use are left alone
+    Given requests: 1 entry VMs with 1 runners of 8 slots
+    And requests: others use 6 slots of every runner
+    When requests: 60 requests arrive at once, idempotent no
+    And requests: 4000 ms pass
+    Then requests: at least 60 were answered with 200
+    And requests: the runners were asked at most 64 times
+    And requests: all that must hold holds
+
+  Scenario: requests: a lost shard's runners get nothing from its old owner
+    Given requests: 2 entry VMs with 4 runners of 2 slots
+    When requests: 40 requests arrive, one each 10 ms, idempotent no
+    And requests: its shards move to entry VM 0
+    And requests: 10 ms pass
+    And requests: what entry VM 1 sent is counted
+    And requests: 40 requests arrive, one each 10 ms, idempotent no
+    And requests: 6000 ms pass
+    Then requests: entry VM 1 sent nothing more
+    And requests: at least 80 were answered with 200
+    And requests: all that must hold holds
+
+  Scenario: requests: requests wait while the shards have no owner
+    Given requests: 2 entry VMs with 4 runners of 2 slots
+    When requests: nobody owns the shards for 1500 ms
+    And requests: 1000 ms pass
+    Then requests: at least 10 were answered with 200
     And requests: all that must hold holds
 
   Scenario: requests: an unknown outcome keeps its slot and token
@@ -208,6 +274,9 @@
     When requests: 2 requests arrive at once, idempotent no
     And requests: 6000 ms pass
     Then requests: 2 tokens are held
+    When requests: 5 requests arrive at once, idempotent no
+    And requests: 1000 ms pass
+    Then requests: the runners were asked at most 2 times
     And requests: every runner is restarted
     When requests: 20000 ms pass
     Then requests: 0 tokens are held
@@ -230,5 +299,65 @@
       | 3     | 40       |
       | 0     | 0        |
 
+  Scenario: requests: a request that starts after its connection broke
+    Given requests: 1 entry VMs with 1 runners of 4 slots
+    And requests: every runner has the fault late
+    And requests: work takes 300 ms
+    And requests: the limit of team huts is 1
+    When requests: 6 requests arrive at once, idempotent no
+    And requests: 9000 ms pass
+    Then requests: at most 1 of team huts ran at a time
+    And requests: all that must hold holds
+
+  Scenario Outline: requests: only the attempt under way can end a request
+    Given requests: an edge alone with owners
+    When requests: a request's first attempt ends unknown
+    And requests: attempt <attempt> ends answered by <sender>
+    Then requests: the lone request is <state>
+
+    Examples:
+      | sender            | attempt | state    |
+      | the present owner | 2       | answered |
+      | the present owner | 1       | pending  |
+      | the first owner   | 2       | pending  |
+      | the first owner   | 1       | pending  |
+
+  Scenario Outline: requests: retries come out of the team's budget
+    Given requests: an edge alone with owners
+    When requests: 200 requests reach it and every attempt ends <outcome>
+    Then requests: it made <retries> attempts beyond the first
+    When requests: 54 requests reach it and every attempt ends answered
+    And requests: 200 requests reach it and every attempt ends <outcome>
+    Then requests: it made <more> attempts beyond the first
+
+    Examples:
+      | outcome    | retries | more |
+      | unknown    | 20      | 30   |
+      | overloaded | 20      | 30   |
+
+  Scenario: requests: attempts at one request are bounded
+    Given requests: an edge alone with owners and a large budget
+    When requests: 1 requests reach it and every attempt ends unknown for 5 s
+    Then requests: it made 3 attempts beyond the first
+
+  Scenario: requests: the load of a dead entry VM is not believed
+    Given requests: an edge alone
+    When requests: it hears the load of an entry VM that is dead
+    And requests: a request reaches it
+    Then requests: it sent no attempt
+
+  Scenario Outline: requests: an edge bounds what waits, by team
+    Given requests: an edge alone that takes 100 requests
+    When requests: <huts> requests of huts and then <maps> of maps reach it
+    Then requests: it took <taken_huts> of huts and <taken_maps> of maps
+
+    Examples:
+      | huts | maps | taken_huts | taken_maps |
+      | 60   | 0    | 60         | 0          |
+      | 150  | 0    | 100        | 0          |
+      | 100  | 20   | 100        | 0          |
+      | 70   | 40   | 70         | 30         |
+      | 30   | 80   | 30         | 50         |
+
   Scenario: requests: random faults, losses, moves and withdrawals
     Then requests: in random runs all that must hold holds
--- a/features/runners.feature
+++ b/features/runners.feature
@@ -38,6 +38,13 @@
     And runners: an attempt is sent
     Then runners: it ends as answered with leaving no
 
+  Scenario: runners: a connection that was never read from is not used again
+    Given runners: a runner with a first connection that it never reads
+    When runners: an attempt with a body of 8000000 bytes is sent
+    Then runners: it ends as unknown with leaving no
+    When runners: 4 attempts are sent at once over 4 connections
+    Then runners: the last 4 ended as answered
+
   Scenario: runners: connections are bounded
     Given runners: a runner with no fault
     When runners: 40 attempts are sent at once over 4 connections
--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -347,6 +347,14 @@
     context.refreshed = context.site.server.refresh_certificate()
 
 
+@behave.when("edge: the files are replaced by a key that does not match")
+def when_mismatched(context):
+    put_certificate(context, "first")
+    key = (CERTIFICATES / "second-key.pem").read_bytes()
+    (context.folder / "key.pem").write_bytes(key)
+    context.refreshed = context.site.server.refresh_certificate()
+
+
 @behave.then("edge: the fault of the files is told")
 def then_fault_told(context):
     assert context.refreshed is False
--- /dev/null
+++ b/features/steps/request_edge_steps.py
@@ -0,0 +1,112 @@
+"""Steps about one request edge alone."""
+
+import behave
+
+from features.support import request_edge as support
+
+LARGE_BUDGET = 1_000
+TICK_MS = 50
+
+
+@behave.given("requests: an edge alone")
+def given_lone(context):
+    context.lone = support.LoneEdge()
+    context.count = 0
+
+
+@behave.given("requests: an edge alone with owners")
+def given_owners(context):
+    given_lone(context)
+    context.lone.hear_loads(*support.OWNERS)
+
+
+@behave.given("requests: an edge alone with owners and a large budget")
+def given_budget(context):
+    context.lone = support.LoneEdge(retry_burst=LARGE_BUDGET)
+    context.count = 0
+    context.lone.hear_loads(*support.OWNERS)
+
+
+@behave.given("requests: an edge alone that takes {most:d} requests")
+def given_bound(context, most):
+    context.lone = support.LoneEdge(most_pending=most)
+    context.lone.hear_loads(*support.OWNERS)
+
+
+@behave.when("requests: a request's first attempt ends unknown")
+def when_first_unknown(context):
+    lone = context.lone
+    lone.arrive("request")
+    context.first = lone.attempts("request")[0].recipient
+    lone.end(context.first, "request", 1, "unknown")
+    context.present = lone.attempts("request")[1].recipient
+    assert context.first != context.present
+
+
+@behave.when("requests: attempt {attempt:d} ends answered by {sender}")
+def when_answered(context, attempt, sender):
+    first = sender == "the first owner"
+    vm_id = context.first if first else context.present
+    context.lone.end(vm_id, "request", attempt, "answered")
+
+
+@behave.then("requests: the lone request is {state}")
+def then_state(context, state):
+    answered = "request" in context.lone.answers_by_id
+    assert answered == (state == "answered")
+
+
+@behave.when(
+    "requests: {count:d} requests reach it and every attempt ends {outcome}"
+)
+def when_all_end(context, count, outcome):
+    lone = context.lone
+    duration_ms = 0
+    if outcome.endswith(" for 5 s"):
+        outcome = outcome.removesuffix(" for 5 s")
+        duration_ms = 5_000
+    for _ in range(count):
+        context.count += 1
+        lone.arrive(f"request-{context.count}")
+        lone.end_all(outcome)
+    for _ in range(duration_ms // TICK_MS):
+        lone.tick(TICK_MS)
+        lone.hear_loads(*support.OWNERS)
+        lone.end_all(outcome)
+
+
+@behave.then("requests: it made {count:d} attempts beyond the first")
+def then_retries(context, count):
+    retries = len(context.lone.dispatches) - context.count
+    assert retries == count, retries
+
+
+@behave.when("requests: it hears the load of an entry VM that is dead")
+def when_dead_heard(context):
+    context.lone.hear_loads("owner-that-died")
+
+
+@behave.when("requests: a request reaches it")
+def when_one_reaches(context):
+    context.lone.arrive("request")
+
+
+@behave.then("requests: it sent no attempt")
+def then_none_sent(context):
+    assert not context.lone.dispatches
+
+
+@behave.when(
+    "requests: {huts:d} requests of huts and then {maps:d} of maps reach it"
+)
+def when_teams_reach(context, huts, maps):
+    for team, count in (("huts", huts), ("maps", maps)):
+        for number in range(count):
+            context.lone.arrive(f"{team}-{number}", team)
+
+
+@behave.then("requests: it took {huts:d} of huts and {maps:d} of maps")
+def then_taken(context, huts, maps):
+    dispatched = [a.message.team for a in context.lone.dispatches]
+    taken = (dispatched.count("huts"), dispatched.count("maps"))
+    assert taken == (huts, maps), taken
--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -58,6 +58,19 @@
     context.world.runners_by_id[f"runner-{number}"].fault = fault
 
 
+@behave.given("requests: work takes {duration:d} ms")
+def given_work(context, duration):
+    for runner in context.world.runners_by_id.values():
+        runner.work_ms = duration
+
+
+@behave.given("requests: others use {count:d} slots of every runner")
+def given_others(context, count):
+    for runner in context.world.runners_by_id.values():
+        runner.active |= {("of others", number) for number in range(count)}
+    context.world.run(support.TICK_MS)
+
+
 @behave.given("requests: every peer message arrives twice")
 def given_repeats(context):
     context.world.repeat_messages = True
@@ -121,12 +134,62 @@
     if how == "its death":
         world.kill("vm-1")
         return
+    if how == "news of its death":
+        dead = fleet.PeerState.DEAD
+        news = fleet.PeerStateChanged("vm-1", support.DATA_CENTRE, dead)
+        world.dropped_links.add(("vm-1", "vm-0"))
+        world.give("vm-0", news)
+        return
+    if how == "silence":
+        world.dropped_links.add(("vm-1", "vm-0"))
+        return
     world.give("vm-0", base.PeerUnreachable("vm-1"))
     if how == "a broken link":
         world.dropped_links.add(("vm-1", "vm-0"))
         world.give("vm-1", base.PeerUnreachable("vm-0"))
 
 
+@behave.when("requests: entry VM 0 is lost by its death")
+def when_edge_lost(context):
+    context.world.kill("vm-0")
+
+
+@behave.when("requests: nobody owns the shards for {duration:d} ms")
+def when_unowned(context, duration):
+    world = context.world
+    for shard in range(support.SHARD_COUNT):
+        for vm_id in world.machines_by_vm:
+            world.lose(vm_id, shard)
+    arrive(context, 10)
+    world.run(duration)
+    world.share_shards()
+
+
+@behave.then("requests: the runners were asked at most {most:d} times")
+def then_asked(context, most):
+    runners = context.world.runners_by_id.values()
+    asked = sum(runner.asked for runner in runners)
+    assert asked <= most, asked
+
+
+@behave.then("requests: the runners executed at most {most:d}")
+def then_executed_most(context, most):
+    runners = context.world.runners_by_id.values()
+    executed = sum(len(runner.executed) for runner in runners)
+    assert executed <= most, executed
+
+
+@behave.when("requests: what entry VM {number:d} sent is counted")
+def when_sent_counted(context, number):
+    context.sent_before = context.world.sent_by_vm[f"vm-{number}"]
+
+
+@behave.then("requests: entry VM {number:d} sent nothing more")
+def then_sent_nothing(context, number):
+    sent = context.world.sent_by_vm[f"vm-{number}"]
+    assert sent == context.sent_before > 0, (sent, context.sent_before)
+
+
 @behave.when("requests: the key is withdrawn and news {news}")
 def when_key_withdrawn(context, news):
     world = context.world
--- a/features/steps/runners_steps.py
+++ b/features/steps/runners_steps.py
@@ -4,6 +4,7 @@
 
 import behave
 import gevent.event
+from gevent import server
 
 from samphiregate.adapters import http
 from samphiregate.adapters import runners
@@ -12,6 +13,8 @@
 
 ATTEMPT_TIMEOUT_MS = 2_000
 HANG_TIMEOUT_MS = 100
+EMPTY_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+DEAF = "a first connection that it never reads"
 EVENT_TIMEOUT_S = 30
 MOST_ANSWER_BYTES = 1_000
 
@@ -61,7 +64,9 @@
     context.state = state
     context.served = runner.Runner("127.0.0.1:0", work_ms=1)
     context.endpoint = "127.0.0.1:1"
-    if state in ODD_ANSWERS:
+    if state == DEAF:
+        context.endpoint = stack.enter_context(deaf_server())
+    elif state in ODD_ANSWERS:
         context.endpoint = stack.enter_context(odd_server(state))
     elif state != "no listener":
         stack.enter_context(context.served)
@@ -88,12 +93,12 @@
     serve = application(status, body, headers)
     if state == "no length in answer":
         serve = without_length(body)
-    server = http.NoDelayServer("127.0.0.1:0", serve, error_log=None)
-    server.start()
+    listener = http.NoDelayServer("127.0.0.1:0", serve, error_log=None)
+    listener.start()
     try:
-        yield f"{server.server_host}:{server.server_port}"
+        yield f"{listener.server_host}:{listener.server_port}"
     finally:
-        server.stop(timeout=0)
+        listener.stop(timeout=0)
 
 
 def without_length(body):
@@ -108,7 +113,30 @@
     return serve
 
 
-def send(context, timeout_ms):
+@contextlib.contextmanager
+def deaf_server():
+    """Serves a listener that never reads from its first connection."""
+    stopped = gevent.event.Event()
+    connections = []
+
+    def handle(sock, _address):
+        connections.append(sock)
+        if len(connections) == 1:
+            stopped.wait()
+        with contextlib.suppress(OSError):
+            while sock.recv(65_536):
+                sock.sendall(EMPTY_ANSWER)
+
+    listener = server.StreamServer(("127.0.0.1", 0), handle)
+    listener.start()
+    try:
+        yield f"{listener.server_host}:{listener.server_port}"
+    finally:
+        stopped.set()
+        listener.stop(timeout=0)
+
+
+def send(context, timeout_ms, body=b""):
     context.sent += 1
     context.request_id = f"request-{context.sent}"
     context.pool.perform(
@@ -120,7 +148,7 @@
             queue="holds",
             timeout_ms=timeout_ms,
             content_type="text/plain",
-            body=b"body of " + context.request_id.encode(),
+            body=body or b"body of " + context.request_id.encode(),
         )
     )
 
@@ -132,6 +160,18 @@
     context.ends.wait(context.sent)
 
 
+@behave.when("runners: an attempt with a body of {size:d} bytes is sent")
+def when_large_sent(context, size):
+    send(context, HANG_TIMEOUT_MS, b"x" * size)
+    context.ends.wait(context.sent)
+
+
+@behave.then("runners: the last {count:d} ended as answered")
+def then_last_answered(context, count):
+    for event in context.ends.events[-count:]:
+        assert isinstance(event, requests.RunnerAnswered), event
+
+
 @behave.when("runners: the fault ends")
 def when_fault_ends(context):
     context.served.faults = runner.Faults()
@@ -141,7 +181,7 @@
 def when_many_sent(context, count):
     for _ in range(count):
         send(context, EVENT_TIMEOUT_S * 1_000)
-    context.ends.wait(count)
+    context.ends.wait(context.sent)
 
 
 @behave.when("runners: it is probed")
--- a/features/support/requests.py
+++ b/features/support/requests.py
@@ -21,6 +21,7 @@
 TICK_MS = 50
 LINK_MS = 1
 DEADLINE_MS = 5_000
+LATE_MS = 500
 
 
 class FakeReplica:
@@ -95,7 +96,8 @@
     ----------
     fault : str
         ``none``, ``hang``, ``cut``, ``refuse``, ``down``, ``error``,
-        ``leaving`` or ``slow``.
+        ``leaving``, ``slow``, or ``late``: the connection breaks, and the
+        request is executed some time afterwards.
     """
 
     def __init__(self, info, work_ms=20):
@@ -106,6 +108,7 @@
         self.most_active = 0
         self.executed = []
         self.hung = set()
+        self.asked = 0
 
     def restart_hung(self):
         """Ends what hangs."""
@@ -137,6 +140,7 @@
         self.owner_params = owner_params
         self.probes = 0
         self.links_broken = 0
+        self.sent_by_vm = collections.Counter()
         self.most_running_by_team = collections.Counter()
         for number in range(runners):
             self.add_runner(f"runner-{number}", slots)
@@ -259,7 +263,7 @@
             self.give(vm_id, event)
 
     def give(self, vm_id, event):
-        if vm_id in self.dead:
+        if vm_id in self.dead or vm_id not in self.vms_by_id:
             return
         for action in self.vms_by_id[vm_id].handle(event, self.now_ms):
             self.act(vm_id, action)
@@ -305,7 +309,12 @@
 
     def reach_runner(self, vm_id, action):
         runner = self.runners_by_id[action.runner_id]
-        if runner.fault == "down":
+        runner.asked += 1
+        self.sent_by_vm[vm_id] += 1
+        if runner.fault == "late":
+            self.fail(vm_id, action, model.AttemptOutcome.UNKNOWN)
+            self.after(LATE_MS, self.execute, "nobody", action, runner)
+        elif runner.fault == "down":
             self.fail(vm_id, action, model.AttemptOutcome.NEVER_SENT)
         elif runner.fault == "leaving":
             self.fail(vm_id, action, model.AttemptOutcome.REFUSED, True)
@@ -338,6 +347,7 @@
             self.arrivals_by_id[request_id].key_hash.removeprefix("hash-")
             for runner in self.runners_by_id.values()
             for request_id, _attempt in runner.active
+            if request_id in self.arrivals_by_id
         )
         self.most_running_by_team |= running
 
--- a/features/support/wire.py
+++ b/features/support/wire.py
@@ -45,6 +45,7 @@
     "a length with a sign": with_length(b"+4"),
     "a body cut short": with_length(b"100"),
     "a body longer than allowed": request(body=b"x" * (MOST_BODY_BYTES + 1)),
+    "a length beyond the bound": with_length(b"9999999999"),
     "chunks longer than allowed": chunked(
         b"1000\r\n" + b"x" * 4_096 + b"\r\n0\r\n\r\n"
     ),
--- a/samphiregate/core/requests/_attempts.py
+++ b/samphiregate/core/requests/_attempts.py
@@ -79,6 +79,7 @@
         if pending is None:
             return []
         if message.outcome is not model.AttemptOutcome.ANSWERED:
+            pending.tried = pending.tried | {sender}
             return self._after_unknown(pending, message.detail, now_ms)
         self._budget(pending.team).earn()
         return self._finish(
--- a/samphiregate/core/requests/_dispatcher.py
+++ b/samphiregate/core/requests/_dispatcher.py
@@ -151,7 +151,7 @@
         pool.dequeue(attempt.key, now_ms)
         attempt.runner_id = runner.info.runner_id
         attempt.sent_ms = now_ms
-        runner.running.add(attempt.key)
+        runner.sent_ms_by_key[attempt.key] = now_ms
         self.running_by_key[attempt.key] = attempt
         message = attempt.message
         pool.started(message.team, now_ms)
@@ -170,7 +170,7 @@
     def _end_running(self, attempt):
         del self.running_by_key[attempt.key]
         pool, runner = self._roster.place_of(attempt)
-        runner.running.discard(attempt.key)
+        del runner.sent_ms_by_key[attempt.key]
         return pool, runner
 
     def _hold(self, pool, runner, attempt, event, now_ms):
--- a/samphiregate/core/requests/_runners.py
+++ b/samphiregate/core/requests/_runners.py
@@ -9,6 +9,7 @@
 FIRST_PROBE_GAP_MS = 500
 LONGEST_PROBE_GAP_MS = 10_000
 SETTLE_MS = 2_000
+TRANSIT_MS = 5
 
 
 @attrs.define
@@ -34,8 +35,8 @@
 
     Parameters
     ----------
-    running : set
-        Keys of the attempts under way.
+    sent_ms_by_key : dict
+        When each attempt under way was sent.
     unknown_by_key : dict
         Attempts that may still run there.
     foreign : int
@@ -48,7 +49,7 @@
     shard: model.ShardId
     owned: bool = True
     leaving: bool = False
-    running: set = attrs.field(factory=set)
+    sent_ms_by_key: dict = attrs.field(factory=dict)
     unknown_by_key: dict = attrs.field(factory=dict)
     foreign: int = 0
     paused_until_ms: int = 0
@@ -59,7 +60,7 @@
 
     def used(self):
         """Returns the slots in use, or possibly in use, by this owner."""
-        return len(self.running) + len(self.unknown_by_key)
+        return len(self.sent_ms_by_key) + len(self.unknown_by_key)
 
     def free(self, now_ms):
         """Returns the slots that may be given out at `now_ms`.
@@ -70,7 +71,7 @@
             return 0
         free = max(self.info.slots - self.used() - self.foreign, 0)
         if self.pause_ms:
-            return 0 if self.running else min(free, 1)
+            return 0 if self.sent_ms_by_key else min(free, 1)
         return free
 
     def usable(self):
@@ -108,14 +109,29 @@
             Attempts that have surely ended.
         """
         ended = self._settle(slots_used, now_ms)
-        others = slots_used - len(self.running) - len(self.unknown_by_key)
-        self.foreign = min(max(others, 0), self.info.slots)
+        self._learn_foreign(slots_used, now_ms)
         if not self.foreign and not self.unknown_by_key:
             self.probe_due_ms = None
         else:
             self.schedule_probe(now_ms)
         return ended
 
+    def _learn_foreign(self, slots_used, now_ms):
+        """Brings the foreign slots between the bounds that are known.
+
+        An attempt that was sent just now may or may not be counted in the
+        slots that the runner told.
+        """
+        arrived = sum(
+            now_ms - sent_ms >= TRANSIT_MS
+            for sent_ms in self.sent_ms_by_key.values()
+        )
+        others = slots_used - len(self.unknown_by_key)
+        fewest = max(others - len(self.sent_ms_by_key), 0)
+        most = max(others - arrived, 0)
+        foreign = min(max(self.foreign, fewest), most)
+        self.foreign = min(foreign, self.info.slots)
+
     def release_lapsed(self, now_ms):
         """Releases the unknown attempts that have surely ended by now."""
         lapsed = [
