Take no key before a new VM is settled

Cause: a VM that was replaced could read a stale store and take a withdrawn key until a peer told it better.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -54,6 +54,27 @@
       | an old snapshot       |
       | old edits             |
 
+  Scenario: configuration: a new VM that reads a stale store takes no old key
+    Given a configuration fleet of 12 VMs in 3 data centres, seed 1
+    And a configuration key that every VM accepts
+    And the reads of the configuration's store are stale
+    When the configuration key is withdrawn
+    And 3000 ms of configuration time pass
+    And the configuration VM vm-004 is replaced
+    Then the new VM vm-004 never accepts the configuration key
+
+  Scenario Outline: configuration: a new VM with <news> <verdict> judge keys
+    Given a configuration replica started at 0 ms, keys valid 30000 ms
+    When the new configuration replica has <news>
+    Then the new configuration replica <verdict> judge keys
+
+    Examples:
+      | news                        | verdict   |
+      | nothing at 1999 ms          | can't     |
+      | nothing at 2000 ms          | can       |
+      | a peer's revision 5 at 5 ms | can't     |
+      | a peer's revision 0 at 5 ms | can       |
+
   Scenario: configuration: the keys of a removed team are refused
     Given a configuration fleet of 12 VMs in 3 data centres, seed 1
     And a configuration key that every VM accepts
@@ -142,3 +163,10 @@
     Given a configuration fleet of 44 VMs in 11 data centres, seed 1
     When 120 configuration edits come, 500 ms apart
     Then the store was called at most 30 times a second about the configuration
+
+  Scenario: configuration: a site of the size designed for fits into the store
+    Given a configuration replica at a site of 380 teams with 1520 keys
+    When 5000 keys more were given and withdrawn in the configuration
+    Then the configuration's document is within the store's bound
+    And the configuration replica refuses each withdrawn key
+    And the configuration replica accepts 1520 keys
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -35,6 +35,13 @@
     )
 
 
+def make_settled_replica():
+    """Returns a replica without peers that is past its start."""
+    replica = make_replica(settle_ms=0)
+    replica.handle(base.Tick(), 0)
+    return replica
+
+
 def make_edits(count, **first_changes):
     """Returns edits from revision 1 on."""
     team = model.Team(TEAM, "plan")
@@ -149,7 +156,7 @@
 
 @behave.given("a configuration replica with a key of revision 1")
 def given_replica_with_key(context):
-    context.replica = make_replica()
+    context.replica = make_settled_replica()
     edits = make_edits(1, given_keys=(key_record(),))
     deliver(context.replica, configurations.ConfigurationDelta(tuple(edits)))
     assert context.replica.team_for_key_hash(KEY_HASH) == TEAM
@@ -157,7 +164,7 @@
 
 @behave.given("a configuration replica that took {count:d} edits")
 def given_replica_with_edits(context, count):
-    context.replica = make_replica()
+    context.replica = make_settled_replica()
     for edit in make_edits(count):
         deliver(context.replica, configurations.ConfigurationDelta((edit,)))
     assert context.replica.configuration.revision == count
@@ -189,6 +196,43 @@
     fleet.store.stale_reads = False
 
 
+@behave.given("the reads of the configuration's store are stale")
+def given_stale_reads(context):
+    context.fleet.store.stale_reads = True
+
+
+@behave.when("the new configuration replica has nothing at {now:d} ms")
+def when_nothing(context, now):
+    context.replica.handle(base.Tick(), now)
+
+
+@behave.when(
+    "the new configuration replica has a peer's revision {revision:d} at "
+    "{now:d} ms"
+)
+def when_peer_revision(context, revision, now):
+    answer = configurations.ConfigurationDigest(
+        revision, asked_ms=1, is_reply=True
+    )
+    deliver(context.replica, answer, now)
+
+
+@behave.then("the new configuration replica {verdict} judge keys")
+def then_judges(context, verdict):
+    assert context.replica.knows_keys == (verdict == "can")
+
+
+@behave.then("the new VM {vm_id} never accepts the configuration key")
+def then_never_accepts(context, vm_id):
+    fleet = context.fleet
+    for _step in range(100):
+        fleet.run(50)
+        replica = fleet.replica_by_vm[vm_id]
+        assert replica.team_for_key_hash(KEY_HASH) is None, fleet.now_ms
+    assert replica.knows_keys
+    then_latest(context)
+
+
 @behave.when("the store goes down for the configuration")
 def when_store_down(context):
     context.fleet.store.down = True
@@ -446,7 +490,7 @@
 
 def check_news(news, states):
     """Checks the replica after each piece of news."""
-    replica = make_replica()
+    replica = make_settled_replica()
     highest = 0
     withdrawn = False
     for number, item in enumerate(news):
@@ -468,3 +512,65 @@
     if isinstance(item, configurations.ConfigurationDelta):
         return any(edit.withdrawn_keys for edit in item.edits)
     return False
+
+
+@behave.given(
+    "a configuration replica at a site of {teams:d} teams with {count:d} keys"
+)
+def given_large_site(context, teams, count):
+    context.replica = make_settled_replica()
+    names = [f"team-{number:03d}" for number in range(teams)]
+    context.good = [
+        model.KeyRecord(f"{number:064x}", f"{number:012x}", names[0])
+        for number in range(count)
+    ]
+    edit = configurations.Edit(
+        1,
+        "first",
+        teams=tuple(model.Team(name, "plan") for name in names),
+        given_keys=tuple(context.good),
+    )
+    deliver(context.replica, configurations.ConfigurationDelta((edit,)))
+
+
+@behave.when(
+    "{count:d} keys more were given and withdrawn in the configuration"
+)
+def when_many_withdrawn(context, count):
+    context.withdrawn = [
+        f"{number:064x}" for number in range(10**6, 10**6 + count)
+    ]
+    records = tuple(
+        model.KeyRecord(key_hash, key_hash[:12], "team-000")
+        for key_hash in context.withdrawn
+    )
+    edits = (
+        configurations.Edit(2, "given", given_keys=records),
+        configurations.Edit(
+            3, "withdrawn", withdrawn_keys=tuple(context.withdrawn)
+        ),
+    )
+    deliver(context.replica, configurations.ConfigurationDelta(edits))
+    assert context.replica.configuration.revision == 3
+
+
+@behave.then("the configuration's document is within the store's bound")
+def then_fits(context):
+    size = len(configurations.encode(context.replica.configuration))
+    assert size <= configurations.MAX_DOCUMENT_BYTES, size
+
+
+@behave.then("the configuration replica refuses each withdrawn key")
+def then_refuses_all(context):
+    taken = map(context.replica.team_for_key_hash, context.withdrawn)
+    assert set(taken) == {None}
+
+
+@behave.then("the configuration replica accepts {count:d} keys")
+def then_accepts(context, count):
+    accepted = [
+        record
+        for record in context.good
+        if context.replica.team_for_key_hash(record.key_hash)
+    ]
+    assert len(accepted) == count
--- a/features/steps/keys_steps.py
+++ b/features/steps/keys_steps.py
@@ -81,6 +81,7 @@
         data_centre="dc",
         membership=configuration_fleet.FakeMembership(fleet, "vm"),
         random_state=random.Random(1),
+        settle_ms=0,
     )
     replica.handle(base.Tick(), 0)
     head = context.calls.values.read(configurations.HEAD_KEY)
--- a/samphiregate/core/configuration/_edits.py
+++ b/samphiregate/core/configuration/_edits.py
@@ -6,7 +6,7 @@
 from samphiregate.core import model
 from samphiregate import errors
 
-WITHDRAWN_KEYS_KEPT = 4_096
+WITHDRAWN_KEYS_KEPT = 1_024
 HEAD_BYTES_MAX = 4_096
 
 
--- a/samphiregate/core/configuration/_replica.py
+++ b/samphiregate/core/configuration/_replica.py
@@ -50,6 +50,10 @@
         A VM that hears neither from the store nor from a peer in touch
         with it goes on with the keys that it knows for this long, and then
         refuses all.
+    settle_ms : int
+        After its start a VM takes no key until its revision is at least
+        that of a peer, or for this long if no peer answers: a read of the
+        store may be stale.
 
     Attributes
     ----------
@@ -69,6 +73,7 @@
         "keys_valid_without_news_ms": parameters.Interval(
             int, 1_000, 30 * DAY_MS
         ),
+        "settle_ms": parameters.Interval(int, 0, 60_000),
     }
 
     def __init__(
@@ -85,6 +90,7 @@
         check_interval_ms=3_000,
         watch_without_news_ms=9_000,
         keys_valid_without_news_ms=14_400_000,
+        settle_ms=2_000,
     ):
         self.vm_id = vm_id
         self.data_centre = data_centre
@@ -95,6 +101,7 @@
         self.check_interval_ms = check_interval_ms
         self.watch_without_news_ms = watch_without_news_ms
         self.keys_valid_without_news_ms = keys_valid_without_news_ms
+        self.settle_ms = settle_ms
         self.check_parameters()
         self._membership = membership
         self._random = random_state
@@ -105,7 +112,9 @@
         self._next_compare_ms = None
         self._next_check_ms = None
         self._news_ms = None
+        self._started_ms = None
         self._now_ms = 0
+        self._compared = False
         self.watching_ = False
         self.unreadable_documents_ = 0
 
@@ -126,16 +135,29 @@
         """Whether there was no news for so long that all keys are refused."""
         return self.news_age_ms > self.keys_valid_without_news_ms
 
+    @property
+    def settled(self):
+        """Whether this VM is past the doubts of its start."""
+        if self._started_ms is None:
+            return False
+        waited_ms = self._now_ms - self._started_ms
+        return self._compared or waited_ms >= self.settle_ms
+
+    @property
+    def knows_keys(self):
+        """Whether keys can be judged: the VM is settled and not cut off."""
+        return self.settled and not self.cut_off
+
     def team_for_key_hash(self, key_hash):
         """Returns the team that a key stands for.
 
         Returns
         -------
         str or None
-            None for a key that is not known, withdrawn, or known to a VM
-            that is cut off.
+            None for a key that is unknown or withdrawn, and for any key
+            while `knows_keys` is false.
         """
-        if self.cut_off:
+        if not self.knows_keys:
             return None
         return self._history.team_for_key_hash(key_hash)
 
@@ -213,6 +235,7 @@
     ):
         if message.is_reply:
             self._heard(message.asked_ms - message.news_age_ms)
+            self._compared |= message.revision <= self._history.revision
             actions = []
         else:
             actions = [base.SendToPeer(sender, self._reply_to(message))]
@@ -222,7 +245,7 @@
         return actions
 
     def _start(self, now_ms):
-        self._news_ms = now_ms
+        self._news_ms = self._started_ms = now_ms
         self._next_compare_ms = now_ms
         self._next_check_ms = now_ms + self._jittered(self.check_interval_ms)
         actions = self._read(_documents.HEAD_KEY, now_ms)
