Split the replica: freshness and spread have modules of their own

Change: Freshness judges the age of news and the start; Spread says who watches and whom to tell, and the comparison registers its own ways.

--- a/features/support/configuration_fleet.py
+++ b/features/support/configuration_fleet.py
@@ -182,8 +182,6 @@
         Probability that a message is lost, or comes twice.
     jitter_ms : int
         Longest extra delay of a message, which reorders them.
-    replica_class : type
-        Class of the replicas.
     """
 
     def __init__(
@@ -195,7 +193,6 @@
         loss=0.0,
         duplication=0.0,
         jitter_ms=0,
-        replica_class=configurations.ConfigurationReplica,
         **replica_parameters,
     ):
         self.now_ms = 0
@@ -210,7 +207,9 @@
         self.reverted = []
         self.revision_times = {}
         self._random = random.Random(seed)
-        self._make = functools.partial(replica_class, **replica_parameters)
+        self._make = functools.partial(
+            configurations.ConfigurationReplica, **replica_parameters
+        )
         self._heap = []
         self._order = itertools.count()
         self._alive = None
--- a/features/support/configuration_spread.py
+++ b/features/support/configuration_spread.py
@@ -24,36 +24,42 @@
 UNNOTICED_MS = 5_000
 
 
-class WatchOnly(configurations.ConfigurationReplica):
+class WatchOnly(configurations.Spread):
     """Every VM watches the store and tells nobody."""
 
-    def _watcher_ids(self):
+    def watcher_ids(self):
+        """Returns this VM's own id."""
         return [self.vm_id]
 
-    def _peers_to_tell(self, source):
+    def peers_to_tell(self, source):
+        """Returns no id."""
         return []
 
 
-class Tree(configurations.ConfigurationReplica):
+class Tree(configurations.Spread):
     """One VM of the fleet watches; each tells its children in a tree."""
 
     children = 4
 
-    def _watcher_ids(self):
+    def watcher_ids(self):
+        """Returns the first id of the fleet."""
         return self._membership.alive_ids()[:1]
 
-    def _peers_to_tell(self, source):
+    def peers_to_tell(self, source):
+        """Returns the ids of the children in the sorted list."""
         alive = self._membership.alive_ids()
         first = alive.index(self.vm_id) * self.children + 1
         return alive[first : first + self.children]
 
 
+configurations.SPREAD_BY_NAME.update(watch=WatchOnly, tree=Tree)
+
 WAYS = {
     "everyone watches": functools.partial(
-        configuration_fleet.Fleet, replica_class=WatchOnly
+        configuration_fleet.Fleet, spread="watch"
     ),
     "tree of 4 over all": functools.partial(
-        configuration_fleet.Fleet, replica_class=Tree
+        configuration_fleet.Fleet, spread="tree"
     ),
     "gossip, fanout 3": functools.partial(
         configuration_fleet.Fleet, spread="gossip", fanout=3
--- a/features/support/platform.py
+++ b/features/support/platform.py
@@ -2,22 +2,12 @@
 
 import socket
 
-from gevent import pywsgi
-
-from samphiregate.adapters import http
 from samphiregate import timers
 from standins import platform as standin
 
 KEY = "x"
 
 
-class _Handler(pywsgi.WSGIHandler):
-    def get_environ(self):
-        environ = super().get_environ()
-        environ["standin.socket"] = self.socket
-        return environ
-
-
 class RunningStandin:
     """A stand-in that serves on a free port; a context manager.
 
@@ -31,12 +21,7 @@
 
     def __init__(self, values, fleet):
         self.application = standin.Application(values, fleet)
-        self.server = http.NoDelayServer(
-            "127.0.0.1:0",
-            self.application,
-            handler_class=_Handler,
-            error_log=None,
-        )
+        self.server = standin.make_server("127.0.0.1:0", self.application)
         self.endpoint = ""
 
     def __enter__(self):
--- a/samphiregate/core/configuration/__init__.py
+++ b/samphiregate/core/configuration/__init__.py
@@ -19,17 +19,21 @@
 from samphiregate.core.configuration._messages import ConfigurationDigest
 from samphiregate.core.configuration._messages import ConfigurationSnapshot
 from samphiregate.core.configuration._replica import ConfigurationReplica
+from samphiregate.core.configuration._spread import Spread
+from samphiregate.core.configuration._spread import SPREAD_BY_NAME
 
 __all__ = [
     "HEAD_KEY",
     "MAX_DOCUMENT_BYTES",
     "SNAPSHOT_KEY",
+    "SPREAD_BY_NAME",
     "ConfigurationDelta",
     "ConfigurationDigest",
     "ConfigurationReplica",
     "ConfigurationSnapshot",
     "Edit",
     "Head",
+    "Spread",
     "apply_edit",
     "apply_edits",
     "decode_configuration",
--- /dev/null
+++ b/samphiregate/core/configuration/_freshness.py
@@ -0,0 +1,58 @@
+"""How fresh the news of one VM is, and whether it may judge keys."""
+
+
+class Freshness:
+    """Keeps the times at which a VM started and last had news.
+
+    Parameters
+    ----------
+    valid_without_news_ms : int
+        Time without news after which the VM counts as cut off.
+    settle_ms : int
+        Time after the start at which the VM counts as settled anyhow.
+    """
+
+    def __init__(self, *, valid_without_news_ms, settle_ms):
+        self.valid_without_news_ms = valid_without_news_ms
+        self.settle_ms = settle_ms
+        self._now_ms = 0
+        self._started_ms = None
+        self._news_ms = None
+        self._compared = False
+
+    def pass_time(self, now_ms):
+        """Takes the present time; an earlier one than before is ignored."""
+        self._now_ms = max(now_ms, self._now_ms)
+
+    def start(self):
+        """Notes the start; the VM counts as having news from then on."""
+        self._started_ms = self._news_ms = self._now_ms
+
+    def heard(self, then_ms):
+        """Notes that the news was fresh at a time, which may be past."""
+        if self._news_ms is not None:
+            self._news_ms = max(self._news_ms, min(then_ms, self._now_ms))
+
+    def compared(self):
+        """Notes that the VM has a revision no lower than a peer's."""
+        self._compared = True
+
+    @property
+    def age_ms(self):
+        """Time since the news was fresh; 0 before the start."""
+        if self._news_ms is None:
+            return 0
+        return self._now_ms - self._news_ms
+
+    @property
+    def cut_off(self):
+        """Whether the VM has been without news for too long."""
+        return self.age_ms > self.valid_without_news_ms
+
+    @property
+    def settled(self):
+        """Whether the VM is past the doubts of its start."""
+        if self._started_ms is None:
+            return False
+        waited_ms = self._now_ms - self._started_ms
+        return self._compared or waited_ms >= self.settle_ms
--- a/samphiregate/core/configuration/_replica.py
+++ b/samphiregate/core/configuration/_replica.py
@@ -4,8 +4,10 @@
 
 from samphiregate.core import base
 from samphiregate.core.configuration import _documents
+from samphiregate.core.configuration import _freshness
 from samphiregate.core.configuration import _history
 from samphiregate.core.configuration import _messages
+from samphiregate.core.configuration import _spread
 from samphiregate.core import fleet
 from samphiregate.core import store
 from samphiregate import errors
@@ -64,7 +66,7 @@
     """
 
     parameter_table = {
-        "spread": parameters.Choice(("direct", "gossip")),
+        "spread": parameters.Choice(_spread.SPREAD_BY_NAME),
         "fanout": parameters.Interval(int, 1, 64),
         "watchers": parameters.Interval(int, 1, 1_000),
         "compare_interval_ms": parameters.Interval(int, 50, 60_000),
@@ -103,18 +105,25 @@
         self.keys_valid_without_news_ms = keys_valid_without_news_ms
         self.settle_ms = settle_ms
         self.check_parameters()
-        self._membership = membership
         self._random = random_state
+        self._spread = _spread.SPREAD_BY_NAME[spread](
+            vm_id=vm_id,
+            data_centre=data_centre,
+            membership=membership,
+            random_state=random_state,
+            fanout=fanout,
+            watchers=watchers,
+        )
         self._history = _history.History()
         self._head = _documents.Head()
         self._next_call_id = 0
         self._read_sent_by_call_id = {}
         self._next_compare_ms = None
         self._next_check_ms = None
-        self._news_ms = None
-        self._started_ms = None
-        self._now_ms = 0
-        self._compared = False
+        self._freshness = _freshness.Freshness(
+            valid_without_news_ms=keys_valid_without_news_ms,
+            settle_ms=settle_ms,
+        )
         self.watching_ = False
         self.unreadable_documents_ = 0
 
@@ -126,22 +135,17 @@
     @property
     def news_age_ms(self):
         """Time since a sign from the store, direct or through peers."""
-        if self._news_ms is None:
-            return 0
-        return self._now_ms - self._news_ms
+        return self._freshness.age_ms
 
     @property
     def cut_off(self):
         """Whether there was no news for so long that all keys are refused."""
-        return self.news_age_ms > self.keys_valid_without_news_ms
+        return self._freshness.cut_off
 
     @property
     def settled(self):
         """Whether this VM is past the doubts of its start."""
-        if self._started_ms is None:
-            return False
-        waited_ms = self._now_ms - self._started_ms
-        return self._compared or waited_ms >= self.settle_ms
+        return self._freshness.settled
 
     @property
     def knows_keys(self):
@@ -163,7 +167,7 @@
 
     def handle(self, event, now_ms):
         """Takes one event; see `StateMachine.handle`."""
-        self._now_ms = max(now_ms, self._now_ms)
+        self._freshness.pass_time(now_ms)
         return self._handle(event, now_ms)
 
     @functools.singledispatchmethod
@@ -201,7 +205,7 @@
         )
         if sent_ms is None or event.outcome is not store.StoreOutcome.OK:
             return []
-        self._heard(sent_ms)
+        self._freshness.heard(sent_ms)
         if event.key == _documents.HEAD_KEY:
             return self._take_head(event.value, now_ms)
         return self._take_snapshot(event.value, now_ms)
@@ -234,8 +238,9 @@
         self, message: _messages.ConfigurationDigest, sender, now_ms
     ):
         if message.is_reply:
-            self._heard(message.asked_ms - message.news_age_ms)
-            self._compared |= message.revision <= self._history.revision
+            self._freshness.heard(message.asked_ms - message.news_age_ms)
+            if message.revision <= self._history.revision:
+                self._freshness.compared()
             actions = []
         else:
             actions = [base.SendToPeer(sender, self._reply_to(message))]
@@ -245,7 +250,7 @@
         return actions
 
     def _start(self, now_ms):
-        self._news_ms = self._started_ms = now_ms
+        self._freshness.start()
         self._next_compare_ms = now_ms
         self._next_check_ms = now_ms + self._jittered(self.check_interval_ms)
         actions = self._read(_documents.HEAD_KEY, now_ms)
@@ -253,28 +258,16 @@
 
     def _choose_whether_to_watch(self):
         without_news = self.news_age_ms > self.watch_without_news_ms
-        wanted = without_news or self.vm_id in self._watcher_ids()
+        wanted = without_news or self.vm_id in self._spread.watcher_ids()
         if wanted == self.watching_:
             return []
         self.watching_ = wanted
         return [store.WatchKey(_documents.HEAD_KEY, active=wanted)]
 
-    def _watcher_ids(self):
-        alive = {self.vm_id, *self._membership.alive_ids(self.data_centre)}
-        return sorted(alive)[: self.watchers]
-
     def _compare_with_a_peer(self, now_ms):
-        peer_id = self._random_peer()
+        peer_id = self._spread.random_peer()
         return [self._digest_to(peer_id, now_ms)] if peer_id else []
 
-    def _random_peer(self):
-        peers = [
-            peer_id
-            for peer_id in self._membership.alive_ids()
-            if peer_id != self.vm_id
-        ]
-        return self._random.choice(peers) if peers else None
-
     def _digest_to(self, peer_id, now_ms):
         digest = _messages.ConfigurationDigest(
             revision=self._history.revision, asked_ms=now_ms
@@ -333,29 +326,15 @@
             base.Notify(changed),
             *(
                 base.SendToPeer(peer_id, update)
-                for peer_id in self._peers_to_tell(source)
+                for peer_id in self._spread.peers_to_tell(source)
             ),
         ]
 
-    def _peers_to_tell(self, source):
-        if self.spread == "gossip":
-            peers = self._others(self._membership.alive_ids(), source)
-            return self._random.sample(peers, min(self.fanout, len(peers)))
-        inside = self._membership.alive_ids(self.data_centre)
-        return [] if source in inside else self._others(inside, source)
-
-    def _others(self, vm_ids, source):
-        return [vm_id for vm_id in vm_ids if vm_id not in (self.vm_id, source)]
-
     def _read(self, key, now_ms):
         self._next_call_id += 1
         call_id = self._next_call_id
         self._read_sent_by_call_id[key, call_id] = now_ms
         return [store.ReadKey(call_id, key)]
 
-    def _heard(self, then_ms):
-        if self._news_ms is not None:
-            self._news_ms = max(self._news_ms, min(then_ms, self._now_ms))
-
     def _jittered(self, interval_ms):
         return round(interval_ms * self._random.uniform(0.75, 1.25))
--- a/standins/platform/_server.py
+++ b/standins/platform/_server.py
@@ -19,6 +19,13 @@
         return environ
 
 
+def make_server(endpoint, application):
+    """Returns a server of an `Application`, which is not started yet."""
+    return http.NoDelayServer(
+        endpoint, application, handler_class=_Handler, error_log=None
+    )
+
+
 def serve(endpoint, *, fleet_lag_ms, reads_per_second, writes_per_second):
     """Serves until SIGTERM or SIGINT; prints the endpoint first.
 
@@ -37,9 +44,7 @@
         writes_per_second=writes_per_second,
         clock_ms=timers.TimerService().now_ms,
     )
-    server = http.NoDelayServer(
-        endpoint, application, handler_class=_Handler, error_log=None
-    )
+    server = make_server(endpoint, application)
     stopped = gevent.event.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stopped.set)
