--- a/samphiregate/core/placement/_worker_book.py
+++ b/samphiregate/core/placement/_worker_book.py
@@ -6,6 +6,7 @@
 from samphiregate import parameters
 
 NOTHING = model.Resources()
+MAX_DOUBLINGS = 20
 
 
 def _largest(first, second):
@@ -50,8 +51,7 @@
         Age of the last report, in milliseconds, from which on the worker
         has no room for new work.
     refusal_hold_ms : int
-        How long the first refused start caps the room, in milliseconds;
-        each further one without a start in between doubles it.
+        How long the first refused start caps the room, in milliseconds.
     refusal_hold_cap_ms : int
         Upper bound of that time, in milliseconds.
 
@@ -86,7 +86,7 @@
         self,
         worker,
         *,
-        foreign_memory_ms=5_000,
+        foreign_memory_ms=2_000,
         report_ttl_ms=15_000,
         refusal_hold_ms=1_000,
         refusal_hold_cap_ms=60_000,
@@ -106,7 +106,7 @@
         self.refusals_ = 0
         self.cap_ = None
         self.cap_until_ms_ = 0
-        self.refused_ms_ = 0
+        self.refused_ms_ = -1
         self._released = set()
         self._foreign_reports = collections.deque()
 
@@ -167,10 +167,13 @@
         """Takes in that the worker refused a start for want of room.
 
         The booking of the refused task is released by the caller. The room
-        stays below `resources` for a while that grows with each refusal.
+        stays below `resources` for a while, which doubles with each refusal
+        that a report from after the last one did not prevent.
         """
-        hold_ms = self.refusal_hold_ms * 2 ** min(self.refusals_, 20)
-        self.refusals_ += 1
+        if self.report_ms_ is None or self.report_ms_ >= self.refused_ms_:
+            self.refusals_ += 1
+        doublings = min(self.refusals_ - 1, MAX_DOUBLINGS)
+        hold_ms = self.refusal_hold_ms * 2**doublings
         self.refused_ms_ = now_ms
         cap = _just_below(resources, self.worker.capacity)
         if self.cap_ is not None and now_ms < self.cap_until_ms_:
