Void what an isolated VM held and granted

The fault matrix showed tokens above the limit after a VM had heard nothing for 25 s while the platform's list was without it: it went on granting from a pool that its successor had counted as free, and gave tokens back that were granted anew already.

Tokens of doubtful standing are now dropped when their work ends, credit nobody, and come back only through the count of the next granting VM; a granting VM that was cut off grants nothing until the store confirms it.

--- a/features/support/fault_matrix.py
+++ b/features/support/fault_matrix.py
@@ -170,6 +170,8 @@
     steps = tuple(faults.STEPS_BY_NAME)
     lines = ["".join(f"{name:>14}" for name in ("red of run", *steps))]
     for fault in faults.FAULTS_BY_NAME:
+        if not any(runs[fault, step] for step in steps):
+            continue
         counts = [f"{reds[fault, s]}/{runs[fault, s]}" for s in steps]
         lines.append("".join(f"{c:>14}" for c in (fault, *counts)))
     red = sum(bool(verdict.complaints) for verdict in verdicts)
--- a/samphiregate/core/limits/_holding.py
+++ b/samphiregate/core/limits/_holding.py
@@ -29,7 +29,7 @@
     missed_ms : int or None
         When a start last lacked tokens.
     void : int
-        Tokens of running work that are given back when it ends, since
+        Tokens of running work that are dropped when it ends, since
         others may have them by now.
     parcels : list of tuple
         Handed-over tokens that are still held: when and how many.
@@ -87,10 +87,16 @@
         return max(0, count)
 
     def settle(self):
-        """Gives back what was asked for, as far as it is idle."""
-        returned = self.give_back(self.void)
-        self.void -= returned
-        return returned + self.give_back(self.recalled - self.returned)
+        """Gives up what is void or asked for, as far as it is idle."""
+        dropped = min(self.void, max(0, self.idle))
+        self._drop(dropped)
+        return dropped + self.give_back(self.recalled - self.returned)
+
+    def _drop(self, count):
+        """Drops tokens that are void, which credits nobody."""
+        self.void -= count
+        self.held -= count
+        self.base -= count
 
     def take_grant(self, line):
         """Takes in a `GrantLine`; repeated or older lines change nothing."""
@@ -109,9 +115,10 @@
             parked_ms, parked = self.parcels.pop(0)
             freed = min(count, parked)
             count -= freed
-            self.held -= freed
-            self.returned += freed
-            self.void -= min(self.void, freed)
+            dropped = min(self.void, freed)
+            self._drop(dropped)
+            self.held -= freed - dropped
+            self.returned += freed - dropped
             if parked > freed:
                 self.parcels.insert(0, (parked_ms, parked - freed))
 
--- a/samphiregate/core/limits/_home.py
+++ b/samphiregate/core/limits/_home.py
@@ -102,7 +102,7 @@
 
     def pool(self, team):
         """Returns the tokens that may be granted; negative if overdrawn."""
-        if self.ledger.deposed_ or not self.ledger.confirmed_:
+        if not self.ledger.in_charge:
             return 0
         records = self._records(team)
         tokens = self.ledger.tokens(team) - self.ledger.reserved(team)
@@ -213,7 +213,7 @@
         """Shares tokens, asks for more, and drives the ledger."""
         self._audit(now_ms)
         self._scan()
-        if now_ms >= self._next_share_ms:
+        if self.ledger.in_charge and now_ms >= self._next_share_ms:
             self._next_share_ms = now_ms + SHARE_PERIOD_MS
             self._dirty_teams.update(self._short_by_team)
             self._dirty_teams.update(self._pledges_by_team)
--- a/samphiregate/core/limits/_ledger_client.py
+++ b/samphiregate/core/limits/_ledger_client.py
@@ -113,6 +113,11 @@
         """Returns the teams that have tokens in this data centre."""
         return set(self._tokens_by_team)
 
+    @property
+    def in_charge(self):
+        """Whether nothing speaks against this epoch being the latest."""
+        return self.confirmed_ and not self.deposed_
+
     def doubt(self):
         """Takes nothing for granted until the store is read again."""
         self.confirmed_ = False
--- a/samphiregate/core/limits/_messages.py
+++ b/samphiregate/core/limits/_messages.py
@@ -19,7 +19,8 @@
     Parameters
     ----------
     base : int
-        Tokens held when the account or the epoch began.
+        Tokens held when the account or the epoch began, less those that
+        were dropped since.
     returned : int
         Tokens given back since.
     in_use : int
