--- /dev/null
+++ b/features/membership.feature
@@ -0,0 +1,54 @@
+Feature: entry VMs agree on who is alive
+
+  Scenario Outline: a belief follows what happens
+    Given a virtual cluster of 2 data centres with 4 entry VMs each
+    When <event> befalls VM a-1, seen from <observer>
+    And the virtual cluster runs for <ms> ms
+    Then VM <observer> takes VM a-1 for <state>
+    And the oracle saw no violation
+
+    Examples:
+      | event            | observer | ms    | state   |
+      | crash            | a-2      | 4500  | dead    |
+      | crash            | b-5      | 12000 | dead    |
+      | short pause      | a-2      | 6000  | alive   |
+      | long pause       | a-2      | 4500  | dead    |
+      | long pause       | a-2      | 12000 | alive   |
+      | long pause       | b-5      | 20000 | alive   |
+      | drain            | a-2      | 700   | leaving |
+      | drain            | b-5      | 6000  | leaving |
+      | link cut         | a-2      | 10000 | alive   |
+      | link cut one way | a-2      | 10000 | alive   |
+      | isolation        | a-2      | 4500  | dead    |
+      | data centre cut  | a-2      | 10000 | alive   |
+      | data centre cut  | b-5      | 8000  | suspect |
+
+  Scenario Outline: beliefs recover after healing
+    Given a virtual cluster of 2 data centres with 4 entry VMs each
+    When <event> befalls VM a-1, seen from a-2
+    And the virtual cluster runs for 30000 ms
+    And healing befalls VM a-1, seen from a-2
+    And the virtual cluster runs for 15000 ms
+    Then every VM takes every other for alive
+    And the oracle saw no violation
+
+    Examples:
+      | event            |
+      | isolation        |
+      | data centre cut  |
+      | link cut one way |
+
+  Scenario: the state chart means the same to the library and to the code
+    Given the state chart of a peer
+    When 200 random walks of 10 events are taken through it
+    Then the library and the table agree on every state
+
+  Scenario Outline: the cost does not follow the number of VMs
+    When a quiet virtual cluster of <centres> data centres with <vms> entry VMs each is measured
+    Then no VM sends more than <limit> bytes a second
+
+    Examples:
+      | centres | vms | limit |
+      | 2       | 4   | 4000  |
+      | 4       | 12  | 4000  |
+      | 11      | 12  | 4000  |
--- /dev/null
+++ b/features/support/token_exchange.py
@@ -0,0 +1,54 @@
+"""One holder and one account, with everything that messages can do."""
+
+from samphiregate.core.limits import _account
+from samphiregate.core.limits import _holding
+
+TEAM = "team"
+STEP_COUNT = 200
+LIMIT = 20
+
+
+def play(random_state):
+    """Plays one random exchange; returns the tokens granted in all.
+
+    Raises
+    ------
+    AssertionError
+        If the holder has more than the account says, or a token exists
+        beyond the limit.
+    """
+    account = _account.HolderAccount(number=1)
+    holding = _holding.Holding()
+    to_holder, to_account = [], []
+    sequence = seen = 0
+    for _ in range(STEP_COUNT):
+        record = account.team(TEAM)
+        choice = random_state.randrange(6)
+        if choice == 0 and record.booked < LIMIT:
+            account.grant(TEAM, random_state.randint(1, LIMIT - record.booked))
+            to_holder.extend(account.take_lines([TEAM]))
+        elif choice == 1:
+            account.recall(TEAM, random_state.randint(0, 3))
+            to_holder.extend(account.take_lines([TEAM]))
+        elif choice == 2 and holding.idle > 0:
+            holding.in_use += 1
+        elif choice == 3 and holding.in_use:
+            holding.in_use -= 1
+            holding.settle()
+        elif choice == 4 and to_holder:
+            line = random_state.choice(to_holder)
+            if random_state.random() < 0.5:
+                to_holder.remove(line)
+            holding.take_grant(line)
+        else:
+            sequence += 1
+            to_account.append((sequence, holding.line(TEAM, 0)))
+        if to_account and random_state.random() < 0.5:
+            number, line = random_state.choice(to_account)
+            if number > seen:
+                seen = number
+                record.returned = line.returned
+                record.in_use = line.in_use
+        assert holding.held <= record.held, (holding, record)
+        assert record.held <= LIMIT, record
+    return account.team(TEAM).granted
