--- a/features/support/mutations.py
+++ b/features/support/mutations.py
@@ -9,7 +9,7 @@
 from samphiregate.core.limits import _home
 from samphiregate.core.limits import _ledger
 from samphiregate.core.limits import _ledger_client
-from samphiregate.core.membership import _membership
+from samphiregate.core.membership import _beliefs
 from samphiregate.core.ownership import _ownership
 from samphiregate.core.ownership import _table
 
@@ -123,7 +123,7 @@
         (_ownership.Ownership, "_drop_all", _no_drop),
     ],
     "a VM refutes its own death": [
-        (_membership.Membership, "_refute", _no_refutation),
+        (_beliefs.Beliefs, "refute", _no_refutation),
     ],
     "grants are running totals": [
         (_holding.Holding, "take_grant", _grant_without_total),
--- /dev/null
+++ b/samphiregate/core/membership/_beliefs.py
@@ -0,0 +1,296 @@
+"""What one entry VM believes about all others."""
+
+from samphiregate.core import base
+from samphiregate.core import fleet
+from samphiregate.core.membership import _messages
+from samphiregate.core.membership import _peer
+from samphiregate.core.membership import _rumours
+
+REPRESENTATIVE_COUNT = 2
+UNREACHABLE_AFTER = 3
+RUMOUR_BATCH = 8
+
+PRESENT = (fleet.PeerState.ALIVE, fleet.PeerState.SUSPECT)
+_DOUBTED = (fleet.PeerState.SUSPECT, fleet.PeerState.DEAD)
+_EVENT_BY_STATE = {
+    fleet.PeerState.ALIVE: "refuted",
+    fleet.PeerState.SUSPECT: "unanswered",
+    fleet.PeerState.LEAVING: "leaves",
+    fleet.PeerState.DEAD: "declared_dead",
+}
+
+
+class Beliefs:
+    """Beliefs about entry VMs, and the news that changes them.
+
+    Parameters
+    ----------
+    vm_id : str
+        This entry VM.
+    data_centre : str
+        Its data centre.
+
+    Attributes
+    ----------
+    peers_by_id : dict
+        `Peer` records, keyed by VM id; this VM is not among them.
+    incarnation : int
+        Raised to refute what others believe, and after a pause.
+    leaving : bool
+        Whether this VM stops.
+    unreachable : frozenset of str
+        Data centres that the representatives cannot reach.
+    rumours : RumourQueue
+        News for neighbours.
+    """
+
+    def __init__(self, *, vm_id, data_centre):
+        self.vm_id = vm_id
+        self.data_centre = data_centre
+        self.peers_by_id = {}
+        self.incarnation = 1
+        self.leaving = False
+        self.unreachable = frozenset()
+        self.rumours = _rumours.RumourQueue(batch_size=RUMOUR_BATCH)
+        self._failures_by_centre = {}
+
+    def state_of(self, vm_id):
+        """Returns the `PeerState` of a VM; an unknown one is dead."""
+        if vm_id == self.vm_id:
+            if self.leaving:
+                return fleet.PeerState.LEAVING
+            return fleet.PeerState.ALIVE
+        peer = self.peers_by_id.get(vm_id)
+        return peer.state if peer else fleet.PeerState.DEAD
+
+    def knows(self, vm_id):
+        """Returns whether anything was ever heard or read about a VM."""
+        return vm_id == self.vm_id or vm_id in self.peers_by_id
+
+    def alive_ids(self, data_centre=None):
+        """Returns the VMs believed alive, this one included, sorted.
+
+        Parameters
+        ----------
+        data_centre : str or None
+            Only that data centre's; None for all.
+
+        Returns
+        -------
+        tuple of str
+        """
+        return self.ids_in((fleet.PeerState.ALIVE,), data_centre)
+
+    def present_ids(self, data_centre=None):
+        """Returns the VMs that are alive or suspect, sorted."""
+        return self.ids_in(PRESENT, data_centre)
+
+    def is_gone(self, vm_id, absent_ms, now_ms):
+        """Returns whether a VM surely ended at least `absent_ms` ago.
+
+        That takes both: it is believed dead, and the platform's list has
+        been without it, for that long.
+        """
+        if vm_id == self.vm_id:
+            return False
+        peer = self.peers_by_id.get(vm_id)
+        if peer is None:
+            return True
+        if peer.state is not fleet.PeerState.DEAD or peer.listed:
+            return False
+        return now_ms - max(peer.since_ms, peer.unlisted_ms) >= absent_ms
+
+    def ids_in(self, states, data_centre):
+        """Returns the VMs in some states, this one included, sorted."""
+        ids = [
+            peer.vm_id
+            for peer in self.peers_by_id.values()
+            if peer.state in states and data_centre in (None, peer.data_centre)
+        ]
+        if not self.leaving and data_centre in (None, self.data_centre):
+            ids.append(self.vm_id)
+        return tuple(sorted(ids))
+
+    def neighbours(self, state=None):
+        """Returns the other VMs of this data centre, in one state or all."""
+        return [
+            peer
+            for peer in self.peers_by_id.values()
+            if peer.data_centre == self.data_centre
+            and state in (None, peer.state)
+        ]
+
+    # Other data centres.
+
+    def is_representative(self, vm_id):
+        """Returns whether a VM probes other data centres."""
+        present = self.present_ids(self.data_centre)
+        ranked = sorted(present, key=base.stable_hash)
+        return vm_id in ranked[:REPRESENTATIVE_COUNT]
+
+    def on_remote_failure(self, peer, now_ms, actions):
+        """Notes that a VM of another data centre did not answer."""
+        centre = peer.data_centre
+        failures = self._failures_by_centre.get(centre, 0) + 1
+        self._failures_by_centre[centre] = failures
+        if failures >= UNREACHABLE_AFTER:
+            unreachable = self.unreachable | {centre}
+            self.set_unreachable(unreachable, now_ms, actions)
+
+    def on_reachable(self, centre, now_ms, actions):
+        """Notes that something came from a data centre."""
+        self._failures_by_centre.pop(centre, None)
+        if centre in self.unreachable:
+            unreachable = self.unreachable - {centre}
+            self.set_unreachable(unreachable, now_ms, actions)
+
+    def set_unreachable(self, unreachable, now_ms, actions):
+        """Doubts all VMs of data centres that cannot be reached."""
+        changed = self.unreachable ^ unreachable
+        self.unreachable = frozenset(unreachable)
+        for peer in tuple(self.peers_by_id.values()):
+            if peer.data_centre not in changed:
+                continue
+            if peer.data_centre in unreachable:
+                if peer.state is fleet.PeerState.ALIVE:
+                    self.fire(peer, "unanswered", now_ms, actions)
+            elif peer.state is fleet.PeerState.SUSPECT:
+                self.fire(peer, "refuted", now_ms, actions)
+
+    def reachability_for(self, peer):
+        """Returns what a neighbour is told about data centres."""
+        if peer.data_centre != self.data_centre:
+            return None
+        if not self.is_representative(self.vm_id):
+            return None
+        return tuple(sorted(self.unreachable))
+
+    def adopt_reachability(self, message, sender, now_ms, actions):
+        """Takes over what a representative says."""
+        if message.unreachable is None:
+            return
+        if message.data_centre != self.data_centre:
+            return
+        if not self.is_representative(self.vm_id):
+            unreachable = frozenset(message.unreachable)
+            self.set_unreachable(unreachable, now_ms, actions)
+
+    # News.
+
+    def own_rumour(self):
+        """Returns the news about this VM."""
+        return _messages.Rumour(
+            vm_id=self.vm_id,
+            data_centre=self.data_centre,
+            state=self.state_of(self.vm_id),
+            incarnation=self.incarnation,
+        )
+
+    def rumour_about(self, peer):
+        """Returns the news about a peer."""
+        return _messages.Rumour(
+            vm_id=peer.vm_id,
+            data_centre=peer.data_centre,
+            state=peer.state,
+            incarnation=peer.incarnation,
+        )
+
+    def rumours_for(self, peer):
+        """Returns the news for a peer, with what it may have to refute."""
+        if peer.data_centre != self.data_centre:
+            about = [self.rumour_about(each) for each in self.neighbours()]
+            return (*about, self.own_rumour())
+        group_size = len(self.neighbours()) + 1
+        rumours = self.rumours.take(group_size)
+        if peer.state in _DOUBTED:
+            rumours = (self.rumour_about(peer), *rumours)
+        return rumours
+
+    def learn_sender(self, message, vm_id, now_ms, actions):
+        """Takes in that a VM sent something itself."""
+        if not message.data_centre or vm_id == self.vm_id:
+            return
+        if vm_id not in self.peers_by_id:
+            peer = self.add(vm_id, message.data_centre, now_ms, actions)
+            peer.listed = False
+            peer.unlisted_ms = now_ms
+        self.learn(
+            _messages.Rumour(
+                vm_id=vm_id,
+                data_centre=message.data_centre,
+                state=fleet.PeerState.ALIVE,
+                incarnation=message.incarnation,
+            ),
+            now_ms,
+            actions,
+        )
+
+    def learn_all(self, rumours, now_ms, actions):
+        """Takes in the news of a message."""
+        for rumour in rumours:
+            if rumour.vm_id == self.vm_id:
+                self.refute(rumour, actions)
+            else:
+                self.learn(rumour, now_ms, actions)
+
+    def refute(self, rumour, actions):
+        """Raises the incarnation if others doubt this VM."""
+        if rumour.state not in _DOUBTED:
+            return
+        if rumour.incarnation < self.incarnation:
+            return
+        self.incarnation = rumour.incarnation + 1
+        self.rumours.add(self.own_rumour())
+        if rumour.state is fleet.PeerState.DEAD:
+            self.notify(self.vm_id, self.data_centre, rumour.state, actions)
+            state = self.state_of(self.vm_id)
+            self.notify(self.vm_id, self.data_centre, state, actions)
+
+    def learn(self, rumour, now_ms, actions):
+        """Takes in one piece of news about a peer."""
+        peer = self.peers_by_id.get(rumour.vm_id)
+        if peer is None:
+            if rumour.state is fleet.PeerState.DEAD:
+                return
+            peer = self.add(rumour.vm_id, rumour.data_centre, now_ms, actions)
+            peer.listed = False
+            peer.unlisted_ms = now_ms
+        if rumour.state is fleet.PeerState.ALIVE:
+            news = rumour.incarnation > peer.incarnation
+        else:
+            news = rumour.incarnation >= peer.incarnation
+        if rumour.state is fleet.PeerState.SUSPECT:
+            news = news and peer.state is fleet.PeerState.ALIVE
+        if not news:
+            return
+        peer.incarnation = rumour.incarnation
+        event = _EVENT_BY_STATE[rumour.state]
+        if event == "refuted" and peer.state not in _DOUBTED:
+            return
+        self.fire(peer, event, now_ms, actions)
+
+    def add(self, vm_id, data_centre, now_ms, actions):
+        """Begins to keep a peer; returns its record."""
+        peer = _peer.Peer(
+            vm_id=vm_id,
+            data_centre=data_centre,
+            state=fleet.PeerState(_peer.CHART.initial),
+            since_ms=now_ms,
+            heard_ms=now_ms,
+        )
+        self.peers_by_id[vm_id] = peer
+        self.notify(vm_id, data_centre, peer.state, actions)
+        return peer
+
+    def fire(self, peer, event, now_ms, actions):
+        """Moves a peer along its chart, and tells of the change."""
+        if not peer.fire(event, now_ms):
+            return
+        if peer.data_centre == self.data_centre:
+            self.rumours.add(self.rumour_about(peer))
+        self.notify(peer.vm_id, peer.data_centre, peer.state, actions)
+
+    def notify(self, vm_id, data_centre, state, actions):
+        """Tells the other machines of a change."""
+        change = fleet.PeerStateChanged(vm_id, data_centre, state)
+        actions.append(base.Notify(change))
--- /dev/null
+++ b/samphiregate/core/membership/_prober.py
@@ -0,0 +1,149 @@
+"""Probes of other entry VMs, and what their silence means."""
+
+from samphiregate.core import base
+from samphiregate.core import fleet
+from samphiregate.core.membership import _messages
+from samphiregate.core.membership import _peer
+
+HELPER_COUNT = 2
+
+
+class Prober:
+    """Sends probes and keeps those under way.
+
+    Parameters
+    ----------
+    beliefs : Beliefs
+        What is believed about whom.
+    random_state : random.Random
+        Source of randomness.
+    probe_timeout_ms : int
+        Time to wait for an answer, once directly and once through helpers.
+    """
+
+    def __init__(self, *, beliefs, random_state, probe_timeout_ms):
+        self.beliefs = beliefs
+        self.random_state = random_state
+        self.probe_timeout_ms = probe_timeout_ms
+        self._probes_by_sequence = {}
+        self._sequence = 0
+        self._ring = []
+        self._remote_ring = []
+
+    def forget_probes(self):
+        """Forgets the probes under way."""
+        self._probes_by_sequence.clear()
+
+    def take_answer(self, message):
+        """Returns the probe that an `Ack` answers, or None."""
+        probe = self._probes_by_sequence.get(message.sequence)
+        if probe is None or probe.subject != message.subject:
+            return None
+        return self._probes_by_sequence.pop(message.sequence)
+
+    def probe_neighbour(self, now_ms, actions):
+        """Probes the next VM of the ring of this data centre."""
+        peer = self._next_of_ring(self._ring, self._neighbour_ids)
+        if peer is not None:
+            self.ping(peer, now_ms, actions)
+
+    def probe_suspect(self, now_ms, actions):
+        """Tells a suspect VM so, that it may refute."""
+        suspects = self.beliefs.neighbours(fleet.PeerState.SUSPECT)
+        if suspects:
+            peer = self.random_state.choice(suspects)
+            self.ping(peer, now_ms, actions)
+
+    def probe_dead(self, now_ms, actions):
+        """Probes a VM that is believed dead, in case it lives."""
+        dead = self.beliefs.neighbours(fleet.PeerState.DEAD)
+        if dead:
+            peer = self.random_state.choice(dead)
+            self.ping(peer, now_ms, actions)
+
+    def probe_remote(self, now_ms, actions):
+        """Probes another data centre, as a representative."""
+        if not self.beliefs.is_representative(self.beliefs.vm_id):
+            return
+        peer = self._next_of_ring(self._remote_ring, self._remote_ids)
+        if peer is not None:
+            self.ping(peer, now_ms, actions)
+
+    def _next_of_ring(self, ring, refill):
+        if not ring:
+            ring.extend(refill())
+        while ring:
+            peer = self.beliefs.peers_by_id.get(ring.pop())
+            if peer and peer.state is not fleet.PeerState.DEAD:
+                return peer
+        return None
+
+    def _neighbour_ids(self):
+        ids = [peer.vm_id for peer in self.beliefs.neighbours()]
+        self.random_state.shuffle(ids)
+        return ids
+
+    def _remote_ids(self):
+        """Returns one VM of each other data centre, in random order."""
+        ids_by_centre = {}
+        for peer in self.beliefs.peers_by_id.values():
+            if peer.data_centre == self.beliefs.data_centre:
+                continue
+            if peer.state is not fleet.PeerState.DEAD:
+                ids = ids_by_centre.setdefault(peer.data_centre, [])
+                ids.append(peer.vm_id)
+        chosen = [
+            self.random_state.choice(ids) for ids in ids_by_centre.values()
+        ]
+        self.random_state.shuffle(chosen)
+        return chosen
+
+    def ping(self, peer, now_ms, actions):
+        """Sends a probe; returns its record."""
+        self._sequence += 1
+        probe = _peer.Probe(subject=peer.vm_id, sent_ms=now_ms)
+        self._probes_by_sequence[self._sequence] = probe
+        message = _messages.Ping(
+            sequence=self._sequence,
+            data_centre=self.beliefs.data_centre,
+            incarnation=self.beliefs.incarnation,
+            rumours=self.beliefs.rumours_for(peer),
+            unreachable=self.beliefs.reachability_for(peer),
+        )
+        actions.append(base.SendToPeer(peer.vm_id, message))
+        return probe
+
+    def expire_probes(self, now_ms, actions):
+        """Asks helpers, or doubts, after probes without an answer."""
+        for sequence, probe in tuple(self._probes_by_sequence.items()):
+            if now_ms - probe.sent_ms < self.probe_timeout_ms:
+                continue
+            peer = self.beliefs.peers_by_id.get(probe.subject)
+            if peer is None or probe.origin:
+                del self._probes_by_sequence[sequence]
+            elif peer.data_centre != self.beliefs.data_centre:
+                del self._probes_by_sequence[sequence]
+                self.beliefs.on_remote_failure(peer, now_ms, actions)
+            elif not probe.indirect:
+                probe.indirect = True
+                probe.sent_ms = now_ms
+                self._ask_helpers(sequence, peer, actions)
+            else:
+                del self._probes_by_sequence[sequence]
+                if peer.state is not fleet.PeerState.SUSPECT:
+                    self.beliefs.fire(peer, "unanswered", now_ms, actions)
+
+    def _ask_helpers(self, sequence, peer, actions):
+        helpers = [
+            other.vm_id
+            for other in self.beliefs.neighbours(fleet.PeerState.ALIVE)
+            if other is not peer
+        ]
+        count = min(HELPER_COUNT, len(helpers))
+        for helper in self.random_state.sample(helpers, count):
+            message = _messages.IndirectPing(
+                sequence=sequence,
+                subject=peer.vm_id,
+                rumours=(self.beliefs.rumour_about(peer),),
+            )
+            actions.append(base.SendToPeer(helper, message))
