--- a/samphiregate/core/configuration/_history.py
+++ b/samphiregate/core/configuration/_history.py
@@ -38,7 +38,7 @@
         newer = [edit for edit in edits if edit.revision > self.revision]
         if not newer:
             return True
-        if newer[0].revision != self.revision + 1:
+        if not _leads_on(newer, self.revision):
             self._withdraw_early(newer)
             return False
         self.configuration = _edits.apply_edits(self.configuration, newer)
@@ -69,13 +69,14 @@
         return tuple(self._edits[len(self._edits) - missing :])
 
     def team_for_key_hash(self, key_hash):
-        """Returns the team of a key that is given and not withdrawn."""
+        """Returns the team of a good key, if the team is in the list."""
         record = self.configuration.keys_by_hash.get(key_hash)
         if record is None or record.withdrawn:
             return None
         if key_hash in self._early_withdrawals:
             return None
-        return record.team
+        known = record.team in self.configuration.teams_by_name
+        return record.team if known else None
 
     def _withdraw_early(self, edits):
         for edit in edits:
@@ -88,3 +89,9 @@
             for key_hash, revision in self._early_withdrawals.items()
             if revision > self.revision
         }
+
+
+def _leads_on(edits, revision):
+    """Returns whether edits follow a revision, and each other."""
+    expected = range(revision + 1, revision + 1 + len(edits))
+    return [edit.revision for edit in edits] == list(expected)
