--- a/features/edge.feature
+++ b/features/edge.feature
@@ -137,3 +137,9 @@
     Then edge: histograms with the key of huts show huts only
     And edge: histograms from an operator's network show huts and maps
     And edge: from elsewhere no status and no histograms are shown
+
+  Scenario: edge: the API document and the code agree
+    Given edge: an entry VM with 1 runners of 2 slots
+    Then edge: the API document names every code and no other
+    And edge: every call of the API document is answered
+    And edge: every bound of a job in the API document is kept
