--- a/samphiregate/core/base/_dispatch.py
+++ b/samphiregate/core/base/_dispatch.py
@@ -1,8 +1,13 @@
+<<<<<<< HEAD
 """Dispatch on the class of a method's first argument, at low cost."""
+=======
+"""Dispatch on the class of a message without a cost for each access."""
+>>>>>>> requests
 
 import functools
 
 
+<<<<<<< HEAD
 class dispatchmethod(functools.singledispatchmethod):
     """`functools.singledispatchmethod` without a new wrapper a call.
 
@@ -22,3 +27,16 @@
             return implementation.__get__(obj, cls)(argument, *others)
 
         return method
+=======
+def bind_dispatchers(instance):
+    """Keeps each `singledispatchmethod` of an object bound to it.
+
+    The library builds a new wrapper whenever such a method is accessed,
+    which costs more than the dispatch itself. Binding once leaves only the
+    dispatch.
+    """
+    for cls in reversed(type(instance).__mro__):
+        for name, value in vars(cls).items():
+            if isinstance(value, functools.singledispatchmethod):
+                setattr(instance, name, getattr(instance, name))
+>>>>>>> requests
