Keep both ways of cheap dispatch until one is chosen

Cause: two parts solved the same cost, each in a file of the same name. Conclusion: a merge, no more.

--- a/samphiregate/core/base/_dispatch.py
+++ b/samphiregate/core/base/_dispatch.py
@@ -1,13 +1,8 @@
-<<<<<<< HEAD
 """Dispatch on the class of a method's first argument, at low cost."""
-=======
-"""Dispatch on the class of a message without a cost for each access."""
->>>>>>> requests
 
 import functools
 
 
-<<<<<<< HEAD
 class dispatchmethod(functools.singledispatchmethod):
     """`functools.singledispatchmethod` without a new wrapper a call.
 
@@ -27,7 +22,8 @@
             return implementation.__get__(obj, cls)(argument, *others)
 
         return method
-=======
+
+
 def bind_dispatchers(instance):
     """Keeps each `singledispatchmethod` of an object bound to it.
 
@@ -39,4 +35,3 @@
         for name, value in vars(cls).items():
             if isinstance(value, functools.singledispatchmethod):
                 setattr(instance, name, getattr(instance, name))
->>>>>>> requests
