--- a/samphiregate/core/jobs/_desk.py
+++ b/samphiregate/core/jobs/_desk.py
@@ -1,6 +1,5 @@
 """Forwarded calls on the entry VM that owns the job."""
 
-
 import attrs
 
 from samphiregate.core import base
--- a/samphiregate/core/workers/_owner.py
+++ b/samphiregate/core/workers/_owner.py
@@ -1,6 +1,5 @@
 """The machine that owns workers."""
 
-
 from samphiregate.core import base
 from samphiregate.core import fleet
 from samphiregate.core import model
