Count the bytes of open peer links; show them in the status

Cause: bytes of peer links were counted at the end of a link only, so that the control traffic of a running entry VM could not be read. Change: a channel counts from its first byte; GET /v1/status has peers.bytes_sent and peers.bytes_received among its counts; size_on_link tells what one message costs alone.

--- a/samphiregate/adapters/peers/__init__.py
+++ b/samphiregate/adapters/peers/__init__.py
@@ -4,10 +4,12 @@
 from samphiregate.adapters.peers._codec import encode_frame
 from samphiregate.adapters.peers._codec import UnknownMessageError
 from samphiregate.adapters.peers._hub import PeerHub
+from samphiregate.adapters.peers._link import size_on_link
 
 __all__ = [
     "PeerHub",
     "UnknownMessageError",
     "decode_frames",
     "encode_frame",
+    "size_on_link",
 ]
--- a/samphiregate/adapters/peers/_channel.py
+++ b/samphiregate/adapters/peers/_channel.py
@@ -21,6 +21,7 @@
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 _LENGTH = struct.Struct(">I")
 _COUNTER = struct.Struct(">cQ")
+OVERHEAD_BYTES = _LENGTH.size + TAG_BYTES
 
 
 class ChannelError(errors.SamphiregateError):
--- a/samphiregate/adapters/peers/_hub.py
+++ b/samphiregate/adapters/peers/_hub.py
@@ -69,7 +69,7 @@
         return all(link.is_drained for link in self._links_by_id.values())
 
     def bytes_counted(self):
-        """Returns bytes sent and received on links that have ended."""
+        """Returns bytes sent and received over all links so far."""
         return self._totals.sent, self._totals.received
 
     def update_endpoints(self, endpoints_by_id):
@@ -114,7 +114,7 @@
 
     def _accept(self, sock, _address):
         sock.settimeout(HANDSHAKE_TIMEOUT_MS / 1000)
-        with _channel.Channel(sock) as channel:
+        with _channel.Channel(sock) as channel, self._totals.count(channel):
             try:
                 sender = channel.accept_as(self._secret)
                 sock.settimeout(None)
@@ -123,7 +123,6 @@
                 logging.debug("peers: a connection ended: %s.", error.detail)
             except _codec.capnp.KjException:
                 logging.warning("peers: a connection sent malformed data.")
-            self._totals.add(channel)
 
     def _receive_all(self, channel, sender):
         self._confirm(channel, sender)
--- a/samphiregate/adapters/peers/_link.py
+++ b/samphiregate/adapters/peers/_link.py
@@ -1,6 +1,7 @@
 """The sending side of a connection to one other entry VM."""
 
 import collections
+import contextlib
 
 from absl import logging
 import attrs
@@ -139,7 +140,7 @@
         sock = socket.create_connection(
             (host, int(port)), timeout=CONNECT_TIMEOUT_MS / 1000
         )
-        with _channel.Channel(sock) as channel:
+        with _channel.Channel(sock) as channel, self._totals.count(channel):
             channel.connect_as(self._vm_id, self._secret)
             self._take_progress(channel.receive())
             sock.settimeout(None)
@@ -151,7 +152,6 @@
             finally:
                 self._channel = None
                 reader.kill()
-                self._totals.add(channel)
 
     def _resend(self, channel):
         now_ms = self._now_ms()
@@ -209,14 +209,47 @@
     return batch.to_bytes()
 
 
-@attrs.define
+def size_on_link(message):
+    """Returns the bytes that a message takes when it is sent alone.
+
+    Its share of the length and tag of a batch is counted, and so is the
+    peer's confirmation; the headers of TCP and IP are not.
+    """
+    batch = _encode_batch(1, [_codec.encode_frame(message)])
+    progress = _codec.SCHEMA.Progress.new_message(sequence=1).to_bytes()
+    return len(batch) + len(progress) + 2 * _channel.OVERHEAD_BYTES
+
+
 class Totals:
-    """Bytes sent and received over all links of an entry VM."""
+    """Bytes sent and received over all links of an entry VM.
 
-    sent: int = 0
-    received: int = 0
+    Channels that are open count with their bytes so far.
+    """
 
-    def add(self, channel):
-        """Adds the bytes of a channel that ends."""
-        self.sent += channel.bytes_sent
-        self.received += channel.bytes_received
+    def __init__(self):
+        self._channels = set()
+        self._ended_sent = 0
+        self._ended_received = 0
+
+    @property
+    def sent(self):
+        """Bytes sent so far."""
+        open_bytes = sum(one.bytes_sent for one in self._channels)
+        return self._ended_sent + open_bytes
+
+    @property
+    def received(self):
+        """Bytes received so far."""
+        open_bytes = sum(one.bytes_received for one in self._channels)
+        return self._ended_received + open_bytes
+
+    @contextlib.contextmanager
+    def count(self, channel):
+        """Counts a channel's bytes from now on, also after its end."""
+        self._channels.add(channel)
+        try:
+            yield
+        finally:
+            self._channels.discard(channel)
+            self._ended_sent += channel.bytes_sent
+            self._ended_received += channel.bytes_received
--- a/samphiregate/daemon/_node.py
+++ b/samphiregate/daemon/_node.py
@@ -89,6 +89,10 @@
         """Returns the document of ``GET /v1/status``."""
         return _status.document(self)
 
+    def peer_bytes(self):
+        """Returns bytes sent to and received from entry VMs so far."""
+        return self._hub.bytes_counted()
+
     def is_ready(self):
         """Returns whether this entry VM can serve requests."""
         return self.machines.configuration.configuration.revision > 0
--- a/samphiregate/daemon/_status.py
+++ b/samphiregate/daemon/_status.py
@@ -29,7 +29,16 @@
         "owned_shards": _shards(machines.ownership),
         "running_by_team": machines.limits.in_use_by_team(),
         "queues": machines.runner_owner.describe(),
-        "counts": dict(node.metrics.counts_by_name),
+        "counts": _counts(node),
+    }
+
+
+def _counts(node):
+    sent, received = node.peer_bytes()
+    return {
+        **node.metrics.counts_by_name,
+        "peers.bytes_sent": sent,
+        "peers.bytes_received": received,
     }
 
 
