Handle an event without a walk over all workers and shards

Cause: a profile of the machines of one entry VM (virtual time, processor time of the thread) showed that each event walked all owned workers and all shards, and that the standard singledispatchmethod copies a function's name and documentation on each access. Change: exchanges are looked for at changed workers, and at all of them on a tick; copies are flushed where something changed; rooms are told again only where time can change them; a singledispatchmethod without the copying. Conclusion: the cost of an event no longer grows with the owned workers; a tick still walks them.

--- /dev/null
+++ b/bench/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes of what entry VMs keep and spend, for ``docs/CAPACITY.md``."""
--- a/samphiregate/core/base/__init__.py
+++ b/samphiregate/core/base/__init__.py
@@ -1,6 +1,7 @@
 """The contract that every state machine and policy keeps."""
 
 from samphiregate.core.base._chart import Chart
+from samphiregate.core.base._dispatch import singledispatchmethod
 from samphiregate.core.base._hashing import stable_hash
 from samphiregate.core.base._machine import StateMachine
 from samphiregate.core.base._messages import Action
@@ -29,5 +30,6 @@
     "StateMachine",
     "StopRequested",
     "Tick",
+    "singledispatchmethod",
     "stable_hash",
 ]
--- a/samphiregate/core/configuration/_replica.py
+++ b/samphiregate/core/configuration/_replica.py
@@ -1,7 +1,5 @@
 """The configuration on one entry VM, kept up by the store and by peers."""
 
-import functools
-
 from samphiregate.core import base
 from samphiregate.core.configuration import _documents
 from samphiregate.core.configuration import _history
@@ -144,7 +142,7 @@
         self._now_ms = max(now_ms, self._now_ms)
         return self._handle(event, now_ms)
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def _handle(self, event, now_ms):
         return []
 
@@ -188,7 +186,7 @@
     def _on_peer(self, event: base.PeerDelivered, now_ms):
         return self._on_message(event.message, event.sender, now_ms)
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def _on_message(self, message, sender, now_ms):
         return []
 
--- a/samphiregate/core/jobs/_calls.py
+++ b/samphiregate/core/jobs/_calls.py
@@ -1,6 +1,5 @@
 """Callers' calls on the entry VM that they reached."""
 
-import functools
 import hashlib
 
 import attrs
@@ -90,7 +89,7 @@
         known = {self._data_centre, *names}
         self._data_centres = tuple(sorted(known))
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def take(self, event, now_ms):
         """Takes a call and returns actions."""
         raise TypeError(f"unknown call {type(event).__name__}")
--- a/samphiregate/core/jobs/_copies.py
+++ b/samphiregate/core/jobs/_copies.py
@@ -242,6 +242,13 @@
         self._settle([one for one in flight.deferred if not one.holders])
         return []
 
+    @property
+    def has_changes(self):
+        """Whether `flush` would do more than repeat and refresh."""
+        return bool(
+            self._dirty_by_id or self._deferred or self._dropped or self._ready
+        )
+
     def flush(self, now_ms):
         """Sends what changed, and returns all actions that are due."""
         actions = self._send_changes(now_ms)
--- a/samphiregate/core/jobs/_desk.py
+++ b/samphiregate/core/jobs/_desk.py
@@ -1,7 +1,5 @@
 """Forwarded calls on the entry VM that owns the job."""
 
-import functools
-
 import attrs
 
 from samphiregate.core import base
@@ -42,7 +40,7 @@
         self._queue_max = queue_max
         self._waiters_by_job = {}
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def take(self, message, shard, now_ms):
         """Answers a call; returns actions that are due at once."""
         raise TypeError(f"unknown call {type(message).__name__}")
--- a/samphiregate/core/jobs/_owner.py
+++ b/samphiregate/core/jobs/_owner.py
@@ -1,6 +1,5 @@
 """The machine that owns jobs."""
 
-import functools
 import itertools
 
 import attrs
@@ -203,9 +202,9 @@
         """Takes one event and returns what has to be done."""
         self._take(event, now_ms)
         self.dispatcher_.run(now_ms, self.gangs_.start)
-        return self._flush(now_ms)
+        return self._flush(now_ms, isinstance(event, base.Tick))
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def _take(self, event, now_ms):
         """Ignores events that are not for this machine."""
 
@@ -299,7 +298,7 @@
     def _(self, event: base.PeerDelivered, now_ms):
         self._take_message(event.message, event.sender, now_ms)
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def _take_message(self, message, sender, now_ms):
         """Ignores messages that are not for this machine."""
 
@@ -566,13 +565,14 @@
                 remote[team] = rest
         self.queue.observe(queueing.RemoteUsageChanged(remote), now_ms)
 
-    def _flush(self, now_ms):
+    def _flush(self, now_ms, is_tick):
         self._defer_kept()
         actions, self._actions = self._actions, []
         actions += self.gangs_.flush()
         actions += self.orders_.flush()
         for shard in self.shards_by_id_.values():
-            actions += shard.sender.flush(now_ms)
+            if is_tick or shard.sender.has_changes:
+                actions += shard.sender.flush(now_ms)
         return actions
 
     def _defer_kept(self):
--- a/samphiregate/core/limits/_holder.py
+++ b/samphiregate/core/limits/_holder.py
@@ -1,6 +1,5 @@
 """The state machine that holds one entry VM's tokens."""
 
-import functools
 import itertools
 
 from samphiregate.core import base
@@ -184,7 +183,7 @@
         self._on_event(event, now_ms, actions)
         return actions
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def _on_event(self, event, now_ms, actions):
         """Ignores events of other parts."""
 
@@ -232,7 +231,7 @@
 
     # Messages.
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def _on_message(self, message, sender, now_ms, actions):
         """Ignores messages of other parts."""
 
--- a/samphiregate/core/membership/_membership.py
+++ b/samphiregate/core/membership/_membership.py
@@ -1,7 +1,5 @@
 """The state machine that probes other entry VMs."""
 
-import functools
-
 from samphiregate.core import base
 from samphiregate.core import fleet
 from samphiregate.core.membership import _messages
@@ -184,7 +182,7 @@
         self._on_event(event, now_ms, actions)
         return actions
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def _on_event(self, event, now_ms, actions):
         """Ignores events of other parts."""
 
@@ -254,7 +252,7 @@
 
     # Messages.
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def _on_message(self, message, sender, now_ms, actions):
         """Ignores messages of other parts."""
 
--- a/samphiregate/core/ownership/_ownership.py
+++ b/samphiregate/core/ownership/_ownership.py
@@ -1,7 +1,5 @@
 """The state machine that takes shards over and gives them up."""
 
-import functools
-
 import attrs
 
 from samphiregate.core import base
@@ -170,7 +168,7 @@
         self._on_event(event, now_ms, actions)
         return actions
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def _on_event(self, event, now_ms, actions):
         """Ignores events of other parts."""
 
@@ -378,7 +376,7 @@
 
     # Peers.
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def _on_message(self, message, sender, now_ms, actions):
         """Ignores messages of other parts."""
 
--- a/samphiregate/core/placement/_first_fit.py
+++ b/samphiregate/core/placement/_first_fit.py
@@ -1,7 +1,5 @@
 """First fit over a list of workers: the baseline."""
 
-import functools
-
 from samphiregate.core import base
 from samphiregate.core.placement import _messages
 
@@ -26,7 +24,7 @@
         self.check_parameters()
         self.room_by_worker_ = {}
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def observe(self, event, now_ms):
         """Takes in a placement event; others are ignored."""
 
@@ -38,7 +36,7 @@
     def _(self, event: _messages.WorkerRemoved, now_ms):
         self.room_by_worker_.pop(event.worker_id, None)
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def choose(self, question, now_ms):
         """Answers `PlaceTask` and `PlaceGang`; None if nothing fits."""
         raise TypeError(f"unknown question {type(question).__name__}")
--- a/samphiregate/core/placement/_indexed.py
+++ b/samphiregate/core/placement/_indexed.py
@@ -1,7 +1,5 @@
 """Best fit on an index, with spreading, gangs and reservations."""
 
-import functools
-
 from samphiregate.core import base
 from samphiregate.core import model
 from samphiregate.core.placement import _gang
@@ -31,7 +29,7 @@
         self.spread_ = _spread.SpreadCounter()
         self.desk_ = _reservation.ReservationDesk(self.index_)
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def observe(self, event, now_ms):
         """Takes in a placement event; others are ignored."""
 
@@ -72,7 +70,7 @@
     def _(self, event: _messages.GangWithdrawn, now_ms):
         self.desk_.withdraw(event.job_id)
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def choose(self, question, now_ms):
         """Answers `PlaceTask` and `PlaceGang`; None if nothing fits."""
         raise TypeError(f"unknown question {type(question).__name__}")
--- a/samphiregate/core/placement/_worker_book.py
+++ b/samphiregate/core/placement/_worker_book.py
@@ -187,6 +187,10 @@
             room = _smallest(room, self.cap_)
         return room
 
+    def is_steady(self, now_ms):
+        """Returns whether `room` changes with events alone, not with time."""
+        return self.cap_ is None and self._has_fresh_report(now_ms)
+
     def excess(self):
         """Returns by how much the worker is over-given; zero if it is not.
 
--- a/samphiregate/core/preemption/_cheapest.py
+++ b/samphiregate/core/preemption/_cheapest.py
@@ -1,7 +1,6 @@
 """Preempts what costs least, within the teams' shares."""
 
 import bisect
-import functools
 import itertools
 
 import attrs
@@ -95,7 +94,7 @@
         self._ids_by_worker = {}
         self._order_by_team = {}
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def observe(self, event, now_ms):
         """Takes in running tasks and rooms; others are ignored."""
 
@@ -122,7 +121,7 @@
     def _(self, event: placement.WorkerRemoved, now_ms):
         self.room_by_worker_.pop(event.worker_id, None)
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def choose(self, question, now_ms):
         """Answers `VictimQuestion` with `Victims`, or None."""
         raise TypeError(f"unknown question {type(question).__name__}")
--- a/samphiregate/core/quarantine/_judge.py
+++ b/samphiregate/core/quarantine/_judge.py
@@ -1,7 +1,6 @@
 """Tells failing workers from failing jobs."""
 
 import collections
-import functools
 
 from samphiregate.core import base
 from samphiregate.core.quarantine import _messages
@@ -79,7 +78,7 @@
         self.workers_by_id_ = {}
         self.jobs_by_id_ = collections.OrderedDict()
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def observe(self, event, now_ms):
         """Takes in how tasks began and ended; others are ignored."""
 
@@ -105,7 +104,7 @@
     def _(self, event: _messages.WorkerForgotten, now_ms):
         self.workers_by_id_.pop(event.worker_id, None)
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def choose(self, question, now_ms):
         """Answers `MayUseWorker` and `MayRetryJob` with a bool."""
         raise TypeError(f"unknown question {type(question).__name__}")
--- a/samphiregate/core/queueing/_fair_share.py
+++ b/samphiregate/core/queueing/_fair_share.py
@@ -1,7 +1,5 @@
 """Weighted fairness on the dominant resource, with a bounded memory."""
 
-import functools
-
 from samphiregate.core import base
 from samphiregate.core import model
 from samphiregate.core.queueing import _messages
@@ -99,7 +97,7 @@
             self._step(now_ms)
         self._observe(event, now_ms)
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def _observe(self, event, now_ms):
         pass
 
@@ -162,7 +160,7 @@
             team.remote_share = amount.share_of(self.total_)
         self._rank_all()
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def choose(self, question, now_ms):
         """Answers `NextItem` and `ItemToShed` with an item or None."""
         raise TypeError(f"unknown question {type(question).__name__}")
--- a/samphiregate/core/queueing/_first_come.py
+++ b/samphiregate/core/queueing/_first_come.py
@@ -1,7 +1,5 @@
 """First come, first served: the baseline without teams."""
 
-import functools
-
 from samphiregate.core import base
 from samphiregate.core.queueing import _lane
 from samphiregate.core.queueing import _messages
@@ -24,7 +22,7 @@
         self.lane_ = _lane.Lane()
         self.items_by_id_ = {}
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def observe(self, event, now_ms):
         """Takes in a queue event; others are ignored."""
 
@@ -44,7 +42,7 @@
         if not self.items_by_id_:
             self.items_by_id_ = {}
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def choose(self, question, now_ms):
         """Answers `NextItem` and `ItemToShed` with an item or None."""
         raise TypeError(f"unknown question {type(question).__name__}")
--- a/samphiregate/core/queueing/_strict_priority.py
+++ b/samphiregate/core/queueing/_strict_priority.py
@@ -1,7 +1,5 @@
 """Strict priority by class: a baseline without teams."""
 
-import functools
-
 from samphiregate.core import base
 from samphiregate.core import model
 from samphiregate.core.queueing import _lane
@@ -45,7 +43,7 @@
         )
         self.items_by_id_ = {}
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def observe(self, event, now_ms):
         """Takes in a queue event; others are ignored."""
 
@@ -67,7 +65,7 @@
         if not self.items_by_id_:
             self.items_by_id_ = {}
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def choose(self, question, now_ms):
         """Answers `NextItem` and `ItemToShed` with an item or None."""
         raise TypeError(f"unknown question {type(question).__name__}")
--- a/samphiregate/core/requests/_edge.py
+++ b/samphiregate/core/requests/_edge.py
@@ -1,6 +1,5 @@
 """The edge: admits callers' requests and sees each attempt to its end."""
 
-import functools
 import random
 
 from samphiregate.core import base
@@ -149,7 +148,7 @@
             "owners_known": len(self._board.heard_by_vm),
         }
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def handle(self, event, now_ms):
         """Takes one event; see `StateMachine.handle`."""
         return []
@@ -184,7 +183,7 @@
     def _(self, event: base.PeerDelivered, now_ms):
         return self._deliver(event.message, event.sender, now_ms)
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def _deliver(self, message, sender, now_ms):
         return []
 
--- a/samphiregate/core/requests/_owner.py
+++ b/samphiregate/core/requests/_owner.py
@@ -1,7 +1,6 @@
 """The owner of runners: fair queues, slots, and the attempts under way."""
 
 import collections
-import functools
 import random
 
 from samphiregate.core import base
@@ -132,7 +131,7 @@
             for pool in self._roster.pools()
         }
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def handle(self, event, now_ms):
         """Takes one event; see `StateMachine.handle`."""
         return []
@@ -141,7 +140,7 @@
     def _(self, event: base.PeerDelivered, now_ms):
         return self._deliver(event.message, event.sender, now_ms)
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def _deliver(self, message, sender, now_ms):
         return []
 
--- a/samphiregate/core/routing/_outliers.py
+++ b/samphiregate/core/routing/_outliers.py
@@ -1,6 +1,5 @@
 """Finds endpoints that fail or are slow, and probes them."""
 
-import functools
 import statistics
 
 import attrs
@@ -78,7 +77,7 @@
         self.median_ms_ = 0.0
         self._seen = 0
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def observe(self, event, now_ms):
         """Takes in `AttemptEnded` and `EndpointRemoved`."""
 
--- a/samphiregate/core/routing/_policies.py
+++ b/samphiregate/core/routing/_policies.py
@@ -1,6 +1,5 @@
 """Policies that choose an endpoint for a request."""
 
-import functools
 import random
 
 from samphiregate.core import base
@@ -16,7 +15,7 @@
     def __init__(self):
         self.table_ = _table.EndpointTable()
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def observe(self, event, now_ms):
         """Takes in `EndpointChanged` and `EndpointRemoved`."""
 
--- a/samphiregate/core/sizing/_cut_back.py
+++ b/samphiregate/core/sizing/_cut_back.py
@@ -1,7 +1,5 @@
 """Throttles, checkpoints and stops tasks of an over-given worker."""
 
-import functools
-
 from samphiregate.core import base
 from samphiregate.core import model
 from samphiregate.core.sizing import _messages
@@ -53,7 +51,7 @@
         self.check_parameters()
         self.excess_since_by_worker_ = {}
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def observe(self, event, now_ms):
         """Takes in `WorkerExcess`; other events are ignored."""
 
@@ -64,7 +62,7 @@
         else:
             self.excess_since_by_worker_.setdefault(event.worker_id, now_ms)
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def choose(self, question, now_ms):
         """Answers `CutBackQuestion` with a `CutBack`, or None."""
         raise TypeError(f"unknown question {type(question).__name__}")
--- a/samphiregate/core/sizing/_learner.py
+++ b/samphiregate/core/sizing/_learner.py
@@ -1,6 +1,5 @@
 """Learns how far declared sizes are off."""
 
-import functools
 import math
 
 from samphiregate.core import base
@@ -101,7 +100,7 @@
         self.check_parameters()
         self.histograms_by_kind_ = {}
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def observe(self, event, now_ms):
         """Takes in `UsageSeen`; other events are ignored."""
 
@@ -121,7 +120,7 @@
             ratio = used.memory_mib / declared.memory_mib
             memory.add(ratio, self.window)
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def choose(self, question, now_ms):
         """Answers `BookingQuestion` with an amount to book."""
         raise TypeError(f"unknown question {type(question).__name__}")
--- a/samphiregate/core/vm/_entry_vm.py
+++ b/samphiregate/core/vm/_entry_vm.py
@@ -1,7 +1,6 @@
 """Hands events to the machines of one entry VM and collects actions."""
 
 import collections
-import functools
 
 from samphiregate.core import base
 
@@ -42,7 +41,7 @@
                 else:
                     self._pending.append(local)
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def _local_event(self, action):
         """Returns the event that an action amounts to on this VM."""
         return None
--- a/samphiregate/core/workers/_ledger.py
+++ b/samphiregate/core/workers/_ledger.py
@@ -37,6 +37,8 @@
         Attempts that ended and whose end is not kept yet.
     live_by_team : dict of str to dict
         Live bookings of each team by attempt, oldest first.
+    changed_by_id : dict of str to WorkerRecord
+        Workers for which there may be commands since this was last emptied.
     """
 
     def __init__(self, *, tokens, rooms, judge, victims, outbox):
@@ -49,6 +51,7 @@
         self.live_by_task = {}
         self.unkept_by_id = {}
         self.live_by_team = {}
+        self.changed_by_id = {}
 
     def find(self, attempt_id):
         """Returns the booking of an attempt, live or unkept, or None."""
@@ -60,6 +63,7 @@
     def book(self, booking, now_ms):
         """Enters a live booking, whose token is already held."""
         record = self.workers_by_id[booking.worker_id]
+        self.changed_by_id[booking.worker_id] = record
         task_id = booking.attempt_id.task_id
         record.bookings_by_id[booking.attempt_id] = booking
         record.book.book(task_id, booking.resources)
@@ -118,6 +122,7 @@
         task_id = booking.attempt_id.task_id
         self.victims.observe(preemption.TaskOver(task_id), now_ms)
         record = self.workers_by_id[booking.worker_id]
+        self.changed_by_id[booking.worker_id] = record
         if booking.state == _records.BOOKED:
             self._withdraw(record, booking, now_ms)
             return
@@ -160,10 +165,12 @@
                 attempt_id.task_id, attempt_id.attempt
             )
             record.commands.append(command)
+            self.changed_by_id[booking.worker_id] = record
 
     def drop_worker(self, worker_id, now_ms):
         """Forgets a worker that is gone or owned by another entry VM."""
         record = self.workers_by_id.pop(worker_id)
+        self.changed_by_id.pop(worker_id, None)
         for booking in record.bookings_by_id.values():
             if not booking.is_over:
                 self._unbook(booking, now_ms)
--- a/samphiregate/core/workers/_owner.py
+++ b/samphiregate/core/workers/_owner.py
@@ -1,7 +1,5 @@
 """The machine that owns workers."""
 
-import functools
-
 from samphiregate.core import base
 from samphiregate.core import fleet
 from samphiregate.core import model
@@ -149,12 +147,13 @@
         self._exchange_due(now_ms)
         return self.outbox_.flush()
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def _take(self, event, now_ms):
         """Ignores events that are not for this machine."""
 
     @_take.register
     def _(self, event: base.Tick, now_ms):
+        self.ledger_.changed_by_id.update(self.ledger_.workers_by_id)
         self.holds_.expire(now_ms)
         for record in tuple(self.ledger_.workers_by_id.values()):
             self._check_lapse(record, now_ms)
@@ -231,7 +230,7 @@
     def _(self, event: base.PeerDelivered, now_ms):
         self._take_message(event.message, event.sender, now_ms)
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def _take_message(self, message, sender, now_ms):
         """Ignores messages that are not for this machine."""
 
@@ -296,7 +295,7 @@
     def _add_worker(self, info, now_ms):
         shard = self._shard_of(info.worker_id)
         previous = self.previous_owner_by_shard_.get(shard, "")
-        self.ledger_.workers_by_id[info.worker_id] = _records.WorkerRecord(
+        record = _records.WorkerRecord(
             info=info,
             shard=shard,
             epoch=self.epochs_by_shard_[shard],
@@ -305,18 +304,24 @@
             known=not previous,
             next_exchange_ms=now_ms,
         )
+        self.ledger_.workers_by_id[info.worker_id] = record
+        self.ledger_.changed_by_id[info.worker_id] = record
 
     def _record_of(self, event):
         record = self.ledger_.workers_by_id.get(event.worker_id)
         if record is None or record.flying is None:
             return None
+        self.ledger_.changed_by_id[event.worker_id] = record
         flying = record.flying
         if (flying.epoch, flying.sequence) != (event.epoch, event.sequence):
             return None
         return record
 
     def _exchange_due(self, now_ms):
-        for record in self.ledger_.workers_by_id.values():
+        """Sends what is due: to all workers on a tick, else where changed."""
+        records = tuple(self.ledger_.changed_by_id.values())
+        self.ledger_.changed_by_id.clear()
+        for record in records:
             exchange = self.exchanges_.next_for(record, now_ms)
             if exchange is not None:
                 self.outbox_.act(exchange)
@@ -399,7 +404,8 @@
 
     def _refresh_rooms(self, now_ms):
         for record in self.ledger_.workers_by_id.values():
-            self.ledger_.refresh_room(record, now_ms)
+            if not (record.usable and record.book.is_steady(now_ms)):
+                self.ledger_.refresh_room(record, now_ms)
 
     def _send_summary(self, now_ms):
         message = self.summary_.build(now_ms, self.desk_.leaving)
