--- a/samphiregate/core/workers/_owner.py
+++ b/samphiregate/core/workers/_owner.py
@@ -7,6 +7,7 @@
 from samphiregate.core import sizing
 from samphiregate.core.workers import _exchange
 from samphiregate.core.workers import _gangs
+from samphiregate.core.workers import _lapse
 from samphiregate.core.workers import _ledger
 from samphiregate.core.workers import _messages
 from samphiregate.core.workers import _orders
@@ -17,6 +18,8 @@
 from samphiregate.core.workers import _summary
 from samphiregate import parameters
 
+SCAN_MS = 200
+
 
 class WorkerOwner(base.StateMachine, parameters.Parameterised):
     """Books, starts, renews and ends tasks on the workers that it owns.
@@ -45,6 +48,8 @@
         Added to a lease before it counts as surely lapsed.
     urgent_wait_ms : int
         How long an urgent order waits for preempted work to end.
+    gang_starved_ms : int
+        Wait from which on workers are drained for a gang.
     news_ms : int
         Time after which ends that are not kept are told again.
     summary_ms : int
@@ -63,6 +68,7 @@
         "lease_ms": parameters.Interval(int, 100, 3_600_000),
         "margin_ms": parameters.Interval(int, 0, 600_000),
         "urgent_wait_ms": parameters.Interval(int, 0, 60_000),
+        "gang_starved_ms": parameters.Interval(int, 0, 3_600_000),
         "news_ms": parameters.Interval(int, 100, 600_000),
         "summary_ms": parameters.Interval(int, 100, 60_000),
     }
@@ -86,6 +92,7 @@
         lease_ms=15_000,
         margin_ms=500,
         urgent_wait_ms=3_000,
+        gang_starved_ms=15_000,
         news_ms=2_000,
         summary_ms=1_000,
     ):
@@ -100,6 +107,7 @@
         self.lease_ms = lease_ms
         self.margin_ms = margin_ms
         self.urgent_wait_ms = urgent_wait_ms
+        self.gang_starved_ms = gang_starved_ms
         self.news_ms = news_ms
         self.summary_ms = summary_ms
         self.check_parameters()
@@ -115,7 +123,9 @@
             victims=victims,
             outbox=self.outbox_,
         )
-        self.holds_ = _gangs.GangHolds(ledger=self.ledger_)
+        self.holds_ = _gangs.GangHolds(
+            ledger=self.ledger_, starved_ms=gang_starved_ms
+        )
         self.desk_ = _orders.OrderDesk(
             ledger=self.ledger_,
             holds=self.holds_,
@@ -129,16 +139,19 @@
             lease_ms=lease_ms,
             margin_ms=margin_ms,
         )
+        self.lapse_ = _lapse.LapseWatch(
+            ledger=self.ledger_,
+            exchanges=self.exchanges_,
+            lapse_ms=lease_ms + margin_ms,
+        )
         self.relief_ = _relief.Relief(ledger=self.ledger_, ladder=ladder)
         self.summary_ = _summary.Summary(ledger=self.ledger_)
         self.epochs_by_shard_ = {}
         self.infos_by_id_ = {}
-        self.listed_vms_ = None
         self.previous_owner_by_shard_ = {}
-        self.releases_by_shard_ = {}
-        self.gone_ms_by_id_ = {}
         self._next_news_ms = 0
         self._next_summary_ms = 0
+        self._next_scan_ms = 0
 
     def handle(self, event, now_ms):
         """Takes one event and returns what has to be done."""
@@ -153,23 +166,21 @@
 
     @_take.register
     def _(self, event: base.Tick, now_ms):
-        self.ledger_.changed_by_id.update(self.ledger_.workers_by_id)
         self.holds_.expire(now_ms)
-        for record in tuple(self.ledger_.workers_by_id.values()):
-            self._check_lapse(record, now_ms)
+        if now_ms >= self._next_scan_ms:
+            for record in tuple(self.ledger_.workers_by_id.values()):
+                self.lapse_.check(record, now_ms)
         self.relief_.enforce_limits(now_ms)
         if now_ms >= self._next_news_ms:
             self._next_news_ms = now_ms + self.news_ms
             self._repeat_news()
         if now_ms >= self._next_summary_ms:
             self._next_summary_ms = now_ms + self.summary_ms
-            self.relief_.cut_over_use(now_ms)
-            self._refresh_rooms(now_ms)
             self._send_summary(now_ms)
 
     @_take.register
     def _(self, event: fleet.FleetListed, now_ms):
-        self.listed_vms_ = frozenset(event.entry_vms_by_id)
+        self.lapse_.listed_vms = frozenset(event.entry_vms_by_id)
         self.infos_by_id_ = {
             worker_id: info
             for worker_id, info in event.workers_by_id.items()
@@ -212,7 +223,9 @@
         record = self._record_of(event)
         if record is not None:
             self.exchanges_.answered(record, event.report, now_ms)
+            self.relief_.cut_over_use(record, now_ms)
             self._learn(record, event.report, now_ms)
+            self.ledger_.touched_by_id[event.worker_id] = record
 
     @_take.register
     def _(self, event: _messages.WorkerUnreachable, now_ms):
@@ -276,8 +289,7 @@
     @_take_message.register
     def _(self, message: _peer.WorkersReleased, sender, now_ms):
         shard = model.ShardId(self.data_centre, message.shard_number)
-        release = _records.Release(sender, message.epoch, now_ms)
-        self.releases_by_shard_[shard] = release
+        self.lapse_.released(shard, message.epoch, sender, now_ms)
 
     def _shard_of(self, worker_id):
         return model.shard_of(worker_id, self.data_centre, self.shard_count)
@@ -305,60 +317,28 @@
             next_exchange_ms=now_ms,
         )
         self.ledger_.workers_by_id[info.worker_id] = record
-        self.ledger_.changed_by_id[info.worker_id] = record
+        self.ledger_.touched_by_id[info.worker_id] = record
 
     def _record_of(self, event):
         record = self.ledger_.workers_by_id.get(event.worker_id)
         if record is None or record.flying is None:
             return None
-        self.ledger_.changed_by_id[event.worker_id] = record
         flying = record.flying
         if (flying.epoch, flying.sequence) != (event.epoch, event.sequence):
             return None
         return record
 
     def _exchange_due(self, now_ms):
-        """Sends what is due: to all workers on a tick, else where changed."""
-        records = tuple(self.ledger_.changed_by_id.values())
-        self.ledger_.changed_by_id.clear()
-        for record in records:
+        records = self.ledger_.touched_by_id
+        if now_ms >= self._next_scan_ms:
+            self._next_scan_ms = now_ms + SCAN_MS
+            records = self.ledger_.workers_by_id
+        self.ledger_.touched_by_id = {}
+        for record in records.values():
             exchange = self.exchanges_.next_for(record, now_ms)
             if exchange is not None:
                 self.outbox_.act(exchange)
 
-    def _check_lapse(self, record, now_ms):
-        if record.phase is not _records.WorkerPhase.INVENTORY:
-            return
-        if record.flying is not None:
-            return
-        lapsed_ms = self.exchanges_.surely_lapsed_ms(record)
-        if not record.known:
-            lapsed_ms = self._inherited_lapse_ms(record, now_ms)
-        if lapsed_ms is not None and now_ms >= lapsed_ms:
-            self.exchanges_.lapse(record, now_ms)
-        if record.known and not record.listed and record.renewed_ms is None:
-            self.ledger_.drop_worker(record.info.worker_id, now_ms)
-
-    def _inherited_lapse_ms(self, record, now_ms):
-        """Returns when leases of the owner before have lapsed, or None."""
-        released_ms = self._released_ms(record, now_ms)
-        if released_ms is None:
-            return None
-        return released_ms + self.lease_ms + self.margin_ms
-
-    def _released_ms(self, record, now_ms):
-        release = self.releases_by_shard_.get(record.shard)
-        if release is not None:
-            before = (record.previous_owner, record.epoch - 1)
-            if (release.vm_id, release.epoch) == before:
-                return release.released_ms
-        gone_id = record.previous_owner
-        if not record.listed:
-            gone_id = record.info.worker_id
-        elif self.listed_vms_ is None or gone_id in self.listed_vms_:
-            return None
-        return self.gone_ms_by_id_.setdefault(gone_id, now_ms)
-
     def _drop_shard(self, shard, now_ms):
         """Stops acting for the workers of a shard; they run on."""
         if self.epochs_by_shard_.pop(shard, None) is None:
@@ -402,11 +382,6 @@
         for booking in self.ledger_.unkept_by_id.values():
             self.outbox_.tell(booking.news)
 
-    def _refresh_rooms(self, now_ms):
-        for record in self.ledger_.workers_by_id.values():
-            if not (record.usable and record.book.is_steady(now_ms)):
-                self.ledger_.refresh_room(record, now_ms)
-
     def _send_summary(self, now_ms):
         message = self.summary_.build(now_ms, self.desk_.leaving)
         self._broadcast(message)
