Balance tokens between data centres once a second; work the capacity out

Cause: a profile of 66 entry VMs in 11 data centres (virtual time) showed that the granting VM of each data centre looked at every team on every tick when a limit does not divide by the number of data centres, and that each VM asked for the holders of copies of all its shards on every tick. Conclusion: what a tick costs follows what moves.

--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -10,6 +10,7 @@
 
 BENCHES_BY_NAME = {
     "decisions": "bench.decisions",
+    "capacity": "bench.capacity",
 }
 
 __all__ = ["BENCHES_BY_NAME", "Figure", "Report", "Settings"]
--- a/bench/capacity/__init__.py
+++ b/bench/capacity/__init__.py
@@ -1,1 +1,60 @@
 """Slopes of what entry VMs keep and spend, for ``docs/CAPACITY.md``."""
+
+import bench
+from bench.capacity import _core
+from bench.capacity import _site
+from bench.capacity import _sizes
+from bench.capacity._sizes import Size
+from bench.capacity import _slopes
+from bench.capacity._slopes import fit
+from bench.capacity._slopes import Slope
+from bench.capacity import _spread
+from bench.capacity import _workings
+from bench.capacity._workings import Row
+from bench.capacity._workings import Workings
+
+__all__ = ["Row", "Size", "Slope", "Workings", "fit", "run"]
+
+
+def run(settings):
+    """Measures all slopes, writes them, and works out the design's size.
+
+    Parameters
+    ----------
+    settings : bench.Settings
+        Seed, and whether to measure few and small points only.
+
+    Returns
+    -------
+    bench.Report
+    """
+    slopes = []
+    for module in (_core, _spread, _site):
+        slopes += module.slopes(settings)
+    _slopes.write(slopes, settings)
+    by_name = {slope.name: slope for slope in slopes}
+    rows = _workings.Workings(by_name, _sizes.Size()).rows()
+    figures = [_figure_of_slope(slope) for slope in slopes]
+    figures += [_figure_of_row(row) for row in rows if row.result is not None]
+    return bench.Report(bench="capacity", figures=tuple(figures))
+
+
+def _figure_of_slope(slope):
+    return bench.Figure(
+        name=f"{slope.name}, by {slope.size}",
+        value=slope.gradient,
+        unit="each",
+        baseline=slope.points[0].y,
+        baseline_name=f"at {slope.points[0].x:g}",
+    )
+
+
+def _figure_of_row(row):
+    met = None if row.budget is None else row.result <= row.budget
+    return bench.Figure(
+        name=f"worked out: {row.quantity}, at {row.at}",
+        value=row.result,
+        unit="",
+        bar="" if row.budget is None else f"<= {row.budget:g}",
+        met=met,
+    )
--- a/bench/capacity/_core.py
+++ b/bench/capacity/_core.py
@@ -5,6 +5,9 @@
 import statistics
 import tracemalloc
 
+import attrs
+import orjson
+
 from bench.capacity import _fleet
 from bench.capacity import _slopes
 from bench.decisions import _cost
@@ -36,6 +39,8 @@
         memory_by_queued,
         memory_by_teams,
         memory_by_copies,
+        list_bytes,
+        list_time,
     )
     return [make(settings) for make in makers]
 
@@ -253,3 +258,40 @@
         )
         one.deliver(one.first, base.PeerDelivered("peer", message))
     return _only_machines(one)
+
+
+def list_bytes(settings):
+    """Size of the platform's list as one data centre reads it."""
+    sizes = (0, 2_000) if settings.quick else (0, 500, 1_000, 2_000)
+    return _slopes.fit(
+        "the list of machines, bytes",
+        "workers of the data centre",
+        [(size, len(_list_document(size))) for size in sizes],
+    )
+
+
+def _list_document(workers):
+    one = _fleet.Fleet(vms=11, centres=11, workers=workers, teams=0)
+    listed = one.listed_for(one.first)
+    document = [
+        [attrs.asdict(info) for info in infos.values()]
+        for infos in (listed.entry_vms_by_id, listed.workers_by_id)
+    ]
+    return orjson.dumps(document)
+
+
+def list_time(settings):
+    """Processor time of the machines to take in a list without changes."""
+    sizes = (0, 2_000) if settings.quick else (0, 500, 1_000, 2_000)
+    return _slopes.fit(
+        "machines, ms to take in the list",
+        "workers of the data centre, all owned",
+        [(size, _list_ms(settings, size)) for size in sizes],
+    )
+
+
+def _list_ms(settings, workers):
+    one = _fleet.Fleet(seed=settings.seed, teams=1, workers=workers)
+    one.settle(SETTLE_MS)
+    one.list_again()
+    return one.first.handled_ns / NS_PER_MS
--- a/bench/capacity/_fleet.py
+++ b/bench/capacity/_fleet.py
@@ -182,6 +182,7 @@
     def reset(self):
         """Sets all counts to 0."""
         gc.collect()
+        gc.freeze()
         self.store_calls.clear()
         self.bytes_by_kind.clear()
         self.store_bytes = 0
@@ -238,15 +239,15 @@
             self.deliver(node, base.Tick())
             self.at(TICK_MS, self._tick, node)
 
-    def _list(self, node):
-        """Hands the list to a node; an unchanged one only at first."""
+    def listed_for(self, node):
+        """Returns the list as a node reads it."""
         infos = {
             one.settings.vm_id: model.EntryVmInfo(
                 one.settings.vm_id, one.settings.data_centre, "127.0.0.1:1"
             )
             for one in self.nodes_by_id.values()
         }
-        listed = fleet.FleetListed(
+        return fleet.FleetListed(
             infos,
             {
                 worker_id: info
@@ -255,7 +256,9 @@
             },
             {},
         )
-        self.deliver(node, listed)
+
+    def _list(self, node):
+        self.deliver(node, self.listed_for(node))
 
     def list_again(self):
         """Hands the present list to every node."""
--- a/bench/capacity/_slopes.py
+++ b/bench/capacity/_slopes.py
@@ -90,6 +90,15 @@
     return target
 
 
+def read(path=_report.RESULTS_PATH):
+    """Returns the slopes that were last measured in full."""
+    document = orjson.loads(pathlib.Path(path, "slopes.json").read_bytes())
+    return [
+        Slope(**{**each, "points": tuple(Point(**p) for p in each["points"])})
+        for each in document["slopes"]
+    ]
+
+
 def _command(settings):
     quick = "--quick " if settings.quick else ""
     return f"python -m bench {quick}--seed {settings.seed} capacity"
--- a/samphiregate/core/jobs/_owner.py
+++ b/samphiregate/core/jobs/_owner.py
@@ -26,6 +26,8 @@
 from samphiregate.core import workers
 from samphiregate import parameters
 
+ADVANCE_MS = 500
+
 
 class JobOwner(base.StateMachine, parameters.Parameterised):
     """Keeps the jobs of owned shards and has their tasks run.
@@ -213,6 +215,7 @@
         self._counter = itertools.count(1)
         self._actions = []
         self._next_sweep_ms = 0
+        self._next_advance_ms = 0
 
     def handle(self, event, now_ms):
         """Takes one event and returns what has to be done."""
@@ -237,12 +240,20 @@
         self._actions += self.desk_.tick(self._find_job, now_ms)
         self.gangs_.tick(now_ms)
         self.dispatcher_.tick(now_ms)
-        for shard in self.shards_by_id_.values():
-            self.recovery_.advance(shard, now_ms)
+        self._advance_due(now_ms)
         if now_ms >= self._next_sweep_ms:
             self._next_sweep_ms = now_ms + self.ask_ms
             self.recovery_.sweep(now_ms)
 
+    def _advance_due(self, now_ms):
+        """Advances what takes a shard over, and now and then all shards."""
+        is_round = now_ms >= self._next_advance_ms
+        if is_round:
+            self._next_advance_ms = now_ms + ADVANCE_MS
+        for shard in self.shards_by_id_.values():
+            if is_round or shard.inquiry is not None or not shard.is_ready:
+                self.recovery_.advance(shard, now_ms)
+
     @_take.register
     def _(self, event: fleet.FleetListed, now_ms):
         self.admission_.take_workers(event.workers_by_id)
--- a/samphiregate/core/limits/_home.py
+++ b/samphiregate/core/limits/_home.py
@@ -10,6 +10,7 @@
 from samphiregate.core import model
 
 SHARE_PERIOD_MS = 200
+BALANCE_PERIOD_MS = 1_000
 RESEND_PERIOD_MS = 1_000
 DEMAND_PERIOD_MS = 1_000
 LEDGER_READ_PERIOD_MS = 30_000
@@ -94,6 +95,7 @@
         self._scanned = None
         self._balanced_key = None
         self._unbalanced_teams = set()
+        self._next_balance_ms = 0
         self._next_share_ms = 0
         self._next_resend_ms = 0
         self._next_demand_ms = 0
@@ -432,7 +434,7 @@
         if not self.ledger.may_write(now_ms):
             return _ledger.Changes()
         taken, burnt, given = {}, {}, {}
-        for team in self._movable_teams():
+        for team in self._movable_teams(now_ms):
             if self.ledger.claimed_:
                 pool = max(0, self.pool(team))
                 cut = min(pool, self._cut(team))
@@ -450,7 +452,7 @@
             taken_by_team=taken, burnt_by_team=burnt, given_by_team=given
         )
 
-    def _movable_teams(self):
+    def _movable_teams(self, now_ms):
         """Returns the teams whose line in the ledger may have to change."""
         ledger = self.ledger.ledger_
         if ledger is None:
@@ -463,7 +465,11 @@
                 for team in self.teams() | set(ledger.tokens_by_team)
                 if ledger.total(team) != self.limit_by_team_.get(team, 0)
             }
+            self._next_balance_ms = now_ms
         moving = set(self._pledges_by_team) | set(self._short_by_team)
+        if now_ms < self._next_balance_ms:
+            return sorted(moving)
+        self._next_balance_ms = now_ms + BALANCE_PERIOD_MS
         return sorted(self._unbalanced_teams | moving)
 
     def _gifts(self, team, pool, now_ms):
