--- a/samphiregate/adapters/peers/_hub.py
+++ b/samphiregate/adapters/peers/_hub.py
@@ -1,6 +1,7 @@
 """All links of one entry VM: it listens to peers and sends to them."""
 
 from absl import logging
+import gevent
 from gevent import server
 
 from samphiregate.adapters.peers import _channel
@@ -69,7 +70,7 @@
         return all(link.is_drained for link in self._links_by_id.values())
 
     def bytes_counted(self):
-        """Returns bytes sent and received on links that have ended."""
+        """Returns bytes sent and received over all links so far."""
         return self._totals.sent, self._totals.received
 
     def update_endpoints(self, endpoints_by_id):
@@ -114,7 +115,7 @@
 
     def _accept(self, sock, _address):
         sock.settimeout(HANDSHAKE_TIMEOUT_MS / 1000)
-        with _channel.Channel(sock) as channel:
+        with _channel.Channel(sock) as channel, self._totals.count(channel):
             try:
                 sender = channel.accept_as(self._secret)
                 sock.settimeout(None)
@@ -123,13 +124,17 @@
                 logging.debug("peers: a connection ended: %s.", error.detail)
             except _codec.capnp.KjException:
                 logging.warning("peers: a connection sent malformed data.")
-            self._totals.add(channel)
 
     def _receive_all(self, channel, sender):
         self._confirm(channel, sender)
         while True:
-            self._take_batch(sender, channel.receive())
+            messages = self._take_batch(sender, channel.receive())
+            # Confirmed before it is handled, which may take long: progress
+            # tells that the link works, not that work was done.
             self._confirm(channel, sender)
+            for message in messages:
+                self._deliver_message(sender, message)
+            gevent.sleep(0)
 
     def _confirm(self, channel, sender):
         sequence = self._sequences_by_sender.get(sender, 0)
@@ -139,11 +144,9 @@
     def _take_batch(self, sender, data):
         with _codec.SCHEMA.Batch.from_bytes(data) as batch:
             if batch.sequence <= self._sequences_by_sender.get(sender, 0):
-                return
+                return []
             self._sequences_by_sender[sender] = batch.sequence
-            messages = list(_codec.decode_frames(batch.frames))
-        for message in messages:
-            self._deliver_message(sender, message)
+            return list(_codec.decode_frames(batch.frames))
 
     def _deliver_message(self, sender, message):
         if isinstance(message, errors.SamphiregateError):
--- a/samphiregate/core/jobs/_calls.py
+++ b/samphiregate/core/jobs/_calls.py
@@ -89,7 +89,7 @@
         known = {self._data_centre, *names}
         self._data_centres = tuple(sorted(known))
 
-    @base.dispatchmethod
+    @base.singledispatchmethod
     def take(self, event, now_ms):
         """Takes a call and returns actions."""
         raise TypeError(f"unknown call {type(event).__name__}")
