Do not take a stall of the sender for a silent link

Logs showed links called silent while the peers were alive: after a stall of its own loop the sender checked before it read the confirmations that had arrived, and a receiver confirmed a batch of up to 1 MB only after all of its messages were handled. Measured: without the correction two rows of the new table fail. Conclusion: a late check no longer breaks a working link.

--- a/features/peers.feature
+++ b/features/peers.feature
@@ -72,3 +72,16 @@
       | 1 1       | 1     |
       | 1 2 1 2   | 2     |
       | 2 1       | 1     |
+
+  Scenario Outline: a stall of the sender itself is not taken for silence
+    Given two entry VMs with a proxy between them
+    When a message is unconfirmed and the sender's checks come <gaps> ms apart
+    Then the sender has <found> the link to be silent
+
+    Examples:
+      | gaps                | found     |
+      | 250 250             | not found |
+      | 5000                | not found |
+      | 5000 250 5000       | not found |
+      | 250 250 5000 250 250 250 250 250 250 250 250 | found |
+      | 400 400 400 400 400 400 | found  |
--- a/features/steps/peers_steps.py
+++ b/features/steps/peers_steps.py
@@ -159,3 +159,23 @@
 @behave.then("{count:d} batches are delivered")
 def then_batches_delivered(context, count):
     assert len(context.pair.received) == count, context.pair.received
+
+
+@behave.when(
+    "a message is unconfirmed and the sender's checks come {gaps} ms apart"
+)
+def when_checks_come(context, gaps):
+    pair = context.pair
+    pair.stop_checks()
+    when_sent(context, 1)
+    pair.wait_for(lambda: pair.received, "the first message")
+    pair.proxy.faults.silent_to_client = True
+    when_sent(context, 1)
+    pair.wait_for(lambda: len(pair.received) == 2, "the second message")
+    pair.check_in_steps(map(int, gaps.split()))
+
+
+@behave.then("the sender has {found} the link to be silent")
+def then_found_silent(context, found):
+    expected = found == "found"
+    assert context.pair.sender.is_failing("receiver") == expected
--- a/features/support/peers.py
+++ b/features/support/peers.py
@@ -60,6 +60,17 @@
         """Waits until `condition()` holds."""
         processes.wait_until(condition, WAIT_S, what)
 
+    def stop_checks(self):
+        """Ends the sender's periodic checks for silent links."""
+        self.sender._checks.cancel()
+
+    def check_in_steps(self, gaps_ms):
+        """Has the sender check for silent links at times from now on."""
+        now_ms = self.sender._checked_ms = self._timers.now_ms()
+        for gap_ms in gaps_ms:
+            now_ms += gap_ms
+            self.sender._check(now_ms)
+
     def _hub(self, vm_id, secret, events):
         hub = peers.PeerHub(
             vm_id=vm_id,
--- a/samphiregate/adapters/peers/_hub.py
+++ b/samphiregate/adapters/peers/_hub.py
@@ -49,6 +49,7 @@
 
     def __enter__(self):
         self._server.start()
+        self._checked_ms = self._timers.now_ms()
         self._checks = self._timers.every(CHECK_PERIOD_MS, self._check)
         return self
 
@@ -69,6 +70,11 @@
         """Whether peers have confirmed all messages sent so far."""
         return all(link.is_drained for link in self._links_by_id.values())
 
+    def is_failing(self, peer_id):
+        """Returns whether the link to a peer shows no progress."""
+        link = self._links_by_id.get(peer_id)
+        return link is not None and link.is_failing
+
     def bytes_counted(self):
         """Returns bytes sent and received over all links so far."""
         return self._totals.sent, self._totals.received
@@ -110,7 +116,11 @@
         return link
 
     def _check(self, now_ms):
+        stalled_ms = now_ms - self._checked_ms - CHECK_PERIOD_MS
+        self._checked_ms = now_ms
         for link in tuple(self._links_by_id.values()):
+            if stalled_ms > CHECK_PERIOD_MS:
+                link.excuse(stalled_ms)
             link.check(now_ms)
 
     def _accept(self, sock, _address):
--- a/samphiregate/adapters/peers/_link.py
+++ b/samphiregate/adapters/peers/_link.py
@@ -83,6 +83,11 @@
         """Whether the peer has confirmed everything sent so far."""
         return not self._frames and not self._unconfirmed
 
+    @property
+    def is_failing(self):
+        """Whether the latest connection showed no progress."""
+        return self._failing_since_ms is not None
+
     def send(self, frame):
         """Queues an encoded frame.
 
@@ -98,6 +103,17 @@
         self._wake.set()
         return True
 
+    def excuse(self, stalled_ms):
+        """Gives the peer more time, as this process itself stood still.
+
+        Parameters
+        ----------
+        stalled_ms : int
+            Time in which no confirmation could be read.
+        """
+        for batch in self._unconfirmed:
+            batch.sent_ms += stalled_ms
+
     def check(self, now_ms):
         """Replaces a connection that shows no progress."""
         if not self._unconfirmed or self._channel is None:
