Tell the load with each answer; weigh load above latency

Cause: edges chose owners by summaries up to a second old, and by latencies whose noise outweighed the differences in load.

Change: each answer and each refusal for overload carries the owner's load of that service; latencies are smoothed over more attempts, and load weighs more in the score.

--- a/samphiregate/core/requests/_attempts.py
+++ b/samphiregate/core/requests/_attempts.py
@@ -201,7 +201,10 @@
         ):
             self.late_answers += 1
             return None
-        self._board.sent(sender, pending.service, now_ms, -1)
+        if message.load is None:
+            self._board.sent(sender, pending.service, now_ms, -1)
+        else:
+            self._board.refresh(sender, message.load, now_ms)
         self.pending.set_owner(pending, "")
         return pending
 
--- a/samphiregate/core/requests/_board.py
+++ b/samphiregate/core/requests/_board.py
@@ -96,6 +96,20 @@
             if load.service == service:
                 self._offer(vm_id, load, now_ms)
 
+    def refresh(self, vm_id, service, now_ms):
+        """Takes in the load that came with the end of an attempt."""
+        heard = self.heard_by_vm.get(vm_id)
+        if heard is None:
+            return
+        others = (
+            known
+            for known in heard.load.services
+            if known.service != service.service
+        )
+        heard.load = attrs.evolve(heard.load, services=(*others, service))
+        heard.sent_by_service[service.service] = 0
+        self._offer(vm_id, service, now_ms)
+
     def fill(self, vm_id, service, now_ms):
         """Takes in a refusal: nothing is free there, as far as known."""
         heard = self.heard_by_vm.get(vm_id)
--- a/samphiregate/core/requests/_dispatcher.py
+++ b/samphiregate/core/requests/_dispatcher.py
@@ -83,7 +83,9 @@
             item = pool.queue.choose(queueing.ItemToShed(), now_ms)
             attempt = pool.dequeue(item.item_id, now_ms)
             actions.append(
-                _replies.refuse(attempt, _Code.OVERLOADED, retry_after_ms)
+                _replies.refuse(
+                    attempt, _Code.OVERLOADED, retry_after_ms, pool.load()
+                )
             )
         return actions
 
@@ -114,6 +116,7 @@
         runner.resume()
         self._free(pool, attempt.message.team, now_ms)
         self.learn(pool, runner, event, now_ms)
+        started = self.dispatch(pool, now_ms)
         finished = _replies.finish(
             attempt,
             _Outcome.ANSWERED,
@@ -121,8 +124,9 @@
             status=event.status,
             content_type=event.content_type,
             body=event.body,
+            load=pool.load(),
         )
-        return [finished, *self.dispatch(pool, now_ms)]
+        return [finished, *started]
 
     def failed(self, attempt, event, now_ms):
         """Takes in that no whole answer came."""
--- a/samphiregate/core/requests/_messages.py
+++ b/samphiregate/core/requests/_messages.py
@@ -136,15 +136,47 @@
     body: bytes = b""
 
 
+@attrs.frozen
+class ServiceLoad:
+    """Load of one service's runners at one owner.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    slots : int
+        Slots of the runners that may be used now.
+    running : int
+        Slots in use, or possibly in use.
+    queued : int
+        Requests that wait at the owner.
+    latency_ms : float
+        Recent mean time of an attempt with its runner.
+    """
+
+    service: str
+    slots: int
+    running: int
+    queued: int
+    latency_ms: float = 0.0
+
+
 @attrs.frozen
 class RequestRefused(base.PeerMessage):
-    """The owner did not execute an attempt, and never will."""
+    """The owner did not execute an attempt, and never will.
+
+    Parameters
+    ----------
+    load : ServiceLoad or None
+        Load of the owner's runners of that service now.
+    """
 
     request_id: str
     attempt: int
     code: errors.ErrorCode
     detail: str = ""
     retry_after_ms: int | None = None
+    load: ServiceLoad | None = None
 
 
 @attrs.frozen
@@ -157,6 +189,8 @@
         `ANSWERED` with the whole answer, or `UNKNOWN`.
     run_ms : int
         Time between sending and the end.
+    load : ServiceLoad or None
+        Load of the owner's runners of that service now.
     """
 
     request_id: str
@@ -167,6 +201,7 @@
     body: bytes = b""
     run_ms: int = 0
     detail: str = ""
+    load: ServiceLoad | None = None
 
 
 @attrs.frozen
@@ -184,31 +219,6 @@
     code: errors.ErrorCode = errors.ErrorCode.CANCELLED
 
 
-@attrs.frozen
-class ServiceLoad:
-    """Load of one service's runners at one owner.
-
-    Parameters
-    ----------
-    service : str
-        Name of the service.
-    slots : int
-        Slots of the runners that may be used now.
-    running : int
-        Slots in use, or possibly in use.
-    queued : int
-        Requests that wait at the owner.
-    latency_ms : float
-        Recent mean time of an attempt with its runner.
-    """
-
-    service: str
-    slots: int
-    running: int
-    queued: int
-    latency_ms: float = 0.0
-
-
 @attrs.frozen
 class VmLoad:
     """Load of one owner.
--- a/samphiregate/core/requests/_owner.py
+++ b/samphiregate/core/requests/_owner.py
@@ -123,7 +123,7 @@
         return {
             pool.service: {
                 "slots": pool.slots(),
-                "running": pool.used(),
+                "running": pool.used_slots,
                 "queued": len(pool.queued),
                 "latency_ms": round(pool.latency_ms, 1),
                 "runners": len(pool.runners_by_id),
--- a/samphiregate/core/requests/_pool.py
+++ b/samphiregate/core/requests/_pool.py
@@ -8,7 +8,7 @@
 from samphiregate.core.requests import _messages
 from samphiregate.core import routing
 
-LATENCY_DECAY = 0.2
+LATENCY_DECAY = 0.05
 SLOT_SIZE = model.Resources(cpu_millis=1_000)
 
 
@@ -71,6 +71,10 @@
         Policy of `core.routing`, over the runners' ids.
     queued : dict
         Attempts that wait, by key.
+    usable_slots : int
+        Slots of the runners that may be used.
+    used_slots : int
+        Slots in use, or possibly in use.
     """
 
     service: str
@@ -81,18 +85,17 @@
     queued: dict = attrs.field(factory=dict)
     latency_ms: float = 0.0
     usable_slots: int = 0
+    used_slots: int = 0
 
     def slots(self):
         """Returns the slots of the runners that may be used."""
         return self.usable_slots
 
-    def used(self):
-        """Returns the slots in use, or possibly in use."""
-        return sum(runner.used() for runner in self.runners_by_id.values())
-
     def offered_slots(self):
         """Returns the slots of good runners, and one of each avoided."""
         avoided = self.judge.describe()["avoided"]
+        if not avoided:
+            return self.usable_slots
         return sum(
             1 if runner.info.runner_id in avoided else runner.info.slots
             for runner in self.runners_by_id.values()
@@ -104,7 +107,7 @@
         return _messages.ServiceLoad(
             service=self.service,
             slots=self.offered_slots(),
-            running=self.used(),
+            running=self.used_slots,
             queued=len(self.queued),
             latency_ms=round(self.latency_ms, 1),
         )
@@ -153,11 +156,13 @@
 
     def started(self, team, now_ms):
         """Tells the queue policy that a slot is in use by a team."""
+        self.used_slots += 1
         event = queueing.ItemStarted(team, SLOT_SIZE, model.WorkClass.REQUEST)
         self.queue.observe(event, now_ms)
 
     def stopped(self, team, now_ms):
         """Tells the queue policy that a team's slot is free again."""
+        self.used_slots -= 1
         event = queueing.ItemEnded(team, SLOT_SIZE, model.WorkClass.REQUEST)
         self.queue.observe(event, now_ms)
 
--- a/samphiregate/core/requests/_replies.py
+++ b/samphiregate/core/requests/_replies.py
@@ -15,7 +15,7 @@
 }
 
 
-def refuse(attempt, code, retry_after_ms=None):
+def refuse(attempt, code, retry_after_ms=None, load=None):
     """Returns the message that an attempt will never be executed."""
     message = _messages.RequestRefused(
         request_id=attempt.message.request_id,
@@ -23,6 +23,7 @@
         code=code,
         detail=DETAILS_BY_CODE.get(code, ""),
         retry_after_ms=retry_after_ms,
+        load=load,
     )
     return base.SendToPeer(attempt.sender, message)
 
--- a/samphiregate/core/routing/_table.py
+++ b/samphiregate/core/routing/_table.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+IDLE_LOAD = 0.1
+
 
 @attrs.define
 class Endpoint:
@@ -14,7 +16,7 @@
 
     def score(self):
         """Returns the expected time in milliseconds; lower is better."""
-        return (1.0 + self.load) * max(self.latency_ms, 1.0)
+        return (IDLE_LOAD + self.load) * max(self.latency_ms, 1.0)
 
 
 class SampledSet:
