Judge failures against the other endpoints

Cause: three answers with a server error in a row took a runner out of service, so requests that fail everywhere could take all runners away from every team. A content type with control codes ended the greenlet of an attempt without an event, and its slot was held for good.

Change: an endpoint that was reached is avoided only if it fails far more often than the others; the edge refuses such content types; whatever goes wrong in an exchange ends the attempt as unknown.

--- a/features/edge.feature
+++ b/features/edge.feature
@@ -47,6 +47,7 @@
       | a deadline that is negative  | 400    | bad-input      |
       | a deadline that is NaN       | 400    | bad-input      |
       | a deadline of 10 digits      | 400    | bad-input      |
+      | a type with control codes    | 400    | bad-input      |
       | idempotent maybe             | 400    | bad-input      |
 
   Scenario Outline: edge: job documents are validated
--- a/features/routing.feature
+++ b/features/routing.feature
@@ -79,3 +79,16 @@
     Given routing: a judge that has seen 9 good endpoints
     When routing: all endpoints become slow one after the other
     Then routing: at most 3 are avoided
+
+  Scenario Outline: routing: requests that fail everywhere avoid nobody
+    Given routing: a judge that has seen <count> good endpoints
+    When routing: every endpoint fails 30 times in turn, reached <reached>
+    Then routing: <least> to <most> are avoided
+
+    Examples:
+      | count | reached | least | most |
+      | 1     | yes     | 0     | 0    |
+      | 1     | no      | 1     | 1    |
+      | 2     | yes     | 0     | 0    |
+      | 9     | yes     | 0     | 0    |
+      | 9     | no      | 9     | 9    |
--- a/features/runners.feature
+++ b/features/runners.feature
@@ -18,6 +18,7 @@
       | an answer too long  | unknown    | no      | 1     |
       | no length in answer | unknown    | no      | 1     |
       | a plain 503         | answered   | no      | 1     |
+      | a type we can't send | unknown   | no      | 0     |
 
   Scenario Outline: runners: a probe tells the slots in use
     Given runners: a runner with <state>
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -212,3 +212,21 @@
 def then_avoided(context, most):
     avoided = context.judge.describe()["avoided"]
     assert 0 < len(avoided) <= most, avoided
+
+
+@behave.when(
+    "routing: every endpoint fails {times:d} times in turn, reached {reached}"
+)
+def when_all_fail(context, times, reached):
+    for _ in range(times):
+        for endpoint_id in context.good:
+            event = routing.AttemptEnded(
+                endpoint_id, False, GOOD_MS, reached == "yes"
+            )
+            context.judge.observe(event, context.now_ms)
+
+
+@behave.then("routing: {least:d} to {most:d} are avoided")
+def then_avoided_between(context, least, most):
+    avoided = context.judge.describe()["avoided"]
+    assert least <= len(avoided) <= most, avoided
--- a/features/steps/runners_steps.py
+++ b/features/steps/runners_steps.py
@@ -14,6 +14,7 @@
 ATTEMPT_TIMEOUT_MS = 2_000
 HANG_TIMEOUT_MS = 100
 EMPTY_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+UNSENDABLE = "a\r\nb"
 DEAF = "a first connection that it never reads"
 EVENT_TIMEOUT_S = 30
 MOST_ANSWER_BYTES = 1_000
@@ -138,6 +139,7 @@
 
 def send(context, timeout_ms, body=b""):
     context.sent += 1
+    bad_type = context.state == "a type we can't send"
     context.request_id = f"request-{context.sent}"
     context.pool.perform(
         requests.SendToRunner(
@@ -147,7 +149,7 @@
             endpoint=context.endpoint,
             queue="holds",
             timeout_ms=timeout_ms,
-            content_type="text/plain",
+            content_type=UNSENDABLE if bad_type else "text/plain",
             body=body or b"body of " + context.request_id.encode(),
         )
     )
--- a/features/support/wire.py
+++ b/features/support/wire.py
@@ -68,6 +68,7 @@
     "a deadline of 10 digits": request(
         b"Samphiregate-Deadline-Ms: 9999999999\r\n"
     ),
+    "a type with control codes": request(b"Content-Type: a\x01b\r\n"),
     "idempotent maybe": request(b"Samphiregate-Idempotent: maybe\r\n"),
 }
 UNENDED_INPUTS = ("a body that stops coming",)
--- a/samphiregate/adapters/edge/_headers.py
+++ b/samphiregate/adapters/edge/_headers.py
@@ -2,11 +2,13 @@
 
 import hashlib
 
+from samphiregate.core import requests
 from samphiregate import errors
 
 DEFAULT_DEADLINE_MS = 30_000
 MOST_DEADLINE_MS = 600_000
 MOST_KEY_CHARACTERS = 512
+MOST_TYPE_CHARACTERS = 256
 BEARER_PREFIX = "bearer "
 
 
@@ -49,6 +51,20 @@
     return text == "true"
 
 
+def content_type(environ):
+    """Returns the media type of the body.
+
+    Raises
+    ------
+    BadInputError
+        If it could not be passed on as a header.
+    """
+    text = environ.get("CONTENT_TYPE", "") or requests.BINARY_TYPE
+    if len(text) > MOST_TYPE_CHARACTERS or not text.isprintable():
+        raise errors.BadInputError("Content-Type is not valid")
+    return text
+
+
 def wait_ms(query, most_ms):
     """Returns the value of ``wait_ms`` in a query; 0 if it is absent."""
     values = query.get("wait_ms", ["0"])
--- a/samphiregate/adapters/edge/_requests_api.py
+++ b/samphiregate/adapters/edge/_requests_api.py
@@ -41,6 +41,7 @@
         key_hash = _headers.key_hash(environ)
         limit_ms = _headers.deadline_ms(environ)
         idempotent = _headers.idempotent(environ)
+        content_type = _headers.content_type(environ)
         deadline_ms = timers.monotonic_ms() + limit_ms
         admitted = requests.admit(queue, key_hash, self._replica)
         if isinstance(admitted, requests.Refusal):
@@ -53,7 +54,7 @@
             key_hash=key_hash,
             idempotent=idempotent,
             deadline_ms=deadline_ms,
-            content_type=environ.get("CONTENT_TYPE", requests.BINARY_TYPE),
+            content_type=content_type,
             body=body,
         )
         answer = self._calls.ask(
--- a/samphiregate/adapters/runners/_exchange.py
+++ b/samphiregate/adapters/runners/_exchange.py
@@ -1,7 +1,9 @@
 """One HTTP exchange with a runner, and the event that it ends in."""
 
 import functools
+from urllib import parse
 
+from absl import logging
 import gevent
 
 from samphiregate.core import model
@@ -53,6 +55,9 @@
         if error.ran is errors.Ran.NO:
             return _failure(action, _Outcome.NEVER_SENT, error.detail)
         return _failure(action, _Outcome.UNKNOWN, error.detail)
+    except Exception as error:
+        logging.exception("runners: an attempt failed: %s.", type(error))
+        return _failure(action, _Outcome.UNKNOWN, "the exchange failed")
     return _end(action, answer)
 
 
@@ -91,7 +96,7 @@
     }
     return client.request(
         "POST",
-        f"/requests/{action.queue}",
+        f"/requests/{parse.quote(action.queue, safe='')}",
         body=action.body,
         headers=headers,
     )
--- a/samphiregate/core/requests/_dispatcher.py
+++ b/samphiregate/core/requests/_dispatcher.py
@@ -207,7 +207,7 @@
             runner.pause(now_ms)
         else:
             run_ms = now_ms - attempt.sent_ms
-            pool.ended(runner, False, run_ms, now_ms)
+            pool.ended(runner, False, run_ms, now_ms, reached=False)
             attempt.avoided = attempt.avoided | {attempt.runner_id}
         self.learn(pool, runner, event, now_ms)
         if self.stopping:
--- a/samphiregate/core/requests/_pool.py
+++ b/samphiregate/core/requests/_pool.py
@@ -144,10 +144,10 @@
         )
         self.router.observe(event, now_ms)
 
-    def ended(self, runner, succeeded, elapsed_ms, now_ms):
+    def ended(self, runner, succeeded, elapsed_ms, now_ms, reached=True):
         """Takes in the end of an attempt at a runner."""
         event = routing.AttemptEnded(
-            runner.info.runner_id, succeeded, elapsed_ms
+            runner.info.runner_id, succeeded, elapsed_ms, reached
         )
         self.judge.observe(event, now_ms)
         if succeeded:
--- a/samphiregate/core/routing/_messages.py
+++ b/samphiregate/core/routing/_messages.py
@@ -60,11 +60,15 @@
         Whether a whole answer came that is no server error.
     elapsed_ms : int
         Time that the attempt took.
+    reached : bool
+        Whether the endpoint took the attempt at all; if not, the request
+        can't have caused the failure.
     """
 
     endpoint_id: str
     succeeded: bool
     elapsed_ms: int
+    reached: bool = True
 
 
 @attrs.frozen
--- a/samphiregate/core/routing/_outliers.py
+++ b/samphiregate/core/routing/_outliers.py
@@ -9,6 +9,9 @@
 from samphiregate.core.routing import _messages
 from samphiregate import parameters
 
+FAILURE_DECAY = 0.2
+FAILURE_FACTOR = 2.0
+USUAL_FAILURES = 0.2
 LATENCY_DECAY = 0.2
 MEDIAN_EVERY = 16
 MIN_SLOW_MS = 50.0
@@ -19,6 +22,7 @@
     """What is known of one endpoint."""
 
     failures: int = 0
+    failure_rate: float = 0.0
     attempts: int = 0
     latency_ms: float = 0.0
     avoided_until_ms: int = 0
@@ -28,11 +32,15 @@
 class OutlierJudge(base.Policy):
     """Says how many slots of an endpoint may be given out.
 
-    An endpoint that fails several times in a row, or whose recent latency is
-    far above the median of all endpoints, is avoided; once the gap is over,
+    An endpoint is avoided if it can't be reached several times in a row, if
+    it fails several times in a row and far more often than the others, or if
+    its recent latency is far above the median of all. Once the gap is over,
     one attempt at a time probes it. A failed probe lengthens the gap, a
     success ends it.
 
+    Requests that fail everywhere take no endpoint out of service: none of
+    them stands out.
+
     Parameters
     ----------
     failures_in_row : int
@@ -91,9 +99,10 @@
     def _(self, event: _messages.AttemptEnded, now_ms):
         record = self.records_by_id_.setdefault(event.endpoint_id, _Record())
         if not event.succeeded:
-            self._note_failure(event.endpoint_id, record, now_ms)
+            self._note_failure(event, record, now_ms)
             return
         record.failures = 0
+        record.failure_rate *= 1 - FAILURE_DECAY
         self._note_latency(record, event.elapsed_ms)
         if self._is_slow(event.endpoint_id, record):
             self._avoid(event.endpoint_id, record, now_ms)
@@ -114,11 +123,27 @@
         """Returns the ids of the endpoints that are avoided."""
         return {"avoided": sorted(self.avoided_ids_)}
 
-    def _note_failure(self, endpoint_id, record, now_ms):
+    def _note_failure(self, event, record, now_ms):
         record.failures += 1
-        probed = endpoint_id in self.avoided_ids_
-        if probed or record.failures >= self.failures_in_row:
-            self._avoid(endpoint_id, record, now_ms)
+        record.failure_rate += FAILURE_DECAY * (1 - record.failure_rate)
+        if event.endpoint_id in self.avoided_ids_:
+            self._avoid(event.endpoint_id, record, now_ms)
+        elif record.failures >= self.failures_in_row and (
+            not event.reached or self._fails_most(event.endpoint_id, record)
+        ):
+            self._avoid(event.endpoint_id, record, now_ms)
+
+    def _fails_most(self, endpoint_id, record):
+        """Returns whether an endpoint fails far more than the others."""
+        others = [
+            known.failure_rate
+            for other_id, known in self.records_by_id_.items()
+            if other_id != endpoint_id
+        ]
+        if not others:
+            return False
+        usual = statistics.median(others)
+        return record.failure_rate > usual * FAILURE_FACTOR + USUAL_FAILURES
 
     def _note_latency(self, record, elapsed_ms):
         record.attempts += 1
