--- a/features/requests.feature
+++ b/features/requests.feature
@@ -194,7 +194,7 @@
     And requests: every runner has the fault refuse
     When requests: 300 requests arrive, one each 10 ms, idempotent no
     And requests: 6000 ms pass
-    Then requests: the runners were asked at most 100 times
+    Then requests: the runners were asked at most 30 times
     And requests: all that must hold holds
 
   Scenario: requests: a flood is shed from the team above its share
@@ -340,6 +340,12 @@
     When requests: 1 requests reach it and every attempt ends unknown for 5 s
     Then requests: it made 3 attempts beyond the first
 
+  Scenario: requests: the load that comes with an answer is believed
+    Given requests: an edge alone with owners
+    When requests: an owner answers and tells that it is full
+    And requests: 20 more requests reach it
+    Then requests: none of them went to that owner
+
   Scenario: requests: the load of a dead entry VM is not believed
     Given requests: an edge alone
     When requests: it hears the load of an entry VM that is dead
--- a/features/steps/request_edge_steps.py
+++ b/features/steps/request_edge_steps.py
@@ -110,3 +110,24 @@
     dispatched = [a.message.team for a in context.lone.dispatches]
     taken = (dispatched.count("huts"), dispatched.count("maps"))
     assert taken == (huts, maps), taken
+
+
+@behave.when("requests: an owner answers and tells that it is full")
+def when_owner_full(context):
+    lone = context.lone
+    lone.arrive("request")
+    context.first = lone.attempts("request")[0].recipient
+    lone.end(context.first, "request", 1, "answered", full=True)
+
+
+@behave.when("requests: {count:d} more requests reach it")
+def when_more_reach(context, count):
+    for number in range(count):
+        context.lone.arrive(f"later-{number}")
+
+
+@behave.then("requests: none of them went to that owner")
+def then_not_there(context):
+    later = context.lone.dispatches[1:]
+    assert len(later) == 20, later
+    assert context.first not in {action.recipient for action in later}
--- a/features/support/request_edge.py
+++ b/features/support/request_edge.py
@@ -78,14 +78,18 @@
             if action.message.request_id == request_id
         ]
 
-    def end(self, sender, request_id, attempt, outcome):
+    def end(self, sender, request_id, attempt, outcome, full=False):
         """Hands the end of an attempt over."""
+        load = None
+        if full:
+            load = requests.ServiceLoad(fakes.SERVICE, 1, 1, 50, 10.0)
         if outcome == "answered":
             message = requests.RequestFinished(
                 request_id,
                 attempt,
                 model.AttemptOutcome.ANSWERED,
                 status=200,
+                load=load,
             )
         elif outcome == "unknown":
             message = requests.RequestFinished(
