--- a/samphiregate/core/preemption/_cheapest.py
+++ b/samphiregate/core/preemption/_cheapest.py
@@ -1,7 +1,6 @@
 """Preempts what costs least, within the teams' shares."""
 
 import bisect
-import functools
 import itertools
 
 import attrs
@@ -27,8 +26,9 @@
     Parameters
     ----------
     cost : tuple
-        Tasks that are stopped for good, work lost in core milliseconds,
-        and tasks in all; compared in this order.
+        Services that are stopped, tasks that are stopped without a
+        checkpoint, work lost in core milliseconds, and tasks in all;
+        compared in this order.
     """
 
     cost: tuple
@@ -96,7 +96,7 @@
         self._ids_by_worker = {}
         self._order_by_team = {}
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def observe(self, event, now_ms):
         """Takes in running tasks and rooms; others are ignored."""
 
@@ -123,7 +123,7 @@
     def _(self, event: placement.WorkerRemoved, now_ms):
         self.room_by_worker_.pop(event.worker_id, None)
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def choose(self, question, now_ms):
         """Answers `VictimQuestion` with `Victims`, or None."""
         raise TypeError(f"unknown question {type(question).__name__}")
@@ -248,8 +248,11 @@
 
 def _cost(tasks, now_ms):
     stopped = [task for task in tasks if not task.checkpointable]
+    services = sum(
+        1 for task in stopped if task.work_class is model.WorkClass.SERVICE
+    )
     lost = sum(
         (now_ms - task.started_ms) * task.resources.cpu_millis // 1_000
         for task in stopped
     )
-    return (len(stopped), lost, len(tasks))
+    return (services, len(stopped), lost, len(tasks))
--- a/samphiregate/core/queueing/_fair_share.py
+++ b/samphiregate/core/queueing/_fair_share.py
@@ -1,7 +1,5 @@
 """Weighted fairness on the dominant resource, with a bounded memory."""
 
-import functools
-
 from samphiregate.core import base
 from samphiregate.core import model
 from samphiregate.core.queueing import _messages
@@ -91,6 +89,7 @@
         self._prompt = _ranking.Ranking()
         self._load = _ranking.Ranking()
         self._active_weight = 0.0
+        self._used_share = 0.0
         self._next_step_ms = 0
         self._remote_until_ms = None
 
@@ -100,7 +99,7 @@
             self._step(now_ms)
         self._observe(event, now_ms)
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def _observe(self, event, now_ms):
         pass
 
@@ -163,7 +162,7 @@
             team.remote_share = amount.share_of(self.total_)
         self._rank_all()
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def choose(self, question, now_ms):
         """Answers `NextItem` and `ItemToShed` with an item or None."""
         raise TypeError(f"unknown question {type(question).__name__}")
@@ -205,7 +204,7 @@
         }
 
     def due(self, name):
-        """Returns a team's part among the teams that have work.
+        """Returns a team's part of what the teams that have work now use.
 
         Parameters
         ----------
@@ -215,12 +214,18 @@
         Returns
         -------
         float
-            Fraction of the total; 0 for a team without work.
+            Dominant share; 0 for a team without work.
+
+        Notes
+        -----
+        It is a part of what is used, not of the total: where the older
+        scheduler or failed workers take room away, nobody could come to a
+        part of the total.
         """
         team = self.teams_by_name_.get(name)
         if team is None or not self._is_active(team):
             return 0.0
-        return team.weight / self._active_weight
+        return team.weight / self._active_weight * self._used_share
 
     def share(self, name):
         """Returns the dominant share of a team's running work."""
@@ -253,7 +258,9 @@
         team.running.change(event.resources, sign)
         if event.urgent:
             team.running_urgent.change(event.resources, sign)
+        self._used_share -= team.share
         team.measure(self.total_)
+        self._used_share += team.share
         self._rank(team)
 
     def _team(self, name, now_ms):
@@ -297,7 +304,9 @@
 
     def _rank_all(self):
         self._active_weight = 0.0
+        self._used_share = 0.0
         for team in self.teams_by_name_.values():
+            self._used_share += team.share
             team.active = False
             self._rank(team)
 
