Have nothing in force on a new VM until it is settled

Cause: a VM that was replaced was ready, by the revision it had read, before it judged keys; the replacement of every VM under load refused 3 requests for their key. Change: until it is settled a VM shows an empty configuration, so that it is not ready either, and tells its machines of the revision as it settles.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -75,6 +75,15 @@
       | a peer's revision 5 at 5 ms | can't     |
       | a peer's revision 0 at 5 ms | can       |
 
+  Scenario: configuration: what a new VM read comes into force as it settles
+    Given a configuration replica started at 0 ms, keys valid 30000 ms
+    When the new configuration replica reads a head of revision 3 at 5 ms
+    Then it tells its VM of configuration revisions none
+    When the new configuration replica has nothing at 2000 ms
+    Then it tells its VM of configuration revisions 3
+    When the new configuration replica has nothing at 2100 ms
+    Then it tells its VM of configuration revisions none
+
   Scenario: configuration: the keys of a removed team are refused
     Given a configuration fleet of 12 VMs in 3 data centres, seed 1
     And a configuration key that every VM accepts
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -203,7 +203,29 @@
 
 @behave.when("the new configuration replica has nothing at {now:d} ms")
 def when_nothing(context, now):
-    context.replica.handle(base.Tick(), now)
+    context.actions = context.replica.handle(base.Tick(), now)
+
+
+@behave.when(
+    "the new configuration replica reads a head of revision {revision:d} at "
+    "{now:d} ms"
+)
+def when_reads_head(context, revision, now):
+    head = configurations.Head(revision, 0, tuple(make_edits(revision)))
+    changed = store.KeyChanged(
+        configurations.HEAD_KEY, 1, configurations.encode(head)
+    )
+    context.actions = context.replica.handle(changed, now)
+
+
+@behave.then("it tells its VM of configuration revisions {revisions}")
+def then_tells_vm(context, revisions):
+    told = [
+        str(action.event.configuration.revision)
+        for action in context.actions
+        if isinstance(action, base.Notify)
+    ]
+    assert (" ".join(told) or "none") == revisions, told
 
 
 @behave.when(
--- a/samphiregate/core/configuration/_replica.py
+++ b/samphiregate/core/configuration/_replica.py
@@ -9,11 +9,13 @@
 from samphiregate.core.configuration import _messages
 from samphiregate.core.configuration import _spread
 from samphiregate.core import fleet
+from samphiregate.core import model
 from samphiregate.core import store
 from samphiregate import errors
 from samphiregate import parameters
 
 DAY_MS = 86_400_000
+_NO_CONFIGURATION = model.Configuration()
 
 
 class ConfigurationReplica(base.StateMachine, parameters.Parameterised):
@@ -53,9 +55,9 @@
         with it goes on with the keys that it knows for this long, and then
         refuses all.
     settle_ms : int
-        After its start a VM takes no key until its revision is at least
-        that of a peer, or for this long if no peer answers: a read of the
-        store may be stale.
+        After its start a VM has nothing in force until its revision is at
+        least that of a peer, or for this long if no peer answers: a read
+        of the store may be stale.
 
     Attributes
     ----------
@@ -129,7 +131,9 @@
 
     @property
     def configuration(self):
-        """The configuration in force on this VM."""
+        """The configuration in force; an empty one until settled."""
+        if not self.settled:
+            return _NO_CONFIGURATION
         return self._history.configuration
 
     @property
@@ -167,8 +171,13 @@
 
     def handle(self, event, now_ms):
         """Takes one event; see `StateMachine.handle`."""
+        before = self.configuration.revision
         self._freshness.pass_time(now_ms)
-        return self._handle(event, now_ms)
+        actions = self._handle(event, now_ms)
+        if self.configuration.revision != before:
+            changed = fleet.ConfigurationChanged(self.configuration)
+            actions.insert(0, base.Notify(changed))
+        return actions
 
     @functools.singledispatchmethod
     def _handle(self, event, now_ms):
@@ -222,7 +231,7 @@
     def _on_delta(self, message: _messages.ConfigurationDelta, sender, now_ms):
         before = self._history.revision
         if self._history.take_edits(message.edits):
-            return self._announce(before, source=sender)
+            return self._tell_peers(before, source=sender)
         return [self._digest_to(sender, now_ms)]
 
     @_on_message.register
@@ -231,7 +240,7 @@
     ):
         before = self._history.revision
         self._history.take_configuration(message.configuration)
-        return self._announce(before, source=sender)
+        return self._tell_peers(before, source=sender)
 
     @_on_message.register
     def _on_digest(
@@ -285,7 +294,7 @@
     def _update_from(self, revision):
         edits = self._history.edits_after(revision)
         if edits is None:
-            return _messages.ConfigurationSnapshot(self.configuration)
+            return _messages.ConfigurationSnapshot(self._history.configuration)
         return _messages.ConfigurationDelta(edits)
 
     def _take_head(self, value, now_ms):
@@ -299,7 +308,7 @@
         before = self._history.revision
         self._history.take_edits(head.edits)
         if self._history.revision >= head.revision:
-            return self._announce(before)
+            return self._tell_peers(before)
         self._head = head
         return self._read(_documents.SNAPSHOT_KEY, now_ms)
 
@@ -315,19 +324,15 @@
         if self._history.revision < self._head.revision:
             # The store gave a snapshot that is older than its head.
             self._next_check_ms = now_ms + self.compare_interval_ms
-        return self._announce(before)
+        return self._tell_peers(before)
 
-    def _announce(self, before, source=None):
+    def _tell_peers(self, before, source=None):
         if self._history.revision == before:
             return []
-        changed = fleet.ConfigurationChanged(self.configuration)
         update = self._update_from(before)
         return [
-            base.Notify(changed),
-            *(
-                base.SendToPeer(peer_id, update)
-                for peer_id in self._spread.peers_to_tell(source)
-            ),
+            base.SendToPeer(peer_id, update)
+            for peer_id in self._spread.peers_to_tell(source)
         ]
 
     def _read(self, key, now_ms):
