--- a/samphiregate/core/workers/_ledger.py
+++ b/samphiregate/core/workers/_ledger.py
@@ -17,7 +17,8 @@
     Parameters
     ----------
     tokens : object
-        Has `acquire`, `release` and `restore` of a team's tokens.
+        Has `acquire`, `release`, `restore` and `hand_over` of a team's
+        tokens.
     rooms : base.Policy
         Placement policy.
     judge : base.Policy
@@ -37,6 +38,8 @@
         Attempts that ended and whose end is not kept yet.
     live_by_team : dict of str to dict
         Live bookings of each team by attempt, oldest first.
+    touched_by_id : dict of str to WorkerRecord
+        Workers for which an exchange may be due at once.
     """
 
     def __init__(self, *, tokens, rooms, judge, victims, outbox):
@@ -49,6 +52,12 @@
         self.live_by_task = {}
         self.unkept_by_id = {}
         self.live_by_team = {}
+        self.touched_by_id = {}
+
+    def command(self, record, command):
+        """Adds a command to the next exchange with a worker."""
+        record.commands.append(command)
+        self.touched_by_id[record.info.worker_id] = record
 
     def find(self, attempt_id):
         """Returns the booking of an attempt, live or unkept, or None."""
@@ -66,7 +75,10 @@
         self.live_by_task[task_id] = booking
         team = self.live_by_team.setdefault(booking.team, {})
         team[booking.attempt_id] = booking
-        placed = placement.TaskPlaced(task_id.job_id, booking.worker_id)
+        end_ms = now_ms + booking.run_time_ms if booking.run_time_ms else 0
+        placed = placement.TaskPlaced(
+            task_id.job_id, booking.worker_id, end_ms
+        )
         self.rooms.observe(placed, now_ms)
         self.judge.observe(
             quarantine.TaskBegun(booking.worker_id, task_id.job_id), now_ms
@@ -123,7 +135,7 @@
             return
         saved = checkpoint and booking.checkpointable
         kind = _messages.CheckpointTask if saved else _messages.StopTask
-        record.commands.append(kind(task_id, booking.attempt_id.attempt))
+        self.command(record, kind(task_id, booking.attempt_id.attempt))
 
     def end(self, booking, news, now_ms):
         """Ends a live booking; its token and room are free again."""
@@ -159,14 +171,19 @@
             command = _messages.ForgetTask(
                 attempt_id.task_id, attempt_id.attempt
             )
-            record.commands.append(command)
+            self.command(record, command)
 
     def drop_worker(self, worker_id, now_ms):
-        """Forgets a worker that is gone or owned by another entry VM."""
+        """Forgets a worker that is gone or owned by another entry VM.
+
+        Tokens of what may run there go to the next owner.
+        """
         record = self.workers_by_id.pop(worker_id)
+        self.touched_by_id.pop(worker_id, None)
         for booking in record.bookings_by_id.values():
             if not booking.is_over:
                 self._unbook(booking, now_ms)
+                self.tokens.hand_over(booking.team, now_ms)
             self.unkept_by_id.pop(booking.attempt_id, None)
         removed = placement.WorkerRemoved(worker_id)
         self.rooms.observe(removed, now_ms)
@@ -184,8 +201,8 @@
         )
         record.usable = usable
         if usable:
-            room = record.book.room(now_ms)
-            event = placement.WorkerRoomChanged(record.info, room)
+            record.room = record.book.room(now_ms)
+            event = placement.WorkerRoomChanged(record.info, record.room)
         else:
             event = placement.WorkerRemoved(worker_id)
         self.rooms.observe(event, now_ms)
