Serve nothing from an entry VM that has not settled

Cause: the rolling replacement refused 7 requests with key-refused: a new VM said that it was ready as soon as it had a configuration, while it rightly judges no key until it has compared its revision with a peer. Change: ready only once settled; before that requests and calls about jobs are refused as unavailable, not run, with a time to come back. Conclusion: no caller is told that a good key is bad.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -62,6 +62,20 @@
       | huts      | none  | not-found no   |
       | huts      | idle  | no-runner no   |
 
+  Scenario Outline: requests: an entry VM that has not settled judges no key
+    Given requests: 1 entry VMs with 2 runners of 2 slots
+    And requests: the entry VM has not settled
+    When requests: a request of team <team> arrives for queue <queue>
+    And requests: 4000 ms pass
+    Then requests: it ended as unavailable no
+    And requests: all that must hold holds
+
+    Examples:
+      | team    | queue |
+      | huts    | holds |
+      | none    | open  |
+      | unknown | holds |
+
   Scenario Outline: requests: an entry VM is lost with attempts under way
     Given requests: 2 entry VMs with 2 runners of 2 slots
     When requests: 20 requests arrive at once, idempotent <idempotent>
--- a/features/run.py
+++ b/features/run.py
@@ -41,6 +41,13 @@
     yield from feature.walk_scenarios()
 
 
+def print_reason(scenario):
+    """Prints the step that failed, and why."""
+    for step in scenario.all_steps:
+        if step.status.has_failed():
+            print(f"  {step.name}\n  {step.error_message}")
+
+
 def count(features, known_red):
     """Counts outcomes and prints each known-red scenario.
 
@@ -65,6 +72,7 @@
                     skipped += 1
                 else:
                     print(f"failed: {scenario.name}")
+                    print_reason(scenario)
                     failed += 1
             else:
                 skipped += 1
--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -58,6 +58,11 @@
     context.world.runners_by_id[f"runner-{number}"].fault = fault
 
 
+@behave.given("requests: the entry VM has not settled")
+def given_not_settled(context):
+    context.world.replica.settled = False
+
+
 @behave.given("requests: work takes {duration:d} ms")
 def given_work(context, duration):
     for runner in context.world.runners_by_id.values():
--- a/features/support/requests.py
+++ b/features/support/requests.py
@@ -46,6 +46,7 @@
             },
         )
         self.withdrawn = set()
+        self.settled = True
 
     def team_for_key_hash(self, key_hash):
         team = key_hash.removeprefix("hash-")
--- a/samphiregate/adapters/edge/_access.py
+++ b/samphiregate/adapters/edge/_access.py
@@ -5,6 +5,8 @@
 from samphiregate.adapters.edge import _headers
 from samphiregate import errors
 
+STARTED_RETRY_MS = 1_000
+
 
 class Access:
     """Tells the team of a call, and whether it comes from an operator.
@@ -49,6 +51,11 @@
         key_hash = _headers.key_hash(environ)
         if not key_hash:
             return None
+        if not self._replica.settled:
+            raise errors.UnavailableError(
+                "this entry VM has just started",
+                retry_after_ms=STARTED_RETRY_MS,
+            )
         team = self._replica.team_for_key_hash(key_hash)
         if team is None:
             raise errors.SamphiregateError(
--- a/samphiregate/core/requests/_admission.py
+++ b/samphiregate/core/requests/_admission.py
@@ -5,6 +5,8 @@
 from samphiregate.core.requests import _messages
 from samphiregate import errors
 
+STARTED_RETRY_MS = 1_000
+
 _Code = errors.ErrorCode
 
 
@@ -41,6 +43,12 @@
     Admitted or Refusal
     """
     team = ""
+    if not replica.settled:
+        return _messages.Refusal(
+            _Code.UNAVAILABLE,
+            detail="this entry VM has just started",
+            retry_after_ms=STARTED_RETRY_MS,
+        )
     if key_hash:
         team = replica.team_for_key_hash(key_hash)
         if team is None:
--- a/samphiregate/daemon/_node.py
+++ b/samphiregate/daemon/_node.py
@@ -95,7 +95,8 @@
 
     def is_ready(self):
         """Returns whether this entry VM can serve requests."""
-        return self.machines.configuration.configuration.revision > 0
+        replica = self.machines.configuration
+        return replica.settled and replica.configuration.revision > 0
 
     def _is_idle(self):
         busy = self.machines.runner_owner.in_flight
