--- a/samphiregate/adapters/edge/_listener.py
+++ b/samphiregate/adapters/edge/_listener.py
@@ -10,6 +10,7 @@
 from samphiregate.adapters import http
 from samphiregate import errors
 
+BACKLOG = 1_024
 HANDSHAKE_TIMEOUT_MS = 10_000
 
 
@@ -29,6 +30,7 @@
             application,
             handler_class=_handler.EdgeHandler,
             error_log=None,
+            backlog=BACKLOG,
             **tls,
         )
         self.connections = connections
