--- a/samphiregate/core/requests/__init__.py
+++ b/samphiregate/core/requests/__init__.py
@@ -3,13 +3,15 @@
 from samphiregate.core.requests._admission import admit
 from samphiregate.core.requests._admission import Admitted
 from samphiregate.core.requests._edge import RequestEdge
+from samphiregate.core.requests._load import LoadChanged
+from samphiregate.core.requests._load import LoadSummary
+from samphiregate.core.requests._load import ServiceLoad
+from samphiregate.core.requests._load import VmLoad
 from samphiregate.core.requests._messages import AnswerCaller
 from samphiregate.core.requests._messages import BINARY_TYPE
 from samphiregate.core.requests._messages import CallerGone
 from samphiregate.core.requests._messages import DispatchRequest
 from samphiregate.core.requests._messages import JSON_TYPE
-from samphiregate.core.requests._messages import LoadChanged
-from samphiregate.core.requests._messages import LoadSummary
 from samphiregate.core.requests._messages import ProbeRunner
 from samphiregate.core.requests._messages import Refusal
 from samphiregate.core.requests._messages import RequestArrived
@@ -19,8 +21,6 @@
 from samphiregate.core.requests._messages import RunnerFailed
 from samphiregate.core.requests._messages import RunnerProbed
 from samphiregate.core.requests._messages import SendToRunner
-from samphiregate.core.requests._messages import ServiceLoad
-from samphiregate.core.requests._messages import VmLoad
 from samphiregate.core.requests._messages import WithdrawRequest
 from samphiregate.core.requests._owner import RunnerOwner
 
--- a/samphiregate/core/requests/_board.py
+++ b/samphiregate/core/requests/_board.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from samphiregate.core.requests import _messages
+from samphiregate.core.requests import _load
 from samphiregate.core import routing
 
 
@@ -10,7 +10,7 @@
 class _Heard:
     """The newest load of one entry VM, and when that VM made it."""
 
-    load: _messages.VmLoad
+    load: _load.VmLoad
     made_ms: int
     sent_by_service: dict = attrs.field(factory=dict)
 
--- a/samphiregate/core/requests/_edge.py
+++ b/samphiregate/core/requests/_edge.py
@@ -8,6 +8,7 @@
 from samphiregate.core.requests import _attempts
 from samphiregate.core.requests import _board
 from samphiregate.core.requests import _gossip
+from samphiregate.core.requests import _load
 from samphiregate.core.requests import _messages
 from samphiregate.core.requests import _pending
 from samphiregate.core import routing
@@ -196,12 +197,12 @@
         return self._attempts.answered(message, sender, now_ms)
 
     @_deliver.register
-    def _(self, message: _messages.LoadSummary, sender, now_ms):
+    def _(self, message: _load.LoadSummary, sender, now_ms):
         self._gossip.heard(message, now_ms)
         return self._attempts.attempt_waiting(now_ms)
 
     @handle.register
-    def _(self, event: _messages.LoadChanged, now_ms):
+    def _(self, event: _load.LoadChanged, now_ms):
         actions = self._gossip.own_changed(event.load, now_ms)
         return actions + self._attempts.attempt_waiting(now_ms)
 
--- a/samphiregate/core/requests/_gossip.py
+++ b/samphiregate/core/requests/_gossip.py
@@ -1,7 +1,7 @@
 """Spreads the loads of owners between entry VMs."""
 
 from samphiregate.core import base
-from samphiregate.core.requests import _messages
+from samphiregate.core.requests import _load
 
 LOCAL_PEERS = 2
 REMOTE_PEERS = 1
@@ -57,7 +57,7 @@
         self._board.take(load, now_ms)
         if _slots_by_service(load) == before:
             return []
-        message = _messages.LoadSummary((load,))
+        message = _load.LoadSummary((load,))
         return [
             base.SendToPeer(vm_id, message)
             for vm_id in self._peers(self.data_centre)
@@ -74,7 +74,7 @@
         """Tells the own load to an entry VM that is new."""
         if self._own is None or vm_id == self.vm_id:
             return []
-        message = _messages.LoadSummary((self._own,))
+        message = _load.LoadSummary((self._own,))
         return [base.SendToPeer(vm_id, message)]
 
     def tick(self, now_ms):
@@ -91,7 +91,7 @@
             loads = (self._own, *loads)
         if not loads:
             return []
-        message = _messages.LoadSummary(loads)
+        message = _load.LoadSummary(loads)
         return [
             base.SendToPeer(vm_id, message) for vm_id in self._recipients()
         ]
--- a/samphiregate/core/requests/_messages.py
+++ b/samphiregate/core/requests/_messages.py
@@ -10,6 +10,7 @@
 
 from samphiregate.core import base
 from samphiregate.core import model
+from samphiregate.core.requests import _load
 from samphiregate import errors
 
 JSON_TYPE = "application/json"
@@ -136,31 +137,6 @@
     body: bytes = b""
 
 
-@attrs.frozen
-class ServiceLoad:
-    """Load of one service's runners at one owner.
-
-    Parameters
-    ----------
-    service : str
-        Name of the service.
-    slots : int
-        Slots of the runners that may be used now.
-    running : int
-        Slots in use, or possibly in use.
-    queued : int
-        Requests that wait at the owner.
-    latency_ms : float
-        Recent mean time of an attempt with its runner.
-    """
-
-    service: str
-    slots: int
-    running: int
-    queued: int
-    latency_ms: float = 0.0
-
-
 @attrs.frozen
 class RequestRefused(base.PeerMessage):
     """The owner did not execute an attempt, and never will.
@@ -176,7 +152,7 @@
     code: errors.ErrorCode
     detail: str = ""
     retry_after_ms: int | None = None
-    load: ServiceLoad | None = None
+    load: _load.ServiceLoad | None = None
 
 
 @attrs.frozen
@@ -201,7 +177,7 @@
     body: bytes = b""
     run_ms: int = 0
     detail: str = ""
-    load: ServiceLoad | None = None
+    load: _load.ServiceLoad | None = None
 
 
 @attrs.frozen
@@ -219,39 +195,6 @@
     code: errors.ErrorCode = errors.ErrorCode.CANCELLED
 
 
-@attrs.frozen
-class VmLoad:
-    """Load of one owner.
-
-    Parameters
-    ----------
-    sequence : int
-        Rises with each summary of that VM.
-    age_ms : int
-        Time since the VM made it, when it was passed on.
-    """
-
-    vm_id: str
-    data_centre: str
-    sequence: int
-    age_ms: int = 0
-    services: tuple[ServiceLoad, ...] = ()
-
-
-@attrs.frozen
-class LoadSummary(base.PeerMessage):
-    """Loads of the sender and of a few others that it heard of."""
-
-    loads: tuple[VmLoad, ...] = ()
-
-
-@attrs.frozen
-class LoadChanged(base.Event):
-    """The load of this VM's own runners, for the edge of the same VM."""
-
-    load: VmLoad
-
-
 @attrs.frozen
 class SendToRunner(base.Action):
     """Send an attempt to a runner, once.
--- a/samphiregate/core/requests/_owner.py
+++ b/samphiregate/core/requests/_owner.py
@@ -1,14 +1,15 @@
 """The owner of runners: fair queues, slots, and the attempts under way."""
 
-import collections
 import random
 
 from samphiregate.core import base
 from samphiregate.core import fleet
 from samphiregate.core import queueing
 from samphiregate.core.requests import _dispatcher
+from samphiregate.core.requests import _load
 from samphiregate.core.requests import _messages
 from samphiregate.core.requests import _pool
+from samphiregate.core.requests import _recent
 from samphiregate.core.requests import _replies
 from samphiregate.core.requests import _roster
 from samphiregate.core import routing
@@ -85,7 +86,7 @@
         self.unknown_hold_ms = unknown_hold_ms
         self.check_parameters()
         self.stopping_ = False
-        self._recent = collections.OrderedDict()
+        self._recent = _recent.RecentKeys(RECENT_ATTEMPTS)
         self._sequence = 0
         self._services_told = ()
         self._roster = _roster.RunnerRoster(
@@ -147,7 +148,7 @@
     @_deliver.register
     def _(self, message: _messages.DispatchRequest, sender, now_ms):
         attempt = _pool.Attempt(sender, message, now_ms + message.remaining_ms)
-        if not self._remember(attempt.key):
+        if not self._recent.add(attempt.key):
             return []
         pool = self.pools_by_service_.get(message.service)
         code = self._refusal_code(pool, message)
@@ -273,15 +274,6 @@
             actions += self._run_pool(pool, now_ms)
         return actions + self._tell_load()
 
-    def _remember(self, key):
-        """Returns whether `key` is new; a repeated message is dropped."""
-        if key in self._recent:
-            return False
-        self._recent[key] = None
-        if len(self._recent) > RECENT_ATTEMPTS:
-            self._recent.popitem(last=False)
-        return True
-
     def _probe(self, runner, now_ms):
         if runner.probe_due_ms is None or now_ms < runner.probe_due_ms:
             return []
@@ -320,10 +312,10 @@
             return []
         self._services_told = services
         self._sequence += 1
-        load = _messages.VmLoad(
+        load = _load.VmLoad(
             vm_id=self.vm_id,
             data_centre=self.data_centre,
             sequence=self._sequence,
             services=services,
         )
-        return [base.Notify(_messages.LoadChanged(load))]
+        return [base.Notify(_load.LoadChanged(load))]
--- a/samphiregate/core/requests/_pool.py
+++ b/samphiregate/core/requests/_pool.py
@@ -5,6 +5,7 @@
 from samphiregate.core import base
 from samphiregate.core import model
 from samphiregate.core import queueing
+from samphiregate.core.requests import _load
 from samphiregate.core.requests import _messages
 from samphiregate.core import routing
 
@@ -104,7 +105,7 @@
 
     def load(self):
         """Returns the `ServiceLoad` for the edges."""
-        return _messages.ServiceLoad(
+        return _load.ServiceLoad(
             service=self.service,
             slots=self.offered_slots(),
             running=self.used_slots,
