--- a/samphiregate/adapters/peers/_link.py
+++ b/samphiregate/adapters/peers/_link.py
@@ -1,6 +1,7 @@
 """The sending side of a connection to one other entry VM."""
 
 import collections
+import contextlib
 
 from absl import logging
 import attrs
@@ -13,7 +14,7 @@
 from samphiregate.core import base
 
 MAX_QUEUED_BYTES = 8 * 1024 * 1024
-MAX_BATCH_BYTES = 1024 * 1024
+MAX_BATCH_BYTES = 64 * 1024
 CONNECT_TIMEOUT_MS = 1_000
 PROGRESS_TIMEOUT_MS = 2_000
 FIRST_RETRY_MS = 50
@@ -82,6 +83,11 @@
         """Whether the peer has confirmed everything sent so far."""
         return not self._frames and not self._unconfirmed
 
+    @property
+    def is_failing(self):
+        """Whether the latest connection showed no progress."""
+        return self._failing_since_ms is not None
+
     def send(self, frame):
         """Queues an encoded frame.
 
@@ -97,6 +103,17 @@
         self._wake.set()
         return True
 
+    def excuse(self, stalled_ms):
+        """Gives the peer more time, as this process itself stood still.
+
+        Parameters
+        ----------
+        stalled_ms : int
+            Time in which no confirmation could be read.
+        """
+        for batch in self._unconfirmed:
+            batch.sent_ms += stalled_ms
+
     def check(self, now_ms):
         """Replaces a connection that shows no progress."""
         if not self._unconfirmed or self._channel is None:
@@ -139,7 +156,7 @@
         sock = socket.create_connection(
             (host, int(port)), timeout=CONNECT_TIMEOUT_MS / 1000
         )
-        with _channel.Channel(sock) as channel:
+        with _channel.Channel(sock) as channel, self._totals.count(channel):
             channel.connect_as(self._vm_id, self._secret)
             self._take_progress(channel.receive())
             sock.settimeout(None)
@@ -151,7 +168,6 @@
             finally:
                 self._channel = None
                 reader.kill()
-                self._totals.add(channel)
 
     def _resend(self, channel):
         now_ms = self._now_ms()
@@ -209,14 +225,47 @@
     return batch.to_bytes()
 
 
-@attrs.define
+def size_on_link(message):
+    """Returns the bytes that a message takes when it is sent alone.
+
+    Its share of the length and tag of a batch is counted, and so is the
+    peer's confirmation; the headers of TCP and IP are not.
+    """
+    batch = _encode_batch(1, [_codec.encode_frame(message)])
+    progress = _codec.SCHEMA.Progress.new_message(sequence=1).to_bytes()
+    return len(batch) + len(progress) + 2 * _channel.OVERHEAD_BYTES
+
+
 class Totals:
-    """Bytes sent and received over all links of an entry VM."""
+    """Bytes sent and received over all links of an entry VM.
+
+    Channels that are open count with their bytes so far.
+    """
+
+    def __init__(self):
+        self._channels = set()
+        self._ended_sent = 0
+        self._ended_received = 0
 
-    sent: int = 0
-    received: int = 0
+    @property
+    def sent(self):
+        """Bytes sent so far."""
+        open_bytes = sum(one.bytes_sent for one in self._channels)
+        return self._ended_sent + open_bytes
+
+    @property
+    def received(self):
+        """Bytes received so far."""
+        open_bytes = sum(one.bytes_received for one in self._channels)
+        return self._ended_received + open_bytes
 
-    def add(self, channel):
-        """Adds the bytes of a channel that ends."""
-        self.sent += channel.bytes_sent
-        self.received += channel.bytes_received
+    @contextlib.contextmanager
+    def count(self, channel):
+        """Counts a channel's bytes from now on, also after its end."""
+        self._channels.add(channel)
+        try:
+            yield
+        finally:
+            self._channels.discard(channel)
+            self._ended_sent += channel.bytes_sent
+            self._ended_received += channel.bytes_received
--- a/samphiregate/core/jobs/_owner.py
+++ b/samphiregate/core/jobs/_owner.py
@@ -26,6 +26,8 @@
 from samphiregate.core import workers
 from samphiregate import parameters
 
+ADVANCE_MS = 500
+
 
 class JobOwner(base.StateMachine, parameters.Parameterised):
     """Keeps the jobs of owned shards and has their tasks run.
@@ -219,14 +221,15 @@
         self._counter = itertools.count(1)
         self._actions = []
         self._next_sweep_ms = 0
+        self._next_advance_ms = 0
 
     def handle(self, event, now_ms):
         """Takes one event and returns what has to be done."""
         self._take(event, now_ms)
         self.dispatcher_.run(now_ms, self.gangs_.start)
-        return self._flush(now_ms)
+        return self._flush(now_ms, isinstance(event, base.Tick))
 
-    @base.dispatchmethod
+    @base.singledispatchmethod
     def _take(self, event, now_ms):
         """Ignores events that are not for this machine."""
 
@@ -243,12 +246,20 @@
         self._actions += self.desk_.tick(self._find_job, now_ms)
         self.gangs_.tick(now_ms)
         self.dispatcher_.tick(now_ms)
-        for shard in self.shards_by_id_.values():
-            self.recovery_.advance(shard, now_ms)
+        self._advance_due(now_ms)
         if now_ms >= self._next_sweep_ms:
             self._next_sweep_ms = now_ms + self.ask_ms
             self.recovery_.sweep(now_ms)
 
+    def _advance_due(self, now_ms):
+        """Advances what takes a shard over, and now and then all shards."""
+        is_round = now_ms >= self._next_advance_ms
+        if is_round:
+            self._next_advance_ms = now_ms + ADVANCE_MS
+        for shard in self.shards_by_id_.values():
+            if is_round or shard.inquiry is not None or not shard.is_ready:
+                self.recovery_.advance(shard, now_ms)
+
     @_take.register
     def _(self, event: fleet.FleetListed, now_ms):
         self.admission_.take_workers(event.workers_by_id)
@@ -320,7 +331,7 @@
     def _(self, event: base.PeerDelivered, now_ms):
         self._take_message(event.message, event.sender, now_ms)
 
-    @base.dispatchmethod
+    @base.singledispatchmethod
     def _take_message(self, message, sender, now_ms):
         """Ignores messages that are not for this machine."""
 
@@ -457,14 +468,15 @@
                 remote[team] = rest
         self.queue.observe(queueing.RemoteUsageChanged(remote), now_ms)
 
-    def _flush(self, now_ms):
+    def _flush(self, now_ms, is_tick):
         self._defer_kept()
         actions, self._actions = self._actions, []
         actions += self.recovery_.flush()
         actions += self.gangs_.flush()
         actions += self.orders_.flush()
         for shard in self.shards_by_id_.values():
-            actions += shard.sender.flush(now_ms)
+            if is_tick or shard.sender.has_changes:
+                actions += shard.sender.flush(now_ms)
         return actions
 
     def _defer_kept(self):
