Deliver notifications before the event goes on

A VM that was paused could send one more command under its old epoch: the event that ended the pause reached the machines that act before the news that the shards were given up. EntryVm now delivers what a machine notifies at once, before the event goes on.

--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -136,7 +136,7 @@
         self.cluster.loop.after(TICK_MS, self.tick)
 
     def resume(self):
-        """Ends a pause; what arrived meanwhile comes first."""
+        """Ends a pause; a tick or what arrived meanwhile comes first."""
         self.paused = False
         self.cluster.oracle.on_resumed(
             self.vm_id,
@@ -144,6 +144,8 @@
             self.cluster.loop.now_ms - self.paused_ms,
         )
         inbox, self._inbox = self._inbox, []
+        if self.cluster.random_state.random() < 0.5:
+            inbox.insert(0, base.Tick())
         for event in inbox:
             self.deliver(event)
 
--- a/samphiregate/core/vm/_entry_vm.py
+++ b/samphiregate/core/vm/_entry_vm.py
@@ -9,8 +9,10 @@
 class EntryVm(base.StateMachine):
     """The state machines of one entry VM.
 
-    Each event goes to every machine. `Notify` actions, and messages that
-    the entry VM sends to itself, are delivered before `handle` returns.
+    Each event goes to every machine. What a machine notifies the others of
+    reaches all of them before the event goes on to the next machine, so
+    that none acts on a shard that was given up at that event. Messages that
+    the entry VM sends to itself are delivered before `handle` returns.
 
     Parameters
     ----------
@@ -36,6 +38,9 @@
     def _deliver(self, event, now_ms, actions):
         for machine in self.machines:
             for action in machine.handle(event, now_ms):
+                if isinstance(action, base.Notify):
+                    self._deliver(action.event, now_ms, actions)
+                    continue
                 local = self._local_event(action)
                 if local is None:
                     actions.append(action)
@@ -47,10 +52,6 @@
         """Returns the event that an action amounts to on this VM."""
         return None
 
-    @_local_event.register
-    def _(self, action: base.Notify):
-        return action.event
-
     @_local_event.register
     def _(self, action: base.SendToPeer):
         if action.recipient != self.vm_id:
