--- a/features/support/jobs.py
+++ b/features/support/jobs.py
@@ -56,6 +56,10 @@
         part = self.part_by_team.get(team, 0)
         self.part_by_team[team] = part + units
 
+    def hand_over(self, team, now_ms, units=1):
+        self.release(team, now_ms, units)
+        self.part_by_team[team] -= units
+
     def excess(self, team):
         part = self.part_by_team.get(team, 0)
         return max(0, self.used_by_team[team] - part)
@@ -152,7 +156,7 @@
         self.clock_rate_by_worker = {}
         self._heap = []
         self._order = itertools.count()
-        self._links = {}
+        self._cut_senders = set()
         self._seen_history = collections.Counter()
         self._vm_count = vm_count
         self.workers_by_id = {}
@@ -216,9 +220,14 @@
         )
         self._at(TICK_MS, lambda: self._tick(vm_id))
 
-    def crash(self, vm_id):
-        """Ends a VM at once; the others take over after a while."""
+    def crash(self, vm_id, *, lose_sent=False):
+        """Ends a VM at once; the others take over after a while.
+
+        With `lose_sent`, what it sent and is still on its way is lost.
+        """
         self.vms_by_id.pop(vm_id)
+        if lose_sent:
+            self._cut_senders.add(vm_id)
         self._at(DETECT_MS, lambda: self.declare_dead(vm_id))
 
     def declare_dead(self, vm_id):
@@ -466,7 +475,8 @@
             gained.append((shard, entry.owner, owner))
         changed = fleet.ShardTableChanged(DATA_CENTRE, dict(self.table))
         for shard, old_owner, _owner in gained:
-            if old_owner in self.alive or old_owner in self.vms_by_id:
+            late = self.vms_by_id.get(old_owner)
+            if late is not None and late.ownership.stale_table is None:
                 self.deliver(old_owner, fleet.ShardLost(shard))
         self._to_all(changed)
         for shard, _old_owner, owner in gained:
@@ -506,9 +516,13 @@
         for delay_ms in delays:
             self._at(
                 PEER_DELAY_MS + delay_ms,
-                lambda: self.deliver(recipient, event),
+                lambda: self._arrive(sender, recipient, event),
             )
 
+    def _arrive(self, sender, recipient, event):
+        if sender not in self._cut_senders:
+            self.deliver(recipient, event)
+
     def _exchange(self, vm_id, exchange):
         worker_id = exchange.worker_id
         fate = self.exchange_filter(vm_id, exchange)
--- a/samphiregate/core/workers/_owner.py
+++ b/samphiregate/core/workers/_owner.py
@@ -1,7 +1,5 @@
 """The machine that owns workers."""
 
-import functools
-
 from samphiregate.core import base
 from samphiregate.core import fleet
 from samphiregate.core import model
@@ -9,6 +7,7 @@
 from samphiregate.core import sizing
 from samphiregate.core.workers import _exchange
 from samphiregate.core.workers import _gangs
+from samphiregate.core.workers import _lapse
 from samphiregate.core.workers import _ledger
 from samphiregate.core.workers import _messages
 from samphiregate.core.workers import _orders
@@ -19,6 +18,8 @@
 from samphiregate.core.workers import _summary
 from samphiregate import parameters
 
+SCAN_MS = 200
+
 
 class WorkerOwner(base.StateMachine, parameters.Parameterised):
     """Books, starts, renews and ends tasks on the workers that it owns.
@@ -47,6 +48,8 @@
         Added to a lease before it counts as surely lapsed.
     urgent_wait_ms : int
         How long an urgent order waits for preempted work to end.
+    gang_starved_ms : int
+        Wait from which on workers are drained for a gang.
     news_ms : int
         Time after which ends that are not kept are told again.
     summary_ms : int
@@ -65,6 +68,7 @@
         "lease_ms": parameters.Interval(int, 100, 3_600_000),
         "margin_ms": parameters.Interval(int, 0, 600_000),
         "urgent_wait_ms": parameters.Interval(int, 0, 60_000),
+        "gang_starved_ms": parameters.Interval(int, 0, 3_600_000),
         "news_ms": parameters.Interval(int, 100, 600_000),
         "summary_ms": parameters.Interval(int, 100, 60_000),
     }
@@ -88,6 +92,7 @@
         lease_ms=15_000,
         margin_ms=500,
         urgent_wait_ms=3_000,
+        gang_starved_ms=15_000,
         news_ms=2_000,
         summary_ms=1_000,
     ):
@@ -102,6 +107,7 @@
         self.lease_ms = lease_ms
         self.margin_ms = margin_ms
         self.urgent_wait_ms = urgent_wait_ms
+        self.gang_starved_ms = gang_starved_ms
         self.news_ms = news_ms
         self.summary_ms = summary_ms
         self.check_parameters()
@@ -117,7 +123,9 @@
             victims=victims,
             outbox=self.outbox_,
         )
-        self.holds_ = _gangs.GangHolds(ledger=self.ledger_)
+        self.holds_ = _gangs.GangHolds(
+            ledger=self.ledger_, starved_ms=gang_starved_ms
+        )
         self.desk_ = _orders.OrderDesk(
             ledger=self.ledger_,
             holds=self.holds_,
@@ -131,16 +139,19 @@
             lease_ms=lease_ms,
             margin_ms=margin_ms,
         )
+        self.lapse_ = _lapse.LapseWatch(
+            ledger=self.ledger_,
+            exchanges=self.exchanges_,
+            lapse_ms=lease_ms + margin_ms,
+        )
         self.relief_ = _relief.Relief(ledger=self.ledger_, ladder=ladder)
         self.summary_ = _summary.Summary(ledger=self.ledger_)
         self.epochs_by_shard_ = {}
         self.infos_by_id_ = {}
-        self.listed_vms_ = None
         self.previous_owner_by_shard_ = {}
-        self.releases_by_shard_ = {}
-        self.gone_ms_by_id_ = {}
         self._next_news_ms = 0
         self._next_summary_ms = 0
+        self._next_scan_ms = 0
 
     def handle(self, event, now_ms):
         """Takes one event and returns what has to be done."""
@@ -149,28 +160,27 @@
         self._exchange_due(now_ms)
         return self.outbox_.flush()
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def _take(self, event, now_ms):
         """Ignores events that are not for this machine."""
 
     @_take.register
     def _(self, event: base.Tick, now_ms):
         self.holds_.expire(now_ms)
-        for record in tuple(self.ledger_.workers_by_id.values()):
-            self._check_lapse(record, now_ms)
+        if now_ms >= self._next_scan_ms:
+            for record in tuple(self.ledger_.workers_by_id.values()):
+                self.lapse_.check(record, now_ms)
         self.relief_.enforce_limits(now_ms)
         if now_ms >= self._next_news_ms:
             self._next_news_ms = now_ms + self.news_ms
             self._repeat_news()
         if now_ms >= self._next_summary_ms:
             self._next_summary_ms = now_ms + self.summary_ms
-            self.relief_.cut_over_use(now_ms)
-            self._refresh_rooms(now_ms)
             self._send_summary(now_ms)
 
     @_take.register
     def _(self, event: fleet.FleetListed, now_ms):
-        self.listed_vms_ = frozenset(event.entry_vms_by_id)
+        self.lapse_.listed_vms = frozenset(event.entry_vms_by_id)
         self.infos_by_id_ = {
             worker_id: info
             for worker_id, info in event.workers_by_id.items()
@@ -213,7 +223,9 @@
         record = self._record_of(event)
         if record is not None:
             self.exchanges_.answered(record, event.report, now_ms)
+            self.relief_.cut_over_use(record, now_ms)
             self._learn(record, event.report, now_ms)
+            self.ledger_.touched_by_id[event.worker_id] = record
 
     @_take.register
     def _(self, event: _messages.WorkerUnreachable, now_ms):
@@ -231,7 +243,7 @@
     def _(self, event: base.PeerDelivered, now_ms):
         self._take_message(event.message, event.sender, now_ms)
 
-    @functools.singledispatchmethod
+    @base.singledispatchmethod
     def _take_message(self, message, sender, now_ms):
         """Ignores messages that are not for this machine."""
 
@@ -277,8 +289,7 @@
     @_take_message.register
     def _(self, message: _peer.WorkersReleased, sender, now_ms):
         shard = model.ShardId(self.data_centre, message.shard_number)
-        release = _records.Release(sender, message.epoch, now_ms)
-        self.releases_by_shard_[shard] = release
+        self.lapse_.released(shard, message.epoch, sender, now_ms)
 
     def _shard_of(self, worker_id):
         return model.shard_of(worker_id, self.data_centre, self.shard_count)
@@ -296,7 +307,7 @@
     def _add_worker(self, info, now_ms):
         shard = self._shard_of(info.worker_id)
         previous = self.previous_owner_by_shard_.get(shard, "")
-        self.ledger_.workers_by_id[info.worker_id] = _records.WorkerRecord(
+        record = _records.WorkerRecord(
             info=info,
             shard=shard,
             epoch=self.epochs_by_shard_[shard],
@@ -305,6 +316,8 @@
             known=not previous,
             next_exchange_ms=now_ms,
         )
+        self.ledger_.workers_by_id[info.worker_id] = record
+        self.ledger_.touched_by_id[info.worker_id] = record
 
     def _record_of(self, event):
         record = self.ledger_.workers_by_id.get(event.worker_id)
@@ -316,44 +329,16 @@
         return record
 
     def _exchange_due(self, now_ms):
-        for record in self.ledger_.workers_by_id.values():
+        records = self.ledger_.touched_by_id
+        if now_ms >= self._next_scan_ms:
+            self._next_scan_ms = now_ms + SCAN_MS
+            records = self.ledger_.workers_by_id
+        self.ledger_.touched_by_id = {}
+        for record in records.values():
             exchange = self.exchanges_.next_for(record, now_ms)
             if exchange is not None:
                 self.outbox_.act(exchange)
 
-    def _check_lapse(self, record, now_ms):
-        if record.phase is not _records.WorkerPhase.INVENTORY:
-            return
-        if record.flying is not None:
-            return
-        lapsed_ms = self.exchanges_.surely_lapsed_ms(record)
-        if not record.known:
-            lapsed_ms = self._inherited_lapse_ms(record, now_ms)
-        if lapsed_ms is not None and now_ms >= lapsed_ms:
-            self.exchanges_.lapse(record, now_ms)
-        if record.known and not record.listed and record.renewed_ms is None:
-            self.ledger_.drop_worker(record.info.worker_id, now_ms)
-
-    def _inherited_lapse_ms(self, record, now_ms):
-        """Returns when leases of the owner before have lapsed, or None."""
-        released_ms = self._released_ms(record, now_ms)
-        if released_ms is None:
-            return None
-        return released_ms + self.lease_ms + self.margin_ms
-
-    def _released_ms(self, record, now_ms):
-        release = self.releases_by_shard_.get(record.shard)
-        if release is not None:
-            before = (record.previous_owner, record.epoch - 1)
-            if (release.vm_id, release.epoch) == before:
-                return release.released_ms
-        gone_id = record.previous_owner
-        if not record.listed:
-            gone_id = record.info.worker_id
-        elif self.listed_vms_ is None or gone_id in self.listed_vms_:
-            return None
-        return self.gone_ms_by_id_.setdefault(gone_id, now_ms)
-
     def _drop_shard(self, shard, now_ms):
         """Stops acting for the workers of a shard; they run on."""
         if self.epochs_by_shard_.pop(shard, None) is None:
@@ -397,10 +382,6 @@
         for booking in self.ledger_.unkept_by_id.values():
             self.outbox_.tell(booking.news)
 
-    def _refresh_rooms(self, now_ms):
-        for record in self.ledger_.workers_by_id.values():
-            self.ledger_.refresh_room(record, now_ms)
-
     def _send_summary(self, now_ms):
         message = self.summary_.build(now_ms, self.desk_.leaving)
         self._broadcast(message)
