--- a/samphiregate/core/limits/_holding.py
+++ b/samphiregate/core/limits/_holding.py
@@ -111,24 +111,24 @@
         self.settle()
 
     def _release(self, count):
-        while count > 0 and self.parcels:
+        left = count
+        while left > 0 and self.parcels:
             parked_ms, parked = self.parcels.pop(0)
-            freed = min(count, parked)
-            count -= freed
-            dropped = min(self.void, freed)
-            self._drop(dropped)
-            self.held -= freed - dropped
-            self.returned += freed - dropped
+            freed = min(left, parked)
+            left -= freed
             if parked > freed:
                 self.parcels.insert(0, (parked_ms, parked - freed))
+        freed = min(count - left, max(0, self.idle))
+        dropped = min(self.void, freed)
+        self._drop(dropped)
+        self.give_back(freed - dropped)
 
     def park(self, units, now_ms):
         """Sets aside tokens of work that another VM owns now."""
         units = min(units, self.in_use)
-        owned = max(0, min(units, self.held - self.parked))
         self.in_use -= units
-        if owned:
-            self.parcels.append((now_ms, owned))
+        if units:
+            self.parcels.append((now_ms, units))
 
     def parked_until(self, time_ms):
         """Returns the tokens that were set aside up to `time_ms`."""
@@ -160,7 +160,7 @@
             team=team,
             base=self.base,
             returned=self.returned,
-            in_use=self.in_use,
+            in_use=self.in_use + self.parked,
             wanted=self.wanted,
             handed_over=self.released + handed_over,
             granted=self.granted,
--- a/samphiregate/core/limits/_home.py
+++ b/samphiregate/core/limits/_home.py
@@ -287,7 +287,7 @@
             peer.vm_id
             for peer in self.membership.peers_by_id_.values()
             if peer.data_centre == self.data_centre
-            and not self.membership.is_gone(peer.vm_id, self.lapse_ms, now_ms)
+            and not self._is_gone(peer.vm_id, now_ms)
         }
         for vm_id in vm_ids | {self.vm_id}:
             account = self.accounts_by_vm_.get(vm_id)
@@ -296,9 +296,19 @@
             reported_ms = min(reported_ms, account.reported_ms)
         return reported_ms
 
+    def _is_gone(self, vm_id, now_ms):
+        """Returns whether a VM ended and nothing is left in its name.
+
+        Workers of a shard obey its last owner until another one has taken
+        the shard over, so a VM that is named in the table is not gone.
+        """
+        if self.ownership.is_named(vm_id, now_ms - self.lapse_ms):
+            return False
+        return self.membership.is_gone(vm_id, self.lapse_ms, now_ms)
+
     def _is_closable(self, vm_id, reported_ms, now_ms):
         """Returns whether work of a VM that is gone is known of or over."""
-        if not self.membership.is_gone(vm_id, self.lapse_ms, now_ms):
+        if not self._is_gone(vm_id, now_ms):
             self._gone_ms_by_vm.pop(vm_id, None)
             return False
         gone_ms = self._gone_ms_by_vm.setdefault(vm_id, now_ms)
--- a/samphiregate/core/limits/_messages.py
+++ b/samphiregate/core/limits/_messages.py
@@ -24,7 +24,8 @@
     returned : int
         Tokens given back since.
     in_use : int
-        Tokens of running work; above what is held after a takeover.
+        Tokens of running work, handed-over work included; above what is
+        held after a takeover.
     wanted : int
         Further tokens that work is waiting for.
     handed_over : int
--- a/samphiregate/core/membership/_beliefs.py
+++ b/samphiregate/core/membership/_beliefs.py
@@ -221,17 +221,18 @@
                 state=fleet.PeerState.ALIVE,
                 incarnation=message.incarnation,
             ),
+            message.data_centre,
             now_ms,
             actions,
         )
 
-    def learn_all(self, rumours, now_ms, actions):
-        """Takes in the news of a message."""
+    def learn_all(self, rumours, data_centre, now_ms, actions):
+        """Takes in the news of a message from a data centre."""
         for rumour in rumours:
             if rumour.vm_id == self.vm_id:
                 self.refute(rumour, actions)
             else:
-                self.learn(rumour, now_ms, actions)
+                self.learn(rumour, data_centre, now_ms, actions)
 
     def refute(self, rumour, actions):
         """Raises the incarnation if others doubt this VM."""
@@ -246,8 +247,11 @@
             state = self.state_of(self.vm_id)
             self.notify(self.vm_id, self.data_centre, state, actions)
 
-    def learn(self, rumour, now_ms, actions):
-        """Takes in one piece of news about a peer."""
+    def learn(self, rumour, data_centre, now_ms, actions):
+        """Takes in one piece of news about a peer.
+
+        What another data centre says of its own VMs is taken over as it is.
+        """
         peer = self.peers_by_id.get(rumour.vm_id)
         if peer is None:
             if rumour.state is fleet.PeerState.DEAD:
@@ -256,7 +260,8 @@
             peer.listed = False
             peer.unlisted_ms = now_ms
         if rumour.state is fleet.PeerState.ALIVE:
-            news = rumour.incarnation > peer.incarnation
+            own_word = rumour.data_centre == data_centre != self.data_centre
+            news = rumour.incarnation + own_word > peer.incarnation
         else:
             news = rumour.incarnation >= peer.incarnation
         if rumour.state is fleet.PeerState.SUSPECT:
--- a/samphiregate/core/membership/_membership.py
+++ b/samphiregate/core/membership/_membership.py
@@ -219,7 +219,9 @@
     @_on_message.register
     def _(self, message: _messages.Ping, sender, now_ms, actions):
         self._beliefs.learn_sender(message, sender, now_ms, actions)
-        self._beliefs.learn_all(message.rumours, now_ms, actions)
+        self._beliefs.learn_all(
+            message.rumours, message.data_centre, now_ms, actions
+        )
         self._beliefs.adopt_reachability(message, sender, now_ms, actions)
         peer = self.peers_by_id_.get(sender)
         if peer is None:
@@ -237,7 +239,9 @@
     @_on_message.register
     def _(self, message: _messages.Ack, sender, now_ms, actions):
         self._beliefs.learn_sender(message, message.subject, now_ms, actions)
-        self._beliefs.learn_all(message.rumours, now_ms, actions)
+        self._beliefs.learn_all(
+            message.rumours, message.data_centre, now_ms, actions
+        )
         if sender == message.subject:
             self._beliefs.adopt_reachability(message, sender, now_ms, actions)
         probe = self._prober.take_answer(message)
@@ -252,7 +256,9 @@
 
     @_on_message.register
     def _(self, message: _messages.IndirectPing, sender, now_ms, actions):
-        self._beliefs.learn_all(message.rumours, now_ms, actions)
+        self._beliefs.learn_all(
+            message.rumours, self.data_centre, now_ms, actions
+        )
         peer = self.peers_by_id_.get(message.subject)
         if peer is None:
             return
--- a/samphiregate/core/ownership/_ownership.py
+++ b/samphiregate/core/ownership/_ownership.py
@@ -104,6 +104,7 @@
         self._owned = {}
         self._dropped = {}
         self._changed_by_number = {}
+        self._replaced_ms_by_vm = {}
         self._rendezvous_by_centre = {}
         self._planner = _plan.Planner(
             vm_id=vm_id,
@@ -145,6 +146,16 @@
             return None
         return self._owned.get(shard.number)
 
+    def is_named(self, vm_id, since_ms):
+        """Returns whether a VM owned a shard at some time since then."""
+        owns = any(
+            entry.owner == vm_id
+            for entry in self._table.entry_by_number.values()
+        )
+        if owns:
+            return True
+        return self._replaced_ms_by_vm.get(vm_id, since_ms) > since_ms
+
     def entry_of(self, shard):
         """Returns the `ShardEntry` of a shard, or None if not known."""
         table = self.tables_by_centre_.get(shard.data_centre)
@@ -338,9 +349,14 @@
         newer = table.newer(entry_by_number)
         if not newer:
             return newer
+        owner_by_number = {
+            number: table.entry(number).owner for number in newer
+        }
         table.entry_by_number.update(newer)
         if table is self._table:
             for number, entry in sorted(newer.items()):
+                replaced = owner_by_number.get(number)
+                self._replaced_ms_by_vm[replaced] = now_ms
                 self._changed_by_number[number] = now_ms
                 self._on_entry(number, entry, actions)
         entries = {
