Play random sites against the oracle, and mend what that found

It found: - a starved single task was not given the workers kept for it; - a gang larger than the site kept workers for ever, and so did one whose workers never drained: it now keeps none, or makes way after 60 s; - a few jobs that fail everywhere quarantined all of the few workers that fit them: a job that failed on two workers charges no further one, and its probe no longer lengthens the gap; - in the player: a job that failed on each worker that fits it waited for ever, and the short cut past sizes that found no place also passed over the gang that workers were kept for.

--- a/bench/decisions/_lifecycle.py
+++ b/bench/decisions/_lifecycle.py
@@ -207,7 +207,9 @@
         if self.arm.victims is not None:
             self._tell_running(run)
         fails = work.fails or run.worker_id in player.trace.bad_workers
-        length_ms = FAILURE_MS if fails else work.left_ms
+        length_ms = work.left_ms
+        if fails:
+            length_ms = min(FAILURE_MS, work.left_ms - 1)
         callback = self._failed if fails else self._finished
         run.end_ms = player.now_ms + length_ms
         player.at(run.end_ms, callback, run)
@@ -250,6 +252,7 @@
         work = run.work
         self.outcome.failed_attempts += 1
         work.failed_on.add(run.worker_id)
+        work.failed_ms = self.player.now_ms
         self._judge(run, succeeded=False)
         for each in tuple(work.runs):
             self._end_run(each, finished=False)
--- a/bench/decisions/_player.py
+++ b/bench/decisions/_player.py
@@ -16,6 +16,7 @@
 MAX_SKIPS = 16
 STARVED_AGAIN_MS = 20_000
 TICK_MS = 500
+RETRY_WAIT_MS = 10_000
 
 
 class Player:
@@ -134,7 +135,8 @@
                 self.meter.limited_teams.add(work.team)
             return False
         booking = self.lifecycle.booking_for(work)
-        if not work.urgent and any(
+        may_have_kept = work.work_id in self.starved_ms_by_work
+        if not (work.urgent or may_have_kept) and any(
             units <= work.units and need.fits_in(booking)
             for units, need in failed_needs
         ):
@@ -150,8 +152,15 @@
         return False
 
     def _places_for(self, work, booking):
+        """Returns places; where the work failed, only after a while."""
+        places = self._ask_places(work, booking, frozenset(work.failed_on))
+        waited_ms = self.now_ms - work.failed_ms
+        if places is None and work.failed_on and waited_ms > RETRY_WAIT_MS:
+            places = self._ask_places(work, booking, frozenset())
+        return places
+
+    def _ask_places(self, work, booking, excluded):
         policy = self.arm.placement
-        excluded = frozenset(work.failed_on)
         if work.units > 1:
             question = placement.PlaceGang(
                 work.work_id, booking, work.units, excluded
--- a/bench/decisions/_records.py
+++ b/bench/decisions/_records.py
@@ -43,6 +43,7 @@
     left_ms: int = 0
     queued_ms: int = 0
     attempts: int = 0
+    failed_ms: int = 0
     first_start_ms: int | None = None
     done_ms: int | None = None
     is_over: bool = False
--- a/features/placement.feature
+++ b/features/placement.feature
@@ -60,6 +60,19 @@
     And every task ends while others keep coming
     Then the gang has no places
 
+  Scenario: a gang that is too large for the site keeps nothing
+    Given 8 plain workers and 0 GPU workers under indexed-best-fit
+    When 64 tasks of 2 cores are placed
+    And a gang of 9 tasks of 16 cores starves
+    Then none are kept
+
+  Scenario: a reservation that leads to nothing makes way
+    Given 8 plain workers and 0 GPU workers under indexed-best-fit
+    When 64 tasks of 2 cores are placed
+    And two gangs of 6 tasks of 16 cores starve
+    And the second starves on until 60000 ms
+    Then workers are kept for the second gang alone
+
   Scenario: two starved gangs never hold a part each
     Given 8 plain workers and 0 GPU workers under indexed-best-fit
     When 64 tasks of 2 cores are placed
--- a/features/policies.feature
+++ b/features/policies.feature
@@ -33,6 +33,7 @@
       | fair-share       | remote_weight      | 2     |
       | fair-share       | remote_ttl_ms      | 0     |
       | indexed-best-fit | cells              | 0     |
+      | indexed-best-fit | reservation_ms     | 0     |
       | indexed-best-fit | probes             | 0     |
       | indexed-best-fit | spread_candidates  | 0     |
       | sampled-best-fit | samples            | 0     |
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -15,6 +15,7 @@
       | a2+ a1- a1- a1-                                           | 1       | none  |
       | a1- a2- a3-                                               | none    | a     |
       | a1- a2- a3+                                               | none    | none  |
+      | a1- b1- a2- b2- c2- c1- d2-                               | none    | none  |
       | a1- b1- c1- a2- a3-                                       | 1       | none  |
       | a1- b1- c1- a2- a3- a4-                                   | none    | a     |
       | a1- a2- a3- b1- c1-                                       | none    | a     |
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -102,6 +102,23 @@
     _then_kept(context, "gang-1")
 
 
+@behave.then("workers are kept for the second gang alone")
+def then_kept_for_second_alone(context):
+    _then_kept(context, "gang-2")
+
+
+@behave.when("the second starves on until {now:d} ms")
+def when_starves_on(context, now):
+    context.yard.starve("gang-2", 6, 16, now_ms=now - 1)
+    _then_kept(context, "gang-1")
+    context.yard.starve("gang-2", 6, 16, now_ms=now)
+
+
+@behave.then("none are kept")
+def then_none_are_kept(context):
+    assert context.yard.policy.describe()["reserved"] == 0
+
+
 @behave.then("once it is withdrawn they are kept for the second")
 def then_kept_for_second(context):
     context.yard.observe(placement.GangWithdrawn("gang-1"))
--- /dev/null
+++ b/features/steps/policies_plays_steps.py
@@ -0,0 +1,35 @@
+"""Steps that play random sites against the oracle."""
+
+import behave
+import hypothesis
+import hypothesis.strategies
+
+from features.support import plays
+
+
+@behave.then(
+    "{count:d} random sites with {faults} end with all sound work done"
+    " and no violation"
+)
+def then_random_sites(context, count, faults):
+    kinds = frozenset(faults.split(", "))
+
+    @hypothesis.settings(
+        max_examples=count,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    @hypothesis.given(hypothesis.strategies.integers(0, 2**32))
+    def check(seed):
+        outcome = plays.play(seed, kinds)
+        violations = {k: n for k, n in outcome.violations.items() if n}
+        assert not violations, violations
+        sound = [work for work in outcome.works if not work.fails]
+        unfinished = [work for work in sound if not work.is_over]
+        assert not unfinished, unfinished[:2]
+        wrong = [work for work in outcome.failed_works if not work.fails]
+        assert not wrong, wrong[:2]
+
+    check()
--- a/features/support/packing.py
+++ b/features/support/packing.py
@@ -103,9 +103,10 @@
             worker_id, self.room_by_worker[worker_id] + _need(cores)
         )
 
-    def starve(self, gang, count, cores):
+    def starve(self, gang, count, cores, now_ms=0):
         """Tells the policy that a gang starves."""
-        self.observe(placement.GangStarved(gang, _need(cores), count))
+        event = placement.GangStarved(gang, _need(cores), count)
+        self.policy.observe(event, now_ms)
 
     def gang_places(self, gang, count, cores):
         """Asks for the places of a gang."""
--- a/samphiregate/core/placement/_indexed.py
+++ b/samphiregate/core/placement/_indexed.py
@@ -23,7 +23,16 @@
     `_place_anywhere`.
     """
 
-    def __init__(self, *, cells, probes, spread_candidates, random_state=None):
+    def __init__(
+        self,
+        *,
+        cells,
+        probes,
+        spread_candidates,
+        reservation_ms,
+        random_state=None,
+    ):
+        self.reservation_ms = reservation_ms
         self.cells = cells
         self.probes = probes
         self.spread_candidates = spread_candidates
@@ -33,7 +42,7 @@
         self.search_ = _grid.Search(cells, probes)
         self.index_ = _index.WorkerIndex()
         self.spread_ = _spread.SpreadCounter()
-        self.desk_ = _reservation.ReservationDesk(self.index_)
+        self.desk_ = _reservation.ReservationDesk(self.index_, reservation_ms)
 
     @functools.singledispatchmethod
     def observe(self, event, now_ms):
@@ -70,11 +79,11 @@
 
     @observe.register
     def _(self, event: _messages.GangStarved, now_ms):
-        self.desk_.ask(event.job_id, event.resources, event.count)
+        self.desk_.ask(event.job_id, event.resources, event.count, now_ms)
 
     @observe.register
     def _(self, event: _messages.GangWithdrawn, now_ms):
-        self.desk_.withdraw(event.job_id)
+        self.desk_.withdraw(event.job_id, now_ms)
 
     @functools.singledispatchmethod
     def choose(self, question, now_ms):
@@ -83,8 +92,8 @@
 
     @choose.register
     def _(self, question: _messages.PlaceTask, now_ms):
-        record = None
-        if question.work_class is model.WorkClass.SERVICE:
+        record = self._place_kept(question)
+        if record is None and question.work_class is model.WorkClass.SERVICE:
             record = self._place_spread(question)
         if record is None:
             record = self._place_anywhere(question)
@@ -108,6 +117,14 @@
             "reserved": len(active.records_by_id) if active else 0,
         }
 
+    def _place_kept(self, question):
+        for record in self.desk_.records_for(question.job_id):
+            if record.worker_id in question.excluded_workers:
+                continue
+            if question.resources.fits_in(record.room):
+                return record
+        return None
+
     def _worker_changed(self, worker, room):
         self.index_.update(worker, room)
 
@@ -166,6 +183,8 @@
     spread_candidates : int
         Workers among which a service's replica takes the rack with the
         fewest of its kind.
+    reservation_ms : int
+        How long workers are kept for a starved gang, in milliseconds.
     random_state : random.Random or None
         Unused; taken so that placement policies can be swapped.
 
@@ -184,6 +203,7 @@
         "cells": parameters.Interval(int, 1, 1_000),
         "probes": parameters.Interval(int, 1, 10_000),
         "spread_candidates": parameters.Interval(int, 1, 1_000),
+        "reservation_ms": parameters.Interval(int, 1, 86_400_000),
     }
 
     def __init__(
@@ -192,11 +212,13 @@
         cells=8,
         probes=32,
         spread_candidates=16,
+        reservation_ms=60_000,
         random_state=None,
     ):
         super().__init__(
             cells=cells,
             probes=probes,
             spread_candidates=spread_candidates,
+            reservation_ms=reservation_ms,
             random_state=random_state,
         )
--- a/samphiregate/core/placement/_reservation.py
+++ b/samphiregate/core/placement/_reservation.py
@@ -14,6 +14,8 @@
     ----------
     records_by_id : dict of str to WorkerRecord
         Workers that take no other work but what ends in time.
+    since_ms : int
+        When the first workers were kept.
     potential : int
         Tasks that fit on them once all other work there has ended.
     """
@@ -21,6 +23,7 @@
     job_id: str
     resources: model.Resources
     count: int
+    since_ms: int = 0
     records_by_id: dict = attrs.field(factory=dict)
     potential: int = 0
 
@@ -48,29 +51,39 @@
     ----------
     index : WorkerIndex
         Index that reserved workers are taken out of, and put back into.
+    lifetime_ms : int
+        How long workers are kept for one gang, in milliseconds.
 
     Notes
     -----
     One at a time, so that two gangs never hold a part of what both need.
     Asking again widens the reservation by the gang's own size: some of the
-    kept workers may never drain, as they run services.
+    kept workers may never drain, as they run services. A gang that is too
+    large for all workers together gets none, and a reservation that has not
+    led to a start within its lifetime makes way for the next gang.
     """
 
-    def __init__(self, index):
+    def __init__(self, index, lifetime_ms):
         self._index = index
+        self._lifetime_ms = lifetime_ms
         self.active = None
         self._waiting_by_job = {}
 
-    def ask(self, job_id, resources, count):
+    def ask(self, job_id, resources, count, now_ms):
         """Reserves for a gang, or lets it wait for its turn."""
+        active = self.active
+        if active and now_ms - active.since_ms >= self._lifetime_ms:
+            self.withdraw(active.job_id, now_ms)
         if self.active is None:
-            self.active = Reservation(job_id, resources, count)
+            self.active = Reservation(job_id, resources, count, now_ms)
         if self.active.job_id != job_id:
             self._waiting_by_job[job_id] = (resources, count)
             return
         self._widen(self.active)
+        if self.active.potential < count:
+            self.withdraw(job_id, now_ms)
 
-    def withdraw(self, job_id):
+    def withdraw(self, job_id, now_ms):
         """Ends a gang's reservation, and begins that of the next."""
         self._waiting_by_job.pop(job_id, None)
         if self.active is None or self.active.job_id != job_id:
@@ -81,7 +94,7 @@
         if self._waiting_by_job:
             next_id = next(iter(self._waiting_by_job))
             resources, count = self._waiting_by_job.pop(next_id)
-            self.ask(next_id, resources, count)
+            self.ask(next_id, resources, count, now_ms)
 
     def forget_worker(self, worker_id):
         """Drops a worker that left."""
--- a/samphiregate/core/placement/_sampled.py
+++ b/samphiregate/core/placement/_sampled.py
@@ -19,7 +19,7 @@
     rounds : int
         Rounds before the index is asked, so that work is placed where any
         worker has room.
-    cells, probes, spread_candidates : int
+    cells, probes, spread_candidates, reservation_ms : int
         As in `IndexedBestFit`.
     random_state : random.Random or None
         Source of the seed.
@@ -36,6 +36,7 @@
         "cells": parameters.Interval(int, 1, 1_000),
         "probes": parameters.Interval(int, 1, 10_000),
         "spread_candidates": parameters.Interval(int, 1, 1_000),
+        "reservation_ms": parameters.Interval(int, 1, 86_400_000),
     }
 
     def __init__(
@@ -46,6 +47,7 @@
         cells=8,
         probes=32,
         spread_candidates=16,
+        reservation_ms=60_000,
         random_state=None,
     ):
         self.samples = samples
@@ -54,6 +56,7 @@
             cells=cells,
             probes=probes,
             spread_candidates=spread_candidates,
+            reservation_ms=reservation_ms,
             random_state=random_state,
         )
         self._state = 0
--- a/samphiregate/core/quarantine/_judge.py
+++ b/samphiregate/core/quarantine/_judge.py
@@ -8,6 +8,8 @@
 from samphiregate.core.quarantine import _records
 from samphiregate import parameters
 
+SUSPECT_PLACES = 2
+
 
 class FailureJudge(base.Policy):
     """Charges each failure to a worker or a job by where else they occur.
@@ -38,7 +40,10 @@
     Notes
     -----
     A worker is charged once for each job that failed on it since its last
-    success, and for every failure of a job that has succeeded elsewhere.
+    success, and for every failure of a job that has succeeded elsewhere;
+    but not by a job that has failed on another worker before and has not
+    succeeded since, nor does such a job's probe lengthen the gap. Otherwise
+    a few bad jobs would quarantine all of the few workers that fit them.
     Once a job has failed on `job_places` workers in good standing, its
     charges are taken off its workers again. A place that is quarantined
     does not count against a job. A success ends a quarantine, and halves
@@ -166,15 +171,17 @@
         if worker is None:
             worker = _records.WorkerHistory()
             self.workers_by_id_[event.worker_id] = worker
-        failures = worker.failures_by_job.get(event.job_id, 0)
-        worker.failures_by_job[event.job_id] = failures + 1
+        is_suspect = len(job.failed_on) >= SUSPECT_PLACES
+        if not is_suspect:
+            failures = worker.failures_by_job.get(event.job_id, 0)
+            worker.failures_by_job[event.job_id] = failures + 1
         if self._is_bad(job):
             self._acquit_workers(event.job_id, job)
             if worker.probe_job == event.job_id:
                 worker.probe_job = None
             return
         if worker.probe_job == event.job_id:
-            self._block(worker, now_ms)
+            self._block(worker, now_ms, growth=1 if is_suspect else 2)
         elif worker.blocked_until_ms is None:
             if self._charges(worker) >= self.worker_failures:
                 self._block(worker, now_ms)
@@ -209,8 +216,8 @@
             charges += failures if has_succeeded else 1
         return charges
 
-    def _block(self, worker, now_ms):
-        gap_ms = max(worker.gap_ms * 2, self.first_gap_ms)
+    def _block(self, worker, now_ms, growth=2):
+        gap_ms = max(worker.gap_ms * growth, self.first_gap_ms)
         worker.gap_ms = min(gap_ms, self.last_gap_ms)
         worker.blocked_until_ms = now_ms + worker.gap_ms
         worker.probe_job = None
