--- a/features/support/sharing.py
+++ b/features/support/sharing.py
@@ -36,6 +36,7 @@
         self._work_by_team = {}
         self._used_by_team = dict.fromkeys(self.weight_by_team, 0)
         self._windows = []
+        self._begin_ms = 0
         self._observe(queueing.SharesChanged(self.weight_by_team))
         total = model.Resources(CORES * 1_000, CORES * 1_000, 0)
         self._observe(queueing.CapacityChanged(total))
@@ -89,8 +90,6 @@
             for each in self._windows[:-1]
         ]
 
-    _begin_ms = 0
-
     def _observe(self, event):
         self.queue.observe(event, self.now_ms)
 
--- a/samphiregate/core/sizing/_learner.py
+++ b/samphiregate/core/sizing/_learner.py
@@ -20,8 +20,8 @@
     Notes
     -----
     Forty-one counts take 0.4 KB, where an HDR histogram of two digits over
-    the same range takes tens of KB, and there is one for each team, class
-    and resource.
+    the same range takes 10 KB, and there is one for each team, class and
+    resource.
     """
 
     __slots__ = ("counts", "known_quantiles", "total")
