--- a/features/support/__init__.py
+++ b/features/support/__init__.py
@@ -1,1 +1,1 @@
-"""Helpers of the steps."""
+"""Helpers of the behaviour tests."""
--- /dev/null
+++ b/samphiregate/adapters/runners/__init__.py
@@ -0,0 +1,5 @@
+"""The HTTP client of runners."""
+
+from samphiregate.adapters.runners._pool import RunnerPool
+
+__all__ = ["RunnerPool"]
--- /dev/null
+++ b/samphiregate/core/configuration/_edits.py
@@ -0,0 +1,172 @@
+"""Applying edits to a configuration, and the head that results."""
+
+import attrs
+
+from samphiregate.core.configuration import _documents
+from samphiregate.core import model
+from samphiregate import errors
+
+WITHDRAWN_KEYS_KEPT = 1_024
+HEAD_BYTES_MAX = 4_096
+
+
+def apply_edit(configuration, edit):
+    """Returns the configuration that an edit leads to.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        That of the revision just before the edit's.
+    edit : Edit
+        The edit.
+
+    Returns
+    -------
+    Configuration
+
+    Raises
+    ------
+    BadInputError
+        If the edit is not that of the next revision.
+
+    Notes
+    -----
+    A withdrawn key stays withdrawn whatever is given later. Of the records
+    of withdrawn keys the latest `WITHDRAWN_KEYS_KEPT` are kept for lists; a
+    key without a record is refused just as a withdrawn one is.
+    """
+    if edit.revision != configuration.revision + 1:
+        raise errors.BadInputError(
+            f"edit {edit.edit_id} is of revision {edit.revision}, and the "
+            f"configuration of {configuration.revision}"
+        )
+    return model.Configuration(
+        revision=edit.revision,
+        teams_by_name=_put(
+            configuration.teams_by_name, edit.teams, edit.removed_teams
+        ),
+        plans_by_name=_put(
+            configuration.plans_by_name, edit.plans, edit.removed_plans
+        ),
+        queues_by_name=_put(
+            configuration.queues_by_name, edit.queues, edit.removed_queues
+        ),
+        keys_by_hash=_keys_after(configuration.keys_by_hash, edit),
+    )
+
+
+def apply_edits(configuration, edits):
+    """Applies those of `edits` that are above the configuration's revision.
+
+    Raises
+    ------
+    BadInputError
+        If there is a gap between the configuration and the edits.
+    """
+    for edit in edits:
+        if edit.revision > configuration.revision:
+            configuration = apply_edit(configuration, edit)
+    return configuration
+
+
+def head_after(head, edit):
+    """Returns the head that results from one more edit.
+
+    Edits are kept back to the snapshot, and earlier ones as far as they fit
+    into `HEAD_BYTES_MAX`, so that the fate of an edit whose answer was lost
+    can be told.
+    """
+    after = attrs.evolve(
+        head, revision=edit.revision, edits=(*head.edits, edit)
+    )
+    spare = _size(after) - HEAD_BYTES_MAX
+    needless = len(after.edits) - (edit.revision - head.snapshot_revision)
+    dropped = 0
+    while spare > 0 and dropped < needless:
+        spare -= _size(after.edits[dropped])
+        dropped += 1
+    return attrs.evolve(after, edits=after.edits[dropped:])
+
+
+def needs_snapshot(head):
+    """Returns whether a new snapshot is due before the next edit."""
+    since = head.revision - head.snapshot_revision
+    if not since:
+        return False
+    size = sum(_size(edit) for edit in head.edits[-since:])
+    return size > HEAD_BYTES_MAX // 2
+
+
+def with_snapshot(head, snapshot_revision):
+    """Returns `head` leaning on a snapshot of at least a revision."""
+    revision = max(snapshot_revision, head.snapshot_revision)
+    return attrs.evolve(head, snapshot_revision=min(revision, head.revision))
+
+
+def holds_edit(configuration, edit):
+    """Returns whether a configuration is as an edit would leave it."""
+    tables = (
+        (configuration.teams_by_name, edit.teams, edit.removed_teams),
+        (configuration.plans_by_name, edit.plans, edit.removed_plans),
+        (configuration.queues_by_name, edit.queues, edit.removed_queues),
+    )
+    for entries_by_name, added, removed_names in tables:
+        if any(entries_by_name.get(entry.name) != entry for entry in added):
+            return False
+        if any(name in entries_by_name for name in removed_names):
+            return False
+    keys_by_hash = configuration.keys_by_hash
+    if any(key.key_hash not in keys_by_hash for key in edit.given_keys):
+        return False
+    records = (keys_by_hash.get(key_hash) for key_hash in edit.withdrawn_keys)
+    return all(record is None or record.withdrawn for record in records)
+
+
+def find_edit(head, edit_id):
+    """Returns the edit of that id among the head's edits, or None."""
+    for edit in head.edits:
+        if edit.edit_id == edit_id:
+            return edit
+    return None
+
+
+def _size(document):
+    return len(_documents.encode(document))
+
+
+def _put(entries_by_name, added, removed_names):
+    if not added and not removed_names:
+        return entries_by_name
+    removed = frozenset(removed_names)
+    kept = {
+        name: entry
+        for name, entry in entries_by_name.items()
+        if name not in removed
+    }
+    kept.update((entry.name, entry) for entry in added)
+    return kept
+
+
+def _keys_after(keys_by_hash, edit):
+    if not edit.given_keys and not edit.withdrawn_keys:
+        return keys_by_hash
+    kept = dict(keys_by_hash)
+    for record in edit.given_keys:
+        kept.setdefault(record.key_hash, record)
+    for key_hash in edit.withdrawn_keys:
+        record = kept.pop(key_hash, None)
+        if record is not None:
+            # Withdrawn records are last in the order of their withdrawal.
+            kept[key_hash] = attrs.evolve(record, withdrawn=True)
+    return _without_oldest_withdrawn(kept)
+
+
+def _without_oldest_withdrawn(keys_by_hash):
+    withdrawn = [
+        key_hash
+        for key_hash, record in keys_by_hash.items()
+        if record.withdrawn
+    ]
+    for key_hash in withdrawn[:-WITHDRAWN_KEYS_KEPT]:
+        del keys_by_hash[key_hash]
+    return keys_by_hash
--- /dev/null
+++ b/samphiregate/core/membership/_membership.py
@@ -0,0 +1,275 @@
+"""The state machine that probes other entry VMs."""
+
+from samphiregate.core import base
+from samphiregate.core import fleet
+from samphiregate.core.membership import _beliefs
+from samphiregate.core.membership import _messages
+from samphiregate.core.membership import _prober
+from samphiregate import parameters
+
+
+class Membership(base.StateMachine, parameters.Parameterised):
+    """Beliefs of one entry VM about all others.
+
+    Parameters
+    ----------
+    vm_id : str
+        This entry VM; unique for each start.
+    data_centre : str
+        Its data centre.
+    random_state : random.Random
+        Source of randomness.
+    probe_period_ms : int
+        Time between probes of VMs of the same data centre.
+    probe_timeout_ms : int
+        Time to wait for an answer, once directly and once through helpers.
+    suspicion_ms : int
+        Time in which a suspect VM can refute.
+    remote_period_ms : int
+        Time between a representative's probes of other data centres.
+    revival_period_ms : int
+        Time between probes of VMs that are believed dead.
+    forget_ms : int
+        Time after which a dead VM that is not listed is forgotten.
+    remote_forget_ms : int
+        The same for any VM of another data centre.
+    pause_limit_ms : int
+        Longest gap between events that is not taken for a pause.
+
+    Attributes
+    ----------
+    heard_ms_ : int
+        When anything last came from another VM.
+
+    Notes
+    -----
+    A VM is declared dead only by VMs of its own data centre. When a whole
+    data centre cannot be reached, its VMs are suspect elsewhere.
+    """
+
+    parameter_table = {
+        "probe_period_ms": parameters.Interval(int, 50, 60_000),
+        "probe_timeout_ms": parameters.Interval(int, 50, 60_000),
+        "suspicion_ms": parameters.Interval(int, 100, 600_000),
+        "remote_period_ms": parameters.Interval(int, 50, 60_000),
+        "revival_period_ms": parameters.Interval(int, 100, 600_000),
+        "forget_ms": parameters.Interval(int, 1_000, 86_400_000),
+        "remote_forget_ms": parameters.Interval(int, 1_000, 86_400_000),
+        "pause_limit_ms": parameters.Interval(int, 200, 600_000),
+    }
+
+    def __init__(
+        self,
+        *,
+        vm_id,
+        data_centre,
+        random_state,
+        probe_period_ms=500,
+        probe_timeout_ms=400,
+        suspicion_ms=1_500,
+        remote_period_ms=500,
+        revival_period_ms=5_000,
+        forget_ms=600_000,
+        remote_forget_ms=30_000,
+        pause_limit_ms=2_000,
+    ):
+        self.vm_id = vm_id
+        self.data_centre = data_centre
+        self.random_state = random_state
+        self.probe_period_ms = probe_period_ms
+        self.probe_timeout_ms = probe_timeout_ms
+        self.suspicion_ms = suspicion_ms
+        self.remote_period_ms = remote_period_ms
+        self.revival_period_ms = revival_period_ms
+        self.forget_ms = forget_ms
+        self.remote_forget_ms = remote_forget_ms
+        self.pause_limit_ms = pause_limit_ms
+        self.check_parameters()
+        self.heard_ms_ = 0
+        self._pause = base.PauseDetector(limit_ms=pause_limit_ms)
+        self._beliefs = _beliefs.Beliefs(vm_id=vm_id, data_centre=data_centre)
+        self._prober = _prober.Prober(
+            beliefs=self._beliefs,
+            random_state=random_state,
+            probe_timeout_ms=probe_timeout_ms,
+        )
+        self._next_probe_ms = 0
+        self._next_remote_ms = 0
+        self._next_revival_ms = 0
+
+    # What the other machines ask.
+
+    @property
+    def peers_by_id_(self):
+        """`Peer` records, keyed by VM id; this VM is not among them."""
+        return self._beliefs.peers_by_id
+
+    @property
+    def leaving_(self):
+        """Whether this VM stops."""
+        return self._beliefs.leaving
+
+    def state_of(self, vm_id):
+        """Returns the `PeerState` of a VM; an unknown one is dead."""
+        return self._beliefs.state_of(vm_id)
+
+    def knows(self, vm_id):
+        """Returns whether anything was ever heard or read about a VM."""
+        return self._beliefs.knows(vm_id)
+
+    def alive_ids(self, data_centre=None):
+        """Returns the VMs believed alive; see `Beliefs.alive_ids`."""
+        return self._beliefs.alive_ids(data_centre)
+
+    def present_ids(self, data_centre=None):
+        """Returns the VMs that are alive or suspect, sorted."""
+        return self._beliefs.present_ids(data_centre)
+
+    def is_gone(self, vm_id, absent_ms, now_ms):
+        """Returns whether a VM surely ended; see `Beliefs.is_gone`."""
+        return self._beliefs.is_gone(vm_id, absent_ms, now_ms)
+
+    # Events.
+
+    def handle(self, event, now_ms):
+        """See `StateMachine.handle`."""
+        actions = []
+        if self._pause.observe(now_ms):
+            self._after_pause(now_ms)
+        self._on_event(event, now_ms, actions)
+        return actions
+
+    @base.singledispatchmethod
+    def _on_event(self, event, now_ms, actions):
+        """Ignores events of other parts."""
+
+    @_on_event.register
+    def _(self, event: fleet.FleetListed, now_ms, actions):
+        for info in event.entry_vms_by_id.values():
+            if info.vm_id != self.vm_id:
+                self._on_listed(info, now_ms, actions)
+        for peer in tuple(self.peers_by_id_.values()):
+            if peer.vm_id not in event.entry_vms_by_id:
+                self._on_unlisted(peer, now_ms, actions)
+
+    def _on_listed(self, info, now_ms, actions):
+        peer = self.peers_by_id_.get(info.vm_id)
+        if peer is None:
+            peer = self._beliefs.add(
+                info.vm_id, info.data_centre, now_ms, actions
+            )
+        peer.listed = True
+        if info.leaving and peer.state in _beliefs.PRESENT:
+            self._beliefs.fire(peer, "leaves", now_ms, actions)
+
+    def _on_unlisted(self, peer, now_ms, actions):
+        if peer.listed:
+            peer.listed = False
+            peer.unlisted_ms = now_ms
+        if peer.data_centre != self.data_centre:
+            if now_ms - peer.unlisted_ms >= self.remote_forget_ms:
+                self._beliefs.fire(peer, "forgotten", now_ms, actions)
+                del self.peers_by_id_[peer.vm_id]
+            return
+        if self.is_gone(peer.vm_id, self.forget_ms, now_ms):
+            del self.peers_by_id_[peer.vm_id]
+
+    @_on_event.register
+    def _(self, event: base.StopRequested, now_ms, actions):
+        if self._beliefs.leaving:
+            return
+        self._beliefs.leaving = True
+        self._beliefs.incarnation += 1
+        self._beliefs.rumours.add(self._beliefs.own_rumour())
+        for peer in self._beliefs.neighbours():
+            self._prober.ping(peer, now_ms, actions)
+
+    @_on_event.register
+    def _(self, event: base.PeerDelivered, now_ms, actions):
+        if event.sender == self.vm_id:
+            return
+        self.heard_ms_ = now_ms
+        peer = self.peers_by_id_.get(event.sender)
+        if peer is not None:
+            peer.heard_ms = now_ms
+            self._beliefs.on_reachable(peer.data_centre, now_ms, actions)
+        self._on_message(event.message, event.sender, now_ms, actions)
+
+    @_on_event.register
+    def _(self, event: base.Tick, now_ms, actions):
+        self._prober.expire_probes(now_ms, actions)
+        self._expire_suspicions(now_ms, actions)
+        if now_ms >= self._next_probe_ms:
+            self._next_probe_ms = now_ms + self.probe_period_ms
+            self._prober.probe_neighbour(now_ms, actions)
+            self._prober.probe_suspect(now_ms, actions)
+        if now_ms >= self._next_remote_ms:
+            self._next_remote_ms = now_ms + self.remote_period_ms
+            self._prober.probe_remote(now_ms, actions)
+        if now_ms >= self._next_revival_ms:
+            self._next_revival_ms = now_ms + self.revival_period_ms
+            self._prober.probe_dead(now_ms, actions)
+
+    # Messages.
+
+    @base.singledispatchmethod
+    def _on_message(self, message, sender, now_ms, actions):
+        """Ignores messages of other parts."""
+
+    @_on_message.register
+    def _(self, message: _messages.Ping, sender, now_ms, actions):
+        self._beliefs.learn_sender(message, sender, now_ms, actions)
+        self._beliefs.learn_all(message.rumours, now_ms, actions)
+        self._beliefs.adopt_reachability(message, sender, now_ms, actions)
+        peer = self.peers_by_id_.get(sender)
+        if peer is None:
+            return
+        answer = _messages.Ack(
+            sequence=message.sequence,
+            subject=self.vm_id,
+            data_centre=self.data_centre,
+            incarnation=self._beliefs.incarnation,
+            rumours=self._beliefs.rumours_for(peer),
+            unreachable=self._beliefs.reachability_for(peer),
+        )
+        actions.append(base.SendToPeer(sender, answer))
+
+    @_on_message.register
+    def _(self, message: _messages.Ack, sender, now_ms, actions):
+        self._beliefs.learn_sender(message, message.subject, now_ms, actions)
+        self._beliefs.learn_all(message.rumours, now_ms, actions)
+        if sender == message.subject:
+            self._beliefs.adopt_reachability(message, sender, now_ms, actions)
+        probe = self._prober.take_answer(message)
+        if probe is not None and probe.origin:
+            relayed = _messages.Ack(
+                sequence=probe.origin_sequence,
+                subject=message.subject,
+                data_centre=message.data_centre,
+                incarnation=message.incarnation,
+            )
+            actions.append(base.SendToPeer(probe.origin, relayed))
+
+    @_on_message.register
+    def _(self, message: _messages.IndirectPing, sender, now_ms, actions):
+        self._beliefs.learn_all(message.rumours, now_ms, actions)
+        peer = self.peers_by_id_.get(message.subject)
+        if peer is None:
+            return
+        probe = self._prober.ping(peer, now_ms, actions)
+        probe.origin = sender
+        probe.origin_sequence = message.sequence
+
+    def _expire_suspicions(self, now_ms, actions):
+        for peer in self._beliefs.neighbours(fleet.PeerState.SUSPECT):
+            if now_ms - peer.since_ms >= self.suspicion_ms:
+                self._beliefs.fire(peer, "expired", now_ms, actions)
+
+    def _after_pause(self, now_ms):
+        """Doubts itself and gives every peer a fresh chance to answer."""
+        self._beliefs.incarnation += 1
+        self._beliefs.rumours.add(self._beliefs.own_rumour())
+        self._prober.forget_probes()
+        for peer in self.peers_by_id_.values():
+            if peer.state is fleet.PeerState.SUSPECT:
+                peer.since_ms = now_ms
--- /dev/null
+++ b/samphiregate/core/workers/_gangs.py
@@ -0,0 +1,156 @@
+"""Short holds on room and tokens, so that a gang starts as a whole."""
+
+import attrs
+
+from samphiregate.core import model
+from samphiregate.core import placement
+from samphiregate.core.workers import _peer
+
+
+@attrs.define
+class Hold:
+    """Places held for one gang until `until_ms`.
+
+    Parameters
+    ----------
+    places : list of model.TaskId and worker id
+        Booked under stand-in task ids.
+    """
+
+    reservation: str
+    team: str
+    until_ms: int
+    places: list[tuple[model.TaskId, str]] = attrs.field(factory=list)
+
+
+@attrs.define
+class StarvedGang:
+    """A gang for which workers are drained.
+
+    Parameters
+    ----------
+    seen_ms : int
+        When it last asked for places.
+    ask_again_ms : int
+        When more workers are drained, if it still waits.
+    """
+
+    seen_ms: int
+    ask_again_ms: int = 0
+
+
+class GangHolds:
+    """Holds room for gangs on the workers of one entry VM.
+
+    Parameters
+    ----------
+    ledger : Ledger
+        Bookings and tokens.
+    starved_ms : int
+        Wait from which on workers are drained for a gang; also the time
+        between two such requests, and after the last of which they end.
+
+    Notes
+    -----
+    A hold never waits for another: it takes what is free now and lapses by
+    itself. So half-placed gangs cannot block each other for good.
+    """
+
+    def __init__(self, *, ledger, starved_ms):
+        self._ledger = ledger
+        self._starved_ms = starved_ms
+        self.holds_by_id_ = {}
+        self.starved_by_job_ = {}
+
+    def reserve(self, message, now_ms):
+        """Holds up to the asked count and returns the answer."""
+        self.release(message.reservation, now_ms)
+        until_ms = now_ms + message.hold_ms
+        hold = Hold(message.reservation, message.team, until_ms)
+        self.holds_by_id_[message.reservation] = hold
+        limited = False
+        for index in range(message.count):
+            if not self._ledger.tokens.acquire(message.team, now_ms):
+                limited = True
+                break
+            if not self._hold_place(hold, message, index, now_ms):
+                self._ledger.tokens.release(message.team, now_ms)
+                break
+        self._note_starved(message, len(hold.places), now_ms)
+        return _peer.GangReserved(
+            message.reservation, len(hold.places), limited
+        )
+
+    def take(self, reservation, now_ms):
+        """Returns the worker of one held place, or None if none is left.
+
+        The caller inherits the token; the room is free and to be booked in
+        the same step.
+        """
+        hold = self.holds_by_id_.get(reservation)
+        if hold is None or not hold.places:
+            return None
+        task_id, worker_id = hold.places.pop()
+        if not self._free(task_id, worker_id, now_ms):
+            self._ledger.tokens.release(hold.team, now_ms)
+            return None
+        return worker_id
+
+    def release(self, reservation, now_ms):
+        """Gives the rest of a hold back."""
+        hold = self.holds_by_id_.pop(reservation, None)
+        if hold is None:
+            return
+        for task_id, worker_id in hold.places:
+            self._free(task_id, worker_id, now_ms)
+            self._ledger.tokens.release(hold.team, now_ms)
+
+    def expire(self, now_ms):
+        """Gives back holds whose time is over."""
+        for hold in tuple(self.holds_by_id_.values()):
+            if now_ms >= hold.until_ms:
+                self.release(hold.reservation, now_ms)
+        self._expire_starved(now_ms)
+
+    def _note_starved(self, message, held, now_ms):
+        """Has workers drained for a gang that waits too long."""
+        if message.waited_ms < self._starved_ms or held == message.count:
+            return
+        starved = self.starved_by_job_.setdefault(
+            message.job_id, StarvedGang(now_ms)
+        )
+        starved.seen_ms = now_ms
+        if now_ms >= starved.ask_again_ms:
+            starved.ask_again_ms = now_ms + self._starved_ms
+            event = placement.GangStarved(
+                message.job_id, message.resources, message.count
+            )
+            self._ledger.rooms.observe(event, now_ms)
+
+    def _expire_starved(self, now_ms):
+        for job_id, starved in tuple(self.starved_by_job_.items()):
+            if now_ms - starved.seen_ms >= self._starved_ms:
+                del self.starved_by_job_[job_id]
+                event = placement.GangWithdrawn(job_id)
+                self._ledger.rooms.observe(event, now_ms)
+
+    def _hold_place(self, hold, message, index, now_ms):
+        question = placement.PlaceGang(message.job_id, message.resources, 1)
+        places = self._ledger.rooms.choose(question, now_ms)
+        if places is None:
+            return False
+        (worker_id,) = places
+        task_id = model.TaskId(message.reservation, index)
+        record = self._ledger.workers_by_id[worker_id]
+        record.book.book(task_id, message.resources)
+        self._ledger.refresh_room(record, now_ms)
+        hold.places.append((task_id, worker_id))
+        return True
+
+    def _free(self, task_id, worker_id, now_ms):
+        record = self._ledger.workers_by_id.get(worker_id)
+        if record is None:
+            return False
+        record.book.release(task_id)
+        self._ledger.refresh_room(record, now_ms)
+        return record.usable
