--- a/features/placement.feature
+++ b/features/placement.feature
@@ -13,6 +13,13 @@
       | indexed-best-fit | 64    | 0     |
       | sampled-best-fit | 64    | 0     |
 
+  Scenario: a GPU worker that has started is not filled with other work
+    Given 8 plain workers and 4 GPU workers under indexed-best-fit
+    When a task with an accelerator is placed
+    And 57 tasks of 2 cores are placed
+    Then 0 plain workers are empty
+    And 1 GPU worker is used
+
   Scenario Outline: replicas of a service are spread over racks
     Given 16 plain workers and 0 GPU workers under <policy>
     When 20 tasks of 2 cores are placed
@@ -60,6 +67,19 @@
     And every task ends while others keep coming
     Then the gang has no places
 
+  Scenario: a gang that is too large for the site keeps nothing
+    Given 8 plain workers and 0 GPU workers under indexed-best-fit
+    When 64 tasks of 2 cores are placed
+    And a gang of 9 tasks of 16 cores starves
+    Then none are kept
+
+  Scenario: a reservation that leads to nothing makes way
+    Given 8 plain workers and 0 GPU workers under indexed-best-fit
+    When 64 tasks of 2 cores are placed
+    And two gangs of 6 tasks of 16 cores starve
+    And the second starves on until 60000 ms
+    Then workers are kept for the second gang alone
+
   Scenario: two starved gangs never hold a part each
     Given 8 plain workers and 0 GPU workers under indexed-best-fit
     When 64 tasks of 2 cores are placed
