--- a/samphiregate/core/base/_dispatch.py
+++ b/samphiregate/core/base/_dispatch.py
@@ -1,25 +1,24 @@
-"""Dispatch of methods on the class of their first argument."""
+"""Dispatch on the class of a method's first argument, at low cost."""
 
 import functools
 
 
-class singledispatchmethod(functools.singledispatchmethod):
-    """The standard library's, with a cheaper call through an instance.
+class dispatchmethod(functools.singledispatchmethod):
+    """`functools.singledispatchmethod` without a new wrapper a call.
 
     Notes
     -----
-    The standard one copies the name and documentation of the method into a
-    new function on each access, which takes longer than the dispatch.
+    The library copies the name and documentation of the method onto a new
+    function each time that the method is looked up, which takes longer than
+    the dispatch itself. Arguments are positional here.
     """
 
-    def __get__(self, instance, owner=None):
-        """Returns what dispatches and calls on `instance`."""
-        if instance is None:
-            return super().__get__(instance, owner)
+    def __get__(self, obj, cls=None):
+        """Returns the method, bound to `obj`."""
         dispatch = self.dispatcher.dispatch
 
-        def call(argument, *args, **kwargs):
-            method = dispatch(type(argument))
-            return method(instance, argument, *args, **kwargs)
+        def method(argument, *others):
+            implementation = dispatch(argument.__class__)
+            return implementation(obj, argument, *others)
 
-        return call
+        return method
--- a/samphiregate/core/base/_machine.py
+++ b/samphiregate/core/base/_machine.py
@@ -8,8 +8,8 @@
 
     Notes
     -----
-    Implementations dispatch on the event's class with
-    `functools.singledispatchmethod` and ignore events that are not theirs.
+    Implementations dispatch on the event's class with `dispatchmethod`
+    and ignore events that are not theirs.
     Times are integers, in milliseconds of a monotonic clock. Randomness
     comes from a `random.Random` handed in as `random_state`.
     """
--- a/samphiregate/core/configuration/_replica.py
+++ b/samphiregate/core/configuration/_replica.py
@@ -168,7 +168,7 @@
         self._freshness.pass_time(now_ms)
         return self._handle(event, now_ms)
 
-    @base.singledispatchmethod
+    @base.dispatchmethod
     def _handle(self, event, now_ms):
         return []
 
@@ -212,7 +212,7 @@
     def _on_peer(self, event: base.PeerDelivered, now_ms):
         return self._on_message(event.message, event.sender, now_ms)
 
-    @base.singledispatchmethod
+    @base.dispatchmethod
     def _on_message(self, message, sender, now_ms):
         return []
 
--- a/samphiregate/core/jobs/_owner.py
+++ b/samphiregate/core/jobs/_owner.py
@@ -56,6 +56,8 @@
         more.
     ask_ms : int
         Time between two rounds of asking about tasks that give no news.
+    audit_ms : int
+        Time between two rounds of asking about all tasks.
     retention_ms : int
         How long a job is shown after its end.
     retry_ms : int
@@ -82,6 +84,7 @@
         "copy_refresh_ms": parameters.Interval(int, 100, 600_000),
         "copy_ttl_ms": parameters.Interval(int, 1_000, 86_400_000),
         "ask_ms": parameters.Interval(int, 10, 600_000),
+        "audit_ms": parameters.Interval(int, 1_000, 86_400_000),
         "retention_ms": parameters.Interval(int, 0, 604_800_000),
         "retry_ms": parameters.Interval(int, 0, 600_000),
         "call_timeout_ms": parameters.Interval(int, 100, 600_000),
@@ -111,6 +114,7 @@
         copy_refresh_ms=10_000,
         copy_ttl_ms=120_000,
         ask_ms=2_000,
+        audit_ms=120_000,
         retention_ms=21_600_000,
         retry_ms=1_000,
         call_timeout_ms=10_000,
@@ -135,6 +139,7 @@
         self.copy_refresh_ms = copy_refresh_ms
         self.copy_ttl_ms = copy_ttl_ms
         self.ask_ms = ask_ms
+        self.audit_ms = audit_ms
         self.retention_ms = retention_ms
         self.retry_ms = retry_ms
         self.call_timeout_ms = call_timeout_ms
@@ -210,6 +215,7 @@
                 ask_ms=ask_ms,
                 retention_ms=retention_ms,
                 copy_ttl_ms=copy_ttl_ms,
+                audit_ms=audit_ms,
             ),
         )
         self._counter = itertools.count(1)
@@ -223,7 +229,7 @@
         self.dispatcher_.run(now_ms, self.gangs_.start)
         return self._flush(now_ms, isinstance(event, base.Tick))
 
-    @base.singledispatchmethod
+    @base.dispatchmethod
     def _take(self, event, now_ms):
         """Ignores events that are not for this machine."""
 
@@ -325,7 +331,7 @@
     def _(self, event: base.PeerDelivered, now_ms):
         self._take_message(event.message, event.sender, now_ms)
 
-    @base.singledispatchmethod
+    @base.dispatchmethod
     def _take_message(self, message, sender, now_ms):
         """Ignores messages that are not for this machine."""
 
@@ -389,7 +395,7 @@
             return
         if shard.inquiry.number != message.inquiry:
             return
-        shard.inquiry.take(message)
+        shard.inquiry.take(message, sender)
         for news in message.news:
             self._take_news(news, sender, now_ms)
         self.recovery_.conclude(shard, now_ms)
--- a/samphiregate/core/limits/_holder.py
+++ b/samphiregate/core/limits/_holder.py
@@ -184,7 +184,7 @@
         self._on_event(event, now_ms, actions)
         return actions
 
-    @base.singledispatchmethod
+    @base.dispatchmethod
     def _on_event(self, event, now_ms, actions):
         """Ignores events of other parts."""
 
@@ -232,7 +232,7 @@
 
     # Messages.
 
-    @base.singledispatchmethod
+    @base.dispatchmethod
     def _on_message(self, message, sender, now_ms, actions):
         """Ignores messages of other parts."""
 
--- a/samphiregate/core/placement/_first_fit.py
+++ b/samphiregate/core/placement/_first_fit.py
@@ -25,7 +25,7 @@
         self.bind_dispatch()
         self.room_by_worker_ = {}
 
-    @base.singledispatchmethod
+    @base.dispatchmethod
     def observe(self, event, now_ms):
         """Takes in a placement event; others are ignored."""
 
@@ -37,7 +37,7 @@
     def _(self, event: _messages.WorkerRemoved, now_ms):
         self.room_by_worker_.pop(event.worker_id, None)
 
-    @base.singledispatchmethod
+    @base.dispatchmethod
     def choose(self, question, now_ms):
         """Answers `PlaceTask` and `PlaceGang`; None if nothing fits."""
         raise TypeError(f"unknown question {type(question).__name__}")
--- a/samphiregate/core/placement/_indexed.py
+++ b/samphiregate/core/placement/_indexed.py
@@ -33,7 +33,7 @@
         self.spread_ = _spread.SpreadCounter()
         self.desk_ = _reservation.ReservationDesk(self.index_)
 
-    @base.singledispatchmethod
+    @base.dispatchmethod
     def observe(self, event, now_ms):
         """Takes in a placement event; others are ignored."""
 
@@ -74,7 +74,7 @@
     def _(self, event: _messages.GangWithdrawn, now_ms):
         self.desk_.withdraw(event.job_id)
 
-    @base.singledispatchmethod
+    @base.dispatchmethod
     def choose(self, question, now_ms):
         """Answers `PlaceTask` and `PlaceGang`; None if nothing fits."""
         raise TypeError(f"unknown question {type(question).__name__}")
--- a/samphiregate/core/preemption/_cheapest.py
+++ b/samphiregate/core/preemption/_cheapest.py
@@ -96,7 +96,7 @@
         self._ids_by_worker = {}
         self._order_by_team = {}
 
-    @base.singledispatchmethod
+    @base.dispatchmethod
     def observe(self, event, now_ms):
         """Takes in running tasks and rooms; others are ignored."""
 
@@ -123,7 +123,7 @@
     def _(self, event: placement.WorkerRemoved, now_ms):
         self.room_by_worker_.pop(event.worker_id, None)
 
-    @base.singledispatchmethod
+    @base.dispatchmethod
     def choose(self, question, now_ms):
         """Answers `VictimQuestion` with `Victims`, or None."""
         raise TypeError(f"unknown question {type(question).__name__}")
--- a/samphiregate/core/queueing/_fair_share.py
+++ b/samphiregate/core/queueing/_fair_share.py
@@ -99,7 +99,7 @@
             self._step(now_ms)
         self._observe(event, now_ms)
 
-    @base.singledispatchmethod
+    @base.dispatchmethod
     def _observe(self, event, now_ms):
         pass
 
@@ -162,7 +162,7 @@
             team.remote_share = amount.share_of(self.total_)
         self._rank_all()
 
-    @base.singledispatchmethod
+    @base.dispatchmethod
     def choose(self, question, now_ms):
         """Answers `NextItem` and `ItemToShed` with an item or None."""
         raise TypeError(f"unknown question {type(question).__name__}")
--- a/samphiregate/core/requests/_edge.py
+++ b/samphiregate/core/requests/_edge.py
@@ -148,7 +148,7 @@
             "owners_known": len(self._board.heard_by_vm),
         }
 
-    @base.singledispatchmethod
+    @base.dispatchmethod
     def handle(self, event, now_ms):
         """Takes one event; see `StateMachine.handle`."""
         return []
@@ -183,7 +183,7 @@
     def _(self, event: base.PeerDelivered, now_ms):
         return self._deliver(event.message, event.sender, now_ms)
 
-    @base.singledispatchmethod
+    @base.dispatchmethod
     def _deliver(self, message, sender, now_ms):
         return []
 
--- a/samphiregate/core/requests/_owner.py
+++ b/samphiregate/core/requests/_owner.py
@@ -131,7 +131,7 @@
             for pool in self._roster.pools()
         }
 
-    @base.singledispatchmethod
+    @base.dispatchmethod
     def handle(self, event, now_ms):
         """Takes one event; see `StateMachine.handle`."""
         return []
@@ -140,7 +140,7 @@
     def _(self, event: base.PeerDelivered, now_ms):
         return self._deliver(event.message, event.sender, now_ms)
 
-    @base.singledispatchmethod
+    @base.dispatchmethod
     def _deliver(self, message, sender, now_ms):
         return []
 
--- a/samphiregate/core/routing/_outliers.py
+++ b/samphiregate/core/routing/_outliers.py
@@ -77,7 +77,7 @@
         self.median_ms_ = 0.0
         self._seen = 0
 
-    @base.singledispatchmethod
+    @base.dispatchmethod
     def observe(self, event, now_ms):
         """Takes in `AttemptEnded` and `EndpointRemoved`."""
 
--- a/samphiregate/core/sizing/_learner.py
+++ b/samphiregate/core/sizing/_learner.py
@@ -108,7 +108,7 @@
         self.bind_dispatch()
         self.histograms_by_kind_ = {}
 
-    @base.singledispatchmethod
+    @base.dispatchmethod
     def observe(self, event, now_ms):
         """Takes in `UsageSeen`; other events are ignored."""
 
@@ -128,7 +128,7 @@
             ratio = used.memory_mib / declared.memory_mib
             memory.add(ratio, self.window)
 
-    @base.singledispatchmethod
+    @base.dispatchmethod
     def choose(self, question, now_ms):
         """Answers `BookingQuestion` with an amount to book."""
         raise TypeError(f"unknown question {type(question).__name__}")
--- a/samphiregate/core/vm/_entry_vm.py
+++ b/samphiregate/core/vm/_entry_vm.py
@@ -41,7 +41,7 @@
                 else:
                     self._pending.append(local)
 
-    @base.singledispatchmethod
+    @base.dispatchmethod
     def _local_event(self, action):
         """Returns the event that an action amounts to on this VM."""
         return None
