Tell an unchanged summary of room every 5 s only

Change: the data centre hears a summary when it changed, and every 5 s; the own owner of jobs hears each one.

--- a/bench/capacity/_workings.py
+++ b/bench/capacity/_workings.py
@@ -70,6 +70,7 @@
             *self._memory_rows(),
             *self._core_rows(),
             *self._link_rows(),
+            self._summary_row(),
             *self._list_rows(),
             *self._change_rows(),
             *self._work_rows(),
@@ -166,6 +167,17 @@
             )
         ]
 
+    def _summary_row(self):
+        size = self.size
+        messages = 2 * (size.vms_a_centre - 1)
+        return self._row(
+            "summaries of room at full load, bytes a second, both ways",
+            ("one summary of room, bytes on a link",),
+            f"32 changed teams, {size.vms_a_centre:.0f} VMs, one a second",
+            lambda slope: slope.at(32) * messages,
+            LINK_BUDGET_BYTES,
+        )
+
     def _list_rows(self):
         size = self.size
         workers = size.workers / size.data_centres
--- a/samphiregate/core/workers/_owner.py
+++ b/samphiregate/core/workers/_owner.py
@@ -19,6 +19,7 @@
 from samphiregate import parameters
 
 SCAN_MS = 200
+RETELL_MS = 5_000
 
 
 class WorkerOwner(base.StateMachine, parameters.Parameterised):
@@ -151,6 +152,8 @@
         self.previous_owner_by_shard_ = {}
         self._next_news_ms = 0
         self._next_summary_ms = 0
+        self._told_summary = None
+        self._retell_ms = 0
         self._next_scan_ms = 0
 
     def handle(self, event, now_ms):
@@ -383,7 +386,13 @@
             self.outbox_.tell(booking.news)
 
     def _send_summary(self, now_ms):
+        """Tells the data centre what changed; all of it now and then."""
         message = self.summary_.build(now_ms, self.desk_.leaving)
+        if message == self._told_summary and now_ms < self._retell_ms:
+            self.outbox_.send(self.vm_id, message)
+            return
+        self._told_summary = message
+        self._retell_ms = now_ms + RETELL_MS
         self._broadcast(message)
 
     def _broadcast(self, message):
