Skip machines that have no part in probes and exchanges

Cause: a profile of a quiet daemon with 170 workers: three quarters of its events are answers of workers, and the owner of jobs, the token holder's followers and the requests' machines looked at each. Change: probes go to membership and the machines that watch for pauses; answers of workers go to these and to the owner of workers.

--- a/samphiregate/daemon/_machines.py
+++ b/samphiregate/daemon/_machines.py
@@ -33,6 +33,8 @@
     requests.RunnerFailed,
     requests.RunnerProbed,
 )
+PROBE_CLASSES = (membership.Ping, membership.Ack, membership.IndirectPing)
+EXCHANGE_CLASSES = (workers.WorkerAnswered, workers.WorkerUnreachable)
 
 
 @attrs.frozen
@@ -114,11 +116,16 @@
         shard_count=settings.shard_count,
         **common(),
     )
-    for_requests = (members, owners, replica, tokens, edge, runner_owner)
+    always = (members, owners, replica, tokens)
+    for_requests = (*always, edge, runner_owner)
     entry_vm = vm.EntryVm(
         vm_id=settings.vm_id,
         machines=(*for_requests, worker_owner, job_owner),
-        takers_by_class=dict.fromkeys(REQUEST_CLASSES, for_requests),
+        takers_by_class={
+            **dict.fromkeys(REQUEST_CLASSES, for_requests),
+            **dict.fromkeys(PROBE_CLASSES, always),
+            **dict.fromkeys(EXCHANGE_CLASSES, (*always, worker_owner)),
+        },
     )
     return Machines(
         entry_vm=entry_vm,
