--- a/samphiregate/core/vm/_entry_vm.py
+++ b/samphiregate/core/vm/_entry_vm.py
@@ -8,10 +8,11 @@
 class EntryVm(base.StateMachine):
     """The state machines of one entry VM.
 
-    Each event goes to every machine. What a machine notifies the others of
-    reaches all of them before the event goes on to the next machine, so
-    that none acts on a shard that was given up at that event. Messages that
-    the entry VM sends to itself are delivered before `handle` returns.
+    Each event goes to every machine, but for those of `takers_by_class`.
+    What a machine notifies the others of reaches them before the event goes
+    on to the next machine, so that none acts on a shard that was given up at
+    that event. Messages that the entry VM sends to itself are delivered
+    before `handle` returns.
 
     Parameters
     ----------
@@ -19,11 +20,15 @@
         Id of this entry VM.
     machines : iterable of StateMachine
         In the order in which they take each event.
+    takers_by_class : dict
+        The machines that take events or peer messages of a class, for
+        classes that do not concern all machines.
     """
 
-    def __init__(self, *, vm_id, machines):
+    def __init__(self, *, vm_id, machines, takers_by_class=None):
         self.vm_id = vm_id
         self.machines = tuple(machines)
+        self._takers_by_class = dict(takers_by_class or {})
         self._pending = collections.deque()
 
     def handle(self, event, now_ms):
@@ -35,7 +40,7 @@
         return actions
 
     def _deliver(self, event, now_ms, actions):
-        for machine in self.machines:
+        for machine in self._takers_of(event):
             for action in machine.handle(event, now_ms):
                 if isinstance(action, base.Notify):
                     self._deliver(action.event, now_ms, actions)
@@ -46,6 +51,12 @@
                 else:
                     self._pending.append(local)
 
+    def _takers_of(self, event):
+        subject = event
+        if isinstance(event, base.PeerDelivered):
+            subject = event.message
+        return self._takers_by_class.get(type(subject), self.machines)
+
     @base.singledispatchmethod
     def _local_event(self, action):
         """Returns the event that an action amounts to on this VM."""
