Tell every machine of a pause first; reread certificates; more settings

Cause: events that concern few machines now skip the others, so that the first event after a pause could be acted on before ownership and tokens saw the gap. Nothing reread the callers' certificate. The operators' networks had no setting, and an offline time of 0 passed the check and then failed. Conclusion: skipping machines keeps the rule that pauses are noticed first.

--- a/features/daemon.feature
+++ b/features/daemon.feature
@@ -14,6 +14,8 @@
       | --http-listen    | :80            | http-listen  |
       | --peer-advertise | x              | peer-advertise |
       | --statsd         | x:             | statsd       |
+      | --operator-networks | 10.0.0.0/99 | operator-networks |
+      | --offline-ms     | 0              | offline-ms   |
       | --log-format     | xml            | log-format   |
       | --log-level      | loud           | log-level    |
       | --tls-key        | key.pem        | tls-key      |
@@ -46,6 +48,18 @@
     Then only the message to the peer comes out
     And the machine saw its own message and the notice
 
+  Scenario Outline: a pause is told to every machine before the next event
+    Given an entry VM in which an event concerns only the second machine
+    When the event comes <gap> ms after the last one
+    Then the first machine saw <first> and the second <second>
+
+    Examples:
+      | gap   | first | second     |
+      | 100   | -     | Event      |
+      | 1000  | -     | Event      |
+      | 1001  | Tick  | Tick Event |
+      | 60000 | Tick  | Tick Event |
+
   Scenario Outline: histograms are bounded in number and keep the latest
     Given metrics into which waits of <teams> teams were recorded
     Then <held> histograms are held, the last one with count 1
--- a/features/support/requests.py
+++ b/features/support/requests.py
@@ -48,6 +48,11 @@
         self.withdrawn = set()
         self.settled = True
 
+    @property
+    def knows_keys(self):
+        """Whether keys can be judged."""
+        return self.settled
+
     def team_for_key_hash(self, key_hash):
         team = key_hash.removeprefix("hash-")
         known = team in self.configuration.teams_by_name
--- a/samphiregate/adapters/edge/_access.py
+++ b/samphiregate/adapters/edge/_access.py
@@ -51,9 +51,9 @@
         key_hash = _headers.key_hash(environ)
         if not key_hash:
             return None
-        if not self._replica.settled:
+        if not self._replica.knows_keys:
             raise errors.UnavailableError(
-                "this entry VM has just started",
+                "this entry VM cannot judge keys now",
                 retry_after_ms=STARTED_RETRY_MS,
             )
         team = self._replica.team_for_key_hash(key_hash)
--- a/samphiregate/core/requests/_admission.py
+++ b/samphiregate/core/requests/_admission.py
@@ -43,10 +43,11 @@
     Admitted or Refusal
     """
     team = ""
-    if not replica.settled:
+    judges = replica.knows_keys if key_hash else replica.settled
+    if not judges:
         return _messages.Refusal(
             _Code.UNAVAILABLE,
-            detail="this entry VM has just started",
+            detail="this entry VM cannot judge keys now",
             retry_after_ms=STARTED_RETRY_MS,
         )
     if key_hash:
--- a/samphiregate/core/vm/_entry_vm.py
+++ b/samphiregate/core/vm/_entry_vm.py
@@ -4,6 +4,8 @@
 
 from samphiregate.core import base
 
+LONGEST_GAP_MS = 1_000
+
 
 class EntryVm(base.StateMachine):
     """The state machines of one entry VM.
@@ -23,6 +25,11 @@
     takers_by_class : dict
         The machines that take events or peer messages of a class, for
         classes that do not concern all machines.
+
+    Notes
+    -----
+    After a gap in which no event came, every machine gets a `Tick` before
+    the next event, so that each notices a pause before any of them acts.
     """
 
     def __init__(self, *, vm_id, machines, takers_by_class=None):
@@ -30,9 +37,13 @@
         self.machines = tuple(machines)
         self._takers_by_class = dict(takers_by_class or {})
         self._pending = collections.deque()
+        self._handled_ms = None
 
     def handle(self, event, now_ms):
         """Takes one event; see `StateMachine.handle`."""
+        if self._is_after_gap(now_ms):
+            self._pending.append(base.Tick())
+        self._handled_ms = now_ms
         self._pending.append(event)
         actions = []
         while self._pending:
@@ -51,6 +62,11 @@
                 else:
                     self._pending.append(local)
 
+    def _is_after_gap(self, now_ms):
+        if self._handled_ms is None:
+            return False
+        return now_ms - self._handled_ms > LONGEST_GAP_MS
+
     def _takers_of(self, event):
         subject = event
         if isinstance(event, base.PeerDelivered):
--- a/samphiregate/daemon/_node.py
+++ b/samphiregate/daemon/_node.py
@@ -25,6 +25,7 @@
 
 DRAIN_POLL_S = 0.05
 MS_PER_SECOND = 1_000
+CERTIFICATE_PERIOD_MS = 10_000
 EXCHANGE_TIMEOUT_MS = 2_000
 EXCHANGES_PER_LEASE = 4
 
@@ -159,6 +160,7 @@
             metrics=self.metrics,
             status=self.status,
             ready=self.is_ready,
+            operator_networks=settings.networks(),
             certificate_file=settings.tls_certificate,
             key_file=settings.tls_key,
             most_connections=settings.max_connections,
@@ -168,6 +170,13 @@
             self._edge.perform, requests.AnswerCaller, jobs.JobAnswer
         )
         self.enter_context(self._edge)
+        self.enter_context(
+            self.timers.every(CERTIFICATE_PERIOD_MS, self._refresh_certificate)
+        )
+
+    def _refresh_certificate(self, _now_ms):
+        if not self._edge.refresh_certificate():
+            logging.error("edge: the new certificate cannot be used.")
 
     def _start_platform(self):
         self._platform = platform.PlatformClient(
--- a/samphiregate/daemon/_settings.py
+++ b/samphiregate/daemon/_settings.py
@@ -1,5 +1,6 @@
 """Settings of the daemon: flags, variables and their checks."""
 
+import ipaddress
 import secrets
 import typing
 
@@ -83,6 +84,14 @@
     tls_key: typing.Annotated[
         str, _flag("tls-key", "PEM file with the certificate's key.", "")
     ]
+    operator_networks: typing.Annotated[
+        str,
+        _flag(
+            "operator-networks",
+            "Networks that see the state of all teams, by commas.",
+            "127.0.0.0/8",
+        ),
+    ]
     statsd: typing.Annotated[
         str, _flag("statsd", "ip:port of statsd; none if empty.", "")
     ]
@@ -136,7 +145,7 @@
         _flag(
             "offline-ms",
             "How long keys are accepted with no news of withdrawals, ms.",
-            3_600_000,
+            14_400_000,
         ),
     ]
     seed: typing.Annotated[
@@ -155,6 +164,8 @@
         for name in ("http_advertise", "peer_advertise", "statsd"):
             if getattr(self, name):
                 _check_endpoint(_dashed(name), getattr(self, name))
+        for network in self.networks():
+            _check_network("operator-networks", network)
         _check_choice("log-format", self.log_format, _LOG_FORMATS)
         _check_choice("log-level", self.log_level, LOG_LEVELS)
         if bool(self.tls_certificate) != bool(self.tls_key):
@@ -168,6 +179,10 @@
                 "renew-ms", "a lease must outlast two renewals"
             )
 
+    def networks(self):
+        """Returns the operators' networks."""
+        return tuple(filter(None, self.operator_networks.split(",")))
+
     def _make_id(self):
         return f"{self.data_centre}-{secrets.token_hex(6)}"
 
@@ -184,7 +199,7 @@
     "max_connections": (1, 100_000),
     "drain_ms": (100, 600_000),
     "notice_ms": (0, 60_000),
-    "offline_ms": (0, 86_400_000),
+    "offline_ms": (1_000, 2_592_000_000),
     "seed": (1, 2**64),
 }
 
@@ -213,6 +228,13 @@
         raise errors.SettingError(flag, f"{value!r} is not ip:port")
 
 
+def _check_network(flag, value):
+    try:
+        ipaddress.ip_network(value)
+    except ValueError as error:
+        raise errors.SettingError(flag, str(error)) from error
+
+
 def _check_choice(flag, value, options):
     if value not in options:
         raise errors.SettingError(flag, f"use one of {', '.join(options)}")
