--- a/bench/capacity/__init__.py
+++ b/bench/capacity/__init__.py
@@ -29,9 +29,11 @@
     bench.Report
     """
     slopes = []
-    for module in (_core, _spread, _site):
-        slopes += module.slopes(settings)
-    _slopes.write(slopes, settings)
+    try:
+        for module in (_core, _spread, _site):
+            slopes.extend(module.slopes(settings))
+    finally:
+        _slopes.write(slopes, settings)
     by_name = {slope.name: slope for slope in slopes}
     rows = _workings.Workings(by_name, _sizes.Size()).rows()
     figures = [_figure_of_slope(slope) for slope in slopes]
--- a/bench/capacity/_site.py
+++ b/bench/capacity/_site.py
@@ -149,16 +149,16 @@
 
 
 def slopes(settings):
-    """Returns all slopes of this module."""
-    found = _by_workers(settings)
-    found += _requests(settings, vms=1)
-    if not settings.quick:
-        found += _by_tasks(settings)
-        found += _by_vms(settings)
-        found += _requests(settings, vms=4)
-        found += _starts(settings)
-        found += _changes_and_takeover(settings)
-    return found
+    """Yields all slopes of this module."""
+    yield from _by_workers(settings)
+    yield from _requests(settings, vms=1)
+    if settings.quick:
+        return
+    yield from _changes_and_takeover(settings)
+    yield from _starts(settings)
+    yield from _by_tasks(settings)
+    yield from _by_vms(settings)
+    yield from _requests(settings, vms=4)
 
 
 def _span_s(settings):
@@ -356,9 +356,8 @@
 
 
 def _change_ms(running, operator):
-    pool = gevent.get_hub().threadpool
     before = _store_revision(running)
-    given = pool.spawn(operator.give_key, TEAM)
+    given = gevent.spawn(operator.give_key, TEAM)
     while _store_revision(running) == before:
         gevent.sleep(POLL_S)
     began = time.monotonic()
