--- a/bench/capacity/__init__.py
+++ b/bench/capacity/__init__.py
@@ -28,6 +28,7 @@
     -------
     bench.Report
     """
+    committed = _slopes.read()
     slopes = []
     try:
         for module in (_core, _spread, _site):
@@ -36,21 +37,34 @@
         _slopes.write(slopes, settings)
     by_name = {slope.name: slope for slope in slopes}
     rows = _workings.Workings(by_name, _sizes.Size()).rows()
-    figures = [_figure_of_slope(slope) for slope in slopes]
+    committed_by_name = {slope.name: slope for slope in committed}
+    figures = [
+        _figure_of_slope(slope, committed_by_name.get(slope.name))
+        for slope in slopes
+    ]
     figures += [_figure_of_row(row) for row in rows if row.result is not None]
     return bench.Report(bench="capacity", figures=tuple(figures))
 
 
-def _figure_of_slope(slope):
+def _figure_of_slope(slope, committed):
+    """Returns the largest point beside the committed line at its size."""
+    last = slope.points[-1]
     return bench.Figure(
-        name=f"{slope.name}, by {slope.size}",
-        value=slope.gradient,
-        unit="each",
-        baseline=slope.points[0].y,
-        baseline_name=f"at {slope.points[0].x:g}",
+        name=f"{slope.name}, at {last.x:g} {slope.size}",
+        value=last.y,
+        unit="",
+        baseline=None if committed is None else committed.at(last.x),
+        baseline_name="" if committed is None else _ratio(last, committed),
     )
 
 
+def _ratio(last, committed):
+    before = committed.at(last.x)
+    if not before:
+        return "committed"
+    return f"committed, ratio {last.y / before:.2f}"
+
+
 def _figure_of_row(row):
     met = None if row.budget is None else row.result <= row.budget
     return bench.Figure(
--- a/bench/capacity/_slopes.py
+++ b/bench/capacity/_slopes.py
@@ -93,8 +93,11 @@
 
 
 def read(path=_report.RESULTS_PATH):
-    """Returns the slopes that were last measured in full."""
-    document = orjson.loads(pathlib.Path(path, "slopes.json").read_bytes())
+    """Returns the slopes that were last measured in full; none at first."""
+    source = pathlib.Path(path, "slopes.json")
+    if not source.exists():
+        return []
+    document = orjson.loads(source.read_bytes())
     return [
         Slope(**{**each, "points": tuple(Point(**p) for p in each["points"])})
         for each in document["slopes"]
