--- a/samphiregate/core/requests/_admission.py
+++ b/samphiregate/core/requests/_admission.py
@@ -5,6 +5,8 @@
 from samphiregate.core.requests import _messages
 from samphiregate import errors
 
+STARTED_RETRY_MS = 1_000
+
 _Code = errors.ErrorCode
 
 
@@ -41,6 +43,13 @@
     Admitted or Refusal
     """
     team = ""
+    judges = replica.knows_keys if key_hash else replica.settled
+    if not judges:
+        return _messages.Refusal(
+            _Code.UNAVAILABLE,
+            detail="this entry VM cannot judge keys now",
+            retry_after_ms=STARTED_RETRY_MS,
+        )
     if key_hash:
         team = replica.team_for_key_hash(key_hash)
         if team is None:
--- a/samphiregate/core/vm/_entry_vm.py
+++ b/samphiregate/core/vm/_entry_vm.py
@@ -4,13 +4,17 @@
 
 from samphiregate.core import base
 
+LONGEST_GAP_MS = 1_000
+
 
 class EntryVm(base.StateMachine):
     """The state machines of one entry VM.
 
     Each event goes to every machine, but for those of `takers_by_class`.
-    `Notify` actions, and messages that
-    the entry VM sends to itself, are delivered before `handle` returns.
+    What a machine notifies the others of reaches them before the event goes
+    on to the next machine, so that none acts on a shard that was given up at
+    that event. Messages that the entry VM sends to itself are delivered
+    before `handle` returns.
 
     Parameters
     ----------
@@ -21,6 +25,11 @@
     takers_by_class : dict
         The machines that take events or peer messages of a class, for
         classes that do not concern all machines.
+
+    Notes
+    -----
+    After a gap in which no event came, every machine gets a `Tick` before
+    the next event, so that each notices a pause before any of them acts.
     """
 
     def __init__(self, *, vm_id, machines, takers_by_class=None):
@@ -28,9 +37,13 @@
         self.machines = tuple(machines)
         self._takers_by_class = dict(takers_by_class or {})
         self._pending = collections.deque()
+        self._handled_ms = None
 
     def handle(self, event, now_ms):
         """Takes one event; see `StateMachine.handle`."""
+        if self._is_after_gap(now_ms):
+            self._pending.append(base.Tick())
+        self._handled_ms = now_ms
         self._pending.append(event)
         actions = []
         while self._pending:
@@ -40,12 +53,20 @@
     def _deliver(self, event, now_ms, actions):
         for machine in self._takers_of(event):
             for action in machine.handle(event, now_ms):
+                if isinstance(action, base.Notify):
+                    self._deliver(action.event, now_ms, actions)
+                    continue
                 local = self._local_event(action)
                 if local is None:
                     actions.append(action)
                 else:
                     self._pending.append(local)
 
+    def _is_after_gap(self, now_ms):
+        if self._handled_ms is None:
+            return False
+        return now_ms - self._handled_ms > LONGEST_GAP_MS
+
     def _takers_of(self, event):
         subject = event
         if isinstance(event, base.PeerDelivered):
@@ -57,10 +78,6 @@
         """Returns the event that an action amounts to on this VM."""
         return None
 
-    @_local_event.register
-    def _(self, action: base.Notify):
-        return action.event
-
     @_local_event.register
     def _(self, action: base.SendToPeer):
         if action.recipient != self.vm_id:
