Keep one cheap dispatch

Cause: two ways of the same: a descriptor without the copying, and binding of dispatching methods in each policy's constructor.

--- a/samphiregate/core/base/_policy.py
+++ b/samphiregate/core/base/_policy.py
@@ -14,23 +14,6 @@
     policy learns is kept in attributes whose names end in an underscore.
     """
 
-    def bind_dispatch(self, *names):
-        """Binds dispatching methods to this instance once.
-
-        Parameters
-        ----------
-        *names : str
-            Further methods besides `observe` and `choose`.
-
-        Notes
-        -----
-        `functools.singledispatchmethod` builds a new wrapper on each
-        access, which costs more than the dispatch itself. Policies that
-        are asked thousands of times a second call this in `__init__`.
-        """
-        for name in ("observe", "choose", *names):
-            setattr(self, name, getattr(self, name))
-
     @abc.abstractmethod
     def observe(self, event, now_ms):
         """Takes in a fact; returns nothing and decides nothing."""
--- a/samphiregate/core/placement/_first_fit.py
+++ b/samphiregate/core/placement/_first_fit.py
@@ -22,7 +22,6 @@
     def __init__(self, *, random_state=None):
         self.random_state = random_state
         self.check_parameters()
-        self.bind_dispatch()
         self.room_by_worker_ = {}
 
     @base.singledispatchmethod
--- a/samphiregate/core/preemption/_cheapest.py
+++ b/samphiregate/core/preemption/_cheapest.py
@@ -90,7 +90,6 @@
         self.teams = teams
         self.random_state = random_state
         self.check_parameters()
-        self.bind_dispatch()
         self.tasks_by_id_ = {}
         self.room_by_worker_ = {}
         self._ids_by_worker = {}
--- a/samphiregate/core/quarantine/_judge.py
+++ b/samphiregate/core/quarantine/_judge.py
@@ -80,7 +80,6 @@
         self.max_jobs = max_jobs
         self.random_state = random_state
         self.check_parameters()
-        self.bind_dispatch()
         self.workers_by_id_ = {}
         self.jobs_by_id_ = collections.OrderedDict()
 
--- a/samphiregate/core/queueing/_fair_share.py
+++ b/samphiregate/core/queueing/_fair_share.py
@@ -80,7 +80,6 @@
         self.remote_ttl_ms = remote_ttl_ms
         self.random_state = random_state
         self.check_parameters()
-        self.bind_dispatch("_observe")
         self.total_ = UNKNOWN_TOTAL
         self.weight_by_team_ = {}
         self.teams_by_name_ = {}
--- a/samphiregate/core/queueing/_first_come.py
+++ b/samphiregate/core/queueing/_first_come.py
@@ -19,7 +19,6 @@
     def __init__(self, *, random_state=None):
         self.random_state = random_state
         self.check_parameters()
-        self.bind_dispatch()
         self.lane_ = _lane.Lane()
         self.items_by_id_ = {}
 
--- a/samphiregate/core/queueing/_strict_priority.py
+++ b/samphiregate/core/queueing/_strict_priority.py
@@ -38,7 +38,6 @@
     def __init__(self, *, random_state=None):
         self.random_state = random_state
         self.check_parameters()
-        self.bind_dispatch()
         self.lanes_ = tuple(
             _lane.Lane() for _level in range(len(LEVEL_BY_CLASS) + 1)
         )
--- a/samphiregate/core/sizing/_cut_back.py
+++ b/samphiregate/core/sizing/_cut_back.py
@@ -49,7 +49,6 @@
         self.checkpoint_wait_ms = checkpoint_wait_ms
         self.random_state = random_state
         self.check_parameters()
-        self.bind_dispatch()
         self.excess_since_by_worker_ = {}
 
     @base.singledispatchmethod
--- a/samphiregate/core/sizing/_learner.py
+++ b/samphiregate/core/sizing/_learner.py
@@ -105,7 +105,6 @@
         self.window = window
         self.random_state = random_state
         self.check_parameters()
-        self.bind_dispatch()
         self.histograms_by_kind_ = {}
 
     @base.singledispatchmethod
