Show that each of many concurrent requests gets its own answer

Cause: content matching had been shown under an open-loop load only. Change: the load tool sends many requests at once; a scenario of 2,000.

--- a/features/site.feature
+++ b/features/site.feature
@@ -20,6 +20,12 @@
       | proxied links        | 150   | no      | some    | the open links of one VM go silent        |
       | proxied links        | 150   | no      | some    | one data centre is cut off for 4 s        |
 
+  Scenario: each of 2,000 concurrent requests gets its own answer
+    Given a loaded site, direct links
+    When 2000 requests are sent at the same time
+    Then each of the 2000 ended as answered, or as refused and not run
+    And no request was executed twice, and each answer was its own
+
   Scenario: a withdrawn key is refused on every entry VM
     Given a loaded site, direct links
     When the key of the requests is withdrawn
--- a/features/steps/site_steps.py
+++ b/features/steps/site_steps.py
@@ -124,6 +124,21 @@
     FAILURES_BY_NAME[failure](context)
 
 
+@behave.when("{count:d} requests are sent at the same time")
+def when_at_once(context, count):
+    context.result = context.loaded.send_at_once(count)
+
+
+@behave.then(
+    "each of the {count:d} ended as answered, or as refused and not run"
+)
+def then_each_ended(context, count):
+    counts = context.result.counts_by_outcome
+    ended = counts[load.Outcome.ANSWERED] + counts[load.Outcome.REFUSED]
+    assert ended == count, (counts, context.result.codes)
+    assert counts[load.Outcome.ANSWERED] > count / 2, context.result.codes
+
+
 @behave.when("the key of the requests is withdrawn")
 def when_withdrawn(context):
     operator = context.loaded.operator
--- a/features/support/site.py
+++ b/features/support/site.py
@@ -86,6 +86,13 @@
             random_state=random.Random(SEED),
         )
 
+    def send_at_once(self, count):
+        """Sends requests all at the same time; returns a `LoadResult`."""
+        one = load.RequestLoad(
+            TEAM, "holds", self.key, work_ms=WORK_MS, deadline_ms=60_000
+        )
+        return load.send_at_once(one, count, self.site.http_endpoints)
+
     def load_result(self):
         """Waits for the load's end and returns its `LoadResult`."""
         return self._load.get()[0]
--- a/standins/load/__init__.py
+++ b/standins/load/__init__.py
@@ -5,5 +5,13 @@
 from standins.load._load import Outcome
 from standins.load._load import RequestLoad
 from standins.load._load import run_loads
+from standins.load._load import send_at_once
 
-__all__ = ["Balancer", "LoadResult", "Outcome", "RequestLoad", "run_loads"]
+__all__ = [
+    "Balancer",
+    "LoadResult",
+    "Outcome",
+    "RequestLoad",
+    "run_loads",
+    "send_at_once",
+]
--- a/standins/load/_balancer.py
+++ b/standins/load/_balancer.py
@@ -5,7 +5,7 @@
 from samphiregate.adapters import http
 from samphiregate import errors
 
-CLIENT_CONNECTIONS = 256
+CLIENT_CONNECTIONS = 4_000
 CLIENT_TIMEOUT_MS = 60_000
 PROBE_TIMEOUT_MS = 500
 PROBE_PERIOD_S = 0.2
--- a/standins/load/_load.py
+++ b/standins/load/_load.py
@@ -131,6 +131,35 @@
     return results
 
 
+def send_at_once(load, count, endpoints):
+    """Sends requests of a load all at the same time.
+
+    Parameters
+    ----------
+    load : RequestLoad
+        What is sent; its rate and length do not count.
+    count : int
+        Number of requests.
+    endpoints : callable
+        As in `run_loads`.
+
+    Returns
+    -------
+    LoadResult
+    """
+    result = LoadResult(load, sent=count)
+    with _balancer.Balancer(endpoints) as balancer:
+        due = time.monotonic()
+        sends = [
+            gevent.spawn(
+                _send_one, result, balancer.next_client(), number, due
+            )
+            for number in range(count)
+        ]
+        gevent.joinall(sends, raise_error=True)
+    return result
+
+
 def _send_all(result, balancer, random_state):
     load = result.load
     pool = gevent.pool.Pool(MAX_IN_FLIGHT)
