--- a/features/daemon.feature
+++ b/features/daemon.feature
@@ -32,7 +32,7 @@
 
     Examples:
       | variable | flags         | tick |
-      |          |               | 100  |
+      |          |               | 200  |
       | 50       |               | 50   |
       |          | --tick-ms 70  | 70   |
       | 50       | --tick-ms 70  | 70   |
--- a/samphiregate/daemon/_settings.py
+++ b/samphiregate/daemon/_settings.py
@@ -106,7 +106,7 @@
         _flag("shard-count", "Shards a data centre; the same on all VMs.", 64),
     ]
     tick_ms: typing.Annotated[
-        int, _flag("tick-ms", "Period of the state machines, ms.", 100)
+        int, _flag("tick-ms", "Period of the state machines, ms.", 200)
     ]
     fleet_poll_ms: typing.Annotated[
         int,
