Choose policies by name in one place

Cause: queueing, placement and routing each looked a class up by name and raised the same error. Change: parameters.make_named. Measured: policies, queueing, placement, routing: 135 passed. Conclusion: three copies less.

--- a/samphiregate/core/placement/_make.py
+++ b/samphiregate/core/placement/_make.py
@@ -3,7 +3,7 @@
 from samphiregate.core.placement import _first_fit
 from samphiregate.core.placement import _indexed
 from samphiregate.core.placement import _sampled
-from samphiregate import errors
+from samphiregate import parameters
 
 PLACEMENTS_BY_NAME = {
     "first-fit": _first_fit.FirstFit,
@@ -27,7 +27,4 @@
     SettingError
         If the name or a parameter is not allowed.
     """
-    if name not in PLACEMENTS_BY_NAME:
-        names = ", ".join(PLACEMENTS_BY_NAME)
-        raise errors.SettingError("placement", f"expected one of {names}")
-    return PLACEMENTS_BY_NAME[name](**params)
+    return parameters.make_named("placement", PLACEMENTS_BY_NAME, name, params)
--- a/samphiregate/core/queueing/_make.py
+++ b/samphiregate/core/queueing/_make.py
@@ -3,7 +3,7 @@
 from samphiregate.core.queueing import _fair_share
 from samphiregate.core.queueing import _first_come
 from samphiregate.core.queueing import _strict_priority
-from samphiregate import errors
+from samphiregate import parameters
 
 QUEUES_BY_NAME = {
     "fair-share": _fair_share.FairShareQueue,
@@ -27,7 +27,4 @@
     SettingError
         If the name or a parameter is not allowed.
     """
-    if name not in QUEUES_BY_NAME:
-        names = ", ".join(QUEUES_BY_NAME)
-        raise errors.SettingError("queue", f"expected one of {names}")
-    return QUEUES_BY_NAME[name](**params)
+    return parameters.make_named("queue", QUEUES_BY_NAME, name, params)
--- a/samphiregate/core/routing/_policies.py
+++ b/samphiregate/core/routing/_policies.py
@@ -5,7 +5,6 @@
 from samphiregate.core import base
 from samphiregate.core.routing import _messages
 from samphiregate.core.routing import _table
-from samphiregate import errors
 from samphiregate import parameters
 
 
@@ -135,7 +134,4 @@
     SettingError
         For an unknown name.
     """
-    if name not in POLICIES_BY_NAME:
-        names = ", ".join(sorted(POLICIES_BY_NAME))
-        raise errors.SettingError("routing", f"expected one of {names}")
-    return POLICIES_BY_NAME[name](**params)
+    return parameters.make_named("routing", POLICIES_BY_NAME, name, params)
--- a/samphiregate/parameters/__init__.py
+++ b/samphiregate/parameters/__init__.py
@@ -2,6 +2,7 @@
 
 from samphiregate.parameters._parameters import Choice
 from samphiregate.parameters._parameters import Interval
+from samphiregate.parameters._parameters import make_named
 from samphiregate.parameters._parameters import Parameterised
 
-__all__ = ["Choice", "Interval", "Parameterised"]
+__all__ = ["Choice", "Interval", "Parameterised", "make_named"]
--- a/samphiregate/parameters/_parameters.py
+++ b/samphiregate/parameters/_parameters.py
@@ -68,3 +68,26 @@
     def get_params(self):
         """Returns the declared parameters, keyed by name."""
         return {name: getattr(self, name) for name in self.parameter_table}
+
+
+def make_named(setting, classes_by_name, name, params):
+    """Returns an instance of one of several classes that can be swapped.
+
+    Parameters
+    ----------
+    setting : str
+        What is chosen, for the error.
+    classes_by_name : dict
+        The classes.
+    name : str
+        Name of the chosen one.
+    params : dict
+        Keyword parameters of its class.
+
+    Raises
+    ------
+    SettingError
+        If the name or a parameter is not allowed.
+    """
+    Choice(tuple(classes_by_name)).check(setting, name)
+    return classes_by_name[name](**params)
