Note the waits and run times of tasks

Cause: histograms showed requests only; operators asked how long jobs wait had to read logs. A task that an earlier owner ordered is not noted, as its start is not known.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -17,6 +17,13 @@
       | 5     | gang    | 8     | a    | no     | never-fits  |
       | 41    | gang    | 0.1   | a    | no     | never-fits  |
 
+  Scenario: the wait and the run time of every task are noted once
+    Given a job site of 1 entry VMs and 1 workers of 8 cores, where a team may run 80 tasks
+    And a batch job of 24 tasks of 6 s that has begun to run for 3 ms
+    Then every task of the job succeeds exactly once within 240 s
+    And the job site noted 24 waits: 8 under 2 s, and 16 over 5 s
+    And the job site noted 24 run times between 5 s and 9 s
+
   Scenario Outline: a batch job survives: <fault>, after <moment> ms
     Given a job site of 4 entry VMs and 6 workers of 8 cores, where a team may run 80 tasks
     And a batch job of 60 tasks of 6 s that has begun to run for <moment> ms
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -476,3 +476,25 @@
 def then_cancel_costs(context, many, factor, few):
     cost_many, cost_few = _calls_of_cancel(many), _calls_of_cancel(few)
     assert cost_many <= factor * cost_few, (cost_many, cost_few)
+
+
+@behave.then(
+    "the job site noted {count:d} waits: {early:d} under {low:d} s, and "
+    "{late:d} over {high:d} s"
+)
+def then_waits(context, count, early, low, late, high):
+    notes = context.site.notes
+    waits = [one.wait_ms for one in notes if isinstance(one, jobs.TaskStarted)]
+    assert len(waits) == count, waits
+    assert sum(wait < low * 1_000 for wait in waits) == early, waits
+    assert sum(wait > high * 1_000 for wait in waits) == late, waits
+
+
+@behave.then(
+    "the job site noted {count:d} run times between {low:d} s and {high:d} s"
+)
+def then_run_times(context, count, low, high):
+    notes = context.site.notes
+    times = [one.run_ms for one in notes if isinstance(one, jobs.TaskFinished)]
+    assert len(times) == count, times
+    assert all(low * 1_000 <= run <= high * 1_000 for run in times), times
--- a/features/support/jobs.py
+++ b/features/support/jobs.py
@@ -144,6 +144,7 @@
         self.vms_by_id = {}
         self.table = {}
         self.answers_by_call = {}
+        self.notes = []
         self.running_at_most = collections.Counter()
         self.successes_by_task = collections.Counter()
         self.starts_by_task = collections.Counter()
@@ -509,6 +510,8 @@
         elif isinstance(action, jobs.JobAnswer):
             assert action.call_id not in self.answers_by_call, "two answers"
             self.answers_by_call[action.call_id] = action
+        else:
+            self.notes.append(action)
 
     def _send(self, sender, action):
         event = base.PeerDelivered(sender, action.message)
--- a/samphiregate/core/jobs/__init__.py
+++ b/samphiregate/core/jobs/__init__.py
@@ -6,6 +6,8 @@
 from samphiregate.core.jobs._messages import ListJobs
 from samphiregate.core.jobs._messages import ShowJob
 from samphiregate.core.jobs._messages import SubmitJob
+from samphiregate.core.jobs._messages import TaskFinished
+from samphiregate.core.jobs._messages import TaskStarted
 from samphiregate.core.jobs._owner import JobOwner
 
 __all__ = [
@@ -16,4 +18,6 @@
     "ListJobs",
     "ShowJob",
     "SubmitJob",
+    "TaskFinished",
+    "TaskStarted",
 ]
--- a/samphiregate/core/jobs/_messages.py
+++ b/samphiregate/core/jobs/_messages.py
@@ -109,3 +109,33 @@
     detail: str = ""
     ran: errors.Ran = errors.Ran.NO
     complete: bool = True
+
+
+@attrs.frozen
+class TaskStarted(base.Action):
+    """Note how long a task waited for its first start.
+
+    Parameters
+    ----------
+    wait_ms : int
+        From when its job was queued until it was known to run.
+    """
+
+    team: str
+    work_class: model.WorkClass
+    wait_ms: int
+
+
+@attrs.frozen
+class TaskFinished(base.Action):
+    """Note how long an attempt of a task ran.
+
+    Parameters
+    ----------
+    run_ms : int
+        From when it was known to run until its end was.
+    """
+
+    team: str
+    work_class: model.WorkClass
+    run_ms: int
--- a/samphiregate/core/jobs/_owner.py
+++ b/samphiregate/core/jobs/_owner.py
@@ -471,6 +471,7 @@
     def _flush(self, now_ms, is_tick):
         self._defer_kept()
         actions, self._actions = self._actions, []
+        actions += self.life_.flush_times()
         actions += self.recovery_.flush()
         actions += self.gangs_.flush()
         actions += self.orders_.flush()
--- a/samphiregate/core/jobs/_records.py
+++ b/samphiregate/core/jobs/_records.py
@@ -42,6 +42,8 @@
         When that order was sent for the first time.
     asked_ms : int
         When that order, or the order to stop, was last sent.
+    running_ms : int
+        When that attempt was first known to run; 0 if it is not.
     failures : int
         Attempts that failed.
     starts : int
@@ -60,6 +62,7 @@
     worker_id: str = ""
     ordered_ms: int = 0
     asked_ms: int = 0
+    running_ms: int = 0
     failures: int = 0
     starts: int = 0
     not_before_ms: int = 0
--- a/samphiregate/core/jobs/_tasks.py
+++ b/samphiregate/core/jobs/_tasks.py
@@ -3,6 +3,7 @@
 import attrs
 
 from samphiregate.core.jobs import _dispatch
+from samphiregate.core.jobs import _messages
 from samphiregate.core.jobs import _records
 from samphiregate.core.jobs import _shards
 from samphiregate.core import model
@@ -61,6 +62,7 @@
         self._is_owner = is_owner
         self._retry_ms = retry_ms
         self._kept = []
+        self._times = []
 
     def admit(self, shard, job, now_ms):
         """Queues every task of a job that is not live and has not ended."""
@@ -132,16 +134,47 @@
         kept, self._kept = self._kept, []
         return kept
 
+    def flush_times(self):
+        """Returns the waits and run times that are to be noted."""
+        times, self._times = self._times, []
+        return times
+
     def _lives(self, job, task, news, now_ms):
         self._dispatcher.holds.granted(job.spec.team, task.vm_id)
         if news.phase is workers.TaskPhase.RUNNING:
             if job.step(task, "started") or task.starts == 0:
+                self._note_start(job, task, now_ms)
                 task.starts += 1
         if task.state in STOPPED_STATES:
             self.stop_again(job, task, now_ms)
 
+    def _note_start(self, job, task, started_ms):
+        """Notes the wait of a task, unless an earlier owner ordered it."""
+        if not task.ordered_ms:
+            return
+        task.running_ms = started_ms
+        if task.starts:
+            return
+        spec = job.spec
+        wait_ms = max(started_ms - job.queued_ms, 0)
+        note = _messages.TaskStarted(spec.team, spec.work_class, wait_ms)
+        self._times.append(note)
+
+    def _note_end(self, job, task, news, now_ms):
+        """Notes the run time; the start, too, if no news told of it."""
+        if news.phase is workers.TaskPhase.SUCCEEDED and not task.running_ms:
+            self._note_start(job, task, task.ordered_ms)
+        if not task.running_ms:
+            return
+        spec = job.spec
+        run_ms = max(now_ms - task.running_ms, 0)
+        note = _messages.TaskFinished(spec.team, spec.work_class, run_ms)
+        self._times.append(note)
+        task.running_ms = 0
+
     def _over(self, shard, job, task, news, sender, now_ms):
         spec = job.spec
+        self._note_end(job, task, news, now_ms)
         self._dispatcher.ended(job, task, now_ms)
         if news.reason is workers.TaskReason.NO_TOKEN:
             self._dispatcher.holds.refused(spec.team, task.vm_id, now_ms)
--- a/samphiregate/daemon/_node.py
+++ b/samphiregate/daemon/_node.py
@@ -148,8 +148,18 @@
             ),
         )
         self.loop.perform_with(exchanges.perform, workers.ExchangeWithWorker)
+        self.loop.perform_with(self._note_start, jobs.TaskStarted)
+        self.loop.perform_with(self._note_end, jobs.TaskFinished)
         self.enter_context(exchanges)
 
+    def _note_start(self, action):
+        self.metrics.observe_wait(
+            action.team, action.work_class, action.wait_ms
+        )
+
+    def _note_end(self, action):
+        self.metrics.observe_run(action.team, action.work_class, action.run_ms)
+
     def _start_edge(self):
         settings = self.settings
         self._edge = edge.EdgeServer(
--- a/standins/demo/_demo.py
+++ b/standins/demo/_demo.py
@@ -117,6 +117,7 @@
             _end_service(operator, keys_by_team[SERVICE.team], service_id)
         )
         report.peak_by_team = watch.peak_by_team
+    report.take_waits(running)
     return report
 
 
--- a/standins/demo/_report.py
+++ b/standins/demo/_report.py
@@ -34,6 +34,7 @@
     jobs: list = attrs.field(factory=list)
     peak_by_team: dict = attrs.field(factory=dict)
     plan_by_team: dict = attrs.field(factory=dict)
+    waits_by_key: dict = attrs.field(factory=dict)
 
     def take_plans(self, directory):
         """Reads the plan of each team from the operators' files."""
@@ -43,6 +44,20 @@
             for team in read.teams_by_name.values()
         }
 
+    def take_waits(self, site):
+        """Keeps the histograms of waits of the VM with the most, by key.
+
+        A key is a team and a class of work.
+        """
+        for vm in site.vms_by_id.values():
+            answer = site.ask(vm, "/v1/histograms")
+            for shown in answer.json()["histograms"]:
+                key = (shown["team"], shown["work_class"])
+                present = self.waits_by_key.get(key, {"count": 0})
+                if shown["name"] == "wait":
+                    most = max(shown, present, key=lambda one: one["count"])
+                    self.waits_by_key[key] = most
+
     def limit_of(self, team):
         """Returns a team's upper limit; None for an open queue's callers."""
         plan = self.plan_by_team.get(team)
@@ -136,6 +151,10 @@
             {team: amount / total for team, amount in due.items()},
         )
 
+    def _wait_of(self, job, percentile):
+        shown = self.waits_by_key.get((job.team, job.work_class.value))
+        return str(shown[percentile]) if shown else "-"
+
     def _jobs_table(self):
         shown = table.Table(title="Jobs")
         for name in (
@@ -145,6 +164,8 @@
             "state",
             "attempts",
             "s",
+            "p50 wait ms",
+            "p99 wait ms",
             "peak",
             "limit",
         ):
@@ -160,6 +181,8 @@
                 result.state,
                 str(result.shown.get("attempts", "-")),
                 f"{result.seconds:.1f}" if result.seconds else "-",
+                self._wait_of(result.job, "p50_ms"),
+                self._wait_of(result.job, "p99_ms"),
                 str(self.peak_by_team.get(team, "-")),
                 str(self.limit_of(team) or "-"),
             )
