Name parts by the field's terms

Cause: desk, home, board, roster and relief are metaphors that a newcomer has to look up. Change: CallHandler, OrderHandler, ReservationTable, TokenGranter, LoadTable, RunnerTable, OveruseControl, and their modules and attributes. No behaviour changes. Conclusion: names say what the parts do.

--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -163,8 +163,8 @@
         """Returns the tokens that this VM has in hand or may grant."""
         holding = self.tokens._holdings_by_team.get(team)
         count = holding.held - holding.void if holding else 0
-        if self.tokens._home is not None:
-            count += max(0, self.tokens._home.pool(team))
+        if self.tokens._granter is not None:
+            count += max(0, self.tokens._granter.pool(team))
         return count
 
 
--- a/features/support/mutations.py
+++ b/features/support/mutations.py
@@ -4,9 +4,9 @@
 from unittest import mock
 
 from samphiregate.core.limits import _account
+from samphiregate.core.limits import _granter
 from samphiregate.core.limits import _holder
 from samphiregate.core.limits import _holding
-from samphiregate.core.limits import _home
 from samphiregate.core.limits import _ledger
 from samphiregate.core.limits import _ledger_client
 from samphiregate.core.membership import _beliefs
@@ -131,7 +131,7 @@
         (_ledger_client.LedgerClient, "reserved", _reserve_nothing),
     ],
     "tokens out of sight wait for reports and the lapse": [
-        (_home.TokenHome, "_audit", _audit_at_once),
+        (_granter.TokenGranter, "_audit", _audit_at_once),
     ],
     "tokens of handed-over work stay aside": [
         (_holder.TokenHolder, "hand_over", _release_at_once),
@@ -142,9 +142,9 @@
     ],
     "the ledger never exceeds a limit": [
         (_ledger, "apply", _apply_without_limit(_ledger.apply)),
-        (_home.TokenHome, "_takeable", _take_what_is_short),
+        (_granter.TokenGranter, "_takeable", _take_what_is_short),
     ],
-    "a lowered limit burns tokens": [(_home.TokenHome, "_cut", _no_cut)],
+    "a lowered limit burns tokens": [(_granter.TokenGranter, "_cut", _no_cut)],
     "idle tokens are dropped after a pause": [
         (_holding.Holding, "drop_idle", _keep_all),
     ],
--- a/samphiregate/core/jobs/_desk.py
+++ b/samphiregate/core/jobs/_call_handler.py
@@ -18,7 +18,7 @@
     until_ms: int
 
 
-class CallDesk:
+class CallHandler:
     """Answers calls about owned jobs.
 
     Parameters
--- a/samphiregate/core/jobs/_owner.py
+++ b/samphiregate/core/jobs/_owner.py
@@ -7,9 +7,9 @@
 from samphiregate.core import base
 from samphiregate.core import fleet
 from samphiregate.core.jobs import _admission
+from samphiregate.core.jobs import _call_handler
 from samphiregate.core.jobs import _calls
 from samphiregate.core.jobs import _copies
-from samphiregate.core.jobs import _desk
 from samphiregate.core.jobs import _dispatch
 from samphiregate.core.jobs import _gangs
 from samphiregate.core.jobs import _holds
@@ -182,7 +182,7 @@
             is_owner=self._owns_worker,
             retry_ms=retry_ms,
         )
-        self.desk_ = _desk.CallDesk(
+        self.call_handler_ = _call_handler.CallHandler(
             admission=self.admission_,
             life=self.life_,
             dispatcher=self.dispatcher_,
@@ -207,7 +207,7 @@
             keeper=self.keeper_,
             life=self.life_,
             orders=self.orders_,
-            desk=self.desk_,
+            call_handler=self.call_handler_,
             copies=copies,
             shard_count=shard_count,
             times=_recovery.RecoveryTimes(
@@ -243,7 +243,7 @@
     @_take.register
     def _(self, event: base.Tick, now_ms):
         self._actions += self.calls_.tick(now_ms)
-        self._actions += self.desk_.tick(self._find_job, now_ms)
+        self._actions += self.call_handler_.tick(self._find_job, now_ms)
         self.gangs_.tick(now_ms)
         self.dispatcher_.tick(now_ms)
         self._advance_due(now_ms)
@@ -344,12 +344,12 @@
         if shard is None:
             self._actions += self.calls_.pass_on(message, now_ms)
         elif shard.phase is not _shards.ShardPhase.READING_COPIES:
-            self._actions += self.desk_.take(message, shard, now_ms)
+            self._actions += self.call_handler_.take(message, shard, now_ms)
 
     @_take_message.register
     def _(self, message: _peer.ForwardList, sender, now_ms):
         shards = self.shards_by_id_.values()
-        self._actions.append(self.desk_.list_jobs(message, shards))
+        self._actions.append(self.call_handler_.list_jobs(message, shards))
 
     @_take_message.register
     def _(self, message: _peer.ForwardedAnswer, sender, now_ms):
@@ -440,7 +440,7 @@
         self.life_.take_news(shard, news, sender, now_ms)
         job = shard.jobs_by_id.get(news.task_id.job_id)
         if job is not None and job.ended_ms is not None:
-            self.desk_.job_ended(shard, job)
+            self.call_handler_.job_ended(shard, job)
 
     def _drop_shard(self, shard_id, now_ms):
         shard = self.shards_by_id_.pop(shard_id)
--- a/samphiregate/core/jobs/_recovery.py
+++ b/samphiregate/core/jobs/_recovery.py
@@ -61,7 +61,7 @@
         Takes what the inquiries find.
     orders : OrderBook
         Numbers the messages.
-    desk : CallDesk
+    call_handler : CallHandler
         Told of jobs that ended.
     copies : int
         Other entry VMs that keep a copy of each job.
@@ -82,7 +82,7 @@
         keeper,
         life,
         orders,
-        desk,
+        call_handler,
         copies,
         shard_count,
         times,
@@ -95,7 +95,7 @@
         self.keeper_ = keeper
         self.life_ = life
         self.orders_ = orders
-        self.desk_ = desk
+        self.call_handler_ = call_handler
         self.copies = copies
         self.shard_count = shard_count
         self.times = times
@@ -187,7 +187,7 @@
         for job, task in lost:
             self.life_.lost(shard, job, task, now_ms)
             if job.ended_ms is not None:
-                self.desk_.job_ended(shard, job)
+                self.call_handler_.job_ended(shard, job)
         if shard.phase is not _shards.ShardPhase.READY:
             self._become_ready(shard, now_ms)
         for attempt_id, vm_id in seen.items():
--- a/samphiregate/core/limits/_home.py
+++ b/samphiregate/core/limits/_granter.py
@@ -21,7 +21,7 @@
 DEMAND_RECIPIENTS = 3
 
 
-class TokenHome:
+class TokenGranter:
     """Grants a data centre's tokens under one epoch of shard 0.
 
     Parameters
@@ -262,7 +262,7 @@
             for team, given in changes.given_by_team.items():
                 if centre in given:
                     self._pledges_by_team.get(team, {}).pop(centre, None)
-            self._send_to_home(
+            self._send_to_granter(
                 centre,
                 _messages.ApportionmentMoved(self.ledger.version_),
                 actions,
@@ -553,7 +553,7 @@
             message = _messages.TokenDemand(
                 data_centre=self.data_centre, lines=tuple(lines)
             )
-            self._send_to_home(centre, message, actions)
+            self._send_to_granter(centre, message, actions)
 
     def _demand_line(self, team, short):
         return _messages.DemandLine(
@@ -573,7 +573,7 @@
         others.sort(key=tokens.get, reverse=True)
         return others[:DEMAND_RECIPIENTS]
 
-    def _send_to_home(self, data_centre, message, actions):
+    def _send_to_granter(self, data_centre, message, actions):
         shard = model.ShardId(data_centre, 0)
         entry = self.ownership.entry_of(shard)
         if entry is not None and entry.owner:
--- a/samphiregate/core/limits/_holder.py
+++ b/samphiregate/core/limits/_holder.py
@@ -4,8 +4,8 @@
 
 from samphiregate.core import base
 from samphiregate.core import fleet
+from samphiregate.core.limits import _granter
 from samphiregate.core.limits import _holding
-from samphiregate.core.limits import _home
 from samphiregate.core.limits import _messages
 from samphiregate.core import model
 from samphiregate.core import store
@@ -87,7 +87,7 @@
         self.revision_ = 0
         self._shard = model.ShardId(data_centre, 0)
         self._holdings_by_team = {}
-        self._home = None
+        self._granter = None
         self._epoch = 0
         self._account = 1
         self._sequence = 0
@@ -178,9 +178,9 @@
         """See `StateMachine.handle`."""
         actions = []
         if self._pause.observe(now_ms):
-            self._home = None
+            self._granter = None
             self._open_account()
-        self._follow_home(now_ms)
+        self._follow_granter(now_ms)
         self._on_event(event, now_ms, actions)
         return actions
 
@@ -213,18 +213,18 @@
     @_on_event.register
     def _(self, event: base.Tick, now_ms, actions):
         self._check_isolation(now_ms)
-        if self._home is not None:
-            self._home.revision_ = self.revision_
-            self._home.limit_by_team_ = self.limit_by_team_
-            self._home.tick(now_ms, actions)
+        if self._granter is not None:
+            self._granter.revision_ = self.revision_
+            self._granter.limit_by_team_ = self.limit_by_team_
+            self._granter.tick(now_ms, actions)
         if self._leaving:
             self._give_back_all()
         self._report(now_ms, actions)
 
     @_on_event.register
     def _(self, event: store.StoreAnswered, now_ms, actions):
-        if self._home is not None:
-            self._home.on_store(event, now_ms, actions)
+        if self._granter is not None:
+            self._granter.on_store(event, now_ms, actions)
 
     @_on_event.register
     def _(self, event: base.PeerDelivered, now_ms, actions):
@@ -238,21 +238,21 @@
 
     @_on_message.register
     def _(self, message: _messages.TokenReport, sender, now_ms, actions):
-        if self._home is not None:
-            self._home.on_report(message, sender, now_ms, actions)
+        if self._granter is not None:
+            self._granter.on_report(message, sender, now_ms, actions)
 
     @_on_message.register
     def _(self, message: _messages.TokenDemand, sender, now_ms, actions):
-        if self._home is not None:
-            self._home.on_demand(message, now_ms)
+        if self._granter is not None:
+            self._granter.on_demand(message, now_ms)
 
     @_on_message.register
     def _(
         self, message: _messages.ApportionmentMoved, sender, now_ms, actions
     ):
-        if self._home is not None:
-            if message.version > self._home.ledger.version_:
-                self._home.ledger.ask_for_read()
+        if self._granter is not None:
+            if message.version > self._granter.ledger.version_:
+                self._granter.ledger.ask_for_read()
 
     @_on_message.register
     def _(self, message: _messages.TokenGrant, sender, now_ms, actions):
@@ -314,33 +314,35 @@
         isolated = silent and not alone
         if isolated != self._isolated:
             self._open_account()
-            if self._home is not None:
-                self._home.ledger.doubt()
+            if self._granter is not None:
+                self._granter.ledger.doubt()
         self._isolated = isolated
 
     # The granting VM.
 
-    def _follow_home(self, now_ms):
+    def _follow_granter(self, now_ms):
         """Notices who grants tokens now, this VM included."""
         entry = self.ownership.entry_of(self._shard)
         epoch = entry.epoch if entry is not None else 0
         owned_epoch = self.ownership.owns(self._shard)
-        home_epoch = self._home.epoch if self._home is not None else None
-        if owned_epoch != home_epoch:
-            self._change_home(owned_epoch, now_ms)
+        granter_epoch = (
+            self._granter.epoch if self._granter is not None else None
+        )
+        if owned_epoch != granter_epoch:
+            self._change_granter(owned_epoch, now_ms)
         if epoch != self._epoch:
             self._epoch = epoch
             self._begin_reports()
             for holding in self._holdings_by_team.values():
                 holding.begin_epoch()
 
-    def _change_home(self, epoch, now_ms):
-        if self._home is not None:
-            for team in self._home.teams():
-                self._holding(team).held += max(0, self._home.pool(team))
-        self._home = None
+    def _change_granter(self, epoch, now_ms):
+        if self._granter is not None:
+            for team in self._granter.teams():
+                self._holding(team).held += max(0, self._granter.pool(team))
+        self._granter = None
         if epoch is not None:
-            self._home = _home.TokenHome(
+            self._granter = _granter.TokenGranter(
                 vm_id=self.vm_id,
                 data_centre=self.data_centre,
                 epoch=epoch,
--- a/samphiregate/core/placement/_indexed.py
+++ b/samphiregate/core/placement/_indexed.py
@@ -39,7 +39,9 @@
         self.search_ = _grid.Search(cells, probes)
         self.index_ = _index.WorkerIndex()
         self.spread_ = _spread.SpreadCounter()
-        self.desk_ = _reservation.ReservationDesk(self.index_, reservation_ms)
+        self.reservations_ = _reservation.ReservationTable(
+            self.index_, reservation_ms
+        )
 
     @base.singledispatchmethod
     def observe(self, event, now_ms):
@@ -58,7 +60,7 @@
 
     @observe.register
     def _(self, event: _messages.WorkerRemoved, now_ms):
-        self.desk_.forget_worker(event.worker_id)
+        self.reservations_.forget_worker(event.worker_id)
         self._worker_removed(event.worker_id)
 
     @observe.register
@@ -76,11 +78,13 @@
 
     @observe.register
     def _(self, event: _messages.GangStarved, now_ms):
-        self.desk_.ask(event.job_id, event.resources, event.count, now_ms)
+        self.reservations_.ask(
+            event.job_id, event.resources, event.count, now_ms
+        )
 
     @observe.register
     def _(self, event: _messages.GangWithdrawn, now_ms):
-        self.desk_.withdraw(event.job_id, now_ms)
+        self.reservations_.withdraw(event.job_id, now_ms)
 
     @base.singledispatchmethod
     def choose(self, question, now_ms):
@@ -95,17 +99,17 @@
         if record is None:
             record = self._place_anywhere(question)
         if record is None:
-            record = self.desk_.backfill(question, now_ms)
+            record = self.reservations_.backfill(question, now_ms)
         return record.worker_id if record is not None else None
 
     @choose.register
     def _(self, question: _messages.PlaceGang, now_ms):
-        kept = self.desk_.records_for(question.job_id)
+        kept = self.reservations_.records_for(question.job_id)
         return _gang.place_gang(self.index_, question, kept, self.search_)
 
     def describe(self):
         """Returns counts of workers, of kept ones, and of spread jobs."""
-        active = self.desk_.active
+        active = self.reservations_.active
         return {
             "policy": type(self).__name__,
             "workers": len(self.index_.records_by_id),
@@ -115,7 +119,7 @@
         }
 
     def _place_kept(self, question):
-        for record in self.desk_.records_for(question.job_id):
+        for record in self.reservations_.records_for(question.job_id):
             if record.worker_id in question.excluded_workers:
                 continue
             if question.resources.fits_in(record.room):
--- a/samphiregate/core/placement/_reservation.py
+++ b/samphiregate/core/placement/_reservation.py
@@ -44,7 +44,7 @@
         return _index.units_in(record.worker.capacity, self.resources)
 
 
-class ReservationDesk:
+class ReservationTable:
     """Reserves workers for one starved gang at a time, in order of asking.
 
     Parameters
--- a/samphiregate/core/requests/_attempts.py
+++ b/samphiregate/core/requests/_attempts.py
@@ -50,19 +50,19 @@
     ----------
     pending : PendingTable
         The requests.
-    board : LoadBoard
+    load_table : LoadTable
         Chooses an owner.
     bounds : RetryBounds
         Bounds of retries and waits.
     """
 
-    def __init__(self, *, pending, board, bounds):
+    def __init__(self, *, pending, load_table, bounds):
         self.pending = pending
         self.bounds = bounds
         self.budgets_by_team = {}
         self.late_answers = 0
         self.retries = 0
-        self._board = board
+        self._load_table = load_table
         self._deadlines = []
 
     def begin(self, pending, now_ms):
@@ -120,7 +120,7 @@
 
     def lose_owner(self, vm_id, now_ms):
         """Takes in that an entry VM, or the link to it, was lost."""
-        self._board.forget(vm_id, now_ms)
+        self._load_table.forget(vm_id, now_ms)
         actions = []
         for pending in self.pending.held_by(vm_id):
             self.pending.set_owner(pending, "")
@@ -156,13 +156,13 @@
 
     def _attempt(self, pending, now_ms):
         """Sends the next attempt, or waits for an owner."""
-        owner = self._board.pick(pending.service, pending.tried, now_ms)
+        owner = self._load_table.pick(pending.service, pending.tried, now_ms)
         if owner is None:
             return self._without_owner(pending, now_ms)
         pending.attempt += 1
         self.retries += pending.attempt > 1
         self.pending.set_owner(pending, owner)
-        self._board.sent(owner, pending.service, now_ms)
+        self._load_table.sent(owner, pending.service, now_ms)
         request = pending.request
         message = _messages.DispatchRequest(
             request_id=request.request_id,
@@ -202,9 +202,9 @@
             self.late_answers += 1
             return None
         if message.load is None:
-            self._board.sent(sender, pending.service, now_ms, -1)
+            self._load_table.sent(sender, pending.service, now_ms, -1)
         else:
-            self._board.refresh(sender, message.load, now_ms)
+            self._load_table.refresh(sender, message.load, now_ms)
         self.pending.set_owner(pending, "")
         return pending
 
@@ -217,7 +217,7 @@
         if pending.attempt >= self.bounds.most_attempts:
             return self._refuse(pending, now_ms)
         if code not in _MOVING:
-            self._board.fill(owner, pending.service, now_ms)
+            self._load_table.fill(owner, pending.service, now_ms)
             if not self._budget(pending.team).spend():
                 return self._refuse(pending, now_ms)
         return self._attempt(pending, now_ms)
--- a/samphiregate/core/requests/_dispatcher.py
+++ b/samphiregate/core/requests/_dispatcher.py
@@ -21,7 +21,7 @@
 
     Parameters
     ----------
-    roster : RunnerRoster
+    runner_table : RunnerTable
         The pools.
     tokens : TokenHolder
         Tokens of the teams' upper limits.
@@ -33,12 +33,12 @@
         its slot and token.
     """
 
-    def __init__(self, *, roster, tokens, runner_tries, unknown_hold_ms):
+    def __init__(self, *, runner_table, tokens, runner_tries, unknown_hold_ms):
         self.runner_tries = runner_tries
         self.unknown_hold_ms = unknown_hold_ms
         self.running_by_key = {}
         self.stopping = False
-        self._roster = roster
+        self._runner_table = runner_table
         self._tokens = tokens
         self._deadlines = []
 
@@ -94,7 +94,7 @@
         actions = []
         while self._deadlines and self._deadlines[0][0] <= now_ms:
             _deadline_ms, key, service = heapq.heappop(self._deadlines)
-            pool = self._roster.pools_by_service[service]
+            pool = self._runner_table.pools_by_service[service]
             attempt = pool.queued.get(key)
             if attempt is not None:
                 actions.append(self._refuse_expired(pool, attempt, now_ms))
@@ -177,7 +177,7 @@
 
     def _end_running(self, attempt):
         del self.running_by_key[attempt.key]
-        pool, runner = self._roster.place_of(attempt)
+        pool, runner = self._runner_table.place_of(attempt)
         del runner.sent_ms_by_key[attempt.key]
         return pool, runner
 
--- a/samphiregate/core/requests/_edge.py
+++ b/samphiregate/core/requests/_edge.py
@@ -6,9 +6,9 @@
 from samphiregate.core import fleet
 from samphiregate.core.requests import _admission
 from samphiregate.core.requests import _attempts
-from samphiregate.core.requests import _board
 from samphiregate.core.requests import _gossip
 from samphiregate.core.requests import _load
+from samphiregate.core.requests import _load_table
 from samphiregate.core.requests import _messages
 from samphiregate.core.requests import _pending
 from samphiregate.core import routing
@@ -108,14 +108,14 @@
         self.stopping_ = False
         self._replica = configuration_replica
         self._keys_checked_ms = 0
-        self._board = _board.LoadBoard(
+        self._load_table = _load_table.LoadTable(
             data_centre=data_centre,
             make_router=self._make_router,
             valid_ms=LOADS_VALID_GAPS * gossip_ms,
         )
         self._attempts = _attempts.Attempts(
             pending=self.pending_,
-            board=self._board,
+            load_table=self._load_table,
             bounds=_attempts.RetryBounds(
                 most_attempts=most_attempts,
                 retry_ratio=retry_ratio,
@@ -127,7 +127,7 @@
         self._gossip = _gossip.LoadGossip(
             vm_id=vm_id,
             data_centre=data_centre,
-            board=self._board,
+            load_table=self._load_table,
             membership=membership,
             random_state=self.random_state,
             interval_ms=gossip_ms,
@@ -146,7 +146,7 @@
             "pending_by_team": dict(self.pending_.count_by_team),
             "retries": self._attempts.retries,
             "late_answers": self._attempts.late_answers,
-            "owners_known": len(self._board.heard_by_vm),
+            "owners_known": len(self._load_table.heard_by_vm),
         }
 
     @base.singledispatchmethod
@@ -214,7 +214,7 @@
     def _(self, event: fleet.PeerStateChanged, now_ms):
         if event.state is fleet.PeerState.ALIVE:
             return self._gossip.greet(event.vm_id, now_ms)
-        self._board.forget(event.vm_id, now_ms)
+        self._load_table.forget(event.vm_id, now_ms)
         if event.state is fleet.PeerState.DEAD:
             return self._attempts.lose_owner(event.vm_id, now_ms)
         return []
--- a/samphiregate/core/requests/_gossip.py
+++ b/samphiregate/core/requests/_gossip.py
@@ -21,7 +21,7 @@
         Id of this entry VM.
     data_centre : str
         Its data centre.
-    board : LoadBoard
+    load_table : LoadTable
         Where loads are kept.
     membership : Membership
         `alive_ids`.
@@ -36,7 +36,7 @@
         *,
         vm_id,
         data_centre,
-        board,
+        load_table,
         membership,
         random_state,
         interval_ms,
@@ -44,7 +44,7 @@
         self.vm_id = vm_id
         self.data_centre = data_centre
         self.interval_ms = interval_ms
-        self._board = board
+        self._load_table = load_table
         self._membership = membership
         self._random_state = random_state
         self._own = None
@@ -54,7 +54,7 @@
         """Takes in the own load; tells the data centre of new slots."""
         before = _slots_by_service(self._own)
         self._own = load
-        self._board.take(load, now_ms)
+        self._load_table.take(load, now_ms)
         if _slots_by_service(load) == before:
             return []
         message = _load.LoadSummary((load,))
@@ -68,7 +68,7 @@
         alive = set(self._membership.alive_ids()) - {self.vm_id}
         for load in summary.loads:
             if load.vm_id in alive:
-                self._board.take(load, now_ms)
+                self._load_table.take(load, now_ms)
 
     def greet(self, vm_id, now_ms):
         """Tells the own load to an entry VM that is new."""
@@ -82,12 +82,12 @@
         if now_ms < self._due_ms:
             return []
         self._due_ms = now_ms + self.interval_ms
-        self._board.forget_old(now_ms)
-        loads = self._board.sample(
+        self._load_table.forget_old(now_ms)
+        loads = self._load_table.sample(
             self.vm_id, PASSED_ON, self._random_state, now_ms
         )
         if self._own is not None:
-            self._board.take(self._own, now_ms)
+            self._load_table.take(self._own, now_ms)
             loads = (self._own, *loads)
         if not loads:
             return []
--- a/samphiregate/core/requests/_board.py
+++ b/samphiregate/core/requests/_load_table.py
@@ -15,7 +15,7 @@
     sent_by_service: dict = attrs.field(factory=dict)
 
 
-class LoadBoard:
+class LoadTable:
     """Loads by entry VM, and the choice of an owner for a request.
 
     Parameters
--- a/samphiregate/core/requests/_owner.py
+++ b/samphiregate/core/requests/_owner.py
@@ -11,7 +11,7 @@
 from samphiregate.core.requests import _pool
 from samphiregate.core.requests import _recent
 from samphiregate.core.requests import _replies
-from samphiregate.core.requests import _roster
+from samphiregate.core.requests import _runner_table
 from samphiregate.core import routing
 from samphiregate import errors
 from samphiregate import parameters
@@ -89,14 +89,14 @@
         self._recent = _recent.RecentKeys(RECENT_ATTEMPTS)
         self._sequence = 0
         self._services_told = ()
-        self._roster = _roster.RunnerRoster(
+        self._runner_table = _runner_table.RunnerTable(
             data_centre=data_centre,
             shard_count=shard_count,
             make_queue=self._make_queue,
             make_router=self._make_router,
         )
         self._dispatcher = _dispatcher.Dispatcher(
-            roster=self._roster,
+            runner_table=self._runner_table,
             tokens=tokens,
             runner_tries=runner_tries,
             unknown_hold_ms=unknown_hold_ms,
@@ -105,7 +105,7 @@
     @property
     def pools_by_service_(self):
         """Queue, runners and policies of each service."""
-        return self._roster.pools_by_service
+        return self._runner_table.pools_by_service
 
     @property
     def running_by_key_(self):
@@ -115,7 +115,7 @@
     @property
     def in_flight(self):
         """Number of attempts that are queued or with a runner."""
-        queued = sum(len(p.queued) for p in self._roster.pools())
+        queued = sum(len(p.queued) for p in self._runner_table.pools())
         return queued + len(self.running_by_key_)
 
     def describe(self):
@@ -129,7 +129,7 @@
                 "runners": len(pool.runners_by_id),
                 **pool.judge.describe(),
             }
-            for pool in self._roster.pools()
+            for pool in self._runner_table.pools()
         }
 
     @base.singledispatchmethod
@@ -161,7 +161,7 @@
     @_deliver.register
     def _(self, message: _messages.WithdrawRequest, sender, now_ms):
         key = _pool.attempt_key(message.request_id, message.attempt)
-        for pool in self._roster.pools():
+        for pool in self._runner_table.pools():
             attempt = pool.dequeue(key, now_ms)
             if attempt is not None:
                 return [_replies.refuse(attempt, message.code)]
@@ -185,7 +185,7 @@
 
     @handle.register
     def _(self, event: _messages.RunnerProbed, now_ms):
-        pool, runner = self._roster.find(event.runner_id)
+        pool, runner = self._runner_table.find(event.runner_id)
         if runner is None:
             return []
         self._dispatcher.learn(pool, runner, event, now_ms)
@@ -193,22 +193,22 @@
 
     @handle.register
     def _(self, event: fleet.FleetListed, now_ms):
-        self._roster.listed(event.runners_by_id)
+        self._runner_table.listed(event.runners_by_id)
         return self._refresh(now_ms)
 
     @handle.register
     def _(self, event: fleet.ShardGained, now_ms):
-        self._roster.gained(event.shard)
+        self._runner_table.gained(event.shard)
         return self._refresh(now_ms)
 
     @handle.register
     def _(self, event: fleet.ShardLost, now_ms):
-        self._roster.lost(event.shard)
+        self._runner_table.lost(event.shard)
         return self._refresh(now_ms)
 
     @handle.register
     def _(self, event: fleet.ConfigurationChanged, now_ms):
-        self._roster.weigh(event.configuration, now_ms)
+        self._runner_table.weigh(event.configuration, now_ms)
         return []
 
     @handle.register
@@ -226,7 +226,7 @@
         self.stopping_ = True
         self._dispatcher.stopping = True
         actions = []
-        for pool in self._roster.pools():
+        for pool in self._runner_table.pools():
             actions += self._dispatcher.refuse_queued(
                 pool, errors.ErrorCode.LEAVING, now_ms
             )
@@ -235,7 +235,7 @@
     @handle.register
     def _(self, event: base.Tick, now_ms):
         actions = self._dispatcher.expire(now_ms)
-        for pool in self._roster.pools():
+        for pool in self._runner_table.pools():
             self._dispatcher.release_lapsed(pool, now_ms)
             for runner in pool.runners_by_id.values():
                 pool.offer(runner, now_ms)
@@ -268,9 +268,9 @@
         return self._dispatcher.shed(pool, bound, self.queue_wait_ms, now_ms)
 
     def _refresh(self, now_ms):
-        self._roster.refresh(now_ms)
+        self._runner_table.refresh(now_ms)
         actions = []
-        for pool in self._roster.pools():
+        for pool in self._runner_table.pools():
             actions += self._run_pool(pool, now_ms)
         return actions + self._tell_load()
 
@@ -283,7 +283,7 @@
 
     def _forget_sender(self, vm_id, now_ms):
         """Drops what a lost edge had queued; nobody waits for it."""
-        for pool in self._roster.pools():
+        for pool in self._runner_table.pools():
             keys = [
                 key
                 for key, attempt in pool.queued.items()
@@ -306,7 +306,9 @@
         services = ()
         if not self.stopping_:
             services = tuple(
-                pool.load() for pool in self._roster.pools() if pool.slots()
+                pool.load()
+                for pool in self._runner_table.pools()
+                if pool.slots()
             )
         if services == self._services_told:
             return []
--- a/samphiregate/core/requests/_roster.py
+++ b/samphiregate/core/requests/_runner_table.py
@@ -7,7 +7,7 @@
 from samphiregate.core import routing
 
 
-class RunnerRoster:
+class RunnerTable:
     """Pools of the runners whose shards this VM owns.
 
     Parameters
--- a/samphiregate/core/workers/_orders.py
+++ b/samphiregate/core/workers/_orders.py
@@ -19,7 +19,7 @@
     until_ms: int
 
 
-class OrderDesk:
+class OrderHandler:
     """Books attempts on workers, or declines them.
 
     Parameters
--- a/samphiregate/core/workers/_relief.py
+++ b/samphiregate/core/workers/_overuse.py
@@ -10,7 +10,7 @@
 CUT_EFFECT_MS = 2_000
 
 
-class Relief:
+class OveruseControl:
     """Stops the excess of lowered limits, and cuts back over-use.
 
     Parameters
--- a/samphiregate/core/workers/_owner.py
+++ b/samphiregate/core/workers/_owner.py
@@ -12,9 +12,9 @@
 from samphiregate.core.workers import _messages
 from samphiregate.core.workers import _orders
 from samphiregate.core.workers import _outbox
+from samphiregate.core.workers import _overuse
 from samphiregate.core.workers import _peer
 from samphiregate.core.workers import _records
-from samphiregate.core.workers import _relief
 from samphiregate.core.workers import _summary
 from samphiregate import parameters
 
@@ -127,7 +127,7 @@
         self.holds_ = _gangs.GangHolds(
             ledger=self.ledger_, starved_ms=gang_starved_ms
         )
-        self.desk_ = _orders.OrderDesk(
+        self.order_handler_ = _orders.OrderHandler(
             ledger=self.ledger_,
             holds=self.holds_,
             learner=learner,
@@ -145,7 +145,9 @@
             exchanges=self.exchanges_,
             lapse_ms=lease_ms + margin_ms,
         )
-        self.relief_ = _relief.Relief(ledger=self.ledger_, ladder=ladder)
+        self.overuse_ = _overuse.OveruseControl(
+            ledger=self.ledger_, ladder=ladder
+        )
         self.summary_ = _summary.Summary(ledger=self.ledger_)
         self.epochs_by_shard_ = {}
         self.infos_by_id_ = {}
@@ -159,7 +161,7 @@
     def handle(self, event, now_ms):
         """Takes one event and returns what has to be done."""
         self._take(event, now_ms)
-        self.desk_.retry_waiting(now_ms)
+        self.order_handler_.retry_waiting(now_ms)
         self._exchange_due(now_ms)
         return self.outbox_.flush()
 
@@ -173,7 +175,7 @@
         if now_ms >= self._next_scan_ms:
             for record in tuple(self.ledger_.workers_by_id.values()):
                 self.lapse_.check(record, now_ms)
-        self.relief_.enforce_limits(now_ms)
+        self.overuse_.enforce_limits(now_ms)
         if now_ms >= self._next_news_ms:
             self._next_news_ms = now_ms + self.news_ms
             self._repeat_news()
@@ -226,7 +228,7 @@
         record = self._record_of(event)
         if record is not None:
             self.exchanges_.answered(record, event.report, now_ms)
-            self.relief_.cut_over_use(record, now_ms)
+            self.overuse_.cut_over_use(record, now_ms)
             self._learn(record, event.report, now_ms)
             self.ledger_.touched_by_id[event.worker_id] = record
 
@@ -238,8 +240,8 @@
 
     @_take.register
     def _(self, event: base.StopRequested, now_ms):
-        self.desk_.leaving = True
-        self.desk_.decline_waiting()
+        self.order_handler_.leaving = True
+        self.order_handler_.decline_waiting()
         self._send_summary(now_ms)
 
     @_take.register
@@ -254,20 +256,20 @@
     def _(self, message: _peer.TaskOrders, sender, now_ms):
         for attempt_id in message.kept:
             self.ledger_.kept(attempt_id)
-        if not self.desk_.is_new(sender, message.sequence):
+        if not self.order_handler_.is_new(sender, message.sequence):
             return
         for stop in message.stops:
-            self.desk_.stop(stop, sender, now_ms)
+            self.order_handler_.stop(stop, sender, now_ms)
         for order in message.runs:
-            self.desk_.run(order, sender, now_ms)
+            self.order_handler_.run(order, sender, now_ms)
 
     @_take_message.register
     def _(self, message: _peer.AskForTasks, sender, now_ms):
         shard = model.ShardId(self.data_centre, message.shard_number)
         if not self.outbox_.admit(shard, message.epoch, sender):
             return
-        self.desk_.is_new(sender, message.sequence)
-        self.desk_.drop_stale(shard, message.epoch)
+        self.order_handler_.is_new(sender, message.sequence)
+        self.order_handler_.drop_stale(shard, message.epoch)
         answer = _peer.TasksOfShard(
             message.shard_number,
             message.epoch,
@@ -279,7 +281,7 @@
 
     @_take_message.register
     def _(self, message: _peer.ReserveGang, sender, now_ms):
-        if self.desk_.leaving:
+        if self.order_handler_.leaving:
             answer = _peer.GangReserved(message.reservation, 0)
         else:
             answer = self.holds_.reserve(message, now_ms)
@@ -378,8 +380,8 @@
         for booking in bookings:
             job_id = booking.attempt_id.task_id.job_id
             if self.outbox_.shard_of(job_id) == shard:
-                yield self.desk_.news_of(booking)
-        yield from self.desk_.waiting_news(shard)
+                yield self.order_handler_.news_of(booking)
+        yield from self.order_handler_.waiting_news(shard)
 
     def _repeat_news(self):
         for booking in self.ledger_.unkept_by_id.values():
@@ -387,7 +389,7 @@
 
     def _send_summary(self, now_ms):
         """Tells the data centre what changed; all of it now and then."""
-        message = self.summary_.build(now_ms, self.desk_.leaving)
+        message = self.summary_.build(now_ms, self.order_handler_.leaving)
         if message == self._told_summary and now_ms < self._retell_ms:
             self.outbox_.send(self.vm_id, message)
             return
