--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -11,6 +11,7 @@
 BENCHES_BY_NAME = {
     "decisions": "bench.decisions",
     "capacity": "bench.capacity",
+    "burst": "bench.burst",
 }
 
 __all__ = ["BENCHES_BY_NAME", "Figure", "Report", "Settings"]
--- a/features/support/site.py
+++ b/features/support/site.py
@@ -57,7 +57,7 @@
         self.runner_ids = []
         for data_centre in DATA_CENTRES:
             self._start_data_centre(data_centre)
-        self._wait_for_start()
+        self.site.wait_until_live()
         first = next(iter(self.site.vms_by_id.values()))
         self.operator = _operator.Operator(
             self.site.platform_endpoint, first.http_endpoint
@@ -177,14 +177,6 @@
             self.runner_ids.append(runner_id)
         self.site.add_workers(data_centre, 3)
 
-    def _wait_for_start(self):
-        for vm in self.site.vms_by_id.values():
-            processes.wait_until(
-                lambda vm=vm: self.site.ask(vm, "/live") is not None,
-                site.READY_TIMEOUT_S,
-                f"the start of {vm.vm_id}",
-            )
-
 
 def overlapping(runs):
     """Returns the pairs of runs of one task that overlap in time."""
--- a/standins/demo/_demo.py
+++ b/standins/demo/_demo.py
@@ -14,7 +14,6 @@
 from standins.demo import _report
 from standins.demo import _watch
 from standins import load
-from standins import processes
 from standins import site
 
 SEED = 7
@@ -129,12 +128,7 @@
         running.add_runner(data_centre, "imaging", work_ms=WORK_MS)
         running.add_workers(data_centre, 4)
         running.add_workers(data_centre, 2, capacity=site.ACCELERATED_CAPACITY)
-    for vm in running.vms_by_id.values():
-        processes.wait_until(
-            lambda vm=vm: running.ask(vm, "/live") is not None,
-            site.READY_TIMEOUT_S,
-            f"the start of {vm.vm_id}",
-        )
+    running.wait_until_live()
 
 
 def _loads(keys_by_team):
--- a/standins/site/_site.py
+++ b/standins/site/_site.py
@@ -230,6 +230,15 @@
         """Returns the ``ip:port`` of every entry VM for callers."""
         return [vm.http_endpoint for vm in self.vms_by_id.values()]
 
+    def wait_until_live(self):
+        """Waits until every entry VM answers callers."""
+        for vm in self.vms_by_id.values():
+            processes.wait_until(
+                lambda vm=vm: self.ask(vm, "/live") is not None,
+                READY_TIMEOUT_S,
+                f"the start of {vm.vm_id}",
+            )
+
     def wait_until_ready(self):
         """Waits until every entry VM says that it is ready."""
         for vm in self.vms_by_id.values():
