Keep a lost VM's tokens back until its requests have ended, too

Cause: tokens of a VM that is gone came back after two leases, 30 s, while its requests could have deadlines of up to 600 s: a team could then have more running than its upper limit. Conclusion: the limit holds through a VM's loss; a small limit waits 65 s in place of 30 s for the tokens of a dead VM.

--- a/features/daemon.feature
+++ b/features/daemon.feature
@@ -24,6 +24,18 @@
       | --renew-ms       | 8000           | renew-ms     |
       | --max-body-bytes | 99999999       | max-body-bytes |
       | --drain-ms       | -1             | drain-ms     |
+      | --longest-deadline-ms | 0         | longest-deadline-ms |
+
+  Scenario Outline: tokens of a lost VM stay back until its work has ended
+    When the machines are built for leases of <lease> and deadlines of <deadline> ms
+    Then tokens of a lost entry VM come back after <lapse> ms
+
+    Examples:
+      | lease  | deadline | lapse  |
+      | 15000  | 60000    | 65000  |
+      | 15000  | 600000   | 605000 |
+      | 60000  | 60000    | 120000 |
+      | 3000   | 1000     | 6000   |
 
   Scenario Outline: settings come from flags and variables, flags first
     Given the variable SAMPHIREGATE_TICK_MS is "<variable>"
--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -12,6 +12,7 @@
 from samphiregate.core import vm
 from samphiregate import daemon
 from samphiregate.daemon import _loop
+from samphiregate.daemon import _machines
 from samphiregate import errors
 from samphiregate.logs import _setup
 from samphiregate import metrics
@@ -98,6 +99,27 @@
     assert context.error.setting == flag, context.error
 
 
+@behave.when(
+    "the machines are built for leases of {lease:d} and deadlines of "
+    "{deadline:d} ms"
+)
+def when_built(context, lease, deadline):
+    flags = {
+        **REQUIRED,
+        "--lease-ms": lease,
+        "--renew-ms": lease // 3,
+        "--longest-deadline-ms": deadline,
+    }
+    settings = _read([f"{name}={text}" for name, text in flags.items()])
+    settings.check()
+    context.built = _machines.build(settings)
+
+
+@behave.then("tokens of a lost entry VM come back after {lapse:d} ms")
+def then_lapse(context, lapse):
+    assert context.built.limits.lapse_ms == lapse, context.built.limits
+
+
 @behave.given('the variable SAMPHIREGATE_TICK_MS is "{value}"')
 def given_variable(context, value):
     os.environ[VARIABLE] = value
--- a/samphiregate/adapters/edge/_headers.py
+++ b/samphiregate/adapters/edge/_headers.py
@@ -6,7 +6,6 @@
 from samphiregate import errors
 
 DEFAULT_DEADLINE_MS = 30_000
-MOST_DEADLINE_MS = 600_000
 MOST_KEY_CHARACTERS = 512
 MOST_TYPE_CHARACTERS = 256
 BEARER_PREFIX = "bearer "
@@ -33,12 +32,18 @@
     return hashlib.sha256(key.encode("latin-1", "replace")).hexdigest()
 
 
-def deadline_ms(environ):
-    """Returns the time that the caller gives, in milliseconds."""
+def deadline_ms(environ, longest_ms):
+    """Returns the time that the caller gives, in milliseconds.
+
+    Raises
+    ------
+    BadInputError
+        If it is not a whole number up to `longest_ms`.
+    """
     text = environ.get("HTTP_SAMPHIREGATE_DEADLINE_MS", "")
     if not text:
-        return DEFAULT_DEADLINE_MS
-    return _whole_number("Samphiregate-Deadline-Ms", text, MOST_DEADLINE_MS)
+        return min(DEFAULT_DEADLINE_MS, longest_ms)
+    return _whole_number("Samphiregate-Deadline-Ms", text, longest_ms)
 
 
 def idempotent(environ):
--- a/samphiregate/adapters/edge/_requests_api.py
+++ b/samphiregate/adapters/edge/_requests_api.py
@@ -25,11 +25,21 @@
         Queues and plans in force.
     metrics : Metrics
         Where waits and run times are recorded.
+    longest_deadline_ms : int
+        Longest time that a caller may give.
     """
 
     def __init__(
-        self, *, access, bodies, calls, configuration_replica, metrics
+        self,
+        *,
+        access,
+        bodies,
+        calls,
+        configuration_replica,
+        metrics,
+        longest_deadline_ms,
     ):
+        self._longest_deadline_ms = longest_deadline_ms
         self._access = access
         self._bodies = bodies
         self._calls = calls
@@ -39,7 +49,7 @@
     def send(self, environ, queue):
         """Sends a request to a queue and returns the response."""
         key_hash = _headers.key_hash(environ)
-        limit_ms = _headers.deadline_ms(environ)
+        limit_ms = _headers.deadline_ms(environ, self._longest_deadline_ms)
         idempotent = _headers.idempotent(environ)
         content_type = _headers.content_type(environ)
         deadline_ms = timers.monotonic_ms() + limit_ms
--- a/samphiregate/adapters/edge/_server.py
+++ b/samphiregate/adapters/edge/_server.py
@@ -47,6 +47,8 @@
         Longest body of a request.
     most_reading_bytes : int
         Bytes of all bodies that are being read.
+    longest_deadline_ms : int
+        Longest time that a caller may give a request.
     body_timeout_ms : int
         Longest time for reading one body.
     """
@@ -67,6 +69,7 @@
         most_connections=2_000,
         most_body_bytes=1 << 20,
         most_reading_bytes=8 << 20,
+        longest_deadline_ms=60_000,
         body_timeout_ms=10_000,
     ):
         self._ready = ready
@@ -94,6 +97,7 @@
                 calls=self._calls,
                 configuration_replica=configuration_replica,
                 metrics=metrics,
+                longest_deadline_ms=longest_deadline_ms,
             ),
             jobs_api=_jobs_api.JobsApi(
                 access=access, bodies=self._bodies, calls=self._calls
--- a/samphiregate/daemon/_machines.py
+++ b/samphiregate/daemon/_machines.py
@@ -20,6 +20,7 @@
 from samphiregate.core import workers
 
 LAPSE_LEASES = 2
+DEADLINE_MARGIN_MS = 5_000
 REQUEST_CLASSES = (
     requests.RequestArrived,
     requests.CallerGone,
@@ -85,7 +86,7 @@
     tokens = limits.TokenHolder(
         membership=members,
         ownership=owners,
-        lapse_ms=LAPSE_LEASES * settings.lease_ms,
+        lapse_ms=lapse_ms(settings),
         **common(),
     )
     edge = requests.RequestEdge(
@@ -138,3 +139,15 @@
         job_owner=job_owner,
         worker_owner=worker_owner,
     )
+
+
+def lapse_ms(settings):
+    """Returns when work of a VM that is gone has surely ended, in ms.
+
+    Until then its tokens are not given to others, as its tasks may run to
+    the end of their leases, and its requests to their deadlines.
+    """
+    return max(
+        LAPSE_LEASES * settings.lease_ms,
+        settings.longest_deadline_ms + DEADLINE_MARGIN_MS,
+    )
--- a/samphiregate/daemon/_node.py
+++ b/samphiregate/daemon/_node.py
@@ -175,6 +175,7 @@
             key_file=settings.tls_key,
             most_connections=settings.max_connections,
             most_body_bytes=settings.max_body_bytes,
+            longest_deadline_ms=settings.longest_deadline_ms,
         )
         self.loop.perform_with(
             self._edge.perform, requests.AnswerCaller, jobs.JobAnswer
--- a/samphiregate/daemon/_settings.py
+++ b/samphiregate/daemon/_settings.py
@@ -125,6 +125,12 @@
     max_body_bytes: typing.Annotated[
         int, _flag("max-body-bytes", "Largest request body, bytes.", 1_048_576)
     ]
+    longest_deadline_ms: typing.Annotated[
+        int,
+        _flag(
+            "longest-deadline-ms", "Longest deadline of a request, ms.", 60_000
+        ),
+    ]
     max_connections: typing.Annotated[
         int, _flag("max-connections", "Callers' connections at a time.", 2_000)
     ]
@@ -196,6 +202,7 @@
     "lease_ms": (1_000, 600_000),
     "renew_ms": (100, 300_000),
     "max_body_bytes": (1, 8_388_608),
+    "longest_deadline_ms": (100, 600_000),
     "max_connections": (1, 100_000),
     "drain_ms": (100, 600_000),
     "notice_ms": (0, 60_000),
