Take server ports that no connection can take first

Its port had been found free among those that the system also gives to outgoing connections, so another socket could take it before the daemon bound it; the daemon then ends, and the site waited on. Not seen directly: the log was gone; other causes are not ruled out. Change: ports of stand-ins and daemons come from below that range, each given out once a process; a site that waits for a VM that has ended says so, with its log. Conclusion: the race is gone by construction; if a start fails again its cause is printed.

--- a/standins/processes/_processes.py
+++ b/standins/processes/_processes.py
@@ -1,5 +1,6 @@
 """Child processes that are ended by their ids."""
 
+import itertools
 import os
 import pathlib
 import signal
@@ -14,6 +15,10 @@
 
 STOP_TIMEOUT_S = 40
 POLL_S = 0.02
+LOOPBACK = "127.0.0.1"
+LOWEST_PORT = 18_000
+PORT_COUNT = 14_000
+PORT_STRIDE = 97
 
 
 class StartError(errors.SamphiregateError):
@@ -24,10 +29,27 @@
 
 
 def free_endpoint():
-    """Returns an ``ip:port`` on loopback that nothing listens on."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """Returns an ``ip:port`` on loopback that nothing listens on.
+
+    The port lies below those that the system gives to connections, so that
+    none of them takes it before the server starts, and is given out once.
+    """
+    for port in _ports:
+        with socket.socket() as sock:
+            try:
+                sock.bind((LOOPBACK, port))
+            except OSError:
+                continue
+        return f"{LOOPBACK}:{port}"
+
+
+def _endless_ports():
+    first = os.getpid() * PORT_STRIDE % PORT_COUNT
+    for number in itertools.count(first):
+        yield LOWEST_PORT + number % PORT_COUNT
+
+
+_ports = _endless_ports()
 
 
 def wait_until(condition, timeout_s, what):
--- a/standins/site/_site.py
+++ b/standins/site/_site.py
@@ -234,7 +234,7 @@
         """Waits until every entry VM answers callers."""
         for vm in self.vms_by_id.values():
             processes.wait_until(
-                lambda vm=vm: self.ask(vm, "/live") is not None,
+                lambda vm=vm: self.is_live(vm),
                 READY_TIMEOUT_S,
                 f"the start of {vm.vm_id}",
             )
@@ -248,6 +248,11 @@
                 f"readiness of {vm.vm_id}",
             )
 
+    def is_live(self, vm):
+        """Returns whether an entry VM answers callers; see `is_ready`."""
+        self._check_runs(vm)
+        return self.ask(vm, "/live") is not None
+
     def is_ready(self, vm):
         """Returns whether an entry VM says that it is ready.
 
@@ -256,11 +261,14 @@
         StartError
             If its process has ended.
         """
+        self._check_runs(vm)
+        answer = self.ask(vm, "/ready")
+        return answer is not None and answer.status == 200
+
+    def _check_runs(self, vm):
         if vm.process.exit_status is not None:
             log = self.log_of(vm.vm_id)[-LOG_TAIL:]
             raise processes.StartError(f"{vm.vm_id} ended: {log}")
-        answer = self.ask(vm, "/ready")
-        return answer is not None and answer.status == 200
 
     def ask(self, vm, path):
         """Gets a path of an entry VM; returns None if it cannot be had."""
