End the processes of a site that could not start

Cause: the scenario whose entry VM did not start left its other processes running, as the site was not yet registered for clean-up. Change: LoadedSite closes what it opened when its start fails. Conclusion: a failed start leaves nothing behind.

--- a/features/support/site.py
+++ b/features/support/site.py
@@ -49,6 +49,13 @@
 
     def __init__(self, *, proxied=False):
         super().__init__()
+        try:
+            self._start(proxied)
+        except BaseException:
+            self.close()
+            raise
+
+    def _start(self, proxied):
         folder = self.enter_context(tempfile.TemporaryDirectory())
         self.site = self.enter_context(
             site.Site(pathlib.Path(folder), vm_flags=VM_FLAGS, proxied=proxied)
