Walk scenarios without a wrapper of one line

Cause: the test runner wrapped one call of the library in a function. Change: the call stands where it is used. No behaviour changes. Measured: formatter and linter clean; daemon, timers and peers features pass. Conclusion: one name less to look up.

--- a/features/run.py
+++ b/features/run.py
@@ -36,11 +36,6 @@
     }
 
 
-def scenarios_of(feature):
-    """Yields the scenarios of a feature, those of outlines one by one."""
-    yield from feature.walk_scenarios()
-
-
 def print_reason(scenario):
     """Prints the step that failed, and why."""
     for step in scenario.all_steps:
@@ -58,7 +53,7 @@
     """
     passed = failed = skipped = 0
     for feature in features:
-        for scenario in scenarios_of(feature):
+        for scenario in feature.walk_scenarios():
             listed = scenario.name in known_red
             if scenario.status == model_type.Status.passed:
                 if listed:
