--- /dev/null
+++ b/samphiregate/adapters/cells/_configuration.py
@@ -0,0 +1,84 @@
+"""The configuration that is in force on this VM; it never reverts."""
+
+import collections
+import hashlib
+
+from samphiregate import errors
+
+
+class ConfigurationHolder:
+    """Holds the newest configuration that could be read.
+
+    Parameters
+    ----------
+    decode : callable
+        Reads a `SiteConfiguration`; raises `BadInputError`.
+    on_change : callable
+        Called after a newer one was taken in.
+    log : DecisionLog
+
+    Attributes
+    ----------
+    current : SiteConfiguration or None
+    """
+
+    def __init__(self, *, decode, on_change, log):
+        self.current = None
+        self._decode = decode
+        self._on_change = on_change
+        self._log = log
+        self._routes_by_host = {}
+
+    def take(self, change):
+        """Takes in a change of the configuration's key."""
+        if change.item is None:
+            self._log.write("configuration removed, the last one is kept")
+            return
+        try:
+            taken = self._decode(change.item.value)
+        except errors.BadInputError as error:
+            self._log.write(
+                "configuration refused",
+                revision=change.revision,
+                reason=error.detail,
+            )
+            return
+        held = self.current
+        if held is not None and taken.version <= held.version:
+            return
+        self.current = taken
+        self._routes_by_host = _by_host(taken.routes)
+        self._log.write(
+            "configuration taken",
+            version=taken.version,
+            before=held.version if held else None,
+            routes=len(taken.routes),
+        )
+        self._on_change()
+
+    def find_route(self, host, path):
+        """Returns the route with the longest matching prefix, or None."""
+        for route in self._routes_by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def find_account(self, key):
+        """Returns the client account of a key; None if it is unknown."""
+        if self.current is None or not key:
+            return None
+        return self.current.account_by_key_hash.get(hash_key(key))
+
+
+def hash_key(key):
+    """Returns the hash under which a key is kept."""
+    return hashlib.sha256(key.encode()).digest()
+
+
+def _by_host(routes):
+    by_host = collections.defaultdict(list)
+    for route in routes:
+        by_host[route.host].append(route)
+    for held in by_host.values():
+        held.sort(key=lambda route: -len(route.prefix))
+    return dict(by_host)
--- /dev/null
+++ b/samphiregate/adapters/cells/_desk.py
@@ -0,0 +1,236 @@
+"""What an entry VM does for callers: take, cancel and tell of jobs."""
+
+import gevent
+
+from samphiregate.adapters.cells import _keys
+from samphiregate.adapters.cells import _ports
+from samphiregate.core import cells
+from samphiregate import errors
+
+RETRY_INTERVAL_MS = 60
+MOST_REFUSED_WAIT_MS = 250  # for a store that says that it did nothing
+RETRY_AFTER_MS = 1_000
+STATE_TIMEOUT_MS = 1_000
+WAITING_FRESH_MS = 1_000
+
+
+class JobDesk:
+    """Serves callers on one entry VM.
+
+    Parameters
+    ----------
+    cell : str
+    store : Store
+    peers : PeerCalls
+    local_cell : callable
+        Returns the `Cell` if this VM owns and serves it, else None.
+    owner_address : callable
+        Returns the peer address of the cell's owner, or None.
+    now_ms : callable
+    log : DecisionLog
+    """
+
+    def __init__(
+        self, *, cell, store, peers, local_cell, owner_address, now_ms, log
+    ):
+        self._cell = cell
+        self._store = store
+        self._peers = peers
+        self._local_cell = local_cell
+        self._owner_address = owner_address
+        self._now_ms = now_ms
+        self._log = log
+
+    # Submit
+
+    def submit(self, job, timeout_ms):
+        """Stores a job; the same id again is the same job.
+
+        Raises
+        ------
+        SamphiregateError
+            `UNAVAILABLE` when it surely was not accepted;
+            `OUTCOME_UNKNOWN` when it may have been.
+        """
+        job_key = _keys.job(self._cell, job.job_id)
+        write = _ports.StoreWrite(job_key, cells.encode(job))
+        try:
+            self._commit({job_key: 0}, [write], timeout_ms)
+        except _ports.ConflictError:
+            self._log.write("job known", request=job.job_id)
+            return
+        self._log.write(
+            "job accepted",
+            request=job.job_id,
+            queue=job.queue.name,
+            account=job.account,
+        )
+
+    # Cancel
+
+    def cancel(self, job_id, timeout_ms):
+        """Stores the cancelling of a job.
+
+        Raises
+        ------
+        SamphiregateError
+            `NOT_FOUND` for a job that does not exist; `UNAVAILABLE` or
+            `OUTCOME_UNKNOWN` when it could not be stored for sure.
+        """
+        deadline_ms = self._now_ms() + timeout_ms
+        job_key = _keys.job(self._cell, job_id)
+        cancel_key = _keys.cancel(self._cell, job_id)
+        item = self._read(job_key, deadline_ms)
+        if item is None:
+            raise _not_found(job_id)
+        write = _ports.StoreWrite(cancel_key, b"1")
+        try:
+            self._commit(
+                {cancel_key: 0, job_key: item.revision},
+                [write],
+                deadline_ms - self._now_ms(),
+            )
+        except _ports.ConflictError as error:
+            if not error.revision_by_key.get(cancel_key):
+                raise _not_found(job_id) from error
+        self._log.write("cancel accepted", request=job_id)
+
+    # State
+
+    def state(self, job_id, timeout_ms):
+        """Returns the `JobState` of a job.
+
+        Raises
+        ------
+        SamphiregateError
+            `NOT_FOUND` for a job that does not exist; `UNAVAILABLE` when
+            neither the owner nor the store could be asked.
+        """
+        state = self._state_from_owner(job_id)
+        if state is not None:
+            return state
+        return self._state_from_store(job_id, self._now_ms() + timeout_ms)
+
+    def _state_from_owner(self, job_id):
+        cell = self._local_cell()
+        if cell is not None:
+            return cell.state_of(job_id)
+        answer = self._ask_owner(cells.AskJobState(self._cell, job_id))
+        if isinstance(answer, cells.JobStateIs) and answer.state:
+            return cells.JobState(answer.state)
+        return None
+
+    def _ask_owner(self, message):
+        address = self._owner_address()
+        if address is None:
+            return None
+        try:
+            return self._peers.call(address, message, STATE_TIMEOUT_MS)
+        except errors.SamphiregateError as error:
+            self._log.write(
+                "owner not reached", owner=address, reason=error.detail
+            )
+            return None
+
+    def _state_from_store(self, job_id, deadline_ms):
+        record = self._read(_keys.record(self._cell, job_id), deadline_ms)
+        if record is not None:
+            state = cells.decode_record(record.value).state
+            if state.is_final:
+                return state
+        job = self._read(_keys.job(self._cell, job_id), deadline_ms)
+        if job is None:
+            raise _not_found(job_id)
+        cancel = self._read(_keys.cancel(self._cell, job_id), deadline_ms)
+        if cancel is not None:
+            return cells.JobState.CANCELLED
+        if record is not None:
+            return cells.JobState.RUNNING
+        return cells.JobState.QUEUED
+
+    # Waiting
+
+    def waiting(self, queue_name):
+        """Returns the number of a queue's jobs that have not started.
+
+        Raises
+        ------
+        UnavailableError
+            When the owner cannot be asked.
+        """
+        cell = self._local_cell()
+        if cell is not None:
+            return cell.waiting_in(queue_name)
+        answer = self._ask_owner(cells.AskWaiting(self._cell, queue_name))
+        if isinstance(answer, cells.WaitingIs):
+            return answer.count
+        raise errors.UnavailableError(
+            "the owner of the queue cannot be asked",
+            retry_after_ms=RETRY_AFTER_MS,
+        )
+
+    # Questions of other VMs
+
+    def answer_state(self, message):
+        """Answers `AskJobState`."""
+        cell = self._local_cell()
+        if cell is None:
+            return cells.NotMine("this VM does not own the cell")
+        state = cell.state_of(message.job_id)
+        return cells.JobStateIs(state.value if state else "")
+
+    def answer_waiting(self, message):
+        """Answers `AskWaiting`."""
+        cell = self._local_cell()
+        if cell is None:
+            return cells.NotMine("this VM does not own the cell")
+        return cells.WaitingIs(cell.waiting_in(message.queue))
+
+    # Calls to the store
+
+    def _commit(self, expected, writes, timeout_ms):
+        """Writes, and repeats what was not answered, until the deadline.
+
+        A repeated write either takes effect once, or finds that the first
+        one did.
+        """
+        started_ms = self._now_ms()
+        deadline_ms = started_ms + timeout_ms
+        unknown = False
+        while True:
+            try:
+                self._store.commit(expected=expected, writes=writes)
+                return
+            except errors.UnavailableError as error:
+                unknown = unknown or error.ran is not errors.Ran.NO
+                self._check_time(error, started_ms, deadline_ms, unknown)
+            gevent.sleep(RETRY_INTERVAL_MS / 1000)
+
+    def _check_time(self, error, started_ms, deadline_ms, unknown):
+        now_ms = self._now_ms()
+        if unknown and now_ms >= deadline_ms - RETRY_INTERVAL_MS:
+            raise errors.SamphiregateError(
+                errors.ErrorCode.OUTCOME_UNKNOWN,
+                f"the store did not answer: {error.detail}",
+                ran=errors.Ran.UNKNOWN,
+            ) from error
+        if not unknown and now_ms - started_ms >= MOST_REFUSED_WAIT_MS:
+            raise errors.UnavailableError(
+                f"the store refuses: {error.detail}",
+                retry_after_ms=RETRY_AFTER_MS,
+            ) from error
+
+    def _read(self, key, deadline_ms):
+        while True:
+            try:
+                return self._store.get(key)
+            except errors.UnavailableError:
+                if self._now_ms() >= deadline_ms - RETRY_INTERVAL_MS:
+                    raise
+            gevent.sleep(RETRY_INTERVAL_MS / 1000)
+
+
+def _not_found(job_id):
+    return errors.SamphiregateError(
+        errors.ErrorCode.NOT_FOUND, f"there is no job {job_id}"
+    )
--- /dev/null
+++ b/samphiregate/adapters/cells/_lease.py
@@ -0,0 +1,112 @@
+"""The lease of an entry VM in the store, which its records hang on."""
+
+import attrs
+import gevent
+import gevent.event
+
+from samphiregate.adapters.cells import _keys
+from samphiregate.adapters.cells import _ports
+from samphiregate import errors
+
+TTL_MS = 2_000
+RENEW_INTERVAL_MS = 500
+RETRY_INTERVAL_MS = 200
+SAFETY_MS = 200  # ends the lease here before the store ends it
+
+
+@attrs.frozen
+class VmRecord:
+    """What an entry VM tells the others of itself."""
+
+    vm_id: str
+    address: str
+
+
+class LeaseKeeper:
+    """Holds a lease and renews it; a context manager.
+
+    Parameters
+    ----------
+    store : Store
+    record : VmRecord
+        Stored under the lease, so that the others find this VM.
+    encode : callable
+        Encodes the record.
+    now_ms : callable
+    log : DecisionLog
+
+    Attributes
+    ----------
+    lease_id : int
+        0 while none is held.
+    valid_until_ms : int
+        Local time up to which the lease surely stands.
+    """
+
+    def __init__(self, *, store, record, encode, now_ms, log):
+        self.lease_id = 0
+        self.valid_until_ms = 0
+        self._store = store
+        self._record = record
+        self._encode = encode
+        self._now_ms = now_ms
+        self._log = log
+        self._greenlet = None
+        self._renewed = gevent.event.Event()
+
+    def __enter__(self):
+        self._greenlet = gevent.spawn(self._run)
+        return self
+
+    def __exit__(self, *exc_info):
+        self._greenlet.kill()
+        ended, self.lease_id = self.lease_id, 0
+        if ended:
+            try:
+                self._store.end_lease(ended)
+            except errors.SamphiregateError as error:
+                self._log.write("lease not ended", reason=error.detail)
+
+    @property
+    def is_valid(self):
+        """Whether the lease surely stands now."""
+        return self.lease_id != 0 and self._now_ms() < self.valid_until_ms
+
+    def _run(self):
+        while True:
+            pause_ms = RENEW_INTERVAL_MS
+            try:
+                if self.lease_id:
+                    self._renew()
+                else:
+                    self._grant()
+            except _ports.LeaseEndedError:
+                self._log.write("lease ended", lease=self.lease_id)
+                self.lease_id = 0
+                self.valid_until_ms = 0
+                pause_ms = 0
+            except errors.SamphiregateError as error:
+                self._log.write(
+                    "lease not renewed",
+                    lease=self.lease_id,
+                    left_ms=self.valid_until_ms - self._now_ms(),
+                    reason=error.detail,
+                )
+                pause_ms = RETRY_INTERVAL_MS
+            gevent.sleep(pause_ms / 1000)
+
+    def _renew(self):
+        sent_ms = self._now_ms()
+        self._store.renew_lease(self.lease_id)
+        self.valid_until_ms = sent_ms + TTL_MS - SAFETY_MS
+
+    def _grant(self):
+        sent_ms = self._now_ms()
+        lease_id, ttl_ms = self._store.grant_lease(TTL_MS)
+        write = _ports.StoreWrite(
+            _keys.vm(self._record.vm_id), self._encode(self._record), lease_id
+        )
+        self._store.commit(expected={}, writes=[write])
+        self.lease_id = lease_id
+        self.valid_until_ms = sent_ms + min(ttl_ms, TTL_MS) - SAFETY_MS
+        self._log.write("lease granted", lease=lease_id, ttl_ms=ttl_ms)
--- /dev/null
+++ b/samphiregate/adapters/cells/_mirror.py
@@ -0,0 +1,131 @@
+"""A local copy of the keys below a prefix, kept up to date by a watch."""
+
+import gevent
+
+from samphiregate.adapters.cells import _ports
+from samphiregate import errors
+
+FIRST_RETRY_MS = 100
+LONGEST_RETRY_MS = 800
+
+
+class Mirror:
+    """Follows the keys below a prefix; a context manager.
+
+    Parameters
+    ----------
+    store : Store
+    prefix : str
+    on_change : callable
+        Takes each `StoreChange`. After a lost history the changes that the
+        watch missed are worked out from a new list.
+    now_ms : callable
+    wait_ms : int
+        How long one watch waits; also bounds how long a silent connection
+        goes unnoticed.
+    log : DecisionLog
+
+    Attributes
+    ----------
+    item_by_key : dict
+    synced : bool
+        Whether the first list was taken in.
+    fresh_ms : int
+        When the request whose answer came last was sent.
+    """
+
+    def __init__(self, *, store, prefix, on_change, now_ms, wait_ms, log):
+        self.item_by_key = {}
+        self.synced = False
+        self.fresh_ms = 0
+        self._store = store
+        self._prefix = prefix
+        self._on_change = on_change
+        self._now_ms = now_ms
+        self._wait_ms = wait_ms
+        self._log = log
+        self._revision = None
+        self._failing = False
+        self._greenlet = None
+
+    def __enter__(self):
+        self._greenlet = gevent.spawn(self._run)
+        return self
+
+    def __exit__(self, *exc_info):
+        self._greenlet.kill()
+
+    def start_from(self, items, revision):
+        """Takes a list that was read already, without telling of it."""
+        self.item_by_key = {item.key: item for item in items}
+        self._revision = revision
+        self.synced = True
+
+    def _run(self):
+        retry_ms = FIRST_RETRY_MS
+        while True:
+            sent_ms = self._now_ms()
+            try:
+                self._step()
+            except _ports.HistoryLostError:
+                self._log.write("watch history lost", prefix=self._prefix)
+                self._revision = None
+                continue
+            except errors.UnavailableError as error:
+                self._note_failure(error)
+                gevent.sleep(retry_ms / 1000)
+                retry_ms = min(retry_ms * 2, LONGEST_RETRY_MS)
+                continue
+            self._note_success()
+            self.fresh_ms = sent_ms
+            retry_ms = FIRST_RETRY_MS
+
+    def _step(self):
+        if self._revision is None:
+            self._relist()
+            return
+        changes, revision = self._store.watch(
+            self._prefix, self._revision, self._wait_ms
+        )
+        for change in changes:
+            self._apply(change)
+        self._revision = max(self._revision, revision)
+
+    def _relist(self):
+        items, revision = self._store.list(self._prefix)
+        present = {item.key: item for item in items}
+        for key in list(self.item_by_key):
+            if key not in present:
+                self._apply(_ports.StoreChange(key, revision, None))
+        for item in items:
+            self._apply(_ports.StoreChange(item.key, item.revision, item))
+        self._revision = revision
+        self.synced = True
+
+    def _apply(self, change):
+        held = self.item_by_key.get(change.key)
+        if held is not None and change.revision <= held.revision:
+            return
+        if change.item is None:
+            if held is None:
+                return
+            del self.item_by_key[change.key]
+        else:
+            self.item_by_key[change.key] = change.item
+        self._on_change(change)
+
+    def _note_failure(self, error):
+        if not self._failing:
+            self._failing = True
+            self._log.write(
+                "watch lost", prefix=self._prefix, reason=error.detail
+            )
+
+    def _note_success(self):
+        if self._failing:
+            self._failing = False
+            self._log.write(
+                "watch regained",
+                prefix=self._prefix,
+                away_ms=self._now_ms() - self.fresh_ms,
+            )
--- /dev/null
+++ b/samphiregate/adapters/cells/_owner.py
@@ -0,0 +1,472 @@
+"""Runs the owner's part of a cell while this VM owns it."""
+
+import collections
+import contextlib
+import functools
+
+import gevent
+import gevent.event
+from gevent import pool
+import orjson
+
+from samphiregate.adapters.cells import _keys
+from samphiregate.adapters.cells import _mirror
+from samphiregate.adapters.cells import _ports
+from samphiregate.adapters.cells import _writer
+from samphiregate.core import cells
+from samphiregate import errors
+
+TICK_MS = 100
+WATCH_WAIT_MS = 2_000
+LEASE_MS = 5_000  # of tasks, from each order
+HOLD_ON_MS = 2_000  # looks go on so long after the VM's lease has lapsed
+INHERITED_SLACK_MS = 300
+CLOCK_DRIFT = 0.02
+LOAD_RETRY_MS = 100
+KEEP_ENDED_MS = 180_000
+FORGET_INTERVAL_MS = 10_000
+MOST_FORGOTTEN = 9  # jobs a transaction; each has three keys
+
+
+class OwnerSession:
+    """Serves a cell for one tenure.
+
+    Parameters
+    ----------
+    tenure : Tenure
+    store : Store
+    decoders : Decoders
+    endpoints : Endpoints
+    advice : AdviceDesk
+    lease : LeaseKeeper
+    configuration : callable
+        Returns the present `SiteConfiguration`, or None.
+    lost : gevent.event.Event
+        Set when the session is to end.
+    now_ms, unix_ms : callable
+    log : DecisionLog
+    """
+
+    def __init__(
+        self,
+        *,
+        tenure,
+        store,
+        decoders,
+        endpoints,
+        advice,
+        lease,
+        configuration,
+        lost,
+        now_ms,
+        unix_ms,
+        log,
+    ):
+        self.cell = None
+        self._tenure = tenure
+        self._store = store
+        self._decoders = decoders
+        self._endpoints = endpoints
+        self._advice = advice
+        self._lease = lease
+        self._configuration = configuration
+        self._lost = lost
+        self._now_ms = now_ms
+        self._unix_ms = unix_ms
+        self._log = log
+        self._events = collections.deque()
+        self._wake = gevent.event.Event()
+        self._orders = pool.Group()
+        self._writer = None
+        self._stored_known = {}
+        self._storing_known = False
+        self._forget_after_ms = 0
+
+    @property
+    def is_serving(self):
+        """Whether the cell's state was loaded, so that it can be asked."""
+        return self._writer is not None
+
+    @property
+    def is_current(self):
+        """Whether what it knows may be told: no other VM can own the cell."""
+        return self.is_serving and self._may_order()
+
+    def serve(self):
+        """Serves until the tenure ends."""
+        try:
+            with contextlib.ExitStack() as stack:
+                while not self._lost.is_set() and not self.is_serving:
+                    self._load(stack)
+                if self.is_serving:
+                    self._log.write(
+                        "cell served",
+                        cell=self._tenure.cell,
+                        epoch=self._tenure.epoch,
+                        jobs=len(self.cell.book.entry_by_id),
+                        endpoints=len(self.cell.book.endpoint_by_id),
+                    )
+                    self._loop()
+        finally:
+            self._orders.kill(block=False)
+
+    # Loading
+
+    def _load(self, stack):
+        try:
+            self._load_once(stack)
+        except errors.UnavailableError as error:
+            self._log.write(
+                "cell not loaded",
+                cell=self._tenure.cell,
+                reason=error.detail,
+            )
+            self._end_if_lapsed()
+            self._lost.wait(LOAD_RETRY_MS / 1000)
+
+    def _load_once(self, stack):
+        cell = self._tenure.cell
+        known_item = self._store.get(_keys.known(cell))
+        endpoint_items, endpoints_revision = self._store.list(
+            self._decoders.endpoints_prefix
+        )
+        work_items, work_revision = self._store.list(_keys.work_prefix(cell))
+        record_items, _revision = self._store.list(_keys.records_prefix(cell))
+        self._stored_known = (
+            orjson.loads(known_item.value) if (known_item) else {}
+        )
+        machine = cells.Cell(
+            epoch=self._tenure.epoch,
+            lease_ms=LEASE_MS,
+            unresolved=self._unresolved(),
+        )
+        self.cell = machine
+        self._take_configuration()
+        for item in endpoint_items:
+            self._endpoint_changed(
+                _ports.StoreChange(item.key, item.revision, item)
+            )
+        self._take_work(work_items, record_items)
+        self._drain_events()
+        self._follow(
+            stack,
+            self._decoders.endpoints_prefix,
+            self._endpoint_changed,
+            (endpoint_items, endpoints_revision),
+        )
+        self._follow(
+            stack,
+            _keys.work_prefix(cell),
+            self._work_changed,
+            (work_items, work_revision),
+        )
+        self._writer = stack.enter_context(
+            _writer.RecordWriter(
+                store=self._store,
+                tenure=self._tenure,
+                take_records=machine.take_records,
+                on_stored=self._records_stored,
+                on_lost=self._end,
+                log=self._log,
+            )
+        )
+
+    def _unresolved(self):
+        until_ms = (
+            self._now_ms()
+            + HOLD_ON_MS
+            + round(LEASE_MS * (1 + CLOCK_DRIFT))
+            + INHERITED_SLACK_MS
+        )
+        return {
+            endpoint_id: (service, until_ms)
+            for endpoint_id, service in self._stored_known.items()
+        }
+
+    def _follow(self, stack, prefix, on_change, listed):
+        mirror = _mirror.Mirror(
+            store=self._store,
+            prefix=prefix,
+            on_change=on_change,
+            now_ms=self._now_ms,
+            wait_ms=WATCH_WAIT_MS,
+            log=self._log,
+        )
+        mirror.start_from(*listed)
+        stack.enter_context(mirror)
+
+    def _take_work(self, work_items, record_items):
+        record_by_id = {}
+        for item in record_items:
+            job_id = item.key.rpartition("/")[2]
+            try:
+                record_by_id[job_id] = cells.decode_record(item.value)
+            except errors.BadInputError as error:
+                self._log.write(
+                    "record unreadable", job=job_id, reason=error.detail
+                )
+        cancelled = []
+        for item in work_items:
+            if _is_cancel(item.key):
+                cancelled.append(item)
+            else:
+                self._take_job(item, record_by_id)
+        for item in cancelled:
+            self.deliver(cells.JobCancelled(_job_id(item.key)))
+
+    def _take_job(self, item, record_by_id):
+        try:
+            job = cells.decode_job(item.value)
+        except errors.BadInputError as error:
+            self._log.write(
+                "job unreadable", key=item.key, reason=error.detail
+            )
+            return
+        taken_revision = max(self._tenure.guard.values())
+        self.deliver(
+            cells.JobStored(
+                job,
+                inherited=item.created_revision < taken_revision,
+                record=record_by_id.get(job.job_id),
+            )
+        )
+
+    # Changes of the store
+
+    def _endpoint_changed(self, change):
+        if change.item is None:
+            endpoint_id = change.key.removeprefix(
+                self._decoders.endpoints_prefix
+            )
+            self.deliver(cells.EndpointUnlisted(endpoint_id))
+            return
+        try:
+            event = self._decoders.endpoint(change.key, change.item.value)
+        except errors.BadInputError as error:
+            self._log.write(
+                "endpoint entry unreadable",
+                key=change.key,
+                reason=error.detail,
+            )
+            return
+        self.deliver(event)
+
+    def _work_changed(self, change):
+        if change.item is None:
+            if not _is_cancel(change.key):
+                self.deliver(cells.JobForgotten(_job_id(change.key)))
+        elif _is_cancel(change.key):
+            self.deliver(cells.JobCancelled(_job_id(change.key)))
+        else:
+            self._take_job(change.item, {})
+
+    def configuration_changed(self):
+        """Takes in a new configuration."""
+        if self.is_serving:
+            self._take_configuration()
+
+    def _take_configuration(self):
+        configuration = self._configuration()
+        if configuration is not None:
+            queues = tuple(route.queue for route in configuration.routes)
+            self.deliver(cells.AccountsChanged(configuration.accounts, queues))
+
+    def _records_stored(self, versions):
+        self.deliver(cells.RecordsStored(versions))
+
+    # The loop
+
+    def deliver(self, event):
+        """Hands an event to the cell, and has it plan soon."""
+        self._events.append(event)
+        self._wake.set()
+
+    def _loop(self):
+        while not self._lost.is_set():
+            self._wake.wait(TICK_MS / 1000)
+            self._wake.clear()
+            self._drain_events()
+            if self._lease.is_valid:
+                actions = self.cell.plan(self._now_ms(), self._unix_ms())
+                self._perform_all(actions)
+            self._store_known()
+            self._forget_expired()
+            self._writer.wake()
+            self._end_if_lapsed()
+
+    def _drain_events(self):
+        while self._events:
+            event = self._events.popleft()
+            self._perform_all(self.cell.handle(event, self._now_ms()))
+
+    def _end(self, reason):
+        if not self._lost.is_set():
+            self._log.write(
+                "ownership lost", cell=self._tenure.cell, reason=reason
+            )
+        self._lost.set()
+        self._wake.set()
+
+    def _end_if_lapsed(self):
+        if self._lease.lease_id != self._tenure.lease_id:
+            self._end("the lease of this VM has ended")
+        elif self._now_ms() > self._lease.valid_until_ms + HOLD_ON_MS:
+            self._end("the lease of this VM could not be renewed")
+
+    def _may_hold(self):
+        return (
+            not self._lost.is_set()
+            and self._lease.lease_id == self._tenure.lease_id
+            and self._now_ms() < self._lease.valid_until_ms + HOLD_ON_MS
+        )
+
+    def _may_order(self):
+        return (
+            not self._lost.is_set()
+            and self._lease.lease_id == self._tenure.lease_id
+            and self._lease.is_valid
+        )
+
+    # Actions
+
+    def _perform_all(self, actions):
+        for action in actions:
+            self._perform(action)
+
+    @functools.singledispatchmethod
+    def _perform(self, action):
+        raise TypeError(f"no part carries out {action!r}")
+
+    @_perform.register
+    def _(self, action: cells.Decided):
+        fields = dict(action.fields)
+        if action.job_id:
+            fields["request"] = action.job_id
+        self._log.write(action.what, **fields)
+
+    @_perform.register
+    def _(self, action: cells.StepDown):
+        self._end(f"{action.endpoint_id} has seen a higher epoch")
+
+    @_perform.register
+    def _(self, action: cells.StartTask):
+        self._orders.spawn(self._start, action)
+
+    @_perform.register
+    def _(self, action: cells.StopTask):
+        self._orders.spawn(self._stop, action)
+
+    @_perform.register
+    def _(self, action: cells.PaceTask):
+        self._orders.spawn(self._pace, action)
+
+    @_perform.register
+    def _(self, action: cells.Look):
+        self._orders.spawn(self._look, action)
+
+    @_perform.register
+    def _(self, action: cells.AskAdvice):
+        self._orders.spawn(self._ask, action)
+
+    def _start(self, action):
+        outcome = cells.StartOutcome.NOT_STARTED
+        if self._may_order():
+            outcome = self._endpoints.start(action, self._tenure.epoch)
+        self.deliver(
+            cells.StartAnswered(
+                action.task_id, action.run, action.endpoint_id, outcome
+            )
+        )
+
+    def _stop(self, action):
+        confirmed = False
+        if self._may_hold():
+            confirmed = self._endpoints.stop(action, self._tenure.epoch)
+        self.deliver(
+            cells.StopAnswered(
+                action.task_id, action.run, action.endpoint_id, confirmed
+            )
+        )
+
+    def _pace(self, action):
+        if self._may_order():
+            self._endpoints.pace(action, self._tenure.epoch)
+
+    def _look(self, action):
+        if not self._may_hold():
+            self.deliver(cells.LookFailed(action.endpoint_id))
+            return
+        event = self._endpoints.look(
+            action, self._tenure.epoch, self._now_ms()
+        )
+        self.deliver(event)
+
+    def _ask(self, action):
+        self.deliver(self._advice.ask(action))
+
+    # Upkeep of the store
+
+    def _store_known(self):
+        """Stores which endpoints may get orders, before they get any."""
+        present = self.cell.known_endpoints()
+        if present.keys() <= self._stored_known.keys():
+            self._tell_known()
+            return
+        if self._storing_known:
+            return
+        self._storing_known = True
+        self._orders.spawn(self._write_known, present)
+
+    def _write_known(self, present):
+        cell = self._tenure.cell
+        write = _ports.StoreWrite(_keys.known(cell), orjson.dumps(present))
+        try:
+            self._store.commit(expected=self._tenure.guard, writes=[write])
+            self._stored_known = present
+        except _ports.ConflictError:
+            self._end("another VM has taken the cell")
+        except errors.SamphiregateError as error:
+            self._log.write("endpoints not stored", reason=error.detail)
+            gevent.sleep(LOAD_RETRY_MS / 1000)
+        self._storing_known = False
+        self._wake.set()
+
+    def _tell_known(self):
+        ids = frozenset(self._stored_known)
+        if ids != self.cell.stored_known_ids:
+            self.deliver(cells.KnownEndpointsStored(ids))
+
+    def _forget_expired(self):
+        now_ms = self._now_ms()
+        if now_ms < self._forget_after_ms:
+            return
+        self._forget_after_ms = now_ms + FORGET_INTERVAL_MS
+        expired = self.cell.expired_jobs(self._unix_ms(), KEEP_ENDED_MS)
+        if expired:
+            self._orders.spawn(self._forget, expired[:MOST_FORGOTTEN])
+
+    def _forget(self, job_ids):
+        cell = self._tenure.cell
+        removals = [
+            key
+            for job_id in job_ids
+            for key in (
+                _keys.job(cell, job_id),
+                _keys.cancel(cell, job_id),
+                _keys.record(cell, job_id),
+            )
+        ]
+        try:
+            self._store.commit(
+                expected=self._tenure.guard, writes=(), removals=removals
+            )
+        except errors.SamphiregateError as error:
+            self._log.write("jobs not forgotten", reason=error.detail)
+
+
+def _is_cancel(key):
+    return key.split("/")[-2] == "cancel"
+
+
+def _job_id(key):
+    return key.rpartition("/")[2]
--- /dev/null
+++ b/samphiregate/adapters/cells/_ownership.py
@@ -0,0 +1,207 @@
+"""Which entry VM owns a cell, and the epoch under which it does."""
+
+import attrs
+import cattrs
+from cattrs.preconf import orjson as cattrs_orjson
+import gevent
+import gevent.event
+
+from samphiregate.adapters.cells import _keys
+from samphiregate.adapters.cells import _lease
+from samphiregate.adapters.cells import _ports
+from samphiregate import errors
+
+RETRY_INTERVAL_MS = 100
+MOST_JITTER_MS = 60
+
+_converter = cattrs_orjson.make_converter()
+
+
+@attrs.frozen
+class OwnerRecord:
+    """The owner of a cell, as it is kept in the store under its lease."""
+
+    vm_id: str
+    address: str
+    epoch: int
+    instance: str = ""
+
+
+def encode(record):
+    """Encodes a record as bytes."""
+    return _converter.dumps(record)
+
+
+def decode_owner(value):
+    """Decodes an `OwnerRecord`; raises `BadInputError`."""
+    return _decode(value, OwnerRecord)
+
+
+def decode_vm(value):
+    """Decodes a `VmRecord`; raises `BadInputError`."""
+    return _decode(value, _lease.VmRecord)
+
+
+def _decode(value, cls):
+    try:
+        return _converter.loads(value, cls)
+    except (ValueError, TypeError, cattrs.BaseValidationError) as error:
+        detail = f"no {cls.__name__}: {error!r}"
+        raise errors.BadInputError(detail) from error
+
+
+@attrs.frozen
+class Tenure:
+    """One ownership of a cell by this VM.
+
+    Parameters
+    ----------
+    cell : str
+    epoch : int
+    guard : dict
+        Condition of every write of the owner: its record still stands.
+    lease_id : int
+    """
+
+    cell: str
+    epoch: int
+    guard: dict
+    lease_id: int
+
+
+class Ownership:
+    """Takes a cell over whenever it has no owner; a context manager.
+
+    Parameters
+    ----------
+    cell : str
+    vm_id, address : str
+        Of this VM.
+    store : Store
+    lease : LeaseKeeper
+    owner_item : callable
+        Returns the item of the present owner's record, or None.
+    may_own : callable
+        Whether this VM should take the cell at all.
+    serve : callable
+        Takes a `Tenure` and a `lost` event; serves until the event is set.
+    random_state : random.Random
+    log : DecisionLog
+    """
+
+    def __init__(
+        self,
+        *,
+        cell,
+        vm_id,
+        address,
+        store,
+        lease,
+        owner_item,
+        may_own,
+        serve,
+        random_state,
+        log,
+    ):
+        self.lost = gevent.event.Event()
+        self._cell = cell
+        self._vm_id = vm_id
+        self._address = address
+        self._store = store
+        self._lease = lease
+        self._owner_item = owner_item
+        self._may_own = may_own
+        self._serve = serve
+        self._random = random_state
+        self._instance = f"{random_state.getrandbits(64):016x}"
+        self._served_epoch = 0
+        self._log = log
+        self._changed = gevent.event.Event()
+        self._greenlet = None
+
+    def __enter__(self):
+        self._greenlet = gevent.spawn(self._run)
+        return self
+
+    def __exit__(self, *exc_info):
+        self.lost.set()
+        self._greenlet.join(timeout=1)
+        self._greenlet.kill()
+
+    def owner_changed(self):
+        """Tells that the owner's record has changed."""
+        self._changed.set()
+
+    def _run(self):
+        while True:
+            self._changed.clear()
+            tenure = None
+            if self._lease.is_valid and self._may_own():
+                try:
+                    tenure = self._acquire()
+                except errors.SamphiregateError as error:
+                    self._log.write(
+                        "cell not taken",
+                        cell=self._cell,
+                        reason=error.detail,
+                    )
+            if tenure is None:
+                self._changed.wait(RETRY_INTERVAL_MS / 1000)
+                continue
+            self._log.write("cell taken", cell=tenure.cell, epoch=tenure.epoch)
+            self.lost.clear()
+            self._served_epoch = tenure.epoch
+            self._serve(tenure, self.lost)
+            self._log.write("cell left", cell=tenure.cell, epoch=tenure.epoch)
+
+    def _acquire(self):
+        item = self._owner_item()
+        if item is not None:
+            return self._adopt(item)
+        gevent.sleep(self._random.uniform(0, MOST_JITTER_MS) / 1000)
+        if self._owner_item() is not None:
+            return None
+        epoch_key = _keys.epoch(self._cell)
+        held = self._store.get(epoch_key)
+        epoch = int(held.value) + 1 if held else 1
+        owner_key = _keys.owner(self._cell)
+        record = OwnerRecord(self._vm_id, self._address, epoch, self._instance)
+        lease_id = self._lease.lease_id
+        try:
+            revision = self._store.commit(
+                expected={
+                    owner_key: 0,
+                    epoch_key: held.revision if held else 0,
+                },
+                writes=[
+                    _ports.StoreWrite(owner_key, encode(record), lease_id),
+                    _ports.StoreWrite(epoch_key, str(epoch).encode()),
+                ],
+            )
+        except _ports.ConflictError:
+            return None
+        except errors.UnavailableError as error:
+            if error.ran is errors.Ran.NO:
+                raise
+            revision = self._find_own(owner_key, record)
+            if revision is None:
+                return None
+        return Tenure(self._cell, epoch, {owner_key: revision}, lease_id)
+
+    def _adopt(self, item):
+        """Takes up an ownership whose answer was lost and came late."""
+        record = decode_owner(item.value)
+        if (
+            record.instance != self._instance
+            or record.epoch <= self._served_epoch
+        ):
+            return None
+        guard = {item.key: item.revision}
+        return Tenure(self._cell, record.epoch, guard, self._lease.lease_id)
+
+    def _find_own(self, owner_key, record):
+        """Returns the revision of a write whose answer was lost."""
+        item = self._store.get(owner_key)
+        if item is None or decode_owner(item.value) != record:
+            return None
+        return item.revision
--- /dev/null
+++ b/samphiregate/adapters/cells/_peer_calls.py
@@ -0,0 +1,86 @@
+"""Questions between entry VMs, each answered on the same connection."""
+
+from samphiregate.adapters import http
+from samphiregate.adapters import peers
+from samphiregate import errors
+
+PATH = "/peer"
+CONNECTIONS = 16
+CONNECT_TIMEOUT_MS = 500
+READ_TIMEOUT_MS = 1_000
+
+
+class UnexpectedAnswerError(errors.SamphiregateError):
+    """A peer answered something else than was asked for."""
+
+    def __init__(self, answer):
+        super().__init__(
+            errors.ErrorCode.UNAVAILABLE, f"the peer answered {answer!r}"
+        )
+
+
+class PeerCalls:
+    """Asks other entry VMs; a context manager.
+
+    Parameters
+    ----------
+    answer : callable
+        Takes a message that another VM sent; returns the answer.
+    """
+
+    def __init__(self, *, answer):
+        self._answer = answer
+        self._client_by_key = {}
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        for client in self._client_by_key.values():
+            client.close()
+
+    def call(self, address, message, timeout_ms=READ_TIMEOUT_MS):
+        """Asks the VM at an address.
+
+        Returns
+        -------
+        PeerMessage
+
+        Raises
+        ------
+        UnavailableError
+            When there was no whole answer in time.
+        """
+        client = self._client(address, timeout_ms)
+        answer = client.request(
+            "POST", PATH, body=peers.encode_message(message)
+        )
+        if answer.status != 200:
+            raise errors.UnavailableError(
+                f"{address} answered {answer.status}"
+            )
+        return peers.decode_message(answer.body)
+
+    def _client(self, address, timeout_ms):
+        rounded_ms = -(-timeout_ms // READ_TIMEOUT_MS) * READ_TIMEOUT_MS
+        key = (address, rounded_ms)
+        if key not in self._client_by_key:
+            self._client_by_key[key] = http.Client(
+                address,
+                connections=CONNECTIONS,
+                timeout_ms=rounded_ms,
+                connect_timeout_ms=CONNECT_TIMEOUT_MS,
+            )
+        return self._client_by_key[key]
+
+    def application(self, environ, start_response):
+        """Serves questions of other VMs, as a WSGI application."""
+        body = environ["wsgi.input"].read()
+        try:
+            answer = self._answer(peers.decode_message(body))
+        except errors.SamphiregateError as error:
+            start_response("503 Service Unavailable", [])
+            return [error.detail.encode()]
+        data = peers.encode_message(answer)
+        start_response("200 OK", [("Content-Length", str(len(data)))])
+        return [data]
--- /dev/null
+++ b/samphiregate/adapters/cells/_vm.py
@@ -0,0 +1,250 @@
+"""An entry VM on a platform: everything that it runs, put together."""
+
+import contextlib
+import functools
+
+import attrs
+
+from samphiregate.adapters.cells import _advice
+from samphiregate.adapters.cells import _clock
+from samphiregate.adapters.cells import _configuration
+from samphiregate.adapters.cells import _desk
+from samphiregate.adapters.cells import _keys
+from samphiregate.adapters.cells import _lease
+from samphiregate.adapters.cells import _mirror
+from samphiregate.adapters.cells import _owner
+from samphiregate.adapters.cells import _ownership
+from samphiregate.adapters.cells import _peer_calls
+from samphiregate.adapters import http
+from samphiregate.core import cells
+from samphiregate import errors
+
+CELL = "all"  # all services; one VM decides for them
+CONFIGURATION_WAIT_MS = 1_000
+OWNERS_WAIT_MS = 2_000
+POLICY_TIMEOUT_MS = 5_000
+
+
+@attrs.frozen
+class Ports:
+    """What an entry VM needs of the platform; see `_ports`."""
+
+    store: object
+    decoders: object
+    endpoints: object
+    policy: object
+
+
+class EntryVm:
+    """Serves callers, and owns the cell while no other VM does.
+
+    A context manager.
+
+    Parameters
+    ----------
+    vm_id : str
+    peer_address : str
+        ``ip:port`` on which other VMs are answered.
+    ports : Ports
+    random_state : random.Random
+    log : DecisionLog
+
+    Attributes
+    ----------
+    configuration : ConfigurationHolder
+    desk : JobDesk
+    """
+
+    def __init__(self, *, vm_id, peer_address, ports, random_state, log):
+        self._vm_id = vm_id
+        self._peer_address = peer_address
+        self._ports = ports
+        self._random = random_state
+        self._log = log
+        self._stack = contextlib.ExitStack()
+        self._session = None
+        self._ownership = None
+        self._stopping = False
+        self._peers = _peer_calls.PeerCalls(answer=self._answer)
+        self.configuration = _configuration.ConfigurationHolder(
+            decode=ports.decoders.configuration,
+            on_change=self._configuration_changed,
+            log=log,
+        )
+        self._lease = _lease.LeaseKeeper(
+            store=ports.store,
+            record=_lease.VmRecord(vm_id, peer_address),
+            encode=_ownership.encode,
+            now_ms=_clock.steady_ms,
+            log=log,
+        )
+        self._owners = self._mirror(
+            _keys.OWNERS_PREFIX, self._owner_changed, OWNERS_WAIT_MS
+        )
+        self._vms = self._mirror(
+            _keys.VMS_PREFIX, lambda _change: None, OWNERS_WAIT_MS
+        )
+        self._configured = self._mirror(
+            ports.decoders.configuration_key,
+            self.configuration.take,
+            CONFIGURATION_WAIT_MS,
+        )
+        self.desk = _desk.JobDesk(
+            cell=CELL,
+            store=ports.store,
+            peers=self._peers,
+            local_cell=self._local_cell,
+            owner_address=self._owner_address,
+            now_ms=_clock.steady_ms,
+            log=log,
+        )
+
+    def __enter__(self):
+        server = http.NoDelayServer(
+            self._peer_address, self._peers.application
+        )
+        server.start()
+        self._stack.callback(server.stop, timeout=0)
+        self._stack.enter_context(self._peers)
+        self._stack.enter_context(self._configured)
+        self._stack.enter_context(self._owners)
+        self._stack.enter_context(self._lease)
+        self._ownership = _ownership.Ownership(
+            cell=CELL,
+            vm_id=self._vm_id,
+            address=self._peer_address,
+            store=self._ports.store,
+            lease=self._lease,
+            owner_item=self._owner_item,
+            may_own=self._may_own,
+            serve=self._serve,
+            random_state=self._random,
+            log=self._log,
+        )
+        self._stack.enter_context(self._ownership)
+        return self
+
+    def __exit__(self, *exc_info):
+        self._stack.close()
+
+    @property
+    def is_ready(self):
+        """Whether callers should be sent here."""
+        return (
+            not self._stopping
+            and self.configuration.current is not None
+            and self._lease.is_valid
+        )
+
+    def hand_over(self):
+        """Gives up ownership, so that another VM takes it at once."""
+        self._stopping = True
+        self._ownership.__exit__()
+        self._lease.__exit__()
+
+    def _mirror(self, prefix, on_change, wait_ms):
+        return _mirror.Mirror(
+            store=self._ports.store,
+            prefix=prefix,
+            on_change=on_change,
+            now_ms=_clock.steady_ms,
+            wait_ms=wait_ms,
+            log=self._log,
+        )
+
+    # Ownership
+
+    def _may_own(self):
+        return (
+            not self._stopping
+            and self._owners.synced
+            and self.configuration.current is not None
+        )
+
+    def _owner_item(self):
+        return self._owners.item_by_key.get(_keys.owner(CELL))
+
+    def _owner_changed(self, change):
+        del change
+        if self._ownership is not None:
+            self._ownership.owner_changed()
+
+    def _owner_address(self):
+        item = self._owner_item()
+        if item is None:
+            return None
+        try:
+            return _ownership.decode_owner(item.value).address
+        except errors.BadInputError as error:
+            self._log.write("owner unreadable", reason=error.detail)
+            return None
+
+    def _serve(self, tenure, lost):
+        advice = _advice.AdviceDesk(
+            vm_id=self._vm_id,
+            policy=self._ports.policy,
+            peers=self._peers,
+            address_by_vm=self._address_by_vm,
+            now_ms=_clock.steady_ms,
+        )
+        self._session = _owner.OwnerSession(
+            tenure=tenure,
+            store=self._ports.store,
+            decoders=self._ports.decoders,
+            endpoints=self._ports.endpoints,
+            advice=advice,
+            lease=self._lease,
+            configuration=lambda: self.configuration.current,
+            lost=lost,
+            now_ms=_clock.steady_ms,
+            unix_ms=_clock.unix_ms,
+            log=self._log,
+        )
+        try:
+            with self._vms:
+                self._session.serve()
+        finally:
+            self._session = None
+
+    def _address_by_vm(self):
+        return {
+            key.removeprefix(_keys.VMS_PREFIX): _ownership.decode_vm(
+                item.value
+            ).address
+            for key, item in self._vms.item_by_key.items()
+        }
+
+    def _local_cell(self):
+        session = self._session
+        if session is None or not session.is_current:
+            return None
+        return session.cell
+
+    def _configuration_changed(self):
+        if self._session is not None:
+            self._session.configuration_changed()
+
+    # Questions of other VMs
+
+    @functools.singledispatchmethod
+    def _answer(self, message):
+        raise errors.BadInputError(f"no question: {type(message).__name__}")
+
+    @_answer.register
+    def _(self, message: cells.AskJobState):
+        return self.desk.answer_state(message)
+
+    @_answer.register
+    def _(self, message: cells.AskWaiting):
+        return self.desk.answer_waiting(message)
+
+    @_answer.register
+    def _(self, message: cells.RelayAdvice):
+        tickets, valid_ms = self._ports.policy.ask(
+            message.job_id,
+            message.occurrence,
+            message.step,
+            message.endpoint_ids,
+            min(message.timeout_ms, POLICY_TIMEOUT_MS),
+        )
+        return cells.AdviceIs(tuple(tickets.items()), valid_ms)
--- /dev/null
+++ b/samphiregate/adapters/cells/_writer.py
@@ -0,0 +1,84 @@
+"""Stores what a cell's owner notes, several records a transaction."""
+
+import gevent
+import gevent.event
+
+from samphiregate.adapters.cells import _keys
+from samphiregate.adapters.cells import _ports
+from samphiregate import errors
+
+MOST_WRITES = 30  # of a transaction
+RETRY_INTERVAL_MS = 100
+
+
+class RecordWriter:
+    """Writes records under the condition that the ownership stands.
+
+    Parameters
+    ----------
+    store : Store
+    tenure : Tenure
+    take_records : callable
+        Takes a number; returns rows of job id, version and bytes.
+    on_stored : callable
+        Takes rows of job id and version.
+    on_lost : callable
+        Called when the ownership does not stand any more.
+    log : DecisionLog
+    """
+
+    def __init__(
+        self, *, store, tenure, take_records, on_stored, on_lost, log
+    ):
+        self._store = store
+        self._tenure = tenure
+        self._take_records = take_records
+        self._on_stored = on_stored
+        self._on_lost = on_lost
+        self._log = log
+        self._wake = gevent.event.Event()
+        self._greenlet = None
+
+    def __enter__(self):
+        self._greenlet = gevent.spawn(self._run)
+        return self
+
+    def __exit__(self, *exc_info):
+        self._greenlet.kill()
+
+    def wake(self):
+        """Tells that there may be records to write."""
+        self._wake.set()
+
+    def _run(self):
+        while True:
+            rows = self._take_records(MOST_WRITES)
+            if not rows:
+                self._wake.clear()
+                self._wake.wait()
+                continue
+            if not self._write(rows):
+                return
+            self._on_stored(tuple((row[0], row[1]) for row in rows))
+
+    def _write(self, rows):
+        cell = self._tenure.cell
+        writes = [
+            _ports.StoreWrite(_keys.record(cell, job_id), data)
+            for job_id, _version, data in rows
+        ]
+        while True:
+            try:
+                self._store.commit(expected=self._tenure.guard, writes=writes)
+                return True
+            except _ports.ConflictError:
+                self._on_lost("another VM has taken the cell")
+                return False
+            except errors.SamphiregateError as error:
+                self._log.write(
+                    "records not stored",
+                    cell=cell,
+                    records=len(rows),
+                    reason=error.detail,
+                )
+                gevent.sleep(RETRY_INTERVAL_MS / 1000)
--- a/samphiregate/adapters/http/_client.py
+++ b/samphiregate/adapters/http/_client.py
@@ -1,8 +1,10 @@
 """A pooled HTTP client for one endpoint."""
 
+import functools
 import socket
 
 import attrs
+from gevent import socket as gevent_socket
 import geventhttpclient
 from geventhttpclient import connectionpool
 from geventhttpclient import response as http_response
@@ -72,7 +74,8 @@
         self.endpoint = endpoint
         self._most_body_bytes = most_body_bytes
         self._client = geventhttpclient.HTTPClient(host, int(port))
-        self._client._connection_pool = _NoDelayPool(
+        self._make_pool = functools.partial(
+            _NoDelayPool,
             host,
             int(port),
             host,
@@ -81,6 +84,7 @@
             connection_timeout=(connect_timeout_ms or timeout_ms) / 1000,
             network_timeout=timeout_ms / 1000,
         )
+        self._client._connection_pool = self._make_pool()
 
     def __enter__(self):
         return self
@@ -92,6 +96,11 @@
         """Closes every pooled connection."""
         self._client.close()
 
+    def _replace_connections(self):
+        """Closes the idle connections; what is silent may not be alone."""
+        self._client._connection_pool.close()
+        self._client._connection_pool = self._make_pool()
+
     def request(self, method, path, *, body=b"", headers=None):
         """Sends a request and reads the whole answer.
 
@@ -115,6 +124,7 @@
                 f"no connection to {self.endpoint}"
             ) from error
         except (OSError, http_response.HTTPParseError) as error:
+            self._replace_connections()
             raise errors.UnavailableError(
                 f"no whole answer from {self.endpoint}",
                 ran=errors.Ran.UNKNOWN,
@@ -151,6 +161,12 @@
     def after_connect(self, sock):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
+    def _resolve(self):
+        # Addresses are IP numbers, for which no resolver is asked.
+        address = (self._connection_host, self._connection_port)
+        stream = gevent_socket.SOCK_STREAM
+        return [(gevent_socket.AF_INET, stream, 0, "", address)]
+
     def _create_socket(self):
         try:
             return super()._create_socket()
--- a/samphiregate/adapters/peers/_codec.py
+++ b/samphiregate/adapters/peers/_codec.py
@@ -96,6 +96,30 @@
             yield error
 
 
+def encode_message(message):
+    """Encodes a message that is sent alone, as bytes."""
+    frame = encode_frame(message)
+    built = SCHEMA.Frame.new_message(
+        kind=frame.kind, fields=frame.fields, payloads=list(frame.payloads)
+    )
+    return built.to_bytes()
+
+
+def decode_message(data):
+    """Decodes a message that was sent alone.
+
+    Raises
+    ------
+    SamphiregateError
+        For bytes that hold no message of a class known here.
+    """
+    try:
+        with SCHEMA.Frame.from_bytes(data) as frame:
+            return _decode(frame)
+    except capnp.KjException as error:
+        raise errors.BadInputError(f"no message: {error}") from error
+
+
 def _decode(frame):
     cls = _class_by_kind(frame.kind)
     try:
--- /dev/null
+++ b/samphiregate/core/cells/__init__.py
@@ -0,0 +1,99 @@
+"""Cells: endpoints and jobs that one entry VM decides for at a time."""
+
+from samphiregate.core.cells._cell import Cell
+from samphiregate.core.cells._messages import AccountsChanged
+from samphiregate.core.cells._messages import AdviceFailed
+from samphiregate.core.cells._messages import Advised
+from samphiregate.core.cells._messages import AskAdvice
+from samphiregate.core.cells._messages import Decided
+from samphiregate.core.cells._messages import EndedRow
+from samphiregate.core.cells._messages import EndpointListed
+from samphiregate.core.cells._messages import EndpointLooked
+from samphiregate.core.cells._messages import EndpointUnlisted
+from samphiregate.core.cells._messages import EndReason
+from samphiregate.core.cells._messages import JobCancelled
+from samphiregate.core.cells._messages import JobForgotten
+from samphiregate.core.cells._messages import JobStored
+from samphiregate.core.cells._messages import KnownEndpointsStored
+from samphiregate.core.cells._messages import Look
+from samphiregate.core.cells._messages import LookFailed
+from samphiregate.core.cells._messages import PaceTask
+from samphiregate.core.cells._messages import RecordsStored
+from samphiregate.core.cells._messages import RunningRow
+from samphiregate.core.cells._messages import StartAnswered
+from samphiregate.core.cells._messages import StartOutcome
+from samphiregate.core.cells._messages import StartTask
+from samphiregate.core.cells._messages import StepDown
+from samphiregate.core.cells._messages import StopAnswered
+from samphiregate.core.cells._messages import StopTask
+from samphiregate.core.cells._peer_messages import AdviceIs
+from samphiregate.core.cells._peer_messages import AskJobState
+from samphiregate.core.cells._peer_messages import AskWaiting
+from samphiregate.core.cells._peer_messages import JobStateIs
+from samphiregate.core.cells._peer_messages import NotMine
+from samphiregate.core.cells._peer_messages import RelayAdvice
+from samphiregate.core.cells._peer_messages import WaitingIs
+from samphiregate.core.cells._records import decode_job
+from samphiregate.core.cells._records import decode_record
+from samphiregate.core.cells._records import encode
+from samphiregate.core.cells._records import JobRecord
+from samphiregate.core.cells._records import StageRecord
+from samphiregate.core.cells._work import Account
+from samphiregate.core.cells._work import Advice
+from samphiregate.core.cells._work import Job
+from samphiregate.core.cells._work import JobState
+from samphiregate.core.cells._work import Queue
+from samphiregate.core.cells._work import Resources
+from samphiregate.core.cells._work import Schedule
+from samphiregate.core.cells._work import Step
+from samphiregate.core.cells._work import TaskId
+
+__all__ = [
+    "AdviceIs",
+    "AskJobState",
+    "AskWaiting",
+    "JobStateIs",
+    "NotMine",
+    "RelayAdvice",
+    "WaitingIs",
+    "Account",
+    "AccountsChanged",
+    "Advice",
+    "AdviceFailed",
+    "Advised",
+    "AskAdvice",
+    "Cell",
+    "Decided",
+    "EndReason",
+    "EndedRow",
+    "EndpointListed",
+    "EndpointLooked",
+    "EndpointUnlisted",
+    "Job",
+    "JobCancelled",
+    "JobForgotten",
+    "JobRecord",
+    "JobState",
+    "JobStored",
+    "KnownEndpointsStored",
+    "Look",
+    "LookFailed",
+    "PaceTask",
+    "Queue",
+    "RecordsStored",
+    "Resources",
+    "RunningRow",
+    "Schedule",
+    "StageRecord",
+    "StartAnswered",
+    "StartOutcome",
+    "StartTask",
+    "Step",
+    "StepDown",
+    "StopAnswered",
+    "StopTask",
+    "TaskId",
+    "decode_job",
+    "decode_record",
+    "encode",
+]
--- /dev/null
+++ b/samphiregate/core/cells/_book.py
@@ -0,0 +1,331 @@
+"""The jobs, endpoints and runs of a cell, and every change to them."""
+
+import attrs
+
+from samphiregate.core.cells import _caps
+from samphiregate.core.cells import _endpoints
+from samphiregate.core.cells import _messages
+from samphiregate.core.cells import _order
+from samphiregate.core.cells import _tasks
+from samphiregate.core.cells import _work
+
+RUNS_PER_EPOCH = 1_000  # run numbers that one owner may give a task
+STOP_RETRY_MS = 400
+
+
+@attrs.define(eq=False)
+class Book:
+    """State that the parts of a cell share.
+
+    Parameters
+    ----------
+    epoch : int
+        Fencing token of this ownership.
+
+    Attributes
+    ----------
+    entry_by_id : dict
+        Jobs, keyed by id.
+    endpoint_by_id : dict
+    open_stages : dict
+        Stages whose tasks may be started, keyed by job id and stage key.
+    dirty_ids : dict
+        Ids of jobs whose record is to be stored, in order.
+    actions : list
+        Actions not handed out yet.
+    """
+
+    epoch: int
+    entry_by_id: dict = attrs.field(factory=dict)
+    endpoint_by_id: dict = attrs.field(factory=dict)
+    open_stages: dict = attrs.field(factory=dict)
+    dirty_ids: dict = attrs.field(factory=dict)
+    actions: list = attrs.field(factory=list)
+    caps: _caps.CapLedger = attrs.field(factory=_caps.CapLedger)
+    account_by_name: dict = attrs.field(factory=dict)
+    queue_by_name: dict = attrs.field(factory=dict)
+    shares: _order.ShareMeter = attrs.field(factory=_order.ShareMeter)
+    unix_ms: int = 0
+
+    def decided(self, what, job_id="", **fields):
+        """Asks for a log line."""
+        self.actions.append(_messages.Decided(what, job_id, fields))
+
+    # Jobs
+
+    def add_job(self, event, now_ms):
+        """Takes in a job that was found in the store."""
+        job = event.job
+        objective = _order.objective_ms(job)
+        entry = _tasks.JobEntry(
+            job=job,
+            inherited=event.inherited,
+            run_base=(self.epoch - 1) * RUNS_PER_EPOCH
+            if event.inherited
+            else 0,
+            arrived_ms=now_ms,
+            on_time_ms=round(now_ms + objective),
+            late_ms=round(now_ms + objective * _order.LATE_FACTOR),
+        )
+        account = self.account_by_name.get(job.account)
+        if account is not None:
+            entry.within_share = self.shares.note(account, now_ms)
+        self.entry_by_id[job.job_id] = entry
+        if job.schedule is None:
+            entry.add_occurrence(0)
+        if event.record is not None:
+            entry.restore(event.record)
+        self.decided(
+            "job queued",
+            job.job_id,
+            queue=job.queue.name,
+            account=job.account,
+            inherited=event.inherited,
+            within_share=entry.within_share,
+            state=entry.state.value,
+        )
+        self.open_ready_stages(entry, now_ms)
+
+    def open_ready_stages(self, entry, now_ms):
+        """Lets the stages start whose earlier steps are done."""
+        if entry.state.is_final:
+            return
+        for stage in entry.stages_by_key.values():
+            if stage.opened_ms is None and entry.is_open(stage):
+                stage.opened_ms = now_ms
+                self.note_startable(stage)
+
+    def note_startable(self, stage):
+        """Has the planner look at a stage."""
+        if stage.opened_ms is not None and not stage.entry.state.is_final:
+            self.open_stages[stage.entry.job.job_id, stage.key] = stage
+
+    def touch(self, entry):
+        """Has the record of a job stored."""
+        entry.version += 1
+        self.dirty_ids[entry.job.job_id] = None
+
+    def finish(self, entry, state, now_ms, **reason):
+        """Gives a job its final state and stops what it runs."""
+        if entry.state.is_final:
+            return
+        entry.state = state
+        entry.ended_unix_ms = self.unix_ms
+        self.touch(entry)
+        for stage in entry.stages_by_key.values():
+            self.open_stages.pop((entry.job.job_id, stage.key), None)
+        for booking in list(entry.bookings()):
+            self.stop(booking, now_ms)
+        self.decided(
+            "job ended",
+            entry.job.job_id,
+            state=state.value,
+            elapsed_ms=now_ms - entry.arrived_ms,
+            **reason,
+        )
+
+    def forget(self, job_id):
+        """Drops a job that the store does not hold any more."""
+        entry = self.entry_by_id.get(job_id)
+        if entry is not None and entry.state.is_final:
+            del self.entry_by_id[job_id]
+
+    # Runs
+
+    def book(self, task, run, endpoint, now_ms):
+        """Takes room for a run that may exist from now on."""
+        booking = _tasks.Booking(
+            task, run, endpoint.endpoint_id, now_ms, progressed_ms=now_ms
+        )
+        task.last_run = max(task.last_run, run)
+        endpoint.book(booking)
+        entry = task.stage.entry
+        entry.has_started = True
+        if entry.state is _work.JobState.QUEUED:
+            entry.state = _work.JobState.RUNNING
+        self.caps.add(entry.job.account, booking.step.demand)
+        return booking
+
+    def release(self, booking):
+        """Gives back the room of a run that has surely ended."""
+        endpoint = self.endpoint_by_id[booking.endpoint_id]
+        if booking.key not in endpoint.bookings_by_run:
+            return
+        endpoint.release(booking)
+        entry = booking.task.stage.entry
+        self.caps.remove(entry.job.account, booking.step.demand)
+        if booking.task.is_waiting:
+            self.note_startable(booking.task.stage)
+
+    def stop(self, booking, now_ms):
+        """Orders a run to stop; its room is kept until it has ended."""
+        endpoint = self.endpoint_by_id[booking.endpoint_id]
+        booking.state = _tasks.RunState.STOPPING
+        booking.stop_sent_ms = now_ms
+        self.actions.append(
+            _messages.StopTask(
+                endpoint.endpoint_id,
+                endpoint.news.address,
+                booking.task.task_id,
+                booking.run,
+            )
+        )
+
+    def retry_stops(self, now_ms):
+        """Repeats orders to stop that were not confirmed."""
+        for endpoint in self.endpoint_by_id.values():
+            if endpoint.failed_looks:
+                continue
+            for booking in endpoint.runs(_tasks.RunState.STOPPING):
+                waited = now_ms - (booking.stop_sent_ms or 0)
+                if booking.stop_confirmed_ms is None and (
+                    waited > STOP_RETRY_MS
+                ):
+                    self.stop(booking, now_ms)
+
+    def restart_gang(self, booking, now_ms):
+        """Stops the other members of a gang's run that has broken up."""
+        for task in booking.task.stage.tasks:
+            for other in list(task.bookings_by_run.values()):
+                if other.state is not _tasks.RunState.STOPPING:
+                    self.stop(other, now_ms)
+
+    def lose(self, endpoint, reason, now_ms):
+        """Takes all runs of an endpoint as ended without a result."""
+        lost = list(endpoint.bookings_by_run.values())
+        for booking in lost:
+            self.release(booking)
+            if booking.step.gang:
+                self.restart_gang(booking, now_ms)
+        self.decided(
+            "runs lost",
+            endpoint=endpoint.endpoint_id,
+            reason=reason,
+            runs=len(lost),
+            jobs=sorted({one.task.task_id.job_id for one in lost}),
+        )
+
+    def drop_if_idle(self, endpoint):
+        """Forgets an endpoint that is gone and runs nothing."""
+        if not endpoint.listed and not endpoint.bookings_by_run:
+            self.endpoint_by_id.pop(endpoint.endpoint_id, None)
+
+    # Ends
+
+    def take_end(self, endpoint, row, now_ms):
+        """Takes in an end that an endpoint lists."""
+        booking = endpoint.bookings_by_run.get((row.task_id, row.run))
+        if booking is not None:
+            self.release(booking)
+        entry = self.entry_by_id.get(row.task_id.job_id)
+        task = entry.task(row.task_id) if entry else None
+        version = 0
+        if task is not None:
+            self._settle(task, endpoint, row, now_ms)
+            version = entry.version
+        endpoint.handled_upto = row.number
+        endpoint.unseen_ends.append((row.number, row.task_id.job_id, version))
+
+    def _settle(self, task, endpoint, row, now_ms):
+        entry = task.stage.entry
+        if (endpoint.endpoint_id, row.run) in task.ended_runs:
+            return
+        task.ended_runs.add((endpoint.endpoint_id, row.run))
+        task.last_run = max(task.last_run, row.run)
+        if row.saved:
+            task.saved = row.saved
+        if entry.state.is_final or task.is_done:
+            return
+        if row.reason is _messages.EndReason.DONE:
+            self._settle_done(task, row.run, now_ms)
+        elif row.reason is _messages.EndReason.FAILED:
+            self._settle_failed(task, endpoint, row.run, now_ms)
+        else:
+            self.decided(
+                "run ended",
+                entry.job.job_id,
+                task=attrs.astuple(task.task_id)[1:],
+                run=row.run,
+                reason=row.reason.value,
+                endpoint=endpoint.endpoint_id,
+            )
+        if not task.is_done and task.stage.step.gang:
+            self._restart_others(task, row.run, now_ms)
+        if task.saved and task.stage.step.checkpoints:
+            self._share_checkpoint(task)
+            self.touch(entry)
+        if task.is_waiting:
+            self.note_startable(task.stage)
+
+    def _settle_done(self, task, run, now_ms):
+        stage = task.stage
+        entry = stage.entry
+        if stage.step.long_running:
+            self.decided("long-running task ended", entry.job.job_id, run=run)
+            return
+        members = stage.tasks if stage.step.gang else [task]
+        for member in members:
+            _tasks.mark_done(member)
+        if not stage.step.gang:
+            for booking in list(task.bookings_by_run.values()):
+                self.stop(booking, now_ms)
+        self.touch(entry)
+        if not stage.is_done:
+            return
+        self.open_stages.pop((entry.job.job_id, stage.key), None)
+        if entry.is_done:
+            self.finish(entry, _work.JobState.COMPLETED, now_ms)
+        else:
+            self.open_ready_stages(entry, now_ms)
+
+    def _settle_failed(self, task, endpoint, run, now_ms):
+        stage = task.stage
+        entry = stage.entry
+        charged = stage.tasks[0] if stage.step.gang else task
+        charged.failed_runs.add(run)
+        queue = self.queue_by_name.get(entry.job.queue.name, entry.job.queue)
+        failures = len(charged.failed_runs)
+        self.decided(
+            "run failed",
+            entry.job.job_id,
+            task=attrs.astuple(task.task_id)[1:],
+            run=run,
+            failures=failures,
+            most=queue.max_attempts,
+            endpoint=endpoint.endpoint_id,
+        )
+        if stage.step.long_running:
+            return
+        self.touch(entry)
+        if failures >= queue.max_attempts:
+            self.finish(
+                entry,
+                _work.JobState.FAILED,
+                now_ms,
+                task=attrs.astuple(task.task_id)[1:],
+                failures=failures,
+            )
+
+    def _restart_others(self, task, run, now_ms):
+        for member in task.stage.tasks:
+            booking = member.bookings_by_run.get(run)
+            stopping = _tasks.RunState.STOPPING
+            if booking is not None and booking.state is not stopping:
+                self.stop(booking, now_ms)
+
+    def _share_checkpoint(self, task):
+        if task.stage.step.gang:
+            for member in task.stage.tasks:
+                member.saved = task.saved
+
+    def stored_version(self, job_id):
+        """Returns the version of a job's record in the store."""
+        entry = self.entry_by_id.get(job_id)
+        return None if entry is None else entry.stored_version
+
+    def endpoint_of(self, booking):
+        """Returns the endpoint of a run."""
+        return self.endpoint_by_id[booking.endpoint_id]
+
+
+Endpoint = _endpoints.Endpoint
--- /dev/null
+++ b/samphiregate/core/cells/_caps.py
@@ -0,0 +1,49 @@
+"""What each client account has running, against its upper limit."""
+
+import collections
+
+from samphiregate.core.cells import _work
+
+
+class CapLedger:
+    """Counts what may run for each account over all endpoints of a cell."""
+
+    def __init__(self):
+        self._used_by_account = collections.defaultdict(lambda: _work.NOTHING)
+        self._cap_by_account = {}
+
+    def set_accounts(self, accounts):
+        """Takes the accounts of a configuration."""
+        self._cap_by_account = {
+            account.name: account.cap for account in accounts
+        }
+
+    def used(self, account):
+        """Returns what an account has running."""
+        return self._used_by_account[account]
+
+    def allows(self, account, demand):
+        """Whether an account may have this much more running."""
+        cap = self._cap_by_account.get(account)
+        if cap is None:
+            return True
+        total = self._used_by_account[account] + demand
+        return (
+            _within(total.cpu_millis, cap.cpu_millis)
+            and _within(total.memory_mb, cap.memory_mb)
+            and _within(total.gpus, cap.gpus)
+        )
+
+    def add(self, account, demand):
+        """Counts a run."""
+        if account:
+            self._used_by_account[account] += demand
+
+    def remove(self, account, demand):
+        """Stops counting a run."""
+        if account:
+            self._used_by_account[account] -= demand
+
+
+def _within(total, most):
+    return not most or total <= most
--- /dev/null
+++ b/samphiregate/core/cells/_cell.py
@@ -0,0 +1,484 @@
+"""The owner's part of a cell: decides where its tasks run, and when."""
+
+import attrs
+
+from samphiregate.core import base
+from samphiregate.core.cells import _book
+from samphiregate.core.cells import _endpoints
+from samphiregate.core.cells import _faults
+from samphiregate.core.cells import _messages
+from samphiregate.core.cells import _planner
+from samphiregate.core.cells import _records
+from samphiregate.core.cells import _sightings
+from samphiregate.core.cells import _tasks
+from samphiregate.core.cells import _work
+
+LOOK_WAIT_MS = 1_500
+STORE_LAG_LOOK_MS = 100  # between looks while ends wait for the store
+FAILED_LOOK_MS = 300
+NO_ROOM_REST_MS = 300
+REFUSED_REST_MS = 500
+MOST_LOOKS = 2
+ADVICE_RETRY_MS = 200
+
+
+class Cell(base.StateMachine):
+    """Decides for the jobs and endpoints of one cell.
+
+    Parameters
+    ----------
+    epoch : int
+        Fencing token; higher than that of every earlier owner.
+    lease_ms : int
+        Lease that each order gives an endpoint's runs.
+    unresolved : dict
+        Endpoints that earlier owners may have ordered to start tasks:
+        service and local time until which those may run, keyed by id.
+
+    Notes
+    -----
+    `handle` takes in events; `plan` then starts what can be started. So
+    several events can be taken in before the next plan is made.
+    """
+
+    def __init__(self, *, epoch, lease_ms, unresolved=None):
+        self.book = _book.Book(epoch)
+        self._lease_ms = lease_ms
+        self._unresolved_by_id = dict(unresolved or {})
+        self.stored_known_ids = frozenset()
+        self._judge = _faults.FaultJudge()
+        self._planner = _planner.Planner(
+            book=self.book,
+            lease_ms=lease_ms,
+            may_start=self._may_start,
+            is_resting=self._judge.is_resting,
+        )
+
+    # Queries
+
+    def state_of(self, job_id):
+        """Returns the `JobState` that callers may be told, or None."""
+        entry = self.book.entry_by_id.get(job_id)
+        return None if entry is None else entry.shown_state
+
+    def waiting_in(self, queue_name):
+        """Returns the number of a queue's jobs that have not started."""
+        return sum(
+            entry.job.queue.name == queue_name
+            and not entry.has_started
+            and not entry.state.is_final
+            for entry in self.book.entry_by_id.values()
+        )
+
+    def take_records(self, most):
+        """Returns up to `most` records to store.
+
+        Returns
+        -------
+        list of tuple
+            Job id, version, and the encoded record.
+        """
+        taken = list(self.book.dirty_ids)[:most]
+        rows = []
+        for job_id in taken:
+            del self.book.dirty_ids[job_id]
+            entry = self.book.entry_by_id.get(job_id)
+            if entry is not None:
+                data = _records.encode(entry.to_record())
+                rows.append((job_id, entry.version, data))
+        return rows
+
+    def known_endpoints(self):
+        """Returns service by id of the endpoints that may get orders.
+
+        Those that earlier owners used and that have not answered since are
+        among them.
+        """
+        unresolved = {
+            endpoint_id: service
+            for endpoint_id, (service, _until_ms) in (
+                self._unresolved_by_id.items()
+            )
+        }
+        return unresolved | {
+            endpoint_id: endpoint.news.service
+            for endpoint_id, endpoint in self.book.endpoint_by_id.items()
+        }
+
+    def expired_jobs(self, unix_ms, keep_ms):
+        """Returns ids of jobs that ended longer ago than `keep_ms`."""
+        return [
+            job_id
+            for job_id, entry in self.book.entry_by_id.items()
+            if entry.shown_state.is_final
+            and entry.ended_unix_ms
+            and unix_ms - entry.ended_unix_ms > keep_ms
+            and not any(entry.bookings())
+        ]
+
+    # Events
+
+    def handle(self, event, now_ms):
+        """Takes one event; see `StateMachine.handle`."""
+        self._take(event, now_ms)
+        return self._drain()
+
+    def plan(self, now_ms, unix_ms):
+        """Starts, looks, asks and stops what it is time for.
+
+        Parameters
+        ----------
+        now_ms : int
+            Monotonic time in milliseconds.
+        unix_ms : int
+            Time of day, for occurrences that are due.
+
+        Returns
+        -------
+        list of Action
+        """
+        self.book.unix_ms = unix_ms
+        self._expire(now_ms)
+        self._add_occurrences(now_ms, unix_ms)
+        self._leave_draining(now_ms)
+        self.book.retry_stops(now_ms)
+        self._planner.plan(now_ms)
+        self._look(now_ms)
+        return self._drain()
+
+    def _drain(self):
+        actions = self.book.actions
+        self.book.actions = []
+        return actions
+
+    @base.singledispatchmethod
+    def _take(self, event, now_ms):
+        del event, now_ms
+
+    @_take.register
+    def _(self, event: _messages.JobStored, now_ms):
+        if event.job.job_id not in self.book.entry_by_id:
+            self.book.add_job(event, now_ms)
+
+    @_take.register
+    def _(self, event: _messages.JobCancelled, now_ms):
+        entry = self.book.entry_by_id.get(event.job_id)
+        if entry is not None:
+            self.book.finish(entry, _work.JobState.CANCELLED, now_ms)
+
+    @_take.register
+    def _(self, event: _messages.JobForgotten, now_ms):
+        del now_ms
+        self.book.forget(event.job_id)
+
+    @_take.register
+    def _(self, event: _messages.AccountsChanged, now_ms):
+        del now_ms
+        self.book.caps.set_accounts(event.accounts)
+        self.book.account_by_name = {
+            account.name: account for account in event.accounts
+        }
+        self.book.queue_by_name = {queue.name: queue for queue in event.queues}
+
+    @_take.register
+    def _(self, event: _messages.KnownEndpointsStored, now_ms):
+        del now_ms
+        self.stored_known_ids = event.endpoint_ids
+        for endpoint in self.book.endpoint_by_id.values():
+            endpoint.recorded = endpoint.endpoint_id in event.endpoint_ids
+
+    @_take.register
+    def _(self, event: _messages.RecordsStored, now_ms):
+        del now_ms
+        for job_id, version in event.versions:
+            entry = self.book.entry_by_id.get(job_id)
+            if entry is not None:
+                entry.stored_version = max(entry.stored_version, version)
+        for endpoint in self.book.endpoint_by_id.values():
+            endpoint.advance_seen(self.book.stored_version)
+
+    # Endpoints
+
+    @_take.register
+    def _(self, event: _messages.EndpointListed, now_ms):
+        endpoint = self.book.endpoint_by_id.get(event.endpoint_id)
+        if endpoint is None:
+            self.book.endpoint_by_id[event.endpoint_id] = _endpoints.Endpoint(
+                event
+            )
+            self.book.decided(
+                "endpoint listed",
+                endpoint=event.endpoint_id,
+                service=event.service,
+                draining=event.draining,
+            )
+            return
+        if event.draining != endpoint.news.draining:
+            self.book.decided(
+                "endpoint draining" if event.draining else "endpoint ready",
+                endpoint=event.endpoint_id,
+                remaining_ms=event.remaining_ms,
+            )
+        old = endpoint.news
+        if event.born_unix_ms and event.born_unix_ms < old.born_unix_ms:
+            event = attrs.evolve(event, born_unix_ms=old.born_unix_ms)
+        reborn = old.born_unix_ms and event.born_unix_ms > old.born_unix_ms
+        if reborn:
+            self.book.lose(endpoint, "its entry is of a new life", now_ms)
+            endpoint.start_new_life()
+            self._resolve(event.endpoint_id)
+        endpoint.relist(event)
+
+    @_take.register
+    def _(self, event: _messages.EndpointUnlisted, now_ms):
+        del now_ms
+        endpoint = self.book.endpoint_by_id.get(event.endpoint_id)
+        if endpoint is None:
+            return
+        endpoint.listed = False
+        self.book.decided(
+            "endpoint unlisted",
+            endpoint=event.endpoint_id,
+            runs=len(endpoint.bookings_by_run),
+        )
+        self.book.drop_if_idle(endpoint)
+
+    @_take.register
+    def _(self, event: _messages.EndpointLooked, now_ms):
+        endpoint = self.book.endpoint_by_id.get(event.endpoint_id)
+        if endpoint is None:
+            return
+        endpoint.looks_under_way = max(0, endpoint.looks_under_way - 1)
+        before = set(endpoint.bookings_by_run)
+        _sightings.take_look(self.book, endpoint, event, now_ms)
+        self._judge.note_ends(event, before, now_ms)
+        self._resolve(event.endpoint_id)
+        endpoint.advance_seen(self.book.stored_version)
+        self.book.drop_if_idle(endpoint)
+
+    @_take.register
+    def _(self, event: _messages.LookFailed, now_ms):
+        endpoint = self.book.endpoint_by_id.get(event.endpoint_id)
+        if endpoint is None:
+            return
+        endpoint.looks_under_way = max(0, endpoint.looks_under_way - 1)
+        endpoint.look_after_ms = now_ms + FAILED_LOOK_MS
+        if event.fenced:
+            self.book.actions.append(_messages.StepDown(event.endpoint_id))
+            return
+        endpoint.failed_looks += 1
+        if endpoint.failed_looks == 1:
+            self.book.decided(
+                "endpoint unreachable",
+                endpoint=event.endpoint_id,
+                process_gone=event.process_gone,
+                runs=len(endpoint.bookings_by_run),
+            )
+        if event.process_gone:
+            self._resolve(event.endpoint_id)
+            self.book.lose(endpoint, "its process is gone", now_ms)
+            endpoint.start_new_life()
+            self.book.drop_if_idle(endpoint)
+
+    def _resolve(self, endpoint_id):
+        self._unresolved_by_id.pop(endpoint_id, None)
+
+    # Orders
+
+    @_take.register
+    def _(self, event: _messages.StartAnswered, now_ms):
+        endpoint = self.book.endpoint_by_id.get(event.endpoint_id)
+        if endpoint is None:
+            return
+        key = (event.task_id, event.run)
+        booking = endpoint.bookings_by_run.get(key)
+        if booking is None:
+            return
+        outcome = event.outcome
+        if outcome is _messages.StartOutcome.STARTED:
+            booking.confirmed_ms = now_ms
+            if booking.state is _tasks.RunState.STARTING:
+                booking.state = _tasks.RunState.RUNNING
+            return
+        self.book.decided(
+            "start failed",
+            event.task_id.job_id,
+            run=event.run,
+            endpoint=event.endpoint_id,
+            outcome=outcome.value,
+        )
+        if outcome is _messages.StartOutcome.UNKNOWN:
+            if booking.state is _tasks.RunState.STARTING:
+                self.book.stop(booking, now_ms)
+            return
+        self._take_refusal(endpoint, booking, outcome, now_ms)
+
+    def _take_refusal(self, endpoint, booking, outcome, now_ms):
+        outcomes = _messages.StartOutcome
+        self.book.release(booking)
+        if booking.step.gang:
+            self.book.restart_gang(booking, now_ms)
+        if outcome is outcomes.NO_ROOM:
+            endpoint.rest_until_ms = now_ms + NO_ROOM_REST_MS
+        elif outcome is outcomes.FENCED:
+            step_down = _messages.StepDown(endpoint.endpoint_id)
+            self.book.actions.append(step_down)
+        elif outcome is outcomes.SUPERSEDED:
+            booking.task.last_run += _book.RUNS_PER_EPOCH
+        elif outcome is outcomes.TOO_LATE:
+            endpoint.known = False
+        elif outcome is outcomes.NO_TICKET:
+            stage = booking.task.stage
+            ticket = stage.ticket_by_id.get(endpoint.endpoint_id)
+            if ticket is not None:
+                ticket.valid_until_ms = 0
+        elif outcome is outcomes.NOT_STARTED:
+            endpoint.rest_until_ms = now_ms + REFUSED_REST_MS
+        elif outcome is outcomes.WRONG_ENDPOINT:
+            self.book.lose(endpoint, "another answers there", now_ms)
+            endpoint.start_new_life()
+
+    @_take.register
+    def _(self, event: _messages.StopAnswered, now_ms):
+        endpoint = self.book.endpoint_by_id.get(event.endpoint_id)
+        if endpoint is None:
+            return
+        booking = endpoint.bookings_by_run.get((event.task_id, event.run))
+        if booking is None or not event.confirmed:
+            return
+        if booking.stop_confirmed_ms is None:
+            booking.stop_confirmed_ms = now_ms
+            endpoint.look_after_ms = min(endpoint.look_after_ms, now_ms)
+            self._look_at(endpoint, now_ms, wait_ms=0)
+
+    # Advice
+
+    @_take.register
+    def _(self, event: _messages.Advised, now_ms):
+        stage = self._stage(event)
+        if stage is None:
+            return
+        stage.asking = False
+        stage.ask_after_ms = now_ms + _planner.ASK_AGAIN_MS
+        stage.asked_ids.update(event.asked)
+        for endpoint_id, text in event.ticket_by_id.items():
+            stage.ticket_by_id[endpoint_id] = _tasks.Ticket(
+                text, event.valid_until_ms
+            )
+        self.book.decided(
+            "advice taken",
+            event.job_id,
+            step=stage.key,
+            asked=len(event.asked),
+            allowed=len(event.ticket_by_id),
+        )
+
+    @_take.register
+    def _(self, event: _messages.AdviceFailed, now_ms):
+        stage = self._stage(event)
+        if stage is not None:
+            stage.asking = False
+            stage.ask_after_ms = now_ms + ADVICE_RETRY_MS
+
+    def _stage(self, event):
+        entry = self.book.entry_by_id.get(event.job_id)
+        if entry is None:
+            return None
+        return entry.stages_by_key.get((event.occurrence, event.step))
+
+    # Planning
+
+    def _may_start(self, entry):
+        if not entry.inherited or not self._unresolved_by_id:
+            return True
+        service = entry.job.queue.service
+        return not any(
+            known_service == service
+            for known_service, _until_ms in self._unresolved_by_id.values()
+        )
+
+    def _expire(self, now_ms):
+        for endpoint_id, row in list(self._unresolved_by_id.items()):
+            if row[1] <= now_ms:
+                self._resolve(endpoint_id)
+                self.book.decided("endpoint given up", endpoint=endpoint_id)
+        for endpoint in list(self.book.endpoint_by_id.values()):
+            lapsed = (
+                endpoint.failed_looks
+                and endpoint.bookings_by_run
+                and endpoint.lease_until_ms <= now_ms
+                and endpoint.endpoint_id not in self._unresolved_by_id
+            )
+            if lapsed:
+                self.book.lose(endpoint, "its lease has lapsed", now_ms)
+            self.book.drop_if_idle(endpoint)
+
+    def _add_occurrences(self, now_ms, unix_ms):
+        for entry in self.book.entry_by_id.values():
+            schedule = entry.job.schedule
+            if schedule is None or entry.state.is_final:
+                continue
+            for occurrence in range(schedule.count):
+                due = schedule.due_unix_ms(occurrence)
+                present = (occurrence, 0) in entry.stages_by_key
+                if due <= unix_ms and not present:
+                    entry.add_occurrence(occurrence)
+                    self.book.open_ready_stages(entry, now_ms)
+
+    def _leave_draining(self, now_ms):
+        """Moves tasks off endpoints that leave before they could end."""
+        for endpoint in self.book.endpoint_by_id.values():
+            if not endpoint.news.draining:
+                continue
+            for booking in endpoint.runs(_tasks.RunState.RUNNING):
+                if self._moves_off(booking):
+                    self.book.decided(
+                        "run moved off",
+                        booking.task.task_id.job_id,
+                        run=booking.run,
+                        endpoint=endpoint.endpoint_id,
+                    )
+                    self.book.stop(booking, now_ms)
+
+    def _moves_off(self, booking):
+        return booking.step.long_running
+
+    def _look(self, now_ms):
+        for endpoint in self.book.endpoint_by_id.values():
+            if endpoint.looks_under_way or endpoint.look_after_ms > now_ms:
+                continue
+            needed = (
+                not endpoint.known
+                or endpoint.bookings_by_run
+                or endpoint.unseen_ends
+                or endpoint.handled_upto > endpoint.seen_upto
+            )
+            if needed:
+                self._look_at(endpoint, now_ms, self._wait_ms(endpoint))
+
+    def _wait_ms(self, endpoint):
+        if not endpoint.known or endpoint.failed_looks:
+            return 0
+        if endpoint.unseen_ends:
+            return 0
+        return LOOK_WAIT_MS
+
+    def _look_at(self, endpoint, now_ms, wait_ms):
+        if endpoint.looks_under_way >= MOST_LOOKS:
+            return
+        deadline_ms = None
+        if endpoint.known and not endpoint.failed_looks:
+            deadline_ms = endpoint.deadline_ms(now_ms, self._lease_ms)
+        endpoint.looks_under_way += 1
+        endpoint.look_after_ms = now_ms + (
+            STORE_LAG_LOOK_MS if endpoint.unseen_ends else 0
+        )
+        self.book.actions.append(
+            _messages.Look(
+                endpoint.endpoint_id,
+                endpoint.news.address,
+                endpoint.seen_upto,
+                wait_ms,
+                deadline_ms,
+            )
+        )
--- /dev/null
+++ b/samphiregate/core/cells/_endpoints.py
@@ -0,0 +1,162 @@
+"""What an owner knows of the endpoints that run its tasks."""
+
+import collections
+
+import attrs
+
+from samphiregate.core.cells import _messages
+from samphiregate.core.cells import _tasks
+from samphiregate.core.cells import _work
+
+CLOCK_DRIFT = 0.02  # most by which an endpoint's clock may be slow
+LAPSE_SLACK_MS = 100
+RACK_LABEL = 1
+
+
+@attrs.define(eq=False)
+class Endpoint:
+    """An endpoint: what it said of itself, and what may run there.
+
+    Attributes
+    ----------
+    news : EndpointListed
+        What it said of itself last.
+    listed : bool
+        Whether its entry stands.
+    known : bool
+        Whether it has answered under the present epoch.
+    recorded : bool
+        Whether the store tells a later owner that it may get orders.
+    failed_looks : int
+        Looks that failed since the last answer.
+    clock_ms, clock_at_ms : int
+        Its clock, and the local time at which it was told.
+    lease_until_ms : int
+        Local time by which everything ordered so far has surely ended, if
+        nothing further is sent.
+    free : Resources
+        Room that is not booked; below 0 of a thing when over-given.
+    handled_upto, seen_upto : int
+        Numbers of the last end taken in, and of the last one stored.
+    unseen_ends : deque
+        Number, job id and record version of ends that are not stored yet.
+    looks_under_way : int
+    look_after_ms : int
+        No look before this time.
+    rest_until_ms : int
+        No start before this time.
+    """
+
+    news: _messages.EndpointListed
+    listed: bool = True
+    known: bool = False
+    recorded: bool = False
+    failed_looks: int = 0
+    clock_ms: int = 0
+    clock_at_ms: int = 0
+    lease_until_ms: int = 0
+    free: _work.Resources = _work.NOTHING
+    bookings_by_run: dict = attrs.field(factory=dict)
+    handled_upto: int = 0
+    seen_upto: int = 0
+    unseen_ends: collections.deque = attrs.field(factory=collections.deque)
+    looks_under_way: int = 0
+    look_after_ms: int = 0
+    rest_until_ms: int = 0
+
+    def __attrs_post_init__(self):
+        self.free = self.news.capacity
+
+    @property
+    def endpoint_id(self):
+        """Id of the endpoint."""
+        return self.news.endpoint_id
+
+    @property
+    def rack(self):
+        """Label of its rack; empty if it names none."""
+        labels = self.news.labels
+        return labels[RACK_LABEL] if len(labels) > RACK_LABEL else ""
+
+    @property
+    def may_start(self):
+        """Whether new tasks may be placed there at all."""
+        return (
+            self.listed
+            and self.known
+            and self.recorded
+            and not self.failed_looks
+            and not self.news.draining
+        )
+
+    def deadline_ms(self, now_ms, lease_ms):
+        """Returns a lease end on its clock, and notes the lease."""
+        self.lease_until_ms = max(
+            self.lease_until_ms,
+            now_ms + round(lease_ms * (1 + CLOCK_DRIFT)) + LAPSE_SLACK_MS,
+        )
+        return self.clock_ms + now_ms - self.clock_at_ms + lease_ms
+
+    def book(self, booking):
+        """Takes the room of a run."""
+        self.bookings_by_run[booking.key] = booking
+        booking.task.bookings_by_run[booking.run] = booking
+        self.free -= booking.step.booked
+
+    def release(self, booking):
+        """Gives back the room of a run that has surely ended."""
+        if self.bookings_by_run.pop(booking.key, None) is None:
+            return
+        booking.task.bookings_by_run.pop(booking.run, None)
+        self.free += booking.step.booked
+
+    def relist(self, news):
+        """Takes in a new entry of the same life."""
+        self.free += news.capacity - self.news.capacity
+        self.news = news
+        self.listed = True
+
+    def advance_seen(self, stored_version_of):
+        """Passes the ends whose jobs' records are stored.
+
+        Parameters
+        ----------
+        stored_version_of : callable
+            Takes a job id; returns the version that the store has, or None
+            for a job that is not held any more.
+        """
+        while self.unseen_ends:
+            number, job_id, version = self.unseen_ends[0]
+            stored = stored_version_of(job_id)
+            if stored is not None and stored < version:
+                return
+            self.seen_upto = number
+            self.unseen_ends.popleft()
+
+    def start_new_life(self):
+        """Forgets what was numbered in an earlier life."""
+        self.known = False
+        self.handled_upto = 0
+        self.seen_upto = 0
+        self.unseen_ends.clear()
+
+    @property
+    def serves_with_target(self):
+        """Whether a run there has a latency target."""
+        return any(
+            booking.step.latency_target_ms
+            for booking in self.bookings_by_run.values()
+        )
+
+    def runs(self, state):
+        """Returns the runs in a state."""
+        return [
+            booking
+            for booking in self.bookings_by_run.values()
+            if booking.state is state
+        ]
+
+
+STARTING = _tasks.RunState.STARTING
+RUNNING = _tasks.RunState.RUNNING
+STOPPING = _tasks.RunState.STOPPING
--- /dev/null
+++ b/samphiregate/core/cells/_faults.py
@@ -0,0 +1,61 @@
+"""Keeps work from endpoints that fail what they start.
+
+Answers the load of an endpoint that ends every task as failed at once, and
+so has always room for the next: after some failures of several jobs without
+a success it rests, each time for longer.
+"""
+
+import attrs
+
+from samphiregate.core.cells import _messages
+
+FAILED_JOBS = 3
+FIRST_REST_MS = 2_000
+LONGEST_REST_MS = 10_000
+
+
+@attrs.define
+class _Standing:
+    failed_job_ids: set = attrs.field(factory=set)
+    rest_until_ms: int = 0
+    rest_ms: int = FIRST_REST_MS
+
+
+class FaultJudge:
+    """Charges failures to endpoints."""
+
+    def __init__(self):
+        self._standing_by_id = {}
+
+    def is_resting(self, endpoint_id, now_ms):
+        """Whether an endpoint gets no work now."""
+        standing = self._standing_by_id.get(endpoint_id)
+        return standing is not None and standing.rest_until_ms > now_ms
+
+    def note_ends(self, event, expected_runs, now_ms):
+        """Notes the ends that an endpoint lists.
+
+        Parameters
+        ----------
+        event : EndpointLooked
+        expected_runs : set
+            Task id and run of what was believed to run there before.
+        now_ms : int
+        """
+        for row in event.ended:
+            if (row.task_id, row.run) in expected_runs:
+                self._note(event.endpoint_id, row, now_ms)
+
+    def _note(self, endpoint_id, row, now_ms):
+        reasons = _messages.EndReason
+        if row.reason is reasons.DONE:
+            self._standing_by_id.pop(endpoint_id, None)
+        elif row.reason is reasons.FAILED:
+            standing = self._standing_by_id.setdefault(
+                endpoint_id, _Standing()
+            )
+            standing.failed_job_ids.add(row.task_id.job_id)
+            if len(standing.failed_job_ids) >= FAILED_JOBS:
+                standing.rest_until_ms = now_ms + standing.rest_ms
+                standing.rest_ms = min(standing.rest_ms * 2, LONGEST_REST_MS)
+                standing.failed_job_ids.clear()
--- /dev/null
+++ b/samphiregate/core/cells/_messages.py
@@ -0,0 +1,361 @@
+"""Events that a cell takes and actions that it asks for."""
+
+import enum
+
+import attrs
+
+from samphiregate.core import base
+from samphiregate.core.cells import _work
+
+
+class EndReason(enum.Enum):
+    """How a run of a task ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    ALONE = "alone"
+
+
+class StartOutcome(enum.Enum):
+    """What came of an order to start a task."""
+
+    STARTED = "started"
+    NO_ROOM = "no room"
+    FENCED = "fenced"
+    SUPERSEDED = "superseded"
+    TOO_LATE = "too late"
+    NO_TICKET = "no ticket"
+    NOT_STARTED = "not started"
+    WRONG_ENDPOINT = "wrong endpoint"
+    UNKNOWN = "unknown"
+
+
+@attrs.frozen
+class RunningRow:
+    """A run that an endpoint lists.
+
+    Parameters
+    ----------
+    task_id : TaskId
+    run : int
+    saved : str
+        Latest checkpoint; empty for none.
+    percent : float
+        Progress; for a task that lasts, 100 once it is at work.
+    gauge : float
+        Latency in milliseconds of a task that serves, otherwise the
+        processor time in use.
+    """
+
+    task_id: _work.TaskId
+    run: int
+    saved: str = ""
+    percent: float = 0.0
+    gauge: float = 0.0
+
+
+@attrs.frozen
+class EndedRow:
+    """An end that an endpoint lists, numbered in its present life."""
+
+    number: int
+    task_id: _work.TaskId
+    run: int
+    reason: EndReason
+    saved: str = ""
+
+
+@attrs.frozen
+class JobStored(base.Event):
+    """A job was found in the store.
+
+    Parameters
+    ----------
+    job : Job
+    inherited : bool
+        Whether an earlier owner of the cell may have started its tasks.
+    record : JobRecord or None
+        What an earlier owner noted.
+    """
+
+    job: _work.Job
+    inherited: bool = False
+    record: object = None
+
+
+@attrs.frozen
+class JobCancelled(base.Event):
+    """A caller's cancelling of a job was stored."""
+
+    job_id: str
+
+
+@attrs.frozen
+class JobForgotten(base.Event):
+    """A job was removed from the store."""
+
+    job_id: str
+
+
+@attrs.frozen
+class AccountsChanged(base.Event):
+    """The configuration names these accounts and queues."""
+
+    accounts: tuple[_work.Account, ...]
+    queues: tuple[_work.Queue, ...] = ()
+
+
+@attrs.frozen
+class EndpointListed(base.Event):
+    """An endpoint's entry was read.
+
+    Parameters
+    ----------
+    endpoint_id, service, address, zone : str
+    capacity : Resources
+    labels : tuple of str
+        Its kind and its rack.
+    draining : bool
+    born_unix_ms : int
+        Start of its present life.
+    remaining_ms : int or None
+        Least time left while it drains.
+    """
+
+    endpoint_id: str
+    service: str
+    address: str
+    zone: str
+    capacity: _work.Resources
+    labels: tuple[str, ...] = ()
+    draining: bool = False
+    born_unix_ms: int = 0
+    remaining_ms: int | None = None
+
+
+@attrs.frozen
+class EndpointUnlisted(base.Event):
+    """An endpoint's entry is gone; its tasks may still run."""
+
+    endpoint_id: str
+
+
+@attrs.frozen
+class EndpointLooked(base.Event):
+    """An endpoint told what runs there and what has ended.
+
+    Parameters
+    ----------
+    endpoint_id : str
+    sent_ms : int
+        When the question was sent.
+    clock_ms : int
+        The endpoint's steady clock when it answered.
+    born_unix_ms : int
+        Start of its present life; 0 if it did not say.
+    running : tuple of RunningRow
+    ended : tuple of EndedRow
+    """
+
+    endpoint_id: str
+    sent_ms: int
+    clock_ms: int
+    born_unix_ms: int
+    running: tuple[RunningRow, ...]
+    ended: tuple[EndedRow, ...]
+
+
+@attrs.frozen
+class LookFailed(base.Event):
+    """An endpoint did not tell what runs there.
+
+    Parameters
+    ----------
+    endpoint_id : str
+    process_gone : bool
+        Whether its process surely no longer exists: nothing listens at its
+        address, or another endpoint answers there.
+    fenced : bool
+        Whether it has seen a higher epoch.
+    """
+
+    endpoint_id: str
+    process_gone: bool = False
+    fenced: bool = False
+
+
+@attrs.frozen
+class StartAnswered(base.Event):
+    """An order to start came to something, or to nothing known."""
+
+    task_id: _work.TaskId
+    run: int
+    endpoint_id: str
+    outcome: StartOutcome
+
+
+@attrs.frozen
+class StopAnswered(base.Event):
+    """An order to stop was answered, or not."""
+
+    task_id: _work.TaskId
+    run: int
+    endpoint_id: str
+    confirmed: bool
+
+
+@attrs.frozen
+class Advised(base.Event):
+    """The policy service answered.
+
+    Parameters
+    ----------
+    job_id : str
+    occurrence, step : int
+    asked : tuple of str
+        Endpoints that the question named.
+    ticket_by_id : dict
+        Ticket of each endpoint that may run the step.
+    valid_until_ms : int
+        Until when the tickets can be used.
+    """
+
+    job_id: str
+    occurrence: int
+    step: int
+    asked: tuple[str, ...]
+    ticket_by_id: dict
+    valid_until_ms: int
+
+
+@attrs.frozen
+class AdviceFailed(base.Event):
+    """The policy service gave no answer."""
+
+    job_id: str
+    occurrence: int
+    step: int
+
+
+@attrs.frozen
+class RecordsStored(base.Event):
+    """Records of jobs were stored, as rows of job id and version."""
+
+    versions: tuple[tuple[str, int], ...]
+
+
+@attrs.frozen
+class KnownEndpointsStored(base.Event):
+    """The list of endpoints that may get orders was stored."""
+
+    endpoint_ids: frozenset
+
+
+@attrs.frozen
+class StartTask(base.Action):
+    """Order an endpoint to start a task.
+
+    Parameters
+    ----------
+    endpoint_id, address : str
+    task_id : TaskId
+    run : int
+    payload : str
+    deadline_ms : int
+        On the endpoint's clock.
+    saved, ticket : str
+        Empty for none.
+    """
+
+    endpoint_id: str
+    address: str
+    task_id: _work.TaskId
+    run: int
+    payload: str
+    deadline_ms: int
+    saved: str = ""
+    ticket: str = ""
+
+
+@attrs.frozen
+class StopTask(base.Action):
+    """Order an endpoint to stop a run, or to refuse it if it comes."""
+
+    endpoint_id: str
+    address: str
+    task_id: _work.TaskId
+    run: int
+
+
+@attrs.frozen
+class PaceTask(base.Action):
+    """Order an endpoint to let a run work at a share of its speed."""
+
+    endpoint_id: str
+    address: str
+    task_id: _work.TaskId
+    run: int
+    percent: int
+
+
+@attrs.frozen
+class Look(base.Action):
+    """Ask an endpoint what runs there, and prolong its lease.
+
+    Parameters
+    ----------
+    endpoint_id, address : str
+    seen_upto : int
+        Ends up to this number are stored and may be forgotten.
+    wait_ms : int
+        How long the answer may wait for an end.
+    deadline_ms : int or None
+        New lease end on the endpoint's clock; None leaves it.
+    """
+
+    endpoint_id: str
+    address: str
+    seen_upto: int
+    wait_ms: int
+    deadline_ms: int | None
+
+
+@attrs.frozen
+class AskAdvice(base.Action):
+    """Ask the policy service which endpoints may run a step."""
+
+    job_id: str
+    occurrence: int
+    step: int
+    endpoint_ids: tuple[str, ...]
+    expected_ms: float
+    valid_ms: int
+
+
+@attrs.frozen
+class StepDown(base.Action):
+    """Another VM has taken the cell over; stop giving orders."""
+
+    endpoint_id: str
+
+
+@attrs.frozen
+class Decided(base.Action):
+    """A decision or changed belief, for the log.
+
+    Parameters
+    ----------
+    what : str
+        Short name of the decision.
+    job_id : str
+        The job that it touches; empty for none.
+    fields : dict
+        Inputs and outcome.
+    """
+
+    what: str
+    job_id: str = ""
+    fields: dict = attrs.field(factory=dict)
--- /dev/null
+++ b/samphiregate/core/cells/_order.py
@@ -0,0 +1,89 @@
+"""The order in which stages get room when not everything fits.
+
+Answers the load of a burst, and of an account that sends many times its
+usual: work within its account's share goes before what is above it, then
+urgent before the rest, then what can still be on time before what cannot,
+then the earliest due.
+"""
+
+import attrs
+
+LATE_FACTOR = 3.0  # a job this many times over its objective is of no use
+BURST_S = 2.0
+
+
+def longest_chain_ms(job):
+    """Returns the longest chain of expected work of a job.
+
+    Parameters
+    ----------
+    job : Job
+
+    Returns
+    -------
+    float
+        Milliseconds, advice included.
+    """
+    end_by_step = []
+    for step in job.steps:
+        begin = max((end_by_step[n] for n in step.after), default=0.0)
+        end_by_step.append(begin + step.estimate_ms + _advice_ms(job.queue))
+    return max(end_by_step, default=0.0)
+
+
+def objective_ms(job):
+    """Returns the time in which a job is on time."""
+    return job.queue.stretch * longest_chain_ms(job) + job.queue.target_ms
+
+
+def _advice_ms(queue):
+    return queue.advice.decide_ms if queue.advice else 0.0
+
+
+def urgency(stage, now_ms):
+    """Returns the sort key of a stage; the lowest goes first."""
+    entry = stage.entry
+    if now_ms <= entry.on_time_ms:
+        lateness = 0
+    elif now_ms <= entry.late_ms:
+        lateness = 1
+    else:
+        lateness = 2
+    return (
+        not entry.within_share,
+        entry.job.queue.priority,
+        lateness,
+        entry.on_time_ms,
+        stage.key,
+    )
+
+
+@attrs.define
+class _Allowance:
+    left: float
+    at_ms: int
+
+
+class ShareMeter:
+    """Tells whether an account keeps to the jobs that its weight entitles to.
+
+    An account may send its weight in jobs a second, and `BURST_S` seconds'
+    worth at once.
+    """
+
+    def __init__(self):
+        self._allowance_by_account = {}
+
+    def note(self, account, now_ms):
+        """Notes a job; returns whether it is within the account's share."""
+        most = max(account.weight * BURST_S, 1.0)
+        held = self._allowance_by_account.setdefault(
+            account.name, _Allowance(most, now_ms)
+        )
+        gained = account.weight * (now_ms - held.at_ms) / 1000
+        held.left = min(most, held.left + gained)
+        held.at_ms = now_ms
+        if held.left < 1.0:
+            return False
+        held.left -= 1.0
+        return True
--- /dev/null
+++ b/samphiregate/core/cells/_peer_messages.py
@@ -0,0 +1,69 @@
+"""What entry VMs ask each other about cells."""
+
+import attrs
+
+from samphiregate.core import base
+
+
+@attrs.frozen
+class AskJobState(base.PeerMessage):
+    """Asks a cell's owner for the state of a job."""
+
+    cell: str
+    job_id: str
+
+
+@attrs.frozen
+class JobStateIs(base.PeerMessage):
+    """The state; empty for a job that the owner does not hold."""
+
+    state: str
+
+
+@attrs.frozen
+class AskWaiting(base.PeerMessage):
+    """Asks a cell's owner how many jobs of a queue have not started."""
+
+    cell: str
+    queue: str
+
+
+@attrs.frozen
+class WaitingIs(base.PeerMessage):
+    """The number of jobs that have not started."""
+
+    count: int
+
+
+@attrs.frozen
+class RelayAdvice(base.PeerMessage):
+    """Asks a VM to put a question to the policy service.
+
+    Parameters
+    ----------
+    job_id : str
+    occurrence, step : int
+    endpoint_ids : tuple of str
+    timeout_ms : int
+    """
+
+    job_id: str
+    occurrence: int
+    step: int
+    endpoint_ids: tuple[str, ...]
+    timeout_ms: int
+
+
+@attrs.frozen
+class AdviceIs(base.PeerMessage):
+    """Rows of endpoint id and ticket, and how long they can be used."""
+
+    tickets: tuple[tuple[str, str], ...]
+    valid_ms: int
+
+
+@attrs.frozen
+class NotMine(base.PeerMessage):
+    """The VM that was asked cannot tell; another may."""
+
+    reason: str
--- /dev/null
+++ b/samphiregate/core/cells/_placement.py
@@ -0,0 +1,97 @@
+"""The choice of endpoints for the tasks of a stage.
+
+Answers the load of wide and accelerator tasks among small ones: tasks are
+packed where the least room is left over, near their data, and an endpoint
+that a stage waits for is kept free for it.
+"""
+
+import attrs
+
+FAR_PENALTY = 10.0
+SHARED_PENALTY = 5.0
+
+
+@attrs.frozen
+class Candidate:
+    """An endpoint that may take tasks of a stage.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+    room : Resources
+        What is free there in this round.
+    most : int
+        Most further tasks of the stage.
+    """
+
+    endpoint: object
+    room: object
+    most: int
+
+
+class Packing:
+    """Chooses endpoints by best fit; stateless."""
+
+    def choose(self, step, count, candidates):
+        """Chooses endpoints for up to `count` tasks of a step.
+
+        Parameters
+        ----------
+        step : Step
+        count : int
+        candidates : list of Candidate
+
+        Returns
+        -------
+        list of Endpoint
+            One for each task that fits, all or none for a gang.
+        """
+        if not step.gang:
+            return self._fill(step, count, candidates)
+        if step.same_rack:
+            chosen = self._fill_one_rack(step, count, candidates)
+            if chosen:
+                return chosen
+        chosen = self._fill(step, count, candidates)
+        return chosen if len(chosen) == count else []
+
+    def _fill_one_rack(self, step, count, candidates):
+        by_rack = {}
+        for candidate in candidates:
+            by_rack.setdefault(candidate.endpoint.rack, []).append(candidate)
+        for rack in sorted(by_rack, key=lambda one: -len(by_rack[one])):
+            chosen = self._fill(step, count, by_rack[rack])
+            if len(chosen) == count:
+                return chosen
+        return []
+
+    def _fill(self, step, count, candidates):
+        need = step.booked
+        rooms = [
+            [self._cost(step, one), one.most, one.room, one.endpoint]
+            for one in candidates
+            if one.most > 0 and need.fits_in(one.room)
+        ]
+        chosen = []
+        while rooms and len(chosen) < count:
+            best = min(rooms, key=lambda row: row[0])
+            endpoint = best[3]
+            chosen.append(endpoint)
+            best[1] -= 1
+            best[2] -= need
+            if best[1] <= 0 or not need.fits_in(best[2]):
+                rooms.remove(best)
+                continue
+            best[0] = self._cost(step, Candidate(endpoint, best[2], best[1]))
+        return chosen
+
+    def _cost(self, step, candidate):
+        endpoint = candidate.endpoint
+        capacity = endpoint.news.capacity
+        left = candidate.room - step.booked
+        cost = left.dominant_share(capacity)
+        if step.rack and endpoint.rack != step.rack:
+            cost += FAR_PENALTY
+        if step.fills and endpoint.serves_with_target:
+            cost += SHARED_PENALTY
+        return cost
--- /dev/null
+++ b/samphiregate/core/cells/_records.py
@@ -0,0 +1,84 @@
+"""What an owner notes of a job in the store, and how it is encoded."""
+
+import attrs
+import cattrs
+from cattrs.preconf import orjson as cattrs_orjson
+
+from samphiregate.core.cells import _work
+from samphiregate import errors
+
+_converter = cattrs_orjson.make_converter(
+    omit_if_default=True, detailed_validation=False
+)
+
+
+@attrs.frozen
+class StageRecord:
+    """Progress of one step of one occurrence.
+
+    Parameters
+    ----------
+    occurrence, step : int
+    all_done : bool
+        Whether every task has ended as done; `done` is then empty.
+    done : tuple of int
+        Indices of the tasks that have ended as done.
+    failures : dict
+        Numbers of the failed runs, keyed by index.
+    saved : dict
+        Latest checkpoint that an end carried, keyed by index.
+    """
+
+    occurrence: int
+    step: int
+    all_done: bool = False
+    done: tuple[int, ...] = ()
+    failures: dict[int, tuple[int, ...]] = attrs.field(factory=dict)
+    saved: dict[int, str] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class JobRecord:
+    """Progress of a job.
+
+    Parameters
+    ----------
+    state : JobState
+    stages : tuple of StageRecord
+        Stages of which anything is to be said.
+    ended_unix_ms : int
+        When a final state was reached; 0 before.
+    """
+
+    state: _work.JobState
+    stages: tuple[StageRecord, ...] = ()
+    ended_unix_ms: int = 0
+
+
+def encode(value):
+    """Encodes a job or record as bytes."""
+    return _converter.dumps(value)
+
+
+def decode_job(data):
+    """Decodes a `Job`; raises `BadInputError`."""
+    return _decode(data, _work.Job)
+
+
+def decode_record(data):
+    """Decodes a `JobRecord`; raises `BadInputError`."""
+    return _decode(data, JobRecord)
+
+
+def _decode(data, cls):
+    try:
+        return _converter.loads(data, cls)
+    except (
+        cattrs.BaseValidationError,
+        AttributeError,
+        KeyError,
+        TypeError,
+        ValueError,
+    ) as error:
+        detail = f"no readable {cls.__name__}: {error!r}"
+        raise errors.BadInputError(detail) from error
--- /dev/null
+++ b/samphiregate/core/cells/_tasks.py
@@ -0,0 +1,317 @@
+"""What an owner knows of jobs, their stages, and the runs of their tasks."""
+
+import enum
+
+import attrs
+
+from samphiregate.core.cells import _messages
+from samphiregate.core.cells import _records
+from samphiregate.core.cells import _work
+
+
+class RunState(enum.Enum):
+    """What is known of one run of a task on an endpoint."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+@attrs.define(eq=False)
+class Booking:
+    """A run of a task that may exist on an endpoint; it takes room there.
+
+    Attributes
+    ----------
+    task : Task
+    run : int
+    endpoint_id : str
+    state : RunState
+    sent_ms : int
+        When the order to start was sent.
+    confirmed_ms : int or None
+        When the run was last known to exist.
+    stop_sent_ms, stop_confirmed_ms : int or None
+    percent, gauge : float
+        As the endpoint lists them.
+    progressed_ms : int
+        When `percent` last rose.
+    pace : int
+        Share of its speed, in percent, at which the run was told to work.
+    """
+
+    task: "Task"
+    run: int
+    endpoint_id: str
+    sent_ms: int
+    state: RunState = RunState.STARTING
+    confirmed_ms: int | None = None
+    stop_sent_ms: int | None = None
+    stop_confirmed_ms: int | None = None
+    percent: float = 0.0
+    gauge: float = 0.0
+    progressed_ms: int = 0
+    pace: int = 100
+
+    @property
+    def key(self):
+        """Names the run."""
+        return (self.task.task_id, self.run)
+
+    @property
+    def step(self):
+        """The step that the task belongs to."""
+        return self.task.stage.step
+
+
+@attrs.define(eq=False)
+class Task:
+    """One task of a stage.
+
+    Attributes
+    ----------
+    last_run : int
+        Highest run number given out.
+    saved : str
+        Latest checkpoint.
+    failed_runs : set of int
+        Runs that ended as failed.
+    ended_runs : set
+        Endpoint id and run of each end that was taken in.
+    bookings_by_run : dict
+        Runs that may exist.
+    retry_after_ms : int
+        Not started again before this time.
+    """
+
+    task_id: _work.TaskId
+    stage: "Stage"
+    is_done: bool = False
+    last_run: int = 0
+    saved: str = ""
+    failed_runs: set[int] = attrs.field(factory=set)
+    ended_runs: set = attrs.field(factory=set)
+    bookings_by_run: dict[int, Booking] = attrs.field(factory=dict)
+
+    @property
+    def is_waiting(self):
+        """Whether the task is to run and no run of it may exist."""
+        return not self.is_done and not self.bookings_by_run
+
+
+@attrs.define(eq=False)
+class Ticket:
+    """Leave of the policy service to run a step on an endpoint."""
+
+    text: str
+    valid_until_ms: int
+
+
+@attrs.define(eq=False)
+class Stage:
+    """One step of one occurrence of a job.
+
+    Attributes
+    ----------
+    opened_ms : int or None
+        When the steps before it were done.
+    ticket_by_id : dict
+        Latest ticket of each endpoint that may run it.
+    asked_ids : set
+        Endpoints that the policy service was asked about.
+    asking : bool
+        Whether a question is under way.
+    ask_after_ms : int
+        No question before this time.
+    """
+
+    entry: "JobEntry"
+    occurrence: int
+    number: int
+    step: _work.Step
+    tasks: list[Task] = attrs.field(factory=list)
+    done_count: int = 0
+    opened_ms: int | None = None
+    ticket_by_id: dict[str, Ticket] = attrs.field(factory=dict)
+    asked_ids: set[str] = attrs.field(factory=set)
+    asking: bool = False
+    ask_after_ms: int = 0
+
+    @property
+    def key(self):
+        """Occurrence and number of the step."""
+        return (self.occurrence, self.number)
+
+    @property
+    def is_done(self):
+        """Whether every task has ended as done."""
+        return self.done_count == len(self.tasks)
+
+    @property
+    def queue(self):
+        """The queue that the job was sent to."""
+        return self.entry.job.queue
+
+    def startable(self):
+        """Returns the tasks that can be started, none of a partial gang."""
+        waiting = [task for task in self.tasks if task.is_waiting]
+        if self.step.gang and len(waiting) < len(self.tasks):
+            return []
+        return waiting
+
+    def count_on(self, endpoint_id):
+        """Returns how many runs of the stage may exist on an endpoint."""
+        return sum(
+            booking.endpoint_id == endpoint_id
+            for task in self.tasks
+            for booking in task.bookings_by_run.values()
+        )
+
+
+@attrs.define(eq=False)
+class JobEntry:
+    """A job and its progress.
+
+    Attributes
+    ----------
+    inherited : bool
+        Whether an earlier owner may have started tasks of which nothing
+        is known here.
+    run_base : int
+        Added to the run numbers given out here, so that they are above
+        those of earlier owners.
+    arrived_ms, on_time_ms, late_ms : int
+        When it was learnt of; until when it is on time, and of any use.
+    within_share : bool
+        Whether its account kept to its share when it was sent.
+    version, stored_version : int
+        Of the record here, and in the store.
+    has_started : bool
+        Whether any task was ordered to start, or listed.
+    """
+
+    job: _work.Job
+    inherited: bool
+    run_base: int
+    arrived_ms: int
+    on_time_ms: int
+    late_ms: int
+    within_share: bool = True
+    state: _work.JobState = _work.JobState.QUEUED
+    stages_by_key: dict = attrs.field(factory=dict)
+    version: int = 0
+    stored_version: int = 0
+    ended_unix_ms: int = 0
+    has_started: bool = False
+
+    @property
+    def shown_state(self):
+        """The state that callers may be told: a final one once stored."""
+        if self.state.is_final and self.stored_version < self.version:
+            return _work.JobState.RUNNING
+        return self.state
+
+    def add_occurrence(self, occurrence):
+        """Adds the stages of an occurrence that is due."""
+        for number, step in enumerate(self.job.steps):
+            stage = Stage(self, occurrence, number, step)
+            for index in range(step.count):
+                task_id = _work.TaskId(
+                    self.job.job_id, occurrence, number, index
+                )
+                stage.tasks.append(
+                    Task(task_id, stage, last_run=self.run_base)
+                )
+            self.stages_by_key[stage.key] = stage
+
+    def task(self, task_id):
+        """Returns a task, or None if the job has no such task."""
+        stage = self.stages_by_key.get((task_id.occurrence, task_id.step))
+        if stage is None or task_id.index >= len(stage.tasks):
+            return None
+        return stage.tasks[task_id.index]
+
+    def is_open(self, stage):
+        """Whether the steps before a stage are done."""
+        return all(
+            self.stages_by_key[stage.occurrence, number].is_done
+            for number in stage.step.after
+        )
+
+    @property
+    def is_done(self):
+        """Whether every occurrence has run and every task is done."""
+        due = len(self.job.steps) * self.job.occurrences
+        return len(self.stages_by_key) == due and all(
+            stage.is_done for stage in self.stages_by_key.values()
+        )
+
+    def bookings(self):
+        """Yields the runs that may exist."""
+        for stage in self.stages_by_key.values():
+            for task in stage.tasks:
+                yield from task.bookings_by_run.values()
+
+    def to_record(self):
+        """Returns what the store is to keep of the progress."""
+        stages = tuple(
+            record
+            for stage in self.stages_by_key.values()
+            if (record := _stage_record(stage))
+        )
+        return _records.JobRecord(self.state, stages, self.ended_unix_ms)
+
+    def restore(self, record):
+        """Takes over the progress that an earlier owner noted."""
+        self.state = record.state
+        self.ended_unix_ms = record.ended_unix_ms
+        for noted in record.stages:
+            key = (noted.occurrence, noted.step)
+            if key not in self.stages_by_key:
+                self.add_occurrence(noted.occurrence)
+            _restore_stage(self.stages_by_key[key], noted)
+
+
+def mark_done(task):
+    """Notes that a task has ended as done."""
+    if not task.is_done:
+        task.is_done = True
+        task.stage.done_count += 1
+
+
+def is_failure(reason):
+    """Whether an end counts as a failed attempt."""
+    return reason is _messages.EndReason.FAILED
+
+
+def _stage_record(stage):
+    if stage.is_done:
+        return _records.StageRecord(
+            stage.occurrence, stage.number, all_done=True
+        )
+    done = tuple(
+        index for index, task in enumerate(stage.tasks) if task.is_done
+    )
+    failures = {
+        index: tuple(sorted(task.failed_runs))
+        for index, task in enumerate(stage.tasks)
+        if task.failed_runs and not task.is_done
+    }
+    saved = {
+        index: task.saved
+        for index, task in enumerate(stage.tasks)
+        if task.saved and not task.is_done
+    }
+    if not (done or failures or saved):
+        return None
+    return _records.StageRecord(
+        stage.occurrence, stage.number, False, done, failures, saved
+    )
+
+
+def _restore_stage(stage, noted):
+    for index, task in enumerate(stage.tasks):
+        if noted.all_done or index in noted.done:
+            mark_done(task)
+        task.failed_runs.update(noted.failures.get(index, ()))
+        task.saved = noted.saved.get(index, "")
