Go on owning a cell through an outage of the store

Change: sessions pause instead of ending, and give their record up when they end; only idle connections are closed; early cancels are kept; only an answer of another endpoint proves that one is gone.

--- a/samphiregate/adapters/cells/_owner.py
+++ b/samphiregate/adapters/cells/_owner.py
@@ -308,10 +308,13 @@
         self._wake.set()
 
     def _end_if_lapsed(self):
+        """Ends the session once the store has ended the VM's lease.
+
+        While the store does not answer, the session goes on without giving
+        orders: the lease may stand, and then nobody else can own the cell.
+        """
         if self._lease.lease_id != self._tenure.lease_id:
             self._end("the lease of this VM has ended")
-        elif self._now_ms() > self._lease.valid_until_ms + HOLD_ON_MS:
-            self._end("the lease of this VM could not be renewed")
 
     def _may_hold(self):
         return (
@@ -368,24 +371,42 @@
     def _(self, action: cells.AskAdvice):
         self._orders.spawn(self._ask, action)
 
+    def _carry_out(self, act, failure):
+        """Delivers what `act` returns; `failure` if it goes wrong."""
+        try:
+            event = act()
+        except Exception as error:
+            self._log.write("order failed", reason=repr(error))
+            event = failure
+        self.deliver(event)
+
     def _start(self, action):
-        outcome = cells.StartOutcome.NOT_STARTED
-        if self._may_order():
-            outcome = self._endpoints.start(action, self._tenure.epoch)
-        self.deliver(
-            cells.StartAnswered(
-                action.task_id, action.run, action.endpoint_id, outcome
-            )
+        answered = functools.partial(
+            cells.StartAnswered,
+            action.task_id,
+            action.run,
+            action.endpoint_id,
+        )
+        if not self._may_order():
+            self.deliver(answered(cells.StartOutcome.NOT_STARTED))
+            return
+        epoch = self._tenure.epoch
+        self._carry_out(
+            lambda: answered(self._endpoints.start(action, epoch)),
+            answered(cells.StartOutcome.UNKNOWN),
         )
 
     def _stop(self, action):
-        confirmed = False
-        if self._may_hold():
-            confirmed = self._endpoints.stop(action, self._tenure.epoch)
-        self.deliver(
-            cells.StopAnswered(
-                action.task_id, action.run, action.endpoint_id, confirmed
-            )
+        answered = functools.partial(
+            cells.StopAnswered, action.task_id, action.run, action.endpoint_id
+        )
+        if not self._may_hold():
+            self.deliver(answered(False))
+            return
+        epoch = self._tenure.epoch
+        self._carry_out(
+            lambda: answered(self._endpoints.stop(action, epoch)),
+            answered(False),
         )
 
     def _pace(self, action):
@@ -393,16 +414,21 @@
             self._endpoints.pace(action, self._tenure.epoch)
 
     def _look(self, action):
+        failed = cells.LookFailed(action.endpoint_id)
         if not self._may_hold():
-            self.deliver(cells.LookFailed(action.endpoint_id))
+            self.deliver(failed)
             return
-        event = self._endpoints.look(
-            action, self._tenure.epoch, self._now_ms()
+        epoch = self._tenure.epoch
+        sent_ms = self._now_ms()
+        self._carry_out(
+            lambda: self._endpoints.look(action, epoch, sent_ms), failed
         )
-        self.deliver(event)
 
     def _ask(self, action):
-        self.deliver(self._advice.ask(action))
+        failed = cells.AdviceFailed(
+            action.job_id, action.occurrence, action.step
+        )
+        self._carry_out(lambda: self._advice.ask(action), failed)
 
     # Upkeep of the store
 
--- a/samphiregate/adapters/cells/_ownership.py
+++ b/samphiregate/adapters/cells/_ownership.py
@@ -152,6 +152,7 @@
             self.lost.clear()
             self._served_epoch = tenure.epoch
             self._serve(tenure, self.lost)
+            self._relinquish(tenure)
             self._log.write("cell left", cell=tenure.cell, epoch=tenure.epoch)
 
     def _acquire(self):
@@ -188,6 +189,26 @@
                 return None
         return Tenure(self._cell, epoch, {owner_key: revision}, lease_id)
 
+    def _relinquish(self, tenure):
+        """Removes the owner's record, if it stands and still hangs on."""
+        while self._lease.lease_id == tenure.lease_id:
+            try:
+                self._store.commit(
+                    expected=tenure.guard,
+                    writes=(),
+                    removals=tuple(tenure.guard),
+                )
+                return
+            except _ports.ConflictError:
+                return
+            except errors.SamphiregateError as error:
+                self._log.write(
+                    "cell not given up",
+                    cell=tenure.cell,
+                    reason=error.detail,
+                )
+            gevent.sleep(RETRY_INTERVAL_MS / 1000)
+
     def _adopt(self, item):
         """Takes up an ownership whose answer was lost and came late."""
         record = decode_owner(item.value)
--- a/samphiregate/adapters/http/_client.py
+++ b/samphiregate/adapters/http/_client.py
@@ -1,9 +1,9 @@
 """A pooled HTTP client for one endpoint."""
 
-import functools
 import socket
 
 import attrs
+from gevent import queue
 from gevent import socket as gevent_socket
 import geventhttpclient
 from geventhttpclient import connectionpool
@@ -74,8 +74,7 @@
         self.endpoint = endpoint
         self._most_body_bytes = most_body_bytes
         self._client = geventhttpclient.HTTPClient(host, int(port))
-        self._make_pool = functools.partial(
-            _NoDelayPool,
+        self._client._connection_pool = _NoDelayPool(
             host,
             int(port),
             host,
@@ -84,7 +83,6 @@
             connection_timeout=(connect_timeout_ms or timeout_ms) / 1000,
             network_timeout=timeout_ms / 1000,
         )
-        self._client._connection_pool = self._make_pool()
 
     def __enter__(self):
         return self
@@ -96,11 +94,6 @@
         """Closes every pooled connection."""
         self._client.close()
 
-    def _replace_connections(self):
-        """Closes the idle connections; what is silent may not be alone."""
-        self._client._connection_pool.close()
-        self._client._connection_pool = self._make_pool()
-
     def request(self, method, path, *, body=b"", headers=None):
         """Sends a request and reads the whole answer.
 
@@ -124,7 +117,8 @@
                 f"no connection to {self.endpoint}"
             ) from error
         except (OSError, http_response.HTTPParseError) as error:
-            self._replace_connections()
+            # One silent connection may not be the only one.
+            self._client._connection_pool.close_idle()
             raise errors.UnavailableError(
                 f"no whole answer from {self.endpoint}",
                 ran=errors.Ran.UNKNOWN,
@@ -161,6 +155,14 @@
     def after_connect(self, sock):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
+    def close_idle(self):
+        """Closes the connections that no request uses now."""
+        while True:
+            try:
+                self._socket_queue.get(block=False).close()
+            except queue.Empty:
+                return
+
     def _resolve(self):
         # Addresses are IP numbers, for which no resolver is asked.
         address = (self._connection_host, self._connection_port)
--- a/samphiregate/core/cells/_book.py
+++ b/samphiregate/core/cells/_book.py
@@ -31,6 +31,8 @@
         Stages whose tasks may be started, keyed by job id and stage key.
     dirty_ids : dict
         Ids of jobs whose record is to be stored, in order.
+    early_cancels : set
+        Ids of jobs whose cancelling was read before the job itself.
     actions : list
         Actions not handed out yet.
     """
@@ -40,6 +42,7 @@
     endpoint_by_id: dict = attrs.field(factory=dict)
     open_stages: dict = attrs.field(factory=dict)
     dirty_ids: dict = attrs.field(factory=dict)
+    early_cancels: set = attrs.field(factory=set)
     actions: list = attrs.field(factory=list)
     caps: _caps.CapLedger = attrs.field(factory=_caps.CapLedger)
     account_by_name: dict = attrs.field(factory=dict)
@@ -84,8 +87,19 @@
             within_share=entry.within_share,
             state=entry.state.value,
         )
+        if job.job_id in self.early_cancels:
+            self.early_cancels.discard(job.job_id)
+            self.cancel(job.job_id, now_ms)
         self.open_ready_stages(entry, now_ms)
 
+    def cancel(self, job_id, now_ms):
+        """Ends a job as cancelled, also one that is read later."""
+        entry = self.entry_by_id.get(job_id)
+        if entry is None:
+            self.early_cancels.add(job_id)
+        else:
+            self.finish(entry, _work.JobState.CANCELLED, now_ms)
+
     def open_ready_stages(self, entry, now_ms):
         """Lets the stages start whose earlier steps are done."""
         if entry.state.is_final:
@@ -126,6 +140,7 @@
 
     def forget(self, job_id):
         """Drops a job that the store does not hold any more."""
+        self.early_cancels.discard(job_id)
         entry = self.entry_by_id.get(job_id)
         if entry is not None and entry.state.is_final:
             del self.entry_by_id[job_id]
@@ -193,6 +208,8 @@
     def lose(self, endpoint, reason, now_ms):
         """Takes all runs of an endpoint as ended without a result."""
         lost = list(endpoint.bookings_by_run.values())
+        if not lost:
+            return
         for booking in lost:
             self.release(booking)
             if booking.step.gang:
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -11,7 +11,6 @@
 from samphiregate.core.cells import _records
 from samphiregate.core.cells import _sightings
 from samphiregate.core.cells import _tasks
-from samphiregate.core.cells import _work
 
 LOOK_WAIT_MS = 1_500
 STORE_LAG_LOOK_MS = 100  # between looks while ends wait for the store
@@ -162,9 +161,7 @@
 
     @_take.register
     def _(self, event: _messages.JobCancelled, now_ms):
-        entry = self.book.entry_by_id.get(event.job_id)
-        if entry is not None:
-            self.book.finish(entry, _work.JobState.CANCELLED, now_ms)
+        self.book.cancel(event.job_id, now_ms)
 
     @_take.register
     def _(self, event: _messages.JobForgotten, now_ms):
--- a/samphiregate/core/cells/_messages.py
+++ b/samphiregate/core/cells/_messages.py
@@ -176,8 +176,9 @@
     ----------
     endpoint_id : str
     process_gone : bool
-        Whether its process surely no longer exists: nothing listens at its
-        address, or another endpoint answers there.
+        Whether its process surely no longer exists, as another endpoint
+        answers there. A refused connection does not tell so: a partition
+        may refuse it while the process runs on.
     fenced : bool
         Whether it has seen a higher epoch.
     """
