--- a/samphiregate/adapters/cells/_owner.py
+++ b/samphiregate/adapters/cells/_owner.py
@@ -25,6 +25,7 @@
 LOAD_RETRY_MS = 100
 KEEP_ENDED_MS = 180_000
 FORGET_INTERVAL_MS = 10_000
+LOAD_LINE_INTERVAL_MS = 1_000
 MOST_FORGOTTEN = 9  # jobs a transaction; each has three keys
 
 
@@ -81,6 +82,7 @@
         self._stored_known = {}
         self._storing_known = False
         self._forget_after_ms = 0
+        self._load_after_ms = 0
 
     @property
     def is_serving(self):
@@ -291,6 +293,7 @@
                 self._perform_all(actions)
             self._store_known()
             self._forget_expired()
+            self._log_load()
             self._writer.wake()
             self._end_if_lapsed()
 
@@ -462,6 +465,12 @@
         if ids != self.cell.stored_known_ids:
             self.deliver(cells.KnownEndpointsStored(ids))
 
+    def _log_load(self):
+        now_ms = self._now_ms()
+        if now_ms >= self._load_after_ms:
+            self._load_after_ms = now_ms + LOAD_LINE_INTERVAL_MS
+            self._log.write("cell load", **self.cell.load())
+
     def _forget_expired(self):
         now_ms = self._now_ms()
         if now_ms < self._forget_after_ms:
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -1,5 +1,7 @@
 """The owner's part of a cell: decides where its tasks run, and when."""
 
+import collections
+
 import attrs
 
 from samphiregate.core import base
@@ -11,6 +13,7 @@
 from samphiregate.core.cells import _records
 from samphiregate.core.cells import _sightings
 from samphiregate.core.cells import _tasks
+from samphiregate.core.cells import _work
 
 LOOK_WAIT_MS = 1_500
 STORE_LAG_LOOK_MS = 100  # between looks while ends wait for the store
@@ -69,6 +72,42 @@
             for entry in self.book.entry_by_id.values()
         )
 
+    def load(self):
+        """Returns what the cell's state is, for a log line.
+
+        Returns
+        -------
+        dict
+            Tasks that wait, by queue; used share of processors and
+            accelerators and number of unreachable endpoints, by service.
+        """
+        waiting = collections.Counter()
+        for stage in self.book.open_stages.values():
+            waiting[stage.queue.name] += len(stage.startable())
+        used = collections.defaultdict(lambda: _work.NOTHING)
+        capacity = collections.defaultdict(lambda: _work.NOTHING)
+        unreachable = collections.Counter()
+        for endpoint in self.book.endpoint_by_id.values():
+            service = endpoint.news.service
+            capacity[service] += endpoint.news.capacity
+            used[service] += endpoint.news.capacity - endpoint.free
+            unreachable[service] += bool(endpoint.failed_looks)
+        return {
+            "waiting": dict(waiting),
+            "unreachable": dict(unreachable),
+            "cpu_share": {
+                service: round(
+                    used[service].cpu_millis / max(one.cpu_millis, 1), 2
+                )
+                for service, one in capacity.items()
+            },
+            "gpu_share": {
+                service: round(used[service].gpus / one.gpus, 2)
+                for service, one in capacity.items()
+                if one.gpus
+            },
+        }
+
     def take_records(self, most):
         """Returns up to `most` records to store.
 
