Store placements before the starts are ordered

Change: the job's record tells which runs may exist, and is stored before the order is sent; a new owner takes room for just these and its first look settles them. Only large tasks reserve room. The load line says why tasks wait.

--- a/samphiregate/adapters/cells/_keys.py
+++ b/samphiregate/adapters/cells/_keys.py
@@ -14,11 +14,6 @@
     return f"epochs/{cell}"
 
 
-def known(cell):
-    """Key of the endpoints that may have got orders."""
-    return f"known/{cell}"
-
-
 def work_prefix(cell):
     """Prefix of what callers ask for."""
     return f"work/{cell}/"
--- a/samphiregate/adapters/cells/_owner.py
+++ b/samphiregate/adapters/cells/_owner.py
@@ -7,7 +7,6 @@
 import gevent
 import gevent.event
 from gevent import pool
-import orjson
 
 from samphiregate.adapters.cells import _keys
 from samphiregate.adapters.cells import _mirror
@@ -20,8 +19,10 @@
 WATCH_WAIT_MS = 2_000
 LEASE_MS = 5_000  # of tasks, from each order
 HOLD_ON_MS = 2_000  # looks go on so long after the VM's lease has lapsed
-INHERITED_SLACK_MS = 300
 CLOCK_DRIFT = 0.02
+# Runs of an earlier owner go on so long after its last order, which it gave
+# at the latest so long after its VM's lease had lapsed.
+INHERITED_LEASE_MS = HOLD_ON_MS + round(LEASE_MS * (1 + CLOCK_DRIFT)) + 300
 LOAD_RETRY_MS = 100
 KEEP_ENDED_MS = 180_000
 FORGET_INTERVAL_MS = 10_000
@@ -79,8 +80,6 @@
         self._wake = gevent.event.Event()
         self._orders = pool.Group()
         self._writer = None
-        self._stored_known = {}
-        self._storing_known = False
         self._forget_after_ms = 0
         self._load_after_ms = 0
 
@@ -128,19 +127,15 @@
 
     def _load_once(self, stack):
         cell = self._tenure.cell
-        known_item = self._store.get(_keys.known(cell))
         endpoint_items, endpoints_revision = self._store.list(
             self._decoders.endpoints_prefix
         )
         work_items, work_revision = self._store.list(_keys.work_prefix(cell))
         record_items, _revision = self._store.list(_keys.records_prefix(cell))
-        self._stored_known = (
-            orjson.loads(known_item.value) if (known_item) else {}
-        )
         machine = cells.Cell(
             epoch=self._tenure.epoch,
             lease_ms=LEASE_MS,
-            unresolved=self._unresolved(),
+            inherited_lease_ms=INHERITED_LEASE_MS,
         )
         self.cell = machine
         self._take_configuration()
@@ -173,18 +168,6 @@
             )
         )
 
-    def _unresolved(self):
-        until_ms = (
-            self._now_ms()
-            + HOLD_ON_MS
-            + round(LEASE_MS * (1 + CLOCK_DRIFT))
-            + INHERITED_SLACK_MS
-        )
-        return {
-            endpoint_id: (service, until_ms)
-            for endpoint_id, service in self._stored_known.items()
-        }
-
     def _follow(self, stack, prefix, on_change, listed):
         mirror = _mirror.Mirror(
             store=self._store,
@@ -224,14 +207,8 @@
                 "job unreadable", key=item.key, reason=error.detail
             )
             return
-        taken_revision = max(self._tenure.guard.values())
-        self.deliver(
-            cells.JobStored(
-                job,
-                inherited=item.created_revision < taken_revision,
-                record=record_by_id.get(job.job_id),
-            )
-        )
+        record = record_by_id.get(job.job_id)
+        self.deliver(cells.JobStored(job, record))
 
     # Changes of the store
 
@@ -291,7 +268,6 @@
             if self._lease.is_valid:
                 actions = self.cell.plan(self._now_ms(), self._unix_ms())
                 self._perform_all(actions)
-            self._store_known()
             self._forget_expired()
             self._log_load()
             self._writer.wake()
@@ -435,36 +411,6 @@
 
     # Upkeep of the store
 
-    def _store_known(self):
-        """Stores which endpoints may get orders, before they get any."""
-        present = self.cell.known_endpoints()
-        if present.keys() <= self._stored_known.keys():
-            self._tell_known()
-            return
-        if self._storing_known:
-            return
-        self._storing_known = True
-        self._orders.spawn(self._write_known, present)
-
-    def _write_known(self, present):
-        cell = self._tenure.cell
-        write = _ports.StoreWrite(_keys.known(cell), orjson.dumps(present))
-        try:
-            self._store.commit(expected=self._tenure.guard, writes=[write])
-            self._stored_known = present
-        except _ports.ConflictError:
-            self._end("another VM has taken the cell")
-        except errors.SamphiregateError as error:
-            self._log.write("endpoints not stored", reason=error.detail)
-            gevent.sleep(LOAD_RETRY_MS / 1000)
-        self._storing_known = False
-        self._wake.set()
-
-    def _tell_known(self):
-        ids = frozenset(self._stored_known)
-        if ids != self.cell.stored_known_ids:
-            self.deliver(cells.KnownEndpointsStored(ids))
-
     def _log_load(self):
         now_ms = self._now_ms()
         if now_ms >= self._load_after_ms:
--- a/samphiregate/core/cells/__init__.py
+++ b/samphiregate/core/cells/__init__.py
@@ -14,7 +14,6 @@
 from samphiregate.core.cells._messages import JobCancelled
 from samphiregate.core.cells._messages import JobForgotten
 from samphiregate.core.cells._messages import JobStored
-from samphiregate.core.cells._messages import KnownEndpointsStored
 from samphiregate.core.cells._messages import Look
 from samphiregate.core.cells._messages import LookFailed
 from samphiregate.core.cells._messages import PaceTask
@@ -75,7 +74,6 @@
     "JobRecord",
     "JobState",
     "JobStored",
-    "KnownEndpointsStored",
     "Look",
     "LookFailed",
     "PaceTask",
--- a/samphiregate/core/cells/_book.py
+++ b/samphiregate/core/cells/_book.py
@@ -21,6 +21,8 @@
     ----------
     epoch : int
         Fencing token of this ownership.
+    inherited_lease_ms : int
+        How long runs that earlier owners started may go on without news.
 
     Attributes
     ----------
@@ -38,6 +40,7 @@
     """
 
     epoch: int
+    inherited_lease_ms: int = 0
     entry_by_id: dict = attrs.field(factory=dict)
     endpoint_by_id: dict = attrs.field(factory=dict)
     open_stages: dict = attrs.field(factory=dict)
@@ -62,10 +65,6 @@
         objective = _order.objective_ms(job)
         entry = _tasks.JobEntry(
             job=job,
-            inherited=event.inherited,
-            run_base=(self.epoch - 1) * RUNS_PER_EPOCH
-            if event.inherited
-            else 0,
             arrived_ms=now_ms,
             on_time_ms=round(now_ms + objective),
             late_ms=round(now_ms + objective * _order.LATE_FACTOR),
@@ -78,12 +77,12 @@
             entry.add_occurrence(0)
         if event.record is not None:
             entry.restore(event.record)
+            self._restore_runs(entry, event.record, now_ms)
         self.decided(
             "job queued",
             job.job_id,
             queue=job.queue.name,
             account=job.account,
-            inherited=event.inherited,
             within_share=entry.within_share,
             state=entry.state.value,
         )
@@ -92,6 +91,36 @@
             self.cancel(job.job_id, now_ms)
         self.open_ready_stages(entry, now_ms)
 
+    def _restore_runs(self, entry, record, now_ms):
+        """Takes room for the runs that an earlier owner may have started.
+
+        The first look settles each: whatever the endpoint does not list
+        then, it refuses from then on, as it has seen the new epoch.
+        """
+        for stage_record in record.stages:
+            key = (stage_record.occurrence, stage_record.step)
+            stage = entry.stages_by_key[key]
+            for index, run, endpoint_id in stage_record.placed:
+                endpoint = self._inherited_endpoint(
+                    endpoint_id,
+                    entry.job.queue.service,
+                    record.address_by_id.get(endpoint_id, ""),
+                )
+                endpoint.inherit_lease(now_ms + self.inherited_lease_ms)
+                booking = self.book(stage.tasks[index], run, endpoint, now_ms)
+                booking.state = _tasks.RunState.RUNNING
+                booking.confirmed_ms = now_ms
+
+    def _inherited_endpoint(self, endpoint_id, service, address):
+        endpoint = self.endpoint_by_id.get(endpoint_id)
+        if endpoint is None:
+            news = _messages.EndpointListed(
+                endpoint_id, service, address, "", _work.NOTHING
+            )
+            endpoint = _endpoints.Endpoint(news, listed=False)
+            self.endpoint_by_id[endpoint_id] = endpoint
+        return endpoint
+
     def cancel(self, job_id, now_ms):
         """Ends a job as cancelled, also one that is read later."""
         entry = self.entry_by_id.get(job_id)
@@ -161,6 +190,36 @@
         self.caps.add(entry.job.account, booking.step.demand)
         return booking
 
+    def send_planned(self, entry, now_ms, lease_ms):
+        """Orders the starts of which the stored record tells."""
+        for booking in list(entry.bookings()):
+            planned = booking.state is _tasks.RunState.PLANNED
+            if not planned or booking.version > entry.stored_version:
+                continue
+            endpoint = self.endpoint_by_id[booking.endpoint_id]
+            if entry.state.is_final or not endpoint.may_start:
+                self.stop(booking, now_ms)
+                continue
+            self._send_start(booking, endpoint, now_ms, lease_ms)
+
+    def _send_start(self, booking, endpoint, now_ms, lease_ms):
+        stage = booking.task.stage
+        ticket = stage.ticket_by_id.get(endpoint.endpoint_id)
+        booking.state = _tasks.RunState.STARTING
+        booking.sent_ms = now_ms
+        self.actions.append(
+            _messages.StartTask(
+                endpoint.endpoint_id,
+                endpoint.news.address,
+                booking.task.task_id,
+                booking.run,
+                stage.entry.job.payload,
+                endpoint.deadline_ms(now_ms, lease_ms),
+                booking.task.saved,
+                ticket.text if ticket else "",
+            )
+        )
+
     def release(self, booking):
         """Gives back the room of a run that has surely ended."""
         endpoint = self.endpoint_by_id[booking.endpoint_id]
@@ -174,6 +233,9 @@
 
     def stop(self, booking, now_ms):
         """Orders a run to stop; its room is kept until it has ended."""
+        if booking.state is _tasks.RunState.PLANNED:
+            self.release(booking)
+            return
         endpoint = self.endpoint_by_id[booking.endpoint_id]
         booking.state = _tasks.RunState.STOPPING
         booking.stop_sent_ms = now_ms
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -33,9 +33,8 @@
         Fencing token; higher than that of every earlier owner.
     lease_ms : int
         Lease that each order gives an endpoint's runs.
-    unresolved : dict
-        Endpoints that earlier owners may have ordered to start tasks:
-        service and local time until which those may run, keyed by id.
+    inherited_lease_ms : int
+        How long runs that earlier owners started may go on without news.
 
     Notes
     -----
@@ -43,17 +42,12 @@
     several events can be taken in before the next plan is made.
     """
 
-    def __init__(self, *, epoch, lease_ms, unresolved=None):
-        self.book = _book.Book(epoch)
+    def __init__(self, *, epoch, lease_ms, inherited_lease_ms):
+        self.book = _book.Book(epoch, inherited_lease_ms)
         self._lease_ms = lease_ms
-        self._unresolved_by_id = dict(unresolved or {})
-        self.stored_known_ids = frozenset()
         self._judge = _faults.FaultJudge()
         self._planner = _planner.Planner(
-            book=self.book,
-            lease_ms=lease_ms,
-            may_start=self._may_start,
-            is_resting=self._judge.is_resting,
+            book=self.book, is_resting=self._judge.is_resting
         )
 
     # Queries
@@ -78,12 +72,16 @@
         Returns
         -------
         dict
-            Tasks that wait, by queue; used share of processors and
+            Tasks that wait, by queue and reason; used share of processors and
             accelerators and number of unreachable endpoints, by service.
         """
         waiting = collections.Counter()
+        reasons = collections.Counter()
         for stage in self.book.open_stages.values():
-            waiting[stage.queue.name] += len(stage.startable())
+            count = len(stage.startable())
+            waiting[stage.queue.name] += count
+            if stage.waits_for is not None:
+                reasons[stage.waits_for.value] += count
         used = collections.defaultdict(lambda: _work.NOTHING)
         capacity = collections.defaultdict(lambda: _work.NOTHING)
         unreachable = collections.Counter()
@@ -94,6 +92,7 @@
             unreachable[service] += bool(endpoint.failed_looks)
         return {
             "waiting": dict(waiting),
+            "waits_for": dict(reasons),
             "unreachable": dict(unreachable),
             "cpu_share": {
                 service: round(
@@ -122,26 +121,13 @@
             del self.book.dirty_ids[job_id]
             entry = self.book.entry_by_id.get(job_id)
             if entry is not None:
-                data = _records.encode(entry.to_record())
+                record = entry.to_record(self._address_of)
+                data = _records.encode(record)
                 rows.append((job_id, entry.version, data))
         return rows
 
-    def known_endpoints(self):
-        """Returns service by id of the endpoints that may get orders.
-
-        Those that earlier owners used and that have not answered since are
-        among them.
-        """
-        unresolved = {
-            endpoint_id: service
-            for endpoint_id, (service, _until_ms) in (
-                self._unresolved_by_id.items()
-            )
-        }
-        return unresolved | {
-            endpoint_id: endpoint.news.service
-            for endpoint_id, endpoint in self.book.endpoint_by_id.items()
-        }
+    def _address_of(self, endpoint_id):
+        return self.book.endpoint_by_id[endpoint_id].news.address
 
     def expired_jobs(self, unix_ms, keep_ms):
         """Returns ids of jobs that ended longer ago than `keep_ms`."""
@@ -216,20 +202,13 @@
         }
         self.book.queue_by_name = {queue.name: queue for queue in event.queues}
 
-    @_take.register
-    def _(self, event: _messages.KnownEndpointsStored, now_ms):
-        del now_ms
-        self.stored_known_ids = event.endpoint_ids
-        for endpoint in self.book.endpoint_by_id.values():
-            endpoint.recorded = endpoint.endpoint_id in event.endpoint_ids
-
     @_take.register
     def _(self, event: _messages.RecordsStored, now_ms):
-        del now_ms
         for job_id, version in event.versions:
             entry = self.book.entry_by_id.get(job_id)
             if entry is not None:
                 entry.stored_version = max(entry.stored_version, version)
+                self.book.send_planned(entry, now_ms, self._lease_ms)
         for endpoint in self.book.endpoint_by_id.values():
             endpoint.advance_seen(self.book.stored_version)
 
@@ -262,8 +241,8 @@
         if reborn:
             self.book.lose(endpoint, "its entry is of a new life", now_ms)
             endpoint.start_new_life()
-            self._resolve(event.endpoint_id)
         endpoint.relist(event)
+        endpoint.listed = True
 
     @_take.register
     def _(self, event: _messages.EndpointUnlisted, now_ms):
@@ -288,7 +267,6 @@
         before = set(endpoint.bookings_by_run)
         _sightings.take_look(self.book, endpoint, event, now_ms)
         self._judge.note_ends(event, before, now_ms)
-        self._resolve(event.endpoint_id)
         endpoint.advance_seen(self.book.stored_version)
         self.book.drop_if_idle(endpoint)
 
@@ -311,14 +289,10 @@
                 runs=len(endpoint.bookings_by_run),
             )
         if event.process_gone:
-            self._resolve(event.endpoint_id)
             self.book.lose(endpoint, "its process is gone", now_ms)
             endpoint.start_new_life()
             self.book.drop_if_idle(endpoint)
 
-    def _resolve(self, endpoint_id):
-        self._unresolved_by_id.pop(endpoint_id, None)
-
     # Orders
 
     @_take.register
@@ -424,26 +398,12 @@
 
     # Planning
 
-    def _may_start(self, entry):
-        if not entry.inherited or not self._unresolved_by_id:
-            return True
-        service = entry.job.queue.service
-        return not any(
-            known_service == service
-            for known_service, _until_ms in self._unresolved_by_id.values()
-        )
-
     def _expire(self, now_ms):
-        for endpoint_id, row in list(self._unresolved_by_id.items()):
-            if row[1] <= now_ms:
-                self._resolve(endpoint_id)
-                self.book.decided("endpoint given up", endpoint=endpoint_id)
         for endpoint in list(self.book.endpoint_by_id.values()):
             lapsed = (
                 endpoint.failed_looks
                 and endpoint.bookings_by_run
                 and endpoint.lease_until_ms <= now_ms
-                and endpoint.endpoint_id not in self._unresolved_by_id
             )
             if lapsed:
                 self.book.lose(endpoint, "its lease has lapsed", now_ms)
--- a/samphiregate/core/cells/_endpoints.py
+++ b/samphiregate/core/cells/_endpoints.py
@@ -25,8 +25,6 @@
         Whether its entry stands.
     known : bool
         Whether it has answered under the present epoch.
-    recorded : bool
-        Whether the store tells a later owner that it may get orders.
     failed_looks : int
         Looks that failed since the last answer.
     clock_ms, clock_at_ms : int
@@ -50,7 +48,6 @@
     news: _messages.EndpointListed
     listed: bool = True
     known: bool = False
-    recorded: bool = False
     failed_looks: int = 0
     clock_ms: int = 0
     clock_at_ms: int = 0
@@ -84,7 +81,6 @@
         return (
             self.listed
             and self.known
-            and self.recorded
             and not self.failed_looks
             and not self.news.draining
         )
@@ -97,6 +93,10 @@
         )
         return self.clock_ms + now_ms - self.clock_at_ms + lease_ms
 
+    def inherit_lease(self, until_ms):
+        """Notes until when runs of an earlier owner may go on."""
+        self.lease_until_ms = max(self.lease_until_ms, until_ms)
+
     def book(self, booking):
         """Takes the room of a run."""
         self.bookings_by_run[booking.key] = booking
@@ -114,7 +114,6 @@
         """Takes in a new entry of the same life."""
         self.free += news.capacity - self.news.capacity
         self.news = news
-        self.listed = True
 
     def advance_seen(self, stored_version_of):
         """Passes the ends whose jobs' records are stored.
--- a/samphiregate/core/cells/_messages.py
+++ b/samphiregate/core/cells/_messages.py
@@ -75,14 +75,11 @@
     Parameters
     ----------
     job : Job
-    inherited : bool
-        Whether an earlier owner of the cell may have started its tasks.
     record : JobRecord or None
         What an earlier owner noted.
     """
 
     job: _work.Job
-    inherited: bool = False
     record: object = None
 
 
@@ -248,13 +245,6 @@
     versions: tuple[tuple[str, int], ...]
 
 
-@attrs.frozen
-class KnownEndpointsStored(base.Event):
-    """The list of endpoints that may get orders was stored."""
-
-    endpoint_ids: frozenset
-
-
 @attrs.frozen
 class StartTask(base.Action):
     """Order an endpoint to start a task.
--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -1,5 +1,7 @@
 """Decides what is started where, and what the policy service is asked."""
 
+import enum
+
 from samphiregate.core.cells import _messages
 from samphiregate.core.cells import _order
 from samphiregate.core.cells import _placement
@@ -7,7 +9,21 @@
 TICKET_MARGIN_MS = 100  # a start has to reach the endpoint before the end
 MOST_ASKED = 30
 ASK_AGAIN_MS = 150
-MOST_RESERVED = 4
+MOST_RESERVED_SHARE = 0.25  # of a service's endpoints
+LARGE_TASK_SHARE = 0.3  # of an endpoint
+
+
+class WaitReason(enum.Enum):
+    """Why tasks of a stage wait."""
+
+    CAP = "the account's limit"
+    NO_ENDPOINT = "no usable endpoint"
+    TOO_LARGE = "larger than any endpoint"
+    ROOM = "room"
+    GANG = "room for all members"
+    ADVICE = "an answer of the policy service"
+    NOT_ALLOWED = "room where the policy allows it"
+    TICKET = "a ticket, reserved room or the spread"
 
 
 class Planner:
@@ -16,19 +32,13 @@
     Parameters
     ----------
     book : Book
-    lease_ms : int
-        Lease that each start gives.
-    may_start : callable
-        Takes a job entry; whether its waiting tasks surely run nowhere.
     is_resting : callable
         Takes an endpoint id and the time; whether it is kept from work as
         it fails what it starts.
     """
 
-    def __init__(self, *, book, lease_ms, may_start, is_resting):
+    def __init__(self, *, book, is_resting):
         self._book = book
-        self._lease_ms = lease_ms
-        self._may_start = may_start
         self._is_resting = is_resting
         self._packing = _placement.Packing()
 
@@ -48,13 +58,13 @@
                 ):
                     del book.open_stages[stage.entry.job.job_id, stage.key]
                 continue
-            if self._may_start(stage.entry):
-                self._plan_stage(stage, tasks, reserved, now_ms)
+            self._plan_stage(stage, tasks, reserved, now_ms)
 
     def _plan_stage(self, stage, tasks, reserved, now_ms):
         account = stage.entry.job.account
         tasks = self._within_cap(stage, tasks, account)
         if not tasks:
+            stage.waits_for = WaitReason.CAP
             return
         usable = self._usable(stage, now_ms)
         candidates = self._candidates(stage, usable, reserved, now_ms)
@@ -63,6 +73,7 @@
             self._start(stage, tasks, chosen, now_ms)
         missing = len(tasks) - len(chosen)
         if missing:
+            stage.waits_for = _wait_reason(stage, usable, candidates)
             if stage.queue.advice:
                 self._ask(stage, usable, now_ms)
             self._reserve(stage, usable, missing, reserved)
@@ -115,23 +126,13 @@
         run = None
         if stage.step.gang:
             run = max(task.last_run for task in tasks) + 1
-        for task, endpoint in zip(tasks, chosen, strict=False):
-            booking = book.book(
-                task, run or task.last_run + 1, endpoint, now_ms
-            )
-            ticket = stage.ticket_by_id.get(endpoint.endpoint_id)
-            book.actions.append(
-                _messages.StartTask(
-                    endpoint.endpoint_id,
-                    endpoint.news.address,
-                    task.task_id,
-                    booking.run,
-                    stage.entry.job.payload,
-                    endpoint.deadline_ms(now_ms, self._lease_ms),
-                    task.saved,
-                    ticket.text if ticket else "",
-                )
-            )
+        bookings = [
+            book.book(task, run or task.last_run + 1, endpoint, now_ms)
+            for task, endpoint in zip(tasks, chosen, strict=False)
+        ]
+        book.touch(stage.entry)
+        for booking in bookings:
+            booking.version = stage.entry.version
         book.decided(
             "tasks placed",
             stage.entry.job.job_id,
@@ -190,26 +191,56 @@
         return renewed
 
     def _reserve(self, stage, usable, missing, reserved):
-        """Keeps room from less urgent stages where this one waits."""
-        if not stage.entry.within_share:
-            return
+        """Keeps room from less urgent stages where this one waits for it.
+
+        Only large tasks wait for room that small ones would take bit by
+        bit, and only a share of the endpoints is ever kept.
+        """
         need = stage.step.booked
-        allowed = [
+        most = max(1, round(len(usable) * MOST_RESERVED_SHARE))
+        most -= sum(one.endpoint_id in reserved for one in usable)
+        if most <= 0 or not stage.entry.within_share:
+            return
+        waited_for = [
             one
             for one in usable
             if one.endpoint_id not in reserved
+            and not need.fits_in(one.free)
             and need.fits_in(one.news.capacity)
+            and need.dominant_share(one.news.capacity) >= LARGE_TASK_SHARE
             and (
                 not stage.queue.advice or one.endpoint_id in stage.ticket_by_id
             )
         ]
-        allowed.sort(
+        waited_for.sort(
             key=lambda one: (need - one.free).dominant_share(one.news.capacity)
         )
-        for endpoint in allowed[: min(missing, MOST_RESERVED)]:
+        for endpoint in waited_for[: min(missing, most)]:
             reserved.add(endpoint.endpoint_id)
 
 
+def _wait_reason(stage, usable, candidates):
+    """Returns why tasks of a stage were not placed."""
+    if not usable:
+        return WaitReason.NO_ENDPOINT
+    need = stage.step.booked
+    if not any(need.fits_in(one.news.capacity) for one in usable):
+        return WaitReason.TOO_LARGE
+    with_room = [one for one in usable if need.fits_in(one.free)]
+    if not with_room:
+        return WaitReason.ROOM
+    allowed = {one.endpoint.endpoint_id for one in candidates}
+    if any(one.endpoint_id in allowed for one in with_room):
+        return WaitReason.GANG if stage.step.gang else WaitReason.ROOM
+    if stage.asking:
+        return WaitReason.ADVICE
+    if stage.queue.advice and not any(
+        one.endpoint_id in stage.ticket_by_id for one in with_room
+    ):
+        return WaitReason.NOT_ALLOWED
+    return WaitReason.TICKET
+
+
 def _has_ticket(stage, endpoint_id, now_ms):
     ticket = stage.ticket_by_id.get(endpoint_id)
     return (
--- a/samphiregate/core/cells/_records.py
+++ b/samphiregate/core/cells/_records.py
@@ -27,6 +27,10 @@
         Numbers of the failed runs, keyed by index.
     saved : dict
         Latest checkpoint that an end carried, keyed by index.
+    last_run : int
+        Highest run number given to any of the tasks.
+    placed : tuple
+        Index, run and endpoint id of each run that may exist.
     """
 
     occurrence: int
@@ -35,6 +39,8 @@
     done: tuple[int, ...] = ()
     failures: dict[int, tuple[int, ...]] = attrs.field(factory=dict)
     saved: dict[int, str] = attrs.field(factory=dict)
+    last_run: int = 0
+    placed: tuple[tuple[int, int, str], ...] = ()
 
 
 @attrs.frozen
@@ -48,11 +54,14 @@
         Stages of which anything is to be said.
     ended_unix_ms : int
         When a final state was reached; 0 before.
+    address_by_id : dict
+        Addresses of the endpoints on which runs may exist.
     """
 
     state: _work.JobState
     stages: tuple[StageRecord, ...] = ()
     ended_unix_ms: int = 0
+    address_by_id: dict[str, str] = attrs.field(factory=dict)
 
 
 def encode(value):
--- a/samphiregate/core/cells/_tasks.py
+++ b/samphiregate/core/cells/_tasks.py
@@ -12,6 +12,7 @@
 class RunState(enum.Enum):
     """What is known of one run of a task on an endpoint."""
 
+    PLANNED = "planned"  # the order waits for the record to be stored
     STARTING = "starting"
     RUNNING = "running"
     STOPPING = "stopping"
@@ -27,6 +28,8 @@
     run : int
     endpoint_id : str
     state : RunState
+    version : int
+        Of the job's record that tells of the run.
     sent_ms : int
         When the order to start was sent.
     confirmed_ms : int or None
@@ -44,7 +47,8 @@
     run: int
     endpoint_id: str
     sent_ms: int
-    state: RunState = RunState.STARTING
+    state: RunState = RunState.PLANNED
+    version: int = 0
     confirmed_ms: int | None = None
     stop_sent_ms: int | None = None
     stop_confirmed_ms: int | None = None
@@ -123,6 +127,8 @@
         Whether a question is under way.
     ask_after_ms : int
         No question before this time.
+    waits_for : WaitReason or None
+        Why tasks were not placed when it was last tried.
     """
 
     entry: "JobEntry"
@@ -136,6 +142,7 @@
     asked_ids: set[str] = attrs.field(factory=set)
     asking: bool = False
     ask_after_ms: int = 0
+    waits_for: object = None
 
     @property
     def key(self):
@@ -174,12 +181,6 @@
 
     Attributes
     ----------
-    inherited : bool
-        Whether an earlier owner may have started tasks of which nothing
-        is known here.
-    run_base : int
-        Added to the run numbers given out here, so that they are above
-        those of earlier owners.
     arrived_ms, on_time_ms, late_ms : int
         When it was learnt of; until when it is on time, and of any use.
     within_share : bool
@@ -191,8 +192,6 @@
     """
 
     job: _work.Job
-    inherited: bool
-    run_base: int
     arrived_ms: int
     on_time_ms: int
     late_ms: int
@@ -219,9 +218,7 @@
                 task_id = _work.TaskId(
                     self.job.job_id, occurrence, number, index
                 )
-                stage.tasks.append(
-                    Task(task_id, stage, last_run=self.run_base)
-                )
+                stage.tasks.append(Task(task_id, stage))
             self.stages_by_key[stage.key] = stage
 
     def task(self, task_id):
@@ -252,14 +249,26 @@
             for task in stage.tasks:
                 yield from task.bookings_by_run.values()
 
-    def to_record(self):
-        """Returns what the store is to keep of the progress."""
+    def to_record(self, address_of):
+        """Returns what the store is to keep of the progress.
+
+        Parameters
+        ----------
+        address_of : callable
+            Takes an endpoint id; returns its address.
+        """
         stages = tuple(
             record
             for stage in self.stages_by_key.values()
             if (record := _stage_record(stage))
         )
-        return _records.JobRecord(self.state, stages, self.ended_unix_ms)
+        addresses = {
+            booking.endpoint_id: address_of(booking.endpoint_id)
+            for booking in self.bookings()
+        }
+        return _records.JobRecord(
+            self.state, stages, self.ended_unix_ms, addresses
+        )
 
     def restore(self, record):
         """Takes over the progress that an earlier owner noted."""
@@ -285,7 +294,7 @@
 
 
 def _stage_record(stage):
-    if stage.is_done:
+    if stage.is_done and not any(task.bookings_by_run for task in stage.tasks):
         return _records.StageRecord(
             stage.occurrence, stage.number, all_done=True
         )
@@ -302,10 +311,23 @@
         for index, task in enumerate(stage.tasks)
         if task.saved and not task.is_done
     }
-    if not (done or failures or saved):
+    placed = tuple(
+        (index, booking.run, booking.endpoint_id)
+        for index, task in enumerate(stage.tasks)
+        for booking in task.bookings_by_run.values()
+    )
+    last_run = max(task.last_run for task in stage.tasks)
+    if not last_run:
         return None
     return _records.StageRecord(
-        stage.occurrence, stage.number, False, done, failures, saved
+        stage.occurrence,
+        stage.number,
+        False,
+        done,
+        failures,
+        saved,
+        last_run,
+        placed,
     )
 
 
@@ -315,3 +337,4 @@
             mark_done(task)
         task.failed_runs.update(noted.failures.get(index, ()))
         task.saved = noted.saved.get(index, "")
+        task.last_run = noted.last_run
