Ask the policy service only where there is room, slow questions apart

Cause: after an outage of the store every waiting stage asked at once; quick questions stood behind slow ones of 0.7 s each. Change: no question before some endpoint has room; slow ones go to half of the VMs.

--- a/samphiregate/adapters/cells/_advice.py
+++ b/samphiregate/adapters/cells/_advice.py
@@ -1,7 +1,8 @@
 """Spreads questions to the policy service over the entry VMs.
 
 The service answers one question at a time for each VM that asks, so each
-question goes to the VM whose earlier ones are done soonest.
+question goes to the VM whose earlier ones are done soonest. Slow ones go to
+half of the VMs at most, so that quick ones need not wait behind them.
 """
 
 from samphiregate.adapters.cells import _peer_calls
@@ -9,8 +10,8 @@
 from samphiregate import errors
 
 ANSWER_MARGIN_MS = 700
-MOST_BACKLOG_MS = 4_000
 FAILURE_PENALTY_MS = 1_000
+SLOW_QUESTION_MS = 200
 
 
 class AdviceDesk:
@@ -40,7 +41,7 @@
     def ask(self, action):
         """Carries out an `AskAdvice`; returns an event for the cell."""
         now_ms = self._now_ms()
-        vm_id = self._choose(now_ms)
+        vm_id = self._choose(action.expected_ms, now_ms)
         busy_until_ms = max(self._busy_until_by_vm.get(vm_id, 0), now_ms)
         expected_ms = busy_until_ms - now_ms + action.expected_ms
         self._busy_until_by_vm[vm_id] = now_ms + expected_ms
@@ -61,10 +62,12 @@
             self._now_ms() + valid_ms,
         )
 
-    def _choose(self, now_ms):
-        vm_ids = set(self._address_by_vm()) | {self._vm_id}
+    def _choose(self, expected_ms, now_ms):
+        vm_ids = sorted(set(self._address_by_vm()) | {self._vm_id})
+        if expected_ms >= SLOW_QUESTION_MS:
+            vm_ids = vm_ids[: (len(vm_ids) + 1) // 2]
         return min(
-            sorted(vm_ids),
+            vm_ids,
             key=lambda vm_id: (
                 max(self._busy_until_by_vm.get(vm_id, 0), now_ms),
                 vm_id != self._vm_id,
--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -165,9 +165,10 @@
     def _to_ask(self, stage, usable, now_ms):
         """Returns the endpoints to name in the next question.
 
-        The first question names many, to learn which may run the step at
-        all. Later ones are asked once there is room: they renew the tickets
-        of those endpoints, or name some that were not named before.
+        None is asked before there is room somewhere, as tickets run out.
+        The first names many, to learn which may run the step at all. Later
+        ones renew the tickets of those that have room, or name some that
+        were not named before.
         """
         need = stage.step.booked
         able = [one for one in usable if need.fits_in(one.news.capacity)]
@@ -179,7 +180,7 @@
             and not _has_ticket(stage, one.endpoint_id, now_ms)
         ]
         if not stage.asked_ids:
-            return _best_known(stage, able, need)
+            return _best_known(stage, able, need) if with_room else []
         renewed = [
             one for one in with_room if one.endpoint_id in stage.ticket_by_id
         ]
