Keep endpoints for large tasks until their ticket is there

Cause: a photo task that one endpoint alone may run lost that endpoint to smaller ones for 20 s: it was free only while the ticket was asked for; urgent work waited for its account's limit behind long tasks of the same account. Change: an endpoint stays reserved while its ticket is asked for, and tickets are asked for ahead of the expected room; a fifth of the limit of an account that sends urgent work is left for it.

--- a/samphiregate/core/cells/_book.py
+++ b/samphiregate/core/cells/_book.py
@@ -11,6 +11,7 @@
 
 RUNS_PER_EPOCH = 1_000  # run numbers that one owner may give a task
 STOP_RETRY_MS = 400
+URGENT_LATELY_MS = 5_000
 
 
 @attrs.define(eq=False)
@@ -52,6 +53,8 @@
     queue_by_name: dict = attrs.field(factory=dict)
     shares: _order.ShareMeter = attrs.field(factory=_order.ShareMeter)
     unix_ms: int = 0
+    now_ms: int = 0
+    _urgent_ms_by_account: dict = attrs.field(factory=dict)
 
     def decided(self, what, job_id="", **fields):
         """Asks for a log line."""
@@ -72,6 +75,8 @@
         account = self.account_by_name.get(job.account)
         if account is not None:
             entry.within_share = self.shares.note(account, now_ms)
+        if job.queue.priority == 0:
+            self._urgent_ms_by_account[job.account] = now_ms
         self.entry_by_id[job.job_id] = entry
         if job.schedule is None:
             entry.add_occurrence(0)
@@ -129,6 +134,11 @@
         else:
             self.finish(entry, _work.JobState.CANCELLED, now_ms)
 
+    def is_urgent_lately(self, account):
+        """Whether an account has sent urgent work a short while ago."""
+        sent_ms = self._urgent_ms_by_account.get(account)
+        return sent_ms is not None and self.now_ms - sent_ms < URGENT_LATELY_MS
+
     def open_ready_stages(self, entry, now_ms):
         """Lets the stages start whose earlier steps are done."""
         if entry.state.is_final:
--- a/samphiregate/core/cells/_caps.py
+++ b/samphiregate/core/cells/_caps.py
@@ -22,16 +22,24 @@
         """Returns what an account has running."""
         return self._used_by_account[account]
 
-    def allows(self, account, demand):
-        """Whether an account may have this much more running."""
+    def allows(self, account, demand, share=1.0):
+        """Whether an account may have this much more running.
+
+        Parameters
+        ----------
+        account : str
+        demand : Resources
+        share : float
+            Part of the limit that may be used.
+        """
         cap = self._cap_by_account.get(account)
         if cap is None:
             return True
         total = self._used_by_account[account] + demand
         return (
-            _within(total.cpu_millis, cap.cpu_millis)
-            and _within(total.memory_mb, cap.memory_mb)
-            and _within(total.gpus, cap.gpus)
+            _within(total.cpu_millis, cap.cpu_millis * share)
+            and _within(total.memory_mb, cap.memory_mb * share)
+            and _within(total.gpus, cap.gpus * share)
         )
 
     def add(self, account, demand):
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -162,6 +162,7 @@
         list of Action
         """
         self.book.unix_ms = unix_ms
+        self.book.now_ms = now_ms
         self._expire(now_ms)
         self._add_occurrences(now_ms, unix_ms)
         self._leave_draining(now_ms)
--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -10,6 +10,7 @@
 MOST_ASKED = 30
 ASK_AGAIN_MS = 150
 MOST_RESERVED_SHARE = 0.25  # of a service's endpoints
+URGENT_CAP_SHARE = 0.2  # of an account's limit
 LARGE_TASK_SHARE = 0.3  # of an endpoint
 
 
@@ -79,14 +80,22 @@
             self._reserve(stage, usable, missing, reserved)
 
     def _within_cap(self, stage, tasks, account):
+        """Returns the tasks that the account's limit leaves room for.
+
+        Where an account has sent urgent work of late, the rest of its work
+        leaves a part of the limit for more of it.
+        """
         caps = self._book.caps
+        share = 1.0
+        if stage.queue.priority and self._book.is_urgent_lately(account):
+            share = 1.0 - URGENT_CAP_SHARE
         demand = stage.step.demand
-        if caps.allows(account, demand.times(len(tasks))):
+        if caps.allows(account, demand.times(len(tasks)), share):
             return tasks
         if stage.step.gang:
             return []
         allowed = 0
-        while caps.allows(account, demand.times(allowed + 1)):
+        while caps.allows(account, demand.times(allowed + 1), share):
             allowed += 1
         return tasks[:allowed]
 
@@ -165,17 +174,19 @@
     def _to_ask(self, stage, usable, now_ms):
         """Returns the endpoints to name in the next question.
 
-        None is asked before there is room somewhere, as tickets run out.
+        None is asked before there probably is room by the time of the
+        answer, as tickets run out.
         The first names many, to learn which may run the step at all. Later
         ones renew the tickets of those that have room, or name some that
         were not named before.
         """
         need = stage.step.booked
         able = [one for one in usable if need.fits_in(one.news.capacity)]
+        advice = stage.queue.advice
         with_room = [
             one
             for one in able
-            if need.fits_in(one.free)
+            if one.room_in_ms(need, now_ms) <= advice.decide_ms
             and _most_further(stage, one.endpoint_id) > 0
             and not _has_ticket(stage, one.endpoint_id, now_ms)
         ]
@@ -206,7 +217,7 @@
             one
             for one in usable
             if one.endpoint_id not in reserved
-            and not need.fits_in(one.free)
+            and (stage.asking or not need.fits_in(one.free))
             and need.fits_in(one.news.capacity)
             and need.dominant_share(one.news.capacity) >= LARGE_TASK_SHARE
             and (
--- a/samphiregate/logs/_decisions.py
+++ b/samphiregate/logs/_decisions.py
@@ -16,7 +16,7 @@
 MOST_QUEUED_LINES = 4_000
 LINES_PER_KIND_PER_S = 100
 FLUSH_INTERVAL_MS = 100
-MOST_WRITE_BYTES = 65_536
+MOST_WRITE_BYTES = 4_096  # what a pipe takes in one piece
 KEPT_WHOLE = frozenset({"request refused", "request failed"})
 
 
