--- /dev/null
+++ b/features/cells.feature
@@ -0,0 +1,181 @@
+Feature: one owner decides for a cell of endpoints and jobs
+
+  Scenario Outline: a job runs once and its steps in order
+    Given <endpoints> endpoints of 4 cores
+    And an owner of the cell
+    When a job "j" of <first> tasks, then <second> tasks after them is sent
+    Then job "j" is completed within <most> ms
+    And no promise was broken
+
+    Examples:
+      | endpoints | first | second | most |
+      | 1         | 1     | 1      | 1200 |
+      | 4         | 6     | 3      | 1200 |
+      | 2         | 16    | 8      | 1900 |
+
+  Scenario Outline: a cancelling that is read before its job is not lost
+    Given 2 endpoints of 4 cores
+    And job "j" was <order> before the owner read the store
+    When 2000 ms pass
+    Then job "j" is shown as cancelled
+    And 0 tasks were started
+
+    Examples:
+      | order                    |
+      | cancelled and then sent  |
+      | sent and then cancelled  |
+
+  Scenario Outline: a new owner goes on from what the store and endpoints tell
+    Given 6 endpoints of 4 cores
+    And an owner of the cell
+    When 6 jobs of 6 tasks are sent
+    And <before> ms pass
+    And the owner is lost for <away> ms
+    And another VM takes the cell over
+    Then all jobs are completed within <most> ms
+    And no promise was broken
+
+    Examples:
+      | before | away | most  |
+      | 5      | 2000 | 4000  |
+      | 50     | 2000 | 4000  |
+      | 300    | 2000 | 4000  |
+      | 560    | 2000 | 4000  |
+      | 300    | 9000 | 4000  |
+
+  Scenario: only runs on an endpoint that is out of reach hold tasks back
+    Given 6 endpoints of 4 cores
+    And an owner of the cell
+    When 6 jobs of 6 tasks are sent
+    And 300 ms pass
+    And endpoint "e0" cannot be reached
+    And the owner is lost for 2000 ms
+    And another VM takes the cell over
+    And 10 jobs of 4 tasks are sent
+    Then all but 6 jobs are completed within 4000 ms
+    And all jobs are completed within 12000 ms
+    And no promise was broken
+
+  Scenario: tasks of an endpoint out of reach start elsewhere after the lease
+    Given 2 endpoints of 4 cores
+    And an owner of the cell
+    When a job "j" of 6 tasks is sent
+    And 100 ms pass
+    And endpoint "e0" cannot be reached
+    Then job "j" is completed within 8000 ms
+    And no promise was broken
+    And no task was started anew within 4900 ms
+
+  Scenario Outline: a start that is carried out late runs no task twice
+    Given 3 endpoints of 4 cores
+    And an owner of the cell
+    When endpoint "e0" carries starts out <late> ms late and does not answer
+    And 4 jobs of 6 tasks are sent
+    And 3000 ms pass
+    And endpoint "e0" answers again
+    Then all jobs are completed within 20000 ms
+    And no promise was broken
+
+    Examples:
+      | late  |
+      | 300   |
+      | 1500  |
+      | 2500  |
+
+  Scenario: a job whose tasks can never be done has failed after its attempts
+    Given 4 endpoints of 4 cores
+    And an owner of the cell
+    When a hopeless job "j" with 3 attempts is sent
+    And 5000 ms pass
+    Then job "j" is shown as failed
+    And 3 tasks were started
+
+  Scenario: an endpoint that fails all it starts does not get every task
+    Given 4 endpoints of 4 cores
+    And an owner of the cell
+    When endpoint "e0" fails all that it starts
+    And 12 jobs of 3 tasks with 4 attempts are sent
+    Then all jobs are completed within 8000 ms
+    And no promise was broken
+
+  Scenario Outline: no account has more running than its limit
+    Given 8 endpoints of 4 cores
+    And account "team" may have <cap> cores
+    And an owner of the cell
+    When 8 jobs of 6 tasks of account "team" are sent
+    Then at most <cap> tasks ever run at a time
+    And all jobs are completed within <most> ms
+
+    Examples:
+      | cap | most  |
+      | 4   | 8000  |
+      | 10  | 4000  |
+
+  Scenario: a gang starts whole and again whole
+    Given 4 endpoints of 4 cores
+    And an owner of the cell
+    When a gang "g" of 8 tasks is sent
+    And 200 ms pass
+    And endpoint "e1" starts anew
+    Then job "g" is completed within 3000 ms
+    And no promise was broken
+
+  Scenario: a task that lasts is started again however it ends
+    Given 3 endpoints of 4 cores
+    And an owner of the cell
+    When a lasting job "s" of 3 tasks is sent
+    And 300 ms pass
+    And endpoint "e0" starts anew
+    And endpoint "e1" starts anew
+    And 2500 ms pass
+    Then 3 tasks of job "s" run
+    And no promise was broken
+
+  Scenario: ends are forgotten only once they are stored
+    Given 2 endpoints of 4 cores
+    And an owner of the cell
+    When 4 jobs of 4 tasks are sent
+    And 300 ms pass
+    And the store is away for 3000 ms
+    Then all jobs are completed within 6000 ms
+    And no promise was broken
+
+  Scenario: large tasks are not kept waiting by a stream of small ones
+    Given 4 endpoints of 4 cores
+    And an owner of the cell
+    When a task of 1 cores is sent each 100 ms with priority 2 for 12 s, and a task of 4 cores with priority 1 after 3 s
+    Then the large task started within 1600 ms
+
+  Scenario: a large task keeps the one endpoint that its policy allows
+    Given 4 endpoints of 4 cores
+    And an owner of the cell
+    And the policy service allows the large task on "e2" only, after 400 ms
+    When a task of 1 cores is sent each 100 ms with priority 2 for 12 s, and a task of 4 cores with priority 1 after 3 s
+    Then the large task started within 2600 ms
+
+  Scenario: nothing is asked of the policy service while there is no room
+    Given 1 endpoints of 4 cores
+    And an owner of the cell
+    When 1 jobs of 4 tasks of 3000 ms are sent
+    And 100 ms pass
+    And 10 jobs of 4 tasks that need advice are sent
+    And 2000 ms pass
+    Then the policy service was asked 0 times
+
+  Scenario Outline: faults in series break no promise
+    Given 6 endpoints of 4 cores
+    And an owner of the cell
+    When faults and jobs come for 40 s, by seed <seed>
+    Then all jobs are completed within 40000 ms
+    And no promise was broken
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+      | 5    |
+      | 6    |
+      | 7    |
+      | 8    |
--- /dev/null
+++ b/features/support/cells.py
@@ -0,0 +1,576 @@
+"""Plays a cell against fake endpoints and a fake store in virtual time.
+
+What endpoints see is checked while the play runs: no task runs in two
+places, no start brings an endpoint over its capacity, no step starts before
+the ones that it comes after, and no end that is not stored is forgotten.
+"""
+
+import functools
+import heapq
+import itertools
+import random
+
+import attrs
+
+from samphiregate.core import cells
+
+LINK_MS = 1
+STORE_MS = 6
+TICK_MS = 100
+SILENT_MS = 1_000
+LEASE_MS = 5_000
+INHERITED_LEASE_MS = 7_400
+SERVICE = "svc"
+
+
+@attrs.define(eq=False)
+class FakeRun:
+    """A run on a fake endpoint."""
+
+    task_id: cells.TaskId
+    run: int
+    step: cells.Step
+    job_id: str
+    started_ms: int
+    ends_ms: float
+    reason: cells.EndReason = cells.EndReason.DONE
+
+
+class FakeEndpoint:
+    """An endpoint that runs tasks for their estimate.
+
+    Attributes
+    ----------
+    reachable : bool
+        Whether orders and answers get through; runs go on either way.
+    late_ms : int
+        Starts are not answered and carried out so much later, if above 0.
+    fails : bool
+        Whether all that it starts ends as failed.
+    """
+
+    def __init__(self, endpoint_id, capacity, play, labels=("a", "r1")):
+        self.endpoint_id = endpoint_id
+        self.capacity = capacity
+        self.labels = labels
+        self.reachable = True
+        self.late_ms = 0
+        self.fails = False
+        self.draining = False
+        self._play = play
+        self._born = 1
+        self._clear()
+
+    def _clear(self):
+        self.epoch = 0
+        self.deadline_ms = 0
+        self.run_by_key = {}
+        self.settled_by_task = {}
+        self.ended = []
+        self.count = 0
+
+    def restart(self):
+        """Begins a new life; everything that ran is gone."""
+        self._born += 1
+        self._clear()
+
+    @property
+    def news(self):
+        """Its entry."""
+        return cells.EndpointListed(
+            self.endpoint_id,
+            SERVICE,
+            self.endpoint_id,
+            "north",
+            self.capacity,
+            self.labels,
+            self.draining,
+            self._born,
+        )
+
+    def start(self, action, epoch, now_ms):
+        """Carries out an order to start."""
+        outcomes = cells.StartOutcome
+        if epoch < self.epoch:
+            return outcomes.FENCED
+        self.epoch = epoch
+        if action.deadline_ms <= now_ms:
+            return outcomes.TOO_LATE
+        self.deadline_ms = max(self.deadline_ms, action.deadline_ms)
+        key = (action.task_id, action.run)
+        if key in self.run_by_key:
+            return outcomes.STARTED
+        if action.run <= self.settled_by_task.get(action.task_id, 0):
+            return outcomes.SUPERSEDED
+        step = self._play.step_of(action.task_id)
+        work_ms = self._play.work_ms(action.task_id)
+        reason = cells.EndReason.DONE
+        if self.fails or self._play.is_hopeless(action.task_id):
+            reason = cells.EndReason.FAILED
+        ends_ms = now_ms + work_ms
+        if step.long_running:
+            ends_ms = float("inf")
+        self.run_by_key[key] = FakeRun(
+            action.task_id,
+            action.run,
+            step,
+            action.task_id.job_id,
+            now_ms,
+            ends_ms,
+            reason,
+        )
+        self._play.note_start(self, action)
+        return outcomes.STARTED
+
+    def stop(self, action, epoch, now_ms):
+        """Carries out an order to stop."""
+        if epoch < self.epoch:
+            return False
+        self.epoch = epoch
+        self._end((action.task_id, action.run), cells.EndReason.STOPPED)
+        settled = self.settled_by_task.get(action.task_id, 0)
+        self.settled_by_task[action.task_id] = max(settled, action.run)
+        return True
+
+    def look(self, action, epoch, sent_ms, now_ms):
+        """Carries out a look."""
+        if epoch < self.epoch:
+            return cells.LookFailed(self.endpoint_id, fenced=True)
+        self.epoch = epoch
+        if action.deadline_ms is not None:
+            self.deadline_ms = max(self.deadline_ms, action.deadline_ms)
+        self.ended = [
+            row for row in self.ended if row.number > action.seen_upto
+        ]
+        self._play.note_seen(self, action.seen_upto)
+        return cells.EndpointLooked(
+            self.endpoint_id,
+            sent_ms,
+            now_ms,
+            self._born,
+            tuple(
+                cells.RunningRow(run.task_id, run.run)
+                for run in self.run_by_key.values()
+            ),
+            tuple(self.ended),
+        )
+
+    def advance(self, now_ms):
+        """Ends what is due; returns whether anything ended."""
+        before = self.count
+        for key, run in list(self.run_by_key.items()):
+            if run.ends_ms <= now_ms:
+                self._end(key, run.reason)
+            elif self.deadline_ms <= now_ms:
+                self._end(key, cells.EndReason.LAPSED)
+        return self.count > before
+
+    def _end(self, key, reason):
+        run = self.run_by_key.pop(key, None)
+        if run is None:
+            return
+        if run.step.gang and reason is cells.EndReason.DONE:
+            reason = self._play.gang_reason(run)
+        self.count += 1
+        self.ended.append(
+            cells.EndedRow(self.count, run.task_id, run.run, reason)
+        )
+        settled = self.settled_by_task.get(run.task_id, 0)
+        self.settled_by_task[run.task_id] = max(settled, run.run)
+
+    @property
+    def used(self):
+        """What runs there takes."""
+        total = cells.Resources()
+        for run in self.run_by_key.values():
+            total += run.step.booked
+        return total
+
+
+class CellPlay:
+    """A cell, its endpoints and its store on one virtual clock.
+
+    Parameters
+    ----------
+    seed : int
+
+    Attributes
+    ----------
+    violations : list of str
+        Broken promises, as endpoints saw them.
+    start_ms_by_task : dict
+        First start of each task.
+    stored_by_id : dict
+        Records as the store has them.
+    """
+
+    def __init__(self, seed=0):
+        self.now_ms = 0
+        self.random = random.Random(seed)
+        self.violations = []
+        self.start_ms_by_task = {}
+        self.done_ms_by_job = {}
+        self.starts = []
+        self.stored_by_id = {}
+        self.job_by_id = {}
+        self.cancelled_ids = set()
+        self.endpoint_by_id = {}
+        self.hopeless_ids = set()
+        self.accounts = ()
+        self.store_up = True
+        self.owner_up = True
+        self.allowed_by_step = {}
+        self.advice_ms = 30
+        self.asked = []
+        self.epoch = 0
+        self.cell = None
+        self._work_ms_by_task = {}
+        self._queue = []
+        self._order = itertools.count()
+        self._writing = False
+        self._generation = 0
+
+    # Set-up
+
+    def add_endpoint(self, endpoint_id, cpu=4_000, gpus=0, **kwargs):
+        """Adds an endpoint."""
+        capacity = cells.Resources(cpu, 1_000_000, gpus)
+        endpoint = FakeEndpoint(endpoint_id, capacity, self, **kwargs)
+        self.endpoint_by_id[endpoint_id] = endpoint
+        if self.cell is not None:
+            self.deliver(endpoint.news)
+        return endpoint
+
+    def submit(self, job):
+        """Stores a job and tells the owner."""
+        self.job_by_id[job.job_id] = job
+        if self.owner_up and self.cell is not None:
+            self.deliver(cells.JobStored(job))
+
+    def cancel(self, job_id):
+        """Stores a cancelling and tells the owner."""
+        self.cancelled_ids.add(job_id)
+        if self.owner_up and self.cell is not None:
+            self.deliver(cells.JobCancelled(job_id))
+
+    def take_over(self):
+        """Has a new owner load the cell from the store."""
+        self._generation += 1
+        self.epoch += 1
+        self.owner_up = True
+        self._writing = False
+        self.cell = cells.Cell(
+            epoch=self.epoch,
+            lease_ms=LEASE_MS,
+            inherited_lease_ms=INHERITED_LEASE_MS,
+        )
+        self.deliver(cells.AccountsChanged(self.accounts))
+        for endpoint in self.endpoint_by_id.values():
+            if endpoint.reachable:
+                self.deliver(endpoint.news)
+        for job in self.job_by_id.values():
+            data = self.stored_by_id.get(job.job_id)
+            record = cells.decode_record(data) if data else None
+            self.deliver(cells.JobStored(job, record))
+        for job_id in self.cancelled_ids:
+            self.deliver(cells.JobCancelled(job_id))
+
+    def lose_owner(self):
+        """Kills the owner; what it had in flight may still arrive."""
+        self.owner_up = False
+        self._generation += 1
+
+    # Running
+
+    def at(self, delay_ms, call):
+        """Calls `call` after a time."""
+        due = (self.now_ms + delay_ms, next(self._order), call)
+        heapq.heappush(self._queue, due)
+
+    def run_for(self, span_ms):
+        """Plays for a time."""
+        end_ms = self.now_ms + span_ms
+        while self.now_ms < end_ms:
+            next_ms = (self.now_ms // 10 + 1) * 10
+            while self._queue and self._queue[0][0] <= next_ms:
+                self.now_ms, _order, call = heapq.heappop(self._queue)
+                call()
+            self.now_ms = next_ms
+            self._tick()
+
+    def run_until(self, condition, most_ms=60_000):
+        """Plays until a condition holds; returns the time it took."""
+        start_ms = self.now_ms
+        while not condition() and self.now_ms - start_ms < most_ms:
+            self.run_for(10)
+        return self.now_ms - start_ms
+
+    def _tick(self):
+        for endpoint in self.endpoint_by_id.values():
+            endpoint.advance(self.now_ms)
+        if self.owner_up and self.cell is not None:
+            self._perform(self.cell.plan(self.now_ms, self.now_ms))
+            self._write()
+
+    def deliver(self, event):
+        """Hands an event to the present owner."""
+        self._perform(self.cell.handle(event, self.now_ms))
+        self._write()
+
+    def _write(self):
+        if self._writing or not self.store_up:
+            return
+        rows = self.cell.take_records(30)
+        if rows:
+            self._writing = True
+            self.at(
+                STORE_MS,
+                functools.partial(self._written, rows, self._generation),
+            )
+
+    def _written(self, rows, generation):
+        if generation != self._generation:
+            return
+        if not self.store_up:
+            retry = functools.partial(self._written, rows, generation)
+            self.at(100, retry)
+            return
+        self._writing = False
+        for job_id, _version, data in rows:
+            self.stored_by_id[job_id] = data
+        versions = tuple((row[0], row[1]) for row in rows)
+        self.deliver(cells.RecordsStored(versions))
+        for job_id, _version, _data in rows:
+            state = self.cell.state_of(job_id)
+            if state is cells.JobState.COMPLETED:
+                self.done_ms_by_job.setdefault(job_id, self.now_ms)
+
+    # Actions
+
+    def _perform(self, actions):
+        for action in actions:
+            self._perform_one(action)
+
+    def _perform_one(self, action):
+        if isinstance(action, cells.StartTask):
+            self._order_start(action)
+        elif isinstance(action, cells.StopTask):
+            self._order_stop(action)
+        elif isinstance(action, cells.Look):
+            self._order_look(action)
+        elif isinstance(action, cells.AskAdvice):
+            self._order_advice(action)
+
+    def _answer(self, delay_ms, event, generation):
+        def deliver():
+            if generation == self._generation and self.owner_up:
+                self.deliver(event)
+
+        self.at(delay_ms, deliver)
+
+    def _order_start(self, action):
+        epoch, generation = self.epoch, self._generation
+        endpoint = self.endpoint_by_id.get(action.endpoint_id)
+        answered = functools.partial(
+            cells.StartAnswered,
+            action.task_id,
+            action.run,
+            action.endpoint_id,
+        )
+        unknown = answered(cells.StartOutcome.UNKNOWN)
+        if endpoint is None or not endpoint.reachable:
+            self._answer(SILENT_MS, unknown, generation)
+            return
+        if endpoint.late_ms:
+            late_ms = endpoint.late_ms
+            self.at(
+                late_ms,
+                lambda: endpoint.start(action, epoch, self.now_ms),
+            )
+            self._answer(SILENT_MS, unknown, generation)
+            return
+
+        def arrive():
+            outcome = endpoint.start(action, epoch, self.now_ms)
+            self._answer(LINK_MS, answered(outcome), generation)
+
+        self.at(LINK_MS, arrive)
+
+    def _order_stop(self, action):
+        epoch, generation = self.epoch, self._generation
+        endpoint = self.endpoint_by_id.get(action.endpoint_id)
+        answered = functools.partial(
+            cells.StopAnswered, action.task_id, action.run, action.endpoint_id
+        )
+        if endpoint is None or not endpoint.reachable:
+            self._answer(SILENT_MS, answered(False), generation)
+            return
+
+        def arrive():
+            confirmed = endpoint.stop(action, epoch, self.now_ms)
+            self._answer(LINK_MS, answered(confirmed), generation)
+
+        self.at(LINK_MS, arrive)
+
+    def _order_look(self, action):
+        generation = self._generation
+        endpoint = self.endpoint_by_id.get(action.endpoint_id)
+        failed = cells.LookFailed(action.endpoint_id)
+        if endpoint is None or not endpoint.reachable:
+            self._answer(SILENT_MS, failed, generation)
+            return
+        waiting = _WaitingLook(
+            self, endpoint, action, self.epoch, generation, self.now_ms
+        )
+        self.at(LINK_MS, waiting.arrive)
+
+    def _order_advice(self, action):
+        self.asked.append(action)
+        key = (action.job_id, action.step)
+        allowed = self.allowed_by_step.get(key, action.endpoint_ids)
+        tickets = {
+            endpoint_id: "ticket"
+            for endpoint_id in action.endpoint_ids
+            if endpoint_id in allowed
+        }
+        event = cells.Advised(
+            action.job_id,
+            action.occurrence,
+            action.step,
+            action.endpoint_ids,
+            tickets,
+            self.now_ms + self.advice_ms + action.valid_ms,
+        )
+        self._answer(self.advice_ms, event, self._generation)
+
+    # What endpoints ask of the play
+
+    def step_of(self, task_id):
+        """Returns the step of a task."""
+        return self.job_by_id[task_id.job_id].steps[task_id.step]
+
+    def work_ms(self, task_id):
+        """Returns how long a task takes."""
+        return self.step_of(task_id).estimate_ms
+
+    def is_hopeless(self, task_id):
+        """Whether a task fails wherever it runs."""
+        return task_id.job_id in self.hopeless_ids
+
+    def gang_reason(self, run):
+        """Returns how a member of a gang ends when its time has come."""
+        size = self.step_of(run.task_id).count
+        members = [
+            one
+            for endpoint in self.endpoint_by_id.values()
+            for one in endpoint.run_by_key.values()
+            if one.run == run.run
+            and one.task_id.job_id == run.task_id.job_id
+            and one.task_id.step == run.task_id.step
+        ]
+        started = sum(
+            one[0].job_id == run.task_id.job_id and one[1] == run.run
+            for one in self.starts
+        )
+        del members
+        if started >= size:
+            return cells.EndReason.DONE
+        return cells.EndReason.ALONE
+
+    def note_start(self, endpoint, action):
+        """Checks a start."""
+        task_id = action.task_id
+        self.starts.append((task_id, action.run, endpoint.endpoint_id))
+        self.start_ms_by_task.setdefault(task_id, self.now_ms)
+        for other in self.endpoint_by_id.values():
+            for run in other.run_by_key.values():
+                same = (run.task_id, run.run) == (task_id, action.run)
+                if run.task_id == task_id and not (same and other is endpoint):
+                    self._violate(f"{task_id} runs twice")
+        if not endpoint.used.fits_in(endpoint.capacity):
+            self._violate(f"{endpoint.endpoint_id} is over its capacity")
+        if not self.owner_up:
+            return
+        entry = self.cell.book.entry_by_id.get(task_id.job_id)
+        if entry is None:
+            return
+        for number in self.step_of(task_id).after:
+            if not entry.stages_by_key[task_id.occurrence, number].is_done:
+                self._violate(f"{task_id} started before step {number}")
+
+    def note_seen(self, endpoint, seen_upto):
+        """Checks that only ends that are stored are forgotten."""
+        for row in endpoint.ended:
+            if row.number > seen_upto or (
+                row.reason is not cells.EndReason.DONE
+            ):
+                continue
+            data = self.stored_by_id.get(row.task_id.job_id)
+            if not data or not _is_noted(cells.decode_record(data), row):
+                self._violate(f"the end of {row.task_id} is lost")
+
+    def _violate(self, text):
+        self.violations.append(f"{self.now_ms} ms: {text}")
+
+
+class _WaitingLook:
+    """A look that is answered at an end, or when its time is over."""
+
+    def __init__(self, play, endpoint, action, epoch, generation, sent_ms):
+        self._play = play
+        self._endpoint = endpoint
+        self._action = action
+        self._epoch = epoch
+        self._generation = generation
+        self._sent_ms = sent_ms
+        self._until_ms = sent_ms + action.wait_ms
+
+    def arrive(self):
+        """Answers, or waits for an end."""
+        play, endpoint = self._play, self._endpoint
+        if not endpoint.reachable:
+            play._answer(
+                SILENT_MS,
+                cells.LookFailed(endpoint.endpoint_id),
+                self._generation,
+            )
+            return
+        ended = any(
+            row.number > self._action.seen_upto for row in endpoint.ended
+        )
+        if not ended and play.now_ms < self._until_ms:
+            play.at(10, self.arrive)
+            return
+        event = endpoint.look(
+            self._action, self._epoch, self._sent_ms, play.now_ms
+        )
+        play._answer(LINK_MS, event, self._generation)
+
+
+def _is_noted(record, row):
+    if record.state.is_final:
+        return True
+    for stage in record.stages:
+        same = (stage.occurrence, stage.step) == (
+            row.task_id.occurrence,
+            row.task_id.step,
+        )
+        if same and (stage.all_done or row.task_id.index in stage.done):
+            return True
+    return False
+
+
+def make_queue(**kwargs):
+    """Returns a queue of the service that the play's endpoints run."""
+    return cells.Queue(name="queue", service=SERVICE, **kwargs)
+
+
+def make_job(job_id, *steps, account="", **queue):
+    """Returns a job of steps."""
+    return cells.Job(job_id, make_queue(**queue), account, "text", steps)
+
+
+def make_step(count=1, cpu=1_000, estimate_ms=500, **kwargs):
+    """Returns a step."""
+    demand = cells.Resources(cpu, 1_000, kwargs.pop("gpus", 0))
+    return cells.Step(count, demand, estimate_ms, **kwargs)
