--- a/features/cells.feature
+++ b/features/cells.feature
@@ -140,6 +140,14 @@
     Then all jobs are completed within 6000 ms
     And no promise was broken
 
+  Scenario: no task starts before the store tells where
+    Given 2 endpoints of 4 cores
+    And an owner of the cell
+    When 200 ms pass
+    And 2 jobs of 4 tasks are sent while the store is away for 1000 ms
+    Then 0 tasks were started
+    And all jobs are completed within 2000 ms
+
   Scenario: large tasks are not kept waiting by a stream of small ones
     Given 4 endpoints of 4 cores
     And an owner of the cell
@@ -150,6 +158,7 @@
     Given 4 endpoints of 4 cores
     And an owner of the cell
     And the policy service allows the large task on "e2" only, after 400 ms
+    And tasks take as little as half of their estimate
     When a task of 1 cores is sent each 100 ms with priority 2 for 12 s, and a task of 4 cores with priority 1 after 3 s
     Then the large task started within 2600 ms
 
@@ -179,3 +188,7 @@
       | 6    |
       | 7    |
       | 8    |
+      | 9    |
+      | 10   |
+      | 11   |
+      | 12   |
--- a/features/steps/cells_steps.py
+++ b/features/steps/cells_steps.py
@@ -167,6 +167,22 @@
         play.run_for(gap)
 
 
+@behave.given("tasks take as little as half of their estimate")
+def given_misjudged(context):
+    context.play.misjudged = 0.5
+
+
+@behave.when(
+    "{count:d} jobs of {tasks:d} tasks are sent while the store is away for "
+    "{span:d} ms"
+)
+def when_jobs_without_store(context, count, tasks, span):
+    context.play.store_up = False
+    _submit_many(context, count, play_support.make_step(tasks))
+    context.play.run_for(span)
+    context.play.store_up = True
+
+
 @behave.when("{span:d} ms pass")
 def when_time_passes(context, span):
     context.play.run_for(span)
@@ -187,7 +203,7 @@
 def when_unreachable(context, endpoint_id):
     context.cut_ms = context.play.now_ms
     context.starts_before = len(context.play.starts)
-    context.play.endpoint_by_id[endpoint_id].reachable = False
+    context.play.endpoint_by_id[endpoint_id].is_cut = True
 
 
 @behave.when('endpoint "{endpoint_id}" starts anew')
@@ -239,7 +255,7 @@
         play.run_for(play.random.randint(50, 500))
     for endpoint in play.endpoint_by_id.values():
         endpoint.late_ms = 0
-        endpoint.reachable = True
+        endpoint.is_cut = False
     play.store_up = True
     play.take_over()
 
@@ -253,8 +269,8 @@
         ("cut", "late", "restart", "takeover", "store", "owner away")
     )
     if kind == "cut":
-        endpoint.reachable = False
-        play.at(span_ms, lambda: setattr(endpoint, "reachable", True))
+        endpoint.is_cut = True
+        play.at(span_ms, lambda: setattr(endpoint, "is_cut", False))
     elif kind == "late":
         endpoint.late_ms = play.random.randint(200, 3_000)
         play.at(span_ms, lambda: setattr(endpoint, "late_ms", 0))
--- a/features/support/cells.py
+++ b/features/support/cells.py
@@ -18,6 +18,7 @@
 STORE_MS = 6
 TICK_MS = 100
 SILENT_MS = 1_000
+RESTART_MS = 700
 LEASE_MS = 5_000
 INHERITED_LEASE_MS = 7_400
 SERVICE = "svc"
@@ -41,8 +42,8 @@
 
     Attributes
     ----------
-    reachable : bool
-        Whether orders and answers get through; runs go on either way.
+    is_cut : bool
+        Whether no order and no answer gets through; runs go on.
     late_ms : int
         Starts are not answered and carried out so much later, if above 0.
     fails : bool
@@ -53,14 +54,21 @@
         self.endpoint_id = endpoint_id
         self.capacity = capacity
         self.labels = labels
-        self.reachable = True
+        self.is_cut = False
         self.late_ms = 0
         self.fails = False
         self.draining = False
+        self.starting_until_ms = 0
         self._play = play
-        self._born = 1
+        self.born = 1
         self._clear()
 
+    @property
+    def reachable(self):
+        """Whether orders get through now."""
+        starting = self._play.now_ms < self.starting_until_ms
+        return not self.is_cut and not starting
+
     def _clear(self):
         self.epoch = 0
         self.deadline_ms = 0
@@ -70,9 +78,13 @@
         self.count = 0
 
     def restart(self):
-        """Begins a new life; everything that ran is gone."""
-        self._born += 1
+        """Begins a new life; everything that ran is gone.
+
+        Open connections end at once; new ones take a while.
+        """
+        self.born += 1
         self._clear()
+        self.starting_until_ms = self._play.now_ms + RESTART_MS
 
     @property
     def news(self):
@@ -85,7 +97,7 @@
             self.capacity,
             self.labels,
             self.draining,
-            self._born,
+            self.born,
         )
 
     def start(self, action, epoch, now_ms):
@@ -122,6 +134,11 @@
         self._play.note_start(self, action)
         return outcomes.STARTED
 
+    def start_late(self, action, epoch, born):
+        """Carries out an order that was held back; it ends with its life."""
+        if born == self.born:
+            self.start(action, epoch, self._play.now_ms)
+
     def stop(self, action, epoch, now_ms):
         """Carries out an order to stop."""
         if epoch < self.epoch:
@@ -139,15 +156,15 @@
         self.epoch = epoch
         if action.deadline_ms is not None:
             self.deadline_ms = max(self.deadline_ms, action.deadline_ms)
+        self._play.note_seen(self, action.seen_upto)
         self.ended = [
             row for row in self.ended if row.number > action.seen_upto
         ]
-        self._play.note_seen(self, action.seen_upto)
         return cells.EndpointLooked(
             self.endpoint_id,
             sent_ms,
             now_ms,
-            self._born,
+            self.born,
             tuple(
                 cells.RunningRow(run.task_id, run.run)
                 for run in self.run_by_key.values()
@@ -200,6 +217,8 @@
         Broken promises, as endpoints saw them.
     start_ms_by_task : dict
         First start of each task.
+    misjudged : float
+        Largest share by which estimates are too long.
     stored_by_id : dict
         Records as the store has them.
     """
@@ -221,6 +240,7 @@
         self.owner_up = True
         self.allowed_by_step = {}
         self.advice_ms = 30
+        self.misjudged = 0.0
         self.asked = []
         self.epoch = 0
         self.cell = None
@@ -383,10 +403,8 @@
             return
         if endpoint.late_ms:
             late_ms = endpoint.late_ms
-            self.at(
-                late_ms,
-                lambda: endpoint.start(action, epoch, self.now_ms),
-            )
+            start = functools.partial(endpoint.start_late, action, epoch)
+            self.at(late_ms, functools.partial(start, endpoint.born))
             self._answer(SILENT_MS, unknown, generation)
             return
 
@@ -451,7 +469,8 @@
 
     def work_ms(self, task_id):
         """Returns how long a task takes."""
-        return self.step_of(task_id).estimate_ms
+        estimate_ms = self.step_of(task_id).estimate_ms
+        return estimate_ms * self.random.uniform(1 - self.misjudged, 1)
 
     def is_hopeless(self, task_id):
         """Whether a task fails wherever it runs."""
@@ -460,19 +479,10 @@
     def gang_reason(self, run):
         """Returns how a member of a gang ends when its time has come."""
         size = self.step_of(run.task_id).count
-        members = [
-            one
-            for endpoint in self.endpoint_by_id.values()
-            for one in endpoint.run_by_key.values()
-            if one.run == run.run
-            and one.task_id.job_id == run.task_id.job_id
-            and one.task_id.step == run.task_id.step
-        ]
         started = sum(
             one[0].job_id == run.task_id.job_id and one[1] == run.run
             for one in self.starts
         )
-        del members
         if started >= size:
             return cells.EndReason.DONE
         return cells.EndReason.ALONE
@@ -524,10 +534,15 @@
         self._generation = generation
         self._sent_ms = sent_ms
         self._until_ms = sent_ms + action.wait_ms
+        self._born = endpoint.born
 
     def arrive(self):
         """Answers, or waits for an end."""
         play, endpoint = self._play, self._endpoint
+        if endpoint.born != self._born:
+            failed = cells.LookFailed(endpoint.endpoint_id)
+            play._answer(LINK_MS, failed, self._generation)
+            return
         if not endpoint.reachable:
             play._answer(
                 SILENT_MS,
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -474,7 +474,7 @@
             _messages.Look(
                 endpoint.endpoint_id,
                 endpoint.news.address,
-                endpoint.seen_upto,
+                endpoint.seen_to_tell(now_ms),
                 wait_ms,
                 deadline_ms,
             )
--- a/samphiregate/core/cells/_endpoints.py
+++ b/samphiregate/core/cells/_endpoints.py
@@ -11,6 +11,7 @@
 
 CLOCK_DRIFT = 0.02  # most by which an endpoint's clock may be slow
 LAPSE_SLACK_MS = 100
+SHORTEST_RESTART_MS = 300
 RACK_LABEL = 1
 
 
@@ -86,6 +87,18 @@
             and not self.news.draining
         )
 
+    def seen_to_tell(self, now_ms):
+        """Returns up to which number the endpoint may forget ends.
+
+        Numbers begin anew when it restarts, and ends of a new life must not
+        be forgotten for those of the last one. So none is told when it had
+        time to restart since it answered.
+        """
+        quiet_ms = now_ms - self.clock_at_ms
+        if self.failed_looks or quiet_ms >= SHORTEST_RESTART_MS:
+            return 0
+        return self.seen_upto
+
     def deadline_ms(self, now_ms, lease_ms):
         """Returns a lease end on its clock, and notes the lease."""
         self.lease_until_ms = max(
