Ask the policy service one question a VM at a time

Change: the planner opens no more questions than VMs can ask, half of them slow ones; the desk sends one at a time by each VM.

--- a/features/cells.feature
+++ b/features/cells.feature
@@ -171,6 +171,20 @@
     And 2000 ms pass
     Then the policy service was asked 0 times
 
+  Scenario Outline: no more is asked of the policy service than VMs can ask
+    Given 6 endpoints of 4 cores
+    And an owner of the cell
+    And <vms> VMs can ask the policy service, which takes <span> ms
+    When 30 jobs of 2 tasks that need advice are sent
+    Then all jobs are completed within <most> ms
+    And at most <questions> questions were open at a time
+
+    Examples:
+      | vms | span | questions | most  |
+      | 4   | 30   | 4         | 4000  |
+      | 4   | 200  | 2         | 6000  |
+      | 1   | 200  | 1         | 10000 |
+
   Scenario Outline: faults in series break no promise
     Given 6 endpoints of 4 cores
     And an owner of the cell
--- a/features/steps/cells_steps.py
+++ b/features/steps/cells_steps.py
@@ -133,7 +133,8 @@
 @behave.when("{count:d} jobs of {tasks:d} tasks that need advice are sent")
 def when_jobs_with_advice(context, count, tasks):
     step = play_support.make_step(tasks)
-    _submit_many(context, count, step, advice=_advice(context))
+    advice = _advice(context, context.play.advice_ms)
+    _submit_many(context, count, step, advice=advice)
 
 
 @behave.when(
@@ -167,6 +168,14 @@
         play.run_for(gap)
 
 
+@behave.given(
+    "{vms:d} VMs can ask the policy service, which takes {span:d} ms"
+)
+def given_askers(context, vms, span):
+    context.play.askers = vms
+    context.play.advice_ms = span
+
+
 @behave.given("tasks take as little as half of their estimate")
 def given_misjudged(context):
     context.play.misjudged = 0.5
@@ -385,6 +394,13 @@
     assert waited_ms <= most, waited_ms
 
 
+@behave.then("at most {count:d} questions were open at a time")
+def then_questions(context, count):
+    assert 0 < context.play.most_questions <= count, (
+        context.play.most_questions
+    )
+
+
 @behave.then("the policy service was asked {count:d} times")
 def then_asked(context, count):
     assert len(context.play.asked) == count, context.play.asked
--- a/features/support/cells.py
+++ b/features/support/cells.py
@@ -240,6 +240,8 @@
         self.owner_up = True
         self.allowed_by_step = {}
         self.advice_ms = 30
+        self.askers = 4
+        self.most_questions = 0
         self.misjudged = 0.0
         self.asked = []
         self.epoch = 0
@@ -329,7 +331,8 @@
         for endpoint in self.endpoint_by_id.values():
             endpoint.advance(self.now_ms)
         if self.owner_up and self.cell is not None:
-            self._perform(self.cell.plan(self.now_ms, self.now_ms))
+            actions = self.cell.plan(self.now_ms, self.now_ms, self.askers)
+            self._perform(actions)
             self._write()
 
     def deliver(self, event):
@@ -444,6 +447,8 @@
 
     def _order_advice(self, action):
         self.asked.append(action)
+        open_now = len(self.cell.book.questions)
+        self.most_questions = max(self.most_questions, open_now)
         key = (action.job_id, action.step)
         allowed = self.allowed_by_step.get(key, action.endpoint_ids)
         tickets = {
--- a/samphiregate/adapters/cells/_advice.py
+++ b/samphiregate/adapters/cells/_advice.py
@@ -1,8 +1,7 @@
 """Spreads questions to the policy service over the entry VMs.
 
-The service answers one question at a time for each VM that asks, so each
-question goes to the VM whose earlier ones are done soonest. Slow ones go to
-half of the VMs at most, so that quick ones need not wait behind them.
+The service answers one question at a time for each VM that asks, so each VM
+puts one question at a time.
 """
 
 from samphiregate.adapters.cells import _peer_calls
@@ -10,8 +9,8 @@
 from samphiregate import errors
 
 ANSWER_MARGIN_MS = 700
-FAILURE_PENALTY_MS = 1_000
-SLOW_QUESTION_MS = 200
+REST_MS = 1_000  # for a VM whose question was not answered
+SLOWNESS = 1.5
 
 
 class AdviceDesk:
@@ -28,31 +27,49 @@
     address_by_vm : callable
         Returns the peer address of each VM alive.
     now_ms : callable
+    log : DecisionLog
     """
 
-    def __init__(self, *, vm_id, policy, peers, address_by_vm, now_ms):
+    def __init__(self, *, vm_id, policy, peers, address_by_vm, now_ms, log):
         self._vm_id = vm_id
         self._policy = policy
         self._peers = peers
         self._address_by_vm = address_by_vm
         self._now_ms = now_ms
-        self._busy_until_by_vm = {}
+        self._log = log
+        self._asking_vms = set()
+        self._rest_until_by_vm = {}
+
+    @property
+    def askers(self):
+        """Number of VMs that can put questions now."""
+        return len(self._asking_vms) + len(self._free_vms())
 
     def ask(self, action):
         """Carries out an `AskAdvice`; returns an event for the cell."""
-        now_ms = self._now_ms()
-        vm_id = self._choose(action.expected_ms, now_ms)
-        busy_until_ms = max(self._busy_until_by_vm.get(vm_id, 0), now_ms)
-        expected_ms = busy_until_ms - now_ms + action.expected_ms
-        self._busy_until_by_vm[vm_id] = now_ms + expected_ms
-        timeout_ms = round(expected_ms + ANSWER_MARGIN_MS)
+        failed = cells.AdviceFailed(
+            action.job_id, action.occurrence, action.step
+        )
+        free = self._free_vms()
+        if not free:
+            return failed
+        vm_id = free[0]
+        timeout_ms = round(action.expected_ms * SLOWNESS + ANSWER_MARGIN_MS)
+        self._asking_vms.add(vm_id)
         try:
             tickets, valid_ms = self._ask_from(vm_id, action, timeout_ms)
-        except errors.SamphiregateError:
-            self._busy_until_by_vm[vm_id] = self._now_ms() + FAILURE_PENALTY_MS
-            return cells.AdviceFailed(
-                action.job_id, action.occurrence, action.step
+        except errors.SamphiregateError as error:
+            self._rest_until_by_vm[vm_id] = self._now_ms() + REST_MS
+            self._log.write(
+                "policy service not reached",
+                request=action.job_id,
+                by=vm_id,
+                timeout_ms=timeout_ms,
+                reason=error.detail,
             )
+            return failed
+        finally:
+            self._asking_vms.discard(vm_id)
         return cells.Advised(
             action.job_id,
             action.occurrence,
@@ -62,17 +79,16 @@
             self._now_ms() + valid_ms,
         )
 
-    def _choose(self, expected_ms, now_ms):
-        vm_ids = sorted(set(self._address_by_vm()) | {self._vm_id})
-        if expected_ms >= SLOW_QUESTION_MS:
-            vm_ids = vm_ids[: (len(vm_ids) + 1) // 2]
-        return min(
-            vm_ids,
-            key=lambda vm_id: (
-                max(self._busy_until_by_vm.get(vm_id, 0), now_ms),
-                vm_id != self._vm_id,
-            ),
-        )
+    def _free_vms(self):
+        """Returns the VMs that ask nothing now, this one last."""
+        now_ms = self._now_ms()
+        vm_ids = set(self._address_by_vm()) | {self._vm_id}
+        free = [
+            vm_id
+            for vm_id in vm_ids - self._asking_vms
+            if self._rest_until_by_vm.get(vm_id, 0) <= now_ms
+        ]
+        return sorted(free, key=lambda one: (one == self._vm_id, one))
 
     def _ask_from(self, vm_id, action, timeout_ms):
         if vm_id == self._vm_id:
--- a/samphiregate/adapters/cells/_owner.py
+++ b/samphiregate/adapters/cells/_owner.py
@@ -266,7 +266,9 @@
             self._wake.clear()
             self._drain_events()
             if self._lease.is_valid:
-                actions = self.cell.plan(self._now_ms(), self._unix_ms())
+                actions = self.cell.plan(
+                    self._now_ms(), self._unix_ms(), self._advice.askers
+                )
                 self._perform_all(actions)
             self._forget_expired()
             self._log_load()
--- a/samphiregate/adapters/cells/_vm.py
+++ b/samphiregate/adapters/cells/_vm.py
@@ -186,6 +186,7 @@
             peers=self._peers,
             address_by_vm=self._address_by_vm,
             now_ms=_clock.steady_ms,
+            log=self._log,
         )
         self._session = _owner.OwnerSession(
             tenure=tenure,
--- a/samphiregate/core/cells/_book.py
+++ b/samphiregate/core/cells/_book.py
@@ -34,6 +34,9 @@
         Stages whose tasks may be started, keyed by job id and stage key.
     dirty_ids : dict
         Ids of jobs whose record is to be stored, in order.
+    questions : dict
+        Expected time of the answer in milliseconds, for each stage of which
+        the policy service is being asked.
     early_cancels : set
         Ids of jobs whose cancelling was read before the job itself.
     actions : list
@@ -46,6 +49,7 @@
     endpoint_by_id: dict = attrs.field(factory=dict)
     open_stages: dict = attrs.field(factory=dict)
     dirty_ids: dict = attrs.field(factory=dict)
+    questions: dict = attrs.field(factory=dict)
     early_cancels: set = attrs.field(factory=set)
     actions: list = attrs.field(factory=list)
     caps: _caps.CapLedger = attrs.field(factory=_caps.CapLedger)
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -147,7 +147,7 @@
         self._take(event, now_ms)
         return self._drain()
 
-    def plan(self, now_ms, unix_ms):
+    def plan(self, now_ms, unix_ms, askers=1):
         """Starts, looks, asks and stops what it is time for.
 
         Parameters
@@ -156,6 +156,8 @@
             Monotonic time in milliseconds.
         unix_ms : int
             Time of day, for occurrences that are due.
+        askers : int
+            Number of VMs by way of which the policy service can be asked.
 
         Returns
         -------
@@ -167,7 +169,7 @@
         self._add_occurrences(now_ms, unix_ms)
         self._leave_draining(now_ms)
         self.book.retry_stops(now_ms)
-        self._planner.plan(now_ms)
+        self._planner.plan(now_ms, askers)
         self._look(now_ms)
         return self._drain()
 
@@ -369,8 +371,7 @@
         stage = self._stage(event)
         if stage is None:
             return
-        stage.asking = False
-        stage.ask_after_ms = now_ms + _planner.ASK_AGAIN_MS
+        self._take_answer(stage, now_ms + _planner.ASK_AGAIN_MS)
         stage.asked_ids.update(event.asked)
         for endpoint_id, text in event.ticket_by_id.items():
             stage.ticket_by_id[endpoint_id] = _tasks.Ticket(
@@ -388,8 +389,12 @@
     def _(self, event: _messages.AdviceFailed, now_ms):
         stage = self._stage(event)
         if stage is not None:
-            stage.asking = False
-            stage.ask_after_ms = now_ms + ADVICE_RETRY_MS
+            self._take_answer(stage, now_ms + ADVICE_RETRY_MS)
+
+    def _take_answer(self, stage, ask_after_ms):
+        stage.asking = False
+        stage.ask_after_ms = ask_after_ms
+        self.book.questions.pop(stage, None)
 
     def _stage(self, event):
         entry = self.book.entry_by_id.get(event.job_id)
--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -9,6 +9,7 @@
 TICKET_MARGIN_MS = 100  # a start has to reach the endpoint before the end
 MOST_ASKED = 30
 ASK_AGAIN_MS = 150
+SLOW_QUESTION_MS = 150
 MOST_RESERVED_SHARE = 0.25  # of a service's endpoints
 URGENT_CAP_SHARE = 0.2  # of an account's limit
 LARGE_TASK_SHARE = 0.3  # of an endpoint
@@ -42,10 +43,20 @@
         self._book = book
         self._is_resting = is_resting
         self._packing = _placement.Packing()
+        self._askers = 0
 
-    def plan(self, now_ms):
-        """Starts what can be started, the most urgent first."""
+    def plan(self, now_ms, askers):
+        """Starts what can be started, the most urgent first.
+
+        Parameters
+        ----------
+        now_ms : int
+        askers : int
+            Number of VMs by way of which the policy service can be asked;
+            each puts one question at a time.
+        """
         book = self._book
+        self._askers = askers
         reserved = set()
         stages = sorted(
             book.open_stages.values(),
@@ -155,11 +166,14 @@
     def _ask(self, stage, usable, now_ms):
         if stage.asking or stage.ask_after_ms > now_ms:
             return
+        advice = stage.queue.advice
+        if not self._may_ask(advice):
+            return
         named = self._to_ask(stage, usable, now_ms)
         if not named:
             return
         stage.asking = True
-        advice = stage.queue.advice
+        self._book.questions[stage] = advice.decide_ms
         self._book.actions.append(
             _messages.AskAdvice(
                 stage.entry.job.job_id,
@@ -171,6 +185,20 @@
             )
         )
 
+    def _may_ask(self, advice):
+        """Whether a VM is free to put a question.
+
+        More questions at a time would wait at the service, and be answered
+        after they were given up. Slow ones take half of the VMs at most.
+        """
+        questions = self._book.questions
+        if len(questions) >= self._askers:
+            return False
+        if advice.decide_ms < SLOW_QUESTION_MS:
+            return True
+        slow = sum(one >= SLOW_QUESTION_MS for one in questions.values())
+        return slow < (self._askers + 1) // 2
+
     def _to_ask(self, stage, usable, now_ms):
         """Returns the endpoints to name in the next question.
 
