Repeat orders to start that are not answered, look again when an end is overdue

Cause: where a twentieth of the orders is not answered, each such start was stopped and placed anew after a second, and a lost look hid all ends of its endpoint for two and a half seconds.

--- a/samphiregate/core/cells/_book.py
+++ b/samphiregate/core/cells/_book.py
@@ -214,13 +214,14 @@
             if entry.state.is_final or not endpoint.may_start:
                 self.stop(booking, now_ms)
                 continue
-            self._send_start(booking, endpoint, now_ms, lease_ms)
+            self.send_start(booking, endpoint, now_ms, lease_ms)
 
-    def _send_start(self, booking, endpoint, now_ms, lease_ms):
+    def send_start(self, booking, endpoint, now_ms, lease_ms):
         stage = booking.task.stage
         ticket = stage.ticket_by_id.get(endpoint.endpoint_id)
         booking.state = _tasks.RunState.STARTING
         booking.sent_ms = now_ms
+        booking.orders += 1
         self.actions.append(
             _messages.StartTask(
                 endpoint.endpoint_id,
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -17,7 +17,9 @@
 
 LOOK_WAIT_MS = 1_500
 STORE_LAG_LOOK_MS = 100  # between looks while ends wait for the store
-FAILED_LOOK_MS = 300
+FAILED_LOOK_MS = 300  # from the second failure in series
+MOST_START_ORDERS = 3
+OVERDUE_LOOK_WAIT_MS = 300
 NO_ROOM_REST_MS = 300
 REFUSED_REST_MS = 500
 MOST_LOOKS = 2
@@ -279,7 +281,9 @@
         if endpoint is None:
             return
         endpoint.looks_under_way = max(0, endpoint.looks_under_way - 1)
-        endpoint.look_after_ms = now_ms + FAILED_LOOK_MS
+        endpoint.look_after_ms = now_ms + (
+            FAILED_LOOK_MS if endpoint.failed_looks else 0
+        )
         if event.fenced:
             self.book.actions.append(_messages.StepDown(event.endpoint_id))
             return
@@ -322,10 +326,20 @@
         )
         if outcome is _messages.StartOutcome.UNKNOWN:
             if booking.state is _tasks.RunState.STARTING:
-                self.book.stop(booking, now_ms)
+                self._take_silence(endpoint, booking, now_ms)
             return
         self._take_refusal(endpoint, booking, outcome, now_ms)
 
+    def _take_silence(self, endpoint, booking, now_ms):
+        """Repeats an order to start that was not answered, then stops it.
+
+        The same run is started once, however often it is ordered.
+        """
+        if booking.orders < MOST_START_ORDERS and endpoint.may_start:
+            self.book.send_start(booking, endpoint, now_ms, self._lease_ms)
+        else:
+            self.book.stop(booking, now_ms)
+
     def _take_refusal(self, endpoint, booking, outcome, now_ms):
         outcomes = _messages.StartOutcome
         self.book.release(booking)
@@ -447,7 +461,11 @@
 
     def _look(self, now_ms):
         for endpoint in self.book.endpoint_by_id.values():
-            if endpoint.looks_under_way or endpoint.look_after_ms > now_ms:
+            if endpoint.look_after_ms > now_ms:
+                continue
+            if endpoint.looks_under_way:
+                if endpoint.is_overdue(now_ms):
+                    self._look_at(endpoint, now_ms, OVERDUE_LOOK_WAIT_MS)
                 continue
             needed = (
                 not endpoint.known
--- a/samphiregate/core/cells/_endpoints.py
+++ b/samphiregate/core/cells/_endpoints.py
@@ -161,6 +161,20 @@
             for booking in self.bookings_by_run.values()
         )
 
+    def is_overdue(self, now_ms):
+        """Whether an end that was expected was not heard of.
+
+        The answer to the look that waits for it may be lost.
+        """
+        if self.looks_under_way != 1 or self.failed_looks:
+            return False
+        return any(
+            booking.state is RUNNING
+            and not booking.step.long_running
+            and self.clock_at_ms < booking.overdue_ms <= now_ms
+            for booking in self.bookings_by_run.values()
+        )
+
     def room_in_ms(self, need, now_ms):
         """Returns how long it probably takes until there is room.
 
--- a/samphiregate/core/cells/_tasks.py
+++ b/samphiregate/core/cells/_tasks.py
@@ -8,6 +8,9 @@
 from samphiregate.core.cells import _records
 from samphiregate.core.cells import _work
 
+OVERDUE_FACTOR = 1.3  # of an estimate
+OVERDUE_MS = 200
+
 
 class RunState(enum.Enum):
     """What is known of one run of a task on an endpoint."""
@@ -41,6 +44,8 @@
         When `percent` last rose.
     pace : int
         Share of its speed, in percent, at which the run was told to work.
+    orders : int
+        Orders to start that were sent.
     """
 
     task: "Task"
@@ -56,6 +61,7 @@
     gauge: float = 0.0
     progressed_ms: int = 0
     pace: int = 100
+    orders: int = 0
 
     @property
     def key(self):
@@ -67,6 +73,12 @@
         """The step that the task belongs to."""
         return self.task.stage.step
 
+    @property
+    def overdue_ms(self):
+        """When an end of the run should surely have been heard of."""
+        expected_ms = self.step.estimate_ms * OVERDUE_FACTOR
+        return self.sent_ms + expected_ms + OVERDUE_MS
+
 
 @attrs.define(eq=False)
 class Task:
