Start slow tasks elsewhere, and relay to the store by a peer

Cause: tasks on slow or standing endpoints held their jobs up; callers of a VM that the store turned away were refused or timed out. Change: endpoints that exceed estimates are used last, tasks that barely progress are stopped and started elsewhere, speculative ones get a copy; a submit, cancel or read goes by way of the owner's VM when the store fails.

--- a/features/cells.feature
+++ b/features/cells.feature
@@ -162,6 +162,20 @@
     When a task of 1 cores is sent each 100 ms with priority 2 for 12 s, and a task of 4 cores with priority 1 after 3 s
     Then the large task started within 2600 ms
 
+  Scenario Outline: tasks on slow endpoints do not hold their jobs up
+    Given 4 endpoints of 4 cores
+    And an owner of the cell
+    When endpoint "e0" takes <times> times as long
+    And a job of 4 <kind> tasks is sent each 400 ms for 10 s
+    And 3000 ms pass
+    Then half of the jobs took at most <half> ms, and all at most <all> ms
+
+    Examples:
+      | kind        | times | half | all  |
+      | speculative | 8     | 650  | 2500 |
+      | plain       | 8     | 650  | 4500 |
+      | plain       | 999   | 650  | 4500 |
+
   Scenario: nothing is asked of the policy service while there is no room
     Given 1 endpoints of 4 cores
     And an owner of the cell
--- a/features/steps/cells_steps.py
+++ b/features/steps/cells_steps.py
@@ -225,6 +225,25 @@
     context.play.endpoint_by_id[endpoint_id].fails = True
 
 
+@behave.when('endpoint "{endpoint_id}" takes {times:d} times as long')
+def when_slow(context, endpoint_id, times):
+    context.play.endpoint_by_id[endpoint_id].slowness = times
+
+
+@behave.when(
+    "a job of {tasks:d} {kind} tasks is sent each {gap:d} ms for {span:d} s"
+)
+def when_jobs_in_series(context, tasks, kind, gap, span):
+    play = context.play
+    step = play_support.make_step(tasks, speculative=kind == "speculative")
+    context.sent_ms_by_job = {}
+    for number in range(span * 1_000 // gap):
+        job_id = f"j{number}"
+        context.sent_ms_by_job[job_id] = play.now_ms
+        play.submit(play_support.make_job(job_id, step))
+        play.run_for(gap)
+
+
 @behave.when(
     'endpoint "{endpoint_id}" carries starts out {late:d} ms late and does '
     "not answer"
@@ -385,6 +404,19 @@
     assert len(running) == count, running
 
 
+@behave.then(
+    "half of the jobs took at most {half:d} ms, and all at most {most:d} ms"
+)
+def then_took(context, half, most):
+    done_ms = context.play.done_ms_by_job
+    took = sorted(
+        done_ms.get(job_id, context.play.now_ms) - sent_ms
+        for job_id, sent_ms in context.sent_ms_by_job.items()
+    )
+    assert took[len(took) // 2] <= half, took
+    assert took[-1] <= most, took
+
+
 @behave.then("the large task started within {most:d} ms")
 def then_large_started(context, most):
     task_id = cells.TaskId("large", 0, 0, 0)
--- a/features/support/cells.py
+++ b/features/support/cells.py
@@ -36,6 +36,11 @@
     ends_ms: float
     reason: cells.EndReason = cells.EndReason.DONE
 
+    def percent(self, now_ms):
+        """Returns its progress."""
+        span_ms = self.ends_ms - self.started_ms
+        return 100 * (now_ms - self.started_ms) / span_ms
+
 
 class FakeEndpoint:
     """An endpoint that runs tasks for their estimate.
@@ -48,6 +53,8 @@
         Starts are not answered and carried out so much later, if above 0.
     fails : bool
         Whether all that it starts ends as failed.
+    slowness : float
+        Factor by which tasks take longer; infinite if they stand still.
     """
 
     def __init__(self, endpoint_id, capacity, play, labels=("a", "r1")):
@@ -57,6 +64,7 @@
         self.is_cut = False
         self.late_ms = 0
         self.fails = False
+        self.slowness = 1.0
         self.draining = False
         self.starting_until_ms = 0
         self._play = play
@@ -115,7 +123,7 @@
         if action.run <= self.settled_by_task.get(action.task_id, 0):
             return outcomes.SUPERSEDED
         step = self._play.step_of(action.task_id)
-        work_ms = self._play.work_ms(action.task_id)
+        work_ms = self._play.work_ms(action.task_id) * self.slowness
         reason = cells.EndReason.DONE
         if self.fails or self._play.is_hopeless(action.task_id):
             reason = cells.EndReason.FAILED
@@ -166,7 +174,9 @@
             now_ms,
             self.born,
             tuple(
-                cells.RunningRow(run.task_id, run.run)
+                cells.RunningRow(
+                    run.task_id, run.run, percent=run.percent(now_ms)
+                )
                 for run in self.run_by_key.values()
             ),
             tuple(self.ended),
@@ -500,6 +510,8 @@
         for other in self.endpoint_by_id.values():
             for run in other.run_by_key.values():
                 same = (run.task_id, run.run) == (task_id, action.run)
+                if run.step.speculative:
+                    continue
                 if run.task_id == task_id and not (same and other is endpoint):
                     self._violate(f"{task_id} runs twice")
         if not endpoint.used.fits_in(endpoint.capacity):
--- a/samphiregate/adapters/cells/_desk.py
+++ b/samphiregate/adapters/cells/_desk.py
@@ -20,7 +20,7 @@
     Parameters
     ----------
     cell : str
-    store : Store
+    relay : StoreRelay
     peers : PeerCalls
     local_cell : callable
         Returns the `Cell` if this VM owns and serves it, else None.
@@ -31,10 +31,10 @@
     """
 
     def __init__(
-        self, *, cell, store, peers, local_cell, owner_address, now_ms, log
+        self, *, cell, relay, peers, local_cell, owner_address, now_ms, log
     ):
         self._cell = cell
-        self._store = store
+        self._relay = relay
         self._peers = peers
         self._local_cell = local_cell
         self._owner_address = owner_address
@@ -55,7 +55,7 @@
         job_key = _keys.job(self._cell, job.job_id)
         write = _ports.StoreWrite(job_key, cells.encode(job))
         try:
-            self._commit({job_key: 0}, [write], timeout_ms)
+            self._commit({job_key: 0}, write, timeout_ms)
         except _ports.ConflictError:
             self._log.write("job known", request=job.job_id)
             return
@@ -87,7 +87,7 @@
         try:
             self._commit(
                 {cancel_key: 0, job_key: item.revision},
-                [write],
+                write,
                 deadline_ms - self._now_ms(),
             )
         except _ports.ConflictError as error:
@@ -188,7 +188,7 @@
 
     # Calls to the store
 
-    def _commit(self, expected, writes, timeout_ms):
+    def _commit(self, expected, write, timeout_ms):
         """Writes, and repeats what was not answered, until the deadline.
 
         A repeated write either takes effect once, or finds that the first
@@ -199,7 +199,7 @@
         unknown = False
         while True:
             try:
-                self._store.commit(expected=expected, writes=writes)
+                self._relay.write(expected, write)
                 return
             except errors.UnavailableError as error:
                 unknown = unknown or error.ran is not errors.Ran.NO
@@ -223,7 +223,7 @@
     def _read(self, key, deadline_ms):
         while True:
             try:
-                return self._store.get(key)
+                return self._relay.read(key)
             except errors.UnavailableError:
                 if self._now_ms() >= deadline_ms - RETRY_INTERVAL_MS:
                     raise
--- a/samphiregate/adapters/cells/_vm.py
+++ b/samphiregate/adapters/cells/_vm.py
@@ -15,6 +15,7 @@
 from samphiregate.adapters.cells import _owner
 from samphiregate.adapters.cells import _ownership
 from samphiregate.adapters.cells import _peer_calls
+from samphiregate.adapters.cells import _relay
 from samphiregate.adapters import http
 from samphiregate.core import cells
 from samphiregate import errors
@@ -89,9 +90,14 @@
             self.configuration.take,
             CONFIGURATION_WAIT_MS,
         )
+        self._relay = _relay.StoreRelay(
+            store=ports.store,
+            peers=self._peers,
+            peer_address=self._other_address,
+        )
         self.desk = _desk.JobDesk(
             cell=CELL,
-            store=ports.store,
+            relay=self._relay,
             peers=self._peers,
             local_cell=self._local_cell,
             owner_address=self._owner_address,
@@ -179,6 +185,10 @@
             self._log.write("owner unreadable", reason=error.detail)
             return None
 
+    def _other_address(self):
+        address = self._owner_address()
+        return None if address == self._peer_address else address
+
     def _serve(self, tenure, lost):
         advice = _advice.AdviceDesk(
             vm_id=self._vm_id,
@@ -239,6 +249,14 @@
     def _(self, message: cells.AskWaiting):
         return self.desk.answer_waiting(message)
 
+    @_answer.register
+    def _(self, message: cells.RelayWrite):
+        return self._relay.answer_write(message)
+
+    @_answer.register
+    def _(self, message: cells.RelayRead):
+        return self._relay.answer_read(message)
+
     @_answer.register
     def _(self, message: cells.RelayAdvice):
         tickets, valid_ms = self._ports.policy.ask(
--- a/samphiregate/core/cells/__init__.py
+++ b/samphiregate/core/cells/__init__.py
@@ -28,10 +28,14 @@
 from samphiregate.core.cells._peer_messages import AdviceIs
 from samphiregate.core.cells._peer_messages import AskJobState
 from samphiregate.core.cells._peer_messages import AskWaiting
+from samphiregate.core.cells._peer_messages import ItemIs
 from samphiregate.core.cells._peer_messages import JobStateIs
 from samphiregate.core.cells._peer_messages import NotMine
 from samphiregate.core.cells._peer_messages import RelayAdvice
+from samphiregate.core.cells._peer_messages import RelayRead
+from samphiregate.core.cells._peer_messages import RelayWrite
 from samphiregate.core.cells._peer_messages import WaitingIs
+from samphiregate.core.cells._peer_messages import WriteWas
 from samphiregate.core.cells._records import decode_job
 from samphiregate.core.cells._records import decode_record
 from samphiregate.core.cells._records import encode
@@ -91,6 +95,10 @@
     "StopAnswered",
     "StopTask",
     "TaskId",
+    "ItemIs",
+    "RelayRead",
+    "RelayWrite",
+    "WriteWas",
     "decode_job",
     "decode_record",
     "encode",
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -12,10 +12,14 @@
 from samphiregate.core.cells import _planner
 from samphiregate.core.cells import _records
 from samphiregate.core.cells import _sightings
+from samphiregate.core.cells import _stragglers
 from samphiregate.core.cells import _tasks
 from samphiregate.core.cells import _work
 
 LOOK_WAIT_MS = 1_500
+DOUBT_LOOK_WAIT_MS = 300  # while answers of endpoints get lost
+DOUBT_MS = 5_000
+CHECK_INTERVAL_MS = 100
 STORE_LAG_LOOK_MS = 100  # between looks while ends wait for the store
 FAILED_LOOK_MS = 300  # from the second failure in series
 MOST_START_ORDERS = 3
@@ -47,9 +51,14 @@
     def __init__(self, *, epoch, lease_ms, inherited_lease_ms):
         self.book = _book.Book(epoch, inherited_lease_ms)
         self._lease_ms = lease_ms
+        self._doubt_until_ms = 0
+        self._check_after_ms = 0
         self._judge = _faults.FaultJudge()
+        self._speeds = _stragglers.SpeedMeter()
         self._planner = _planner.Planner(
-            book=self.book, is_resting=self._judge.is_resting
+            book=self.book,
+            is_resting=self._judge.is_resting,
+            speeds=self._speeds,
         )
 
     # Queries
@@ -167,13 +176,21 @@
         """
         self.book.unix_ms = unix_ms
         self.book.now_ms = now_ms
+        if now_ms >= self._check_after_ms:
+            self._check_after_ms = now_ms + CHECK_INTERVAL_MS
+            self._check(now_ms, unix_ms)
+        self._planner.plan(now_ms, askers)
+        self._look(now_ms)
+        return self._drain()
+
+    def _check(self, now_ms, unix_ms):
+        """Does what need not be done at each plan."""
         self._expire(now_ms)
         self._add_occurrences(now_ms, unix_ms)
         self._leave_draining(now_ms)
         self.book.retry_stops(now_ms)
-        self._planner.plan(now_ms, askers)
-        self._look(now_ms)
-        return self._drain()
+        self._restart_still(now_ms)
+        self._planner.plan_copies(now_ms)
 
     def _drain(self):
         actions = self.book.actions
@@ -269,9 +286,10 @@
         if endpoint is None:
             return
         endpoint.looks_under_way = max(0, endpoint.looks_under_way - 1)
-        before = set(endpoint.bookings_by_run)
+        before = dict(endpoint.bookings_by_run)
         _sightings.take_look(self.book, endpoint, event, now_ms)
         self._judge.note_ends(event, before, now_ms)
+        self._note_speed(event, before, now_ms)
         endpoint.advance_seen(self.book.stored_version)
         self.book.drop_if_idle(endpoint)
 
@@ -335,6 +353,7 @@
 
         The same run is started once, however often it is ordered.
         """
+        self._doubt_until_ms = now_ms + DOUBT_MS
         if booking.orders < MOST_START_ORDERS and endpoint.may_start:
             self.book.send_start(booking, endpoint, now_ms, self._lease_ms)
         else:
@@ -429,6 +448,40 @@
                 self.book.lose(endpoint, "its lease has lapsed", now_ms)
             self.book.drop_if_idle(endpoint)
 
+    def _note_speed(self, event, before, now_ms):
+        for row in event.ended:
+            booking = before.get((row.task_id, row.run))
+            if booking is None or row.reason is not _messages.EndReason.DONE:
+                continue
+            self._speeds.note(
+                event.endpoint_id,
+                now_ms - booking.sent_ms,
+                booking.step.estimate_ms,
+                now_ms,
+            )
+
+    def _restart_still(self, now_ms):
+        """Stops runs that make no progress, to start them elsewhere."""
+        for endpoint in self.book.endpoint_by_id.values():
+            for booking in endpoint.runs(_tasks.RunState.RUNNING):
+                if not _stragglers.is_still(booking, now_ms):
+                    continue
+                self.book.decided(
+                    "run stands still",
+                    booking.task.task_id.job_id,
+                    run=booking.run,
+                    endpoint=endpoint.endpoint_id,
+                    percent=booking.percent,
+                    still_ms=now_ms - booking.progressed_ms,
+                )
+                self._speeds.note(
+                    endpoint.endpoint_id,
+                    now_ms - booking.sent_ms,
+                    booking.step.estimate_ms,
+                    now_ms,
+                )
+                self.book.stop(booking, now_ms)
+
     def _add_occurrences(self, now_ms, unix_ms):
         for entry in self.book.entry_by_id.values():
             schedule = entry.job.schedule
@@ -474,13 +527,16 @@
                 or endpoint.handled_upto > endpoint.seen_upto
             )
             if needed:
-                self._look_at(endpoint, now_ms, self._wait_ms(endpoint))
+                wait_ms = self._wait_ms(endpoint, now_ms)
+                self._look_at(endpoint, now_ms, wait_ms)
 
-    def _wait_ms(self, endpoint):
+    def _wait_ms(self, endpoint, now_ms):
         if not endpoint.known or endpoint.failed_looks:
             return 0
         if endpoint.unseen_ends:
             return 0
+        if now_ms < self._doubt_until_ms:
+            return DOUBT_LOOK_WAIT_MS
         return LOOK_WAIT_MS
 
     def _look_at(self, endpoint, now_ms, wait_ms):
--- a/samphiregate/core/cells/_faults.py
+++ b/samphiregate/core/cells/_faults.py
@@ -38,8 +38,8 @@
         Parameters
         ----------
         event : EndpointLooked
-        expected_runs : set
-            Task id and run of what was believed to run there before.
+        expected_runs : dict
+            What was believed to run there before, keyed by task id and run.
         now_ms : int
         """
         for row in event.ended:
--- a/samphiregate/core/cells/_peer_messages.py
+++ b/samphiregate/core/cells/_peer_messages.py
@@ -62,6 +62,55 @@
     valid_ms: int
 
 
+@attrs.frozen
+class RelayWrite(base.PeerMessage):
+    """Asks a VM to write a key, under conditions, as the store is away.
+
+    Parameters
+    ----------
+    key : str
+    value : bytes
+    expected : tuple
+        Key and revision of each condition.
+    """
+
+    key: str
+    value: bytes
+    expected: tuple[tuple[str, int], ...]
+
+
+@attrs.frozen
+class WriteWas(base.PeerMessage):
+    """What came of a relayed write.
+
+    Parameters
+    ----------
+    done : bool
+    revisions : tuple
+        Where a condition does not hold: each key and its revision.
+    """
+
+    done: bool
+    revisions: tuple[tuple[str, int], ...] = ()
+
+
+@attrs.frozen
+class RelayRead(base.PeerMessage):
+    """Asks a VM to read a key, as the store is away."""
+
+    key: str
+
+
+@attrs.frozen
+class ItemIs(base.PeerMessage):
+    """The item of a key; revision 0 where there is none."""
+
+    key: str
+    value: bytes
+    revision: int
+    created_revision: int
+
+
 @attrs.frozen
 class NotMine(base.PeerMessage):
     """The VM that was asked cannot tell; another may."""
--- a/samphiregate/core/cells/_placement.py
+++ b/samphiregate/core/cells/_placement.py
@@ -22,11 +22,14 @@
         What is free there in this round.
     most : int
         Most further tasks of the stage.
+    penalty : float
+        Added to its cost, as it is slow.
     """
 
     endpoint: object
     room: object
     most: int
+    penalty: float = 0.0
 
 
 class Packing:
@@ -68,7 +71,13 @@
     def _fill(self, step, count, candidates):
         need = step.booked
         rooms = [
-            [self._cost(step, one), one.most, one.room, one.endpoint]
+            [
+                self._cost(step, one),
+                one.most,
+                one.room,
+                one.endpoint,
+                one.penalty,
+            ]
             for one in candidates
             if one.most > 0 and need.fits_in(one.room)
         ]
@@ -82,14 +91,15 @@
             if best[1] <= 0 or not need.fits_in(best[2]):
                 rooms.remove(best)
                 continue
-            best[0] = self._cost(step, Candidate(endpoint, best[2], best[1]))
+            left = Candidate(endpoint, best[2], best[1], best[4])
+            best[0] = self._cost(step, left)
         return chosen
 
     def _cost(self, step, candidate):
         endpoint = candidate.endpoint
         capacity = endpoint.news.capacity
         left = candidate.room - step.booked
-        cost = left.dominant_share(capacity)
+        cost = left.dominant_share(capacity) + candidate.penalty
         if step.rack and endpoint.rack != step.rack:
             cost += FAR_PENALTY
         if step.fills and endpoint.serves_with_target:
--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -5,6 +5,7 @@
 from samphiregate.core.cells import _messages
 from samphiregate.core.cells import _order
 from samphiregate.core.cells import _placement
+from samphiregate.core.cells import _stragglers
 
 TICKET_MARGIN_MS = 100  # a start has to reach the endpoint before the end
 MOST_ASKED = 30
@@ -37,13 +38,16 @@
     is_resting : callable
         Takes an endpoint id and the time; whether it is kept from work as
         it fails what it starts.
+    speeds : SpeedMeter
+        What is known of the speed of endpoints.
     """
 
-    def __init__(self, *, book, is_resting):
+    def __init__(self, *, book, is_resting, speeds):
         self._book = book
         self._is_resting = is_resting
+        self._speeds = speeds
         self._packing = _placement.Packing()
-        self._askers = 0
+        self._askers = 1
 
     def plan(self, now_ms, askers):
         """Starts what can be started, the most urgent first.
@@ -90,6 +94,38 @@
                 self._ask(stage, usable, now_ms)
             self._reserve(stage, usable, missing, reserved)
 
+    def plan_copies(self, now_ms):
+        """Starts copies of tasks that take much longer than expected."""
+        for entry in self._book.entry_by_id.values():
+            if entry.state.is_final or not entry.has_speculative:
+                continue
+            for stage in entry.stages_by_key.values():
+                if stage.opened_ms is None or stage.is_done:
+                    continue
+                slow = [
+                    task
+                    for task in stage.tasks
+                    if _stragglers.wants_copy(task, now_ms)
+                ]
+                if slow:
+                    self._copy(stage, slow, now_ms)
+
+    def _copy(self, stage, tasks, now_ms):
+        tasks = self._within_cap(stage, tasks, stage.entry.job.account)
+        usable = self._usable(stage, now_ms)
+        if stage.queue.advice:
+            self._ask(stage, usable, now_ms)
+        for task in tasks:
+            booking = next(iter(task.bookings_by_run.values()))
+            candidates = [
+                one
+                for one in self._candidates(stage, usable, (), now_ms)
+                if one.endpoint.endpoint_id != booking.endpoint_id
+            ]
+            chosen = self._packing.choose(stage.step, 1, candidates)
+            if chosen:
+                self._start(stage, [task], chosen, now_ms)
+
     def _within_cap(self, stage, tasks, account):
         """Returns the tasks that the account's limit leaves room for.
 
@@ -136,8 +172,11 @@
                 continue
             most = _most_further(stage, endpoint_id)
             if most > 0:
+                penalty = self._speeds.penalty(endpoint_id, now_ms)
                 candidates.append(
-                    _placement.Candidate(endpoint, endpoint.free, most)
+                    _placement.Candidate(
+                        endpoint, endpoint.free, most, penalty
+                    )
                 )
         return candidates
 
--- a/samphiregate/core/cells/_tasks.py
+++ b/samphiregate/core/cells/_tasks.py
@@ -215,6 +215,11 @@
     ended_unix_ms: int = 0
     has_started: bool = False
 
+    @property
+    def has_speculative(self):
+        """Whether tasks of a step may run in copies."""
+        return any(step.speculative for step in self.job.steps)
+
     @property
     def shown_state(self):
         """The state that callers may be told: a final one once stored."""
