--- /dev/null
+++ b/features/cells_vm.feature
@@ -0,0 +1,90 @@
+Feature: an entry VM on a platform with a store
+
+  Scenario Outline: a caller's job is accepted, refused or in doubt, as is true
+    Given a store that answers writes with <answers>
+    When a caller sends a job with 1000 ms to spare
+    Then the caller is told <told>
+
+    Examples:
+      | answers                 | told                 |
+      | done                    | accepted             |
+      | exists                  | accepted             |
+      | refused, done           | accepted             |
+      | silent, exists          | accepted             |
+      | silent, done            | accepted             |
+      | refused                 | unavailable, ran no  |
+      | silent                  | outcome-unknown      |
+      | refused, silent         | outcome-unknown      |
+      | silent, refused         | outcome-unknown      |
+
+  Scenario Outline: a VM that the store turns away asks by way of the owner
+    Given a store that answers writes with refused
+    And the owner's VM, whose store answers writes with <answers>
+    When a caller sends a job with 1000 ms to spare
+    Then the caller is told <told>
+
+    Examples:
+      | answers | told                |
+      | done    | accepted            |
+      | exists  | accepted            |
+      | refused | unavailable, ran no |
+
+  Scenario Outline: a cancelling is stored, or the job does not exist
+    Given a store in memory that <holds> job "j"
+    When a caller cancels job "j" <times> times
+    Then the caller is told <told>
+
+    Examples:
+      | holds         | times | told      |
+      | holds         | 1     | accepted  |
+      | holds         | 2     | accepted  |
+      | does not hold | 1     | not-found |
+
+  Scenario Outline: the state of a job comes from the store without an owner
+    Given a store in memory that holds job "j"
+    And the store has <noted> of job "j"
+    When a caller asks for the state of job "j"
+    Then the state is <state>
+
+    Examples:
+      | noted                  | state     |
+      | nothing                | queued    |
+      | a running record       | running   |
+      | a completed record     | completed |
+      | a failed record        | failed    |
+      | a cancelling           | cancelled |
+
+  Scenario: a VM gives its cell up when its session ends and its lease stands
+    Given a store in memory
+    And a VM that owns the cell and serves it once
+    When its session ends while the lease stands
+    Then the cell has no owner
+
+  Scenario: an ownership whose answer was lost is taken up
+    Given a store in memory that does writes and loses their answers
+    And a VM that takes the cell
+    Then the VM serves the cell with epoch 1
+
+  Scenario Outline: a configuration is taken in only if it is newer
+    Given the configuration <first> is in force
+    When configuration <next> is read
+    Then configuration <present> is in force
+
+    Examples:
+      | first | next       | present |
+      | 7     | 9          | 9       |
+      | 7     | 7          | 7       |
+      | 7     | 3          | 7       |
+      | 7     | unreadable | 7       |
+      | 7     | removed    | 7       |
+
+  Scenario: a log whose reader has stopped costs lines and no time
+    Given a log into a pipe that nobody reads
+    When 20000 lines of 10 kinds are written
+    Then writing went on
+    And the log tells how many lines it left out
+
+  Scenario: idle connections are closed without harm to waiting callers
+    Given an HTTP server and a client of 1 connection to it
+    When a request fails while another waits for the connection
+    Then the other request is answered
--- /dev/null
+++ b/features/platform_adapter.feature
@@ -0,0 +1,101 @@
+Feature: the adapter translates between the users' platform and the product
+
+  Scenario Outline: settings are checked
+    Given the platform's settings file without <missing> and with <extra>
+    When the settings are read
+    Then <outcome>
+
+    Examples:
+      | missing       | extra            | outcome                        |
+      | nothing       | nothing          | the VM is "front-a-1"          |
+      | nothing       | new.field=1      | the VM is "front-a-1"          |
+      | nothing       | advice=          | the VM is "front-a-1"          |
+      | node_name     | nothing          | setting "node_name" is named   |
+      | listen.front  | nothing          | setting "listen.front" is named |
+      | platform.addr | nothing          | setting "platform.addr" is named |
+      | port_range    | port_range=x,y   | setting "port_range" is named  |
+
+  Scenario Outline: entries of other writers name no endpoint
+    When the entry <entry> of an endpoint is read
+    Then the reading is <outcome>
+
+    Examples:
+      | entry                                   | outcome    |
+      | as the platform writes it               | taken      |
+      | with state "draining"                   | taken      |
+      | with state "asleep"                     | refused    |
+      | without capacity                        | refused    |
+      | with a number for its service           | refused    |
+      | with text for its capacity              | refused    |
+      | that is no JSON                         | refused    |
+      | that is a list                          | refused    |
+
+  Scenario Outline: jobs are checked before they are stored
+    When a caller's body <body> is read
+    Then the reading is <outcome>
+
+    Examples:
+      | body                                                             | outcome |
+      | {"spec":"x","steps":[{"count":2,"cpu":500,"estimate_ms":9}]}     | taken   |
+      | {"spec":"x","steps":[{"count":1},{"count":1,"after":[0]}]}       | taken   |
+      | {"spec":"x","steps":[{"count":1,"after":[0]}]}                   | refused |
+      | {"spec":"x","steps":[{"count":1},{"count":1,"after":[1]}]}       | refused |
+      | {"spec":"x","steps":[]}                                          | refused |
+      | {"spec":"x","steps":[{"count":0}]}                               | refused |
+      | {"spec":"x","steps":[{"count":"many"}]}                          | refused |
+      | {"spec":5,"steps":[{"count":1}]}                                 | refused |
+      | {"spec":"x"}                                                     | refused |
+      | {"spec":                                                         | refused |
+
+  Scenario Outline: names of tasks are read as they are written
+    When the task name "<name>" is read
+    Then the reading is <outcome>
+
+    Examples:
+      | name                      | outcome |
+      | 5c0e7a21d94b36f8.0.1.17   | taken   |
+      | 5c0e7a21d94b36f8.3.0.0    | taken   |
+      | 5c0e7a21d94b36f8.0.1      | refused |
+      | 5c0e7a21d94b36f8.0.1.last | refused |
+
+  Scenario Outline: answers to an order to start are told apart
+    When a runner answers a start with <status> and <body>
+    Then the outcome is <outcome>
+
+    Examples:
+      | status | body                | outcome        |
+      | 200    | {"clock_ms":1}      | started        |
+      | 409    | {"reason":"fence"}  | fenced         |
+      | 409    | {"reason":"old"}    | superseded     |
+      | 409    | {"reason":"late"}   | too late       |
+      | 409    | {"reason":"room"}   | no room        |
+      | 409    | {"reason":"ticket"} | no ticket      |
+      | 409    | garbled             | not started    |
+      | 421    | {}                  | wrong endpoint |
+      | 429    | {}                  | not started    |
+      | 503    | {}                  | not started    |
+      | 500    | {}                  | unknown        |
+
+  Scenario Outline: a caller's request is answered as it deserves
+    Given an entry VM with queue "/q/" of account "team" and queue "/open/"
+    When a caller sends <method> "<path>" with key "<key>"
+    Then the answer is <status>
+
+    Examples:
+      | method | path                   | key    | status |
+      | POST   | /q/5c0e7a21d94b36f8    | secret | 200    |
+      | POST   | /q/5c0e7a21d94b36f8    | wrong  | 401    |
+      | POST   | /q/5c0e7a21d94b36f8    |        | 401    |
+      | POST   | /open/5c0e7a21d94b36f8 |        | 200    |
+      | POST   | /none/5c0e7a21d94b36f8 | secret | 404    |
+      | POST   | /q/short               | secret | 404    |
+      | GET    | /q/0000000000000000    | secret | 410    |
+      | DELETE | /q/0000000000000000    | secret | 410    |
+      | GET    | /q/                    | secret | 503    |
+      | PUT    | /q/5c0e7a21d94b36f8    | secret | 405    |
+
+  Scenario: before there is a configuration callers are told to come back
+    Given an entry VM without a configuration
+    When a caller sends POST "/q/5c0e7a21d94b36f8" with key "secret"
+    Then the answer is 503
+    And it names a time to come back
--- /dev/null
+++ b/features/steps/cells_vm_steps.py
@@ -0,0 +1,309 @@
+"""Steps about an entry VM on a platform with a store."""
+
+import os
+import random
+
+import behave
+import gevent
+import gevent.event
+
+from features.support import cells as play_support
+from features.support import cells_store
+from samphiregate.adapters.cells import _configuration
+from samphiregate.adapters.cells import _desk
+from samphiregate.adapters.cells import _keys
+from samphiregate.adapters.cells import _ownership
+from samphiregate.adapters.cells import _ports
+from samphiregate.adapters.cells import _relay
+from samphiregate.adapters import http
+from samphiregate.core import cells
+from samphiregate import errors
+from samphiregate import logs
+
+CELL = "all"
+SETTLE_S = 10  # longest wait for a greenlet; never an expected time
+
+
+def _make_desk(context, store, peers=None, owner=None):
+    relay = _relay.StoreRelay(
+        store=store, peers=peers, peer_address=lambda: owner
+    )
+    context.desk = _desk.JobDesk(
+        cell=CELL,
+        relay=relay,
+        peers=peers,
+        local_cell=lambda: None,
+        owner_address=lambda: None,
+        now_ms=cells_store.SteppingClock().now_ms,
+        log=cells_store.FakeLog(),
+    )
+
+
+class _OwnerPeers:
+    """Answers as the owner's VM would."""
+
+    def __init__(self, store):
+        self._relay = _relay.StoreRelay(
+            store=store, peers=None, peer_address=lambda: None
+        )
+
+    def call(self, address, message, timeout_ms):
+        """See `PeerCalls.call`."""
+        del address, timeout_ms
+        try:
+            return self._relay.answer_write(message)
+        except errors.UnavailableError as error:
+            raise errors.UnavailableError(error.detail) from error
+
+
+@behave.given("a store that answers writes with {answers}")
+def given_scripted(context, answers):
+    context.store = cells_store.ScriptedStore(answers.split(", "))
+    _make_desk(context, context.store)
+
+
+@behave.given("the owner's VM, whose store answers writes with {answers}")
+def given_owner_vm(context, answers):
+    other = cells_store.ScriptedStore(answers.split(", "))
+    _make_desk(context, context.store, _OwnerPeers(other), "owner")
+
+
+@behave.given("a store in memory")
+def given_memory(context):
+    context.store = cells_store.MemoryStore()
+
+
+@behave.given("a store in memory that does writes and loses their answers")
+def given_losing(context):
+    context.store = cells_store.MemoryStore(loses_answers=True)
+
+
+@behave.given('a store in memory that {holds} job "{job_id}"')
+def given_memory_with(context, holds, job_id):
+    context.store = cells_store.MemoryStore()
+    if holds == "holds":
+        job = play_support.make_job(job_id, play_support.make_step(2))
+        write = _ports.StoreWrite(_keys.job(CELL, job_id), cells.encode(job))
+        context.store.commit(expected={}, writes=[write])
+    _make_desk(context, context.store)
+
+
+@behave.given('the store has {noted} of job "{job_id}"')
+def given_noted(context, noted, job_id):
+    words = noted.split()
+    if words[-1] == "record":
+        record = cells.JobRecord(cells.JobState(words[1]))
+        write = _ports.StoreWrite(
+            _keys.record(CELL, job_id), cells.encode(record)
+        )
+        context.store.commit(expected={}, writes=[write])
+    elif words[-1] == "cancelling":
+        write = _ports.StoreWrite(_keys.cancel(CELL, job_id), b"1")
+        context.store.commit(expected={}, writes=[write])
+
+
+def _tell(call):
+    try:
+        call()
+    except errors.SamphiregateError as error:
+        if error.code is errors.ErrorCode.UNAVAILABLE:
+            return f"unavailable, ran {error.ran.value}"
+        return error.code.value
+    return "accepted"
+
+
+@behave.when("a caller sends a job with {timeout:d} ms to spare")
+def when_sent(context, timeout):
+    job = play_support.make_job("j", play_support.make_step(2))
+    context.told = _tell(lambda: context.desk.submit(job, timeout))
+
+
+@behave.when('a caller cancels job "{job_id}" {times:d} times')
+def when_cancelled(context, job_id, times):
+    for _time in range(times):
+        context.told = _tell(lambda: context.desk.cancel(job_id, 1_000))
+
+
+@behave.when('a caller asks for the state of job "{job_id}"')
+def when_asked(context, job_id):
+    context.state = context.desk.state(job_id, 1_000)
+
+
+@behave.then("the caller is told {told}")
+def then_told(context, told):
+    assert context.told == told, context.told
+
+
+@behave.then("the state is {state}")
+def then_state(context, state):
+    assert context.state.value == state, context.state
+
+
+def _owner(context, serve):
+    store = context.store
+    context.lease = cells_store.FakeLease()
+    return _ownership.Ownership(
+        cell=CELL,
+        vm_id="vm",
+        address="a:1",
+        store=store,
+        lease=context.lease,
+        owner_item=lambda: store.get(_keys.owner(CELL)),
+        may_own=lambda: not getattr(context, "enough", False),
+        serve=serve,
+        random_state=random.Random(1),
+        log=cells_store.FakeLog(),
+    )
+
+
+@behave.given("a VM that owns the cell and serves it once")
+def given_owner_once(context):
+    context.serving = gevent.event.Event()
+
+    def serve(tenure, lost):
+        del tenure
+        context.enough = True
+        context.serving.set()
+        lost.wait()
+
+    context.ownership = _owner(context, serve)
+
+
+@behave.when("its session ends while the lease stands")
+def when_session_ends(context):
+    with context.ownership:
+        assert context.serving.wait(SETTLE_S)
+        assert context.store.get(_keys.owner(CELL)) is not None
+        context.ownership.lost.set()
+        with gevent.Timeout(SETTLE_S):
+            while context.store.get(_keys.owner(CELL)) is not None:
+                gevent.sleep(0.01)
+
+
+@behave.then("the cell has no owner")
+def then_no_owner(context):
+    assert context.store.get(_keys.owner(CELL)) is None
+
+
+@behave.given("a VM that takes the cell")
+def given_taker(context):
+    context.epochs = []
+    serving = gevent.event.Event()
+
+    def serve(tenure, lost):
+        context.epochs.append(tenure.epoch)
+        serving.set()
+        lost.wait()
+
+    with _owner(context, serve):
+        assert serving.wait(SETTLE_S)
+
+
+@behave.then("the VM serves the cell with epoch {epoch:d}")
+def then_serves(context, epoch):
+    assert context.epochs == [epoch], context.epochs
+
+
+def _decode(value):
+    if not value.isdigit():
+        raise errors.BadInputError("unreadable")
+    return _ports.SiteConfiguration(int(value), (), (), {})
+
+
+def _read(context, value):
+    item = None
+    if value != "removed":
+        item = _ports.StoreItem("key", value, 1, 1)
+    context.holder.take(_ports.StoreChange("key", 1, item))
+
+
+@behave.given("the configuration {version} is in force")
+def given_configuration(context, version):
+    context.holder = _configuration.ConfigurationHolder(
+        decode=_decode,
+        on_change=lambda: None,
+        log=cells_store.FakeLog(),
+    )
+    _read(context, version)
+
+
+@behave.when("configuration {value} is read")
+def when_configuration(context, value):
+    _read(context, value)
+
+
+@behave.then("configuration {version:d} is in force")
+def then_configuration(context, version):
+    assert context.holder.current.version == version
+
+
+@behave.given("a log into a pipe that nobody reads")
+def given_log(context):
+    reader, writer = os.pipe()
+    context.add_cleanup(os.close, reader)
+    context.add_cleanup(os.close, writer)
+    context.unix_s = 1000.0
+    context.log = logs.DecisionLog(
+        vm_id="vm", descriptor=writer, unix_s=lambda: context.unix_s
+    )
+
+
+@behave.when("{count:d} lines of {kinds:d} kinds are written")
+def when_lines(context, count, kinds):
+    context.written = 0
+    context.log.__enter__()
+    for number in range(count):
+        context.unix_s += 0.001
+        context.log.write(f"kind {number % kinds}", text="x" * 200)
+        context.written += 1
+        if number % 1000 == 0:
+            gevent.sleep(0)
+    context.log._greenlet.kill()
+
+
+@behave.then("writing went on")
+def then_went_on(context):
+    assert context.written == 20_000
+
+
+@behave.then("the log tells how many lines it left out")
+def then_left_out(context):
+    assert sum(context.log.dropped_by_kind.values()) > 0
+
+
+@behave.given("an HTTP server and a client of 1 connection to it")
+def given_http(context):
+    context.release = gevent.event.Event()
+
+    def application(environ, start_response):
+        if environ["PATH_INFO"] == "/hangs":
+            context.release.wait()
+        start_response("200 OK", [("Content-Length", "2")])
+        return [b"ok"]
+
+    server = http.NoDelayServer("127.0.0.1:0", application)
+    server.start()
+    context.add_cleanup(server.stop, timeout=0)
+    address = f"127.0.0.1:{server.server_port}"
+    context.client = http.Client(address, connections=1, timeout_ms=500)
+    context.add_cleanup(context.client.close)
+
+
+@behave.when("a request fails while another waits for the connection")
+def when_one_fails(context):
+    def ask(path):
+        try:
+            return context.client.request("POST", path).status
+        except errors.UnavailableError as error:
+            return error.ran
+
+    hanging = gevent.spawn(ask, "/hangs")
+    gevent.sleep(0)
+    context.waiting = gevent.spawn(ask, "/answers")
+    assert hanging.get(timeout=SETTLE_S) is errors.Ran.UNKNOWN
+    context.release.set()
+
+
+@behave.then("the other request is answered")
+def then_answered(context):
+    assert context.waiting.get(timeout=SETTLE_S) == 200
--- /dev/null
+++ b/features/steps/platform_adapter_steps.py
@@ -0,0 +1,250 @@
+"""Steps about the adapter to the users' platform."""
+
+import io
+import pathlib
+import sys
+
+import behave
+import orjson
+
+from features.support import cells_store
+from samphiregate.adapters.cells import _configuration
+from samphiregate.adapters.cells import _desk
+from samphiregate.adapters.cells import _relay
+from samphiregate.adapters import http
+from samphiregate import errors
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+sys.path.append(str(ROOT / "platform"))
+
+from samphiregate_platform import callers  # noqa: E402
+from samphiregate_platform import documents  # noqa: E402
+from samphiregate_platform import endpoints  # noqa: E402
+from samphiregate_platform import metrics  # noqa: E402
+from samphiregate_platform import settings  # noqa: E402
+
+SETTINGS = {
+    "node_name": "front-a-1",
+    "ip": "127.0.0.1",
+    "zone": "a",
+    "listen.front": "127.0.0.1:1",
+    "listen.ready": "127.0.0.1:2",
+    "port_range": "7180,7195",
+    "platform.addr": "127.0.0.1:3",
+    "advice": "127.0.0.1:4",
+    "bounds.grace_s": "6",
+}
+ENTRY = {
+    "service": "svc",
+    "addr": "127.0.0.1:5",
+    "zone": "a",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "clock_ms": 5,
+    "sequence": 4,
+}
+ENTRY_CHANGES = {
+    "as the platform writes it": lambda row: row,
+    'with state "draining"': lambda row: row | {"state": "draining"},
+    'with state "asleep"': lambda row: row | {"state": "asleep"},
+    "without capacity": lambda row: {
+        name: value for name, value in row.items() if name != "capacity"
+    },
+    "with a number for its service": lambda row: row | {"service": 3},
+    "with text for its capacity": lambda row: row | {"capacity": "big"},
+    "that is a list": lambda row: [row],
+}
+CONFIGURATION = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "keyed",
+            "host": "h",
+            "prefix": "/q/",
+            "service": "svc",
+            "no_auth": False,
+        },
+        {
+            "name": "open",
+            "host": "h",
+            "prefix": "/open/",
+            "service": "svc",
+            "no_auth": True,
+        },
+    ],
+    "services": [],
+    "tenants": [
+        {"name": "team", "api_keys": ["secret"], "weight": 1, "cap": {}}
+    ],
+}
+JOB = b'{"spec":"x","steps":[{"count":1,"cpu":100}]}'
+
+
+@behave.given(
+    "the platform's settings file without {missing} and with {extra}"
+)
+def given_settings(context, missing, extra):
+    fields = {
+        name: value for name, value in SETTINGS.items() if name != missing
+    }
+    lines = [f"{name}={value}" for name, value in fields.items()]
+    if extra != "nothing":
+        lines.append(extra)
+    context.settings_text = "\n".join(lines)
+
+
+@behave.when("the settings are read")
+def when_settings(context):
+    try:
+        context.settings = settings.parse(context.settings_text)
+    except errors.SettingError as error:
+        context.settings = error
+
+
+@behave.then('the VM is "{vm_id}"')
+def then_vm(context, vm_id):
+    assert context.settings.vm_id == vm_id
+
+
+@behave.then('setting "{name}" is named')
+def then_setting(context, name):
+    assert context.settings.setting == name, context.settings
+
+
+def _attempt(context, call):
+    try:
+        call()
+    except (errors.BadInputError, ValueError):
+        context.outcome = "refused"
+    else:
+        context.outcome = "taken"
+
+
+@behave.when("the entry {entry} of an endpoint is read")
+def when_entry(context, entry):
+    data = b"{no"
+    if entry in ENTRY_CHANGES:
+        data = orjson.dumps(ENTRY_CHANGES[entry](dict(ENTRY)))
+    _attempt(context, lambda: documents.endpoint("servers/i-1", data))
+
+
+@behave.when("a caller's body {body} is read")
+def when_body(context, body):
+    _attempt(context, lambda: documents.job("id", None, "team", body.encode()))
+
+
+@behave.when('the task name "{name}" is read')
+def when_name(context, name):
+    def read():
+        assert endpoints.task_name(endpoints.read_task_name(name)) == name
+
+    _attempt(context, read)
+
+
+@behave.then("the reading is {outcome}")
+def then_outcome(context, outcome):
+    assert context.outcome == outcome, context.outcome
+
+
+@behave.when("a runner answers a start with {status:d} and {body}")
+def when_start_answered(context, status, body):
+    answer = http.Answer(status, {}, body.encode())
+    context.start_outcome = endpoints._start_outcome(answer)
+
+
+@behave.then("the outcome is {outcome}")
+def then_start_outcome(context, outcome):
+    assert context.start_outcome.value == outcome, context.start_outcome
+
+
+class _Vm:
+    """What the callers' interface needs of an entry VM."""
+
+    def __init__(self):
+        log = cells_store.FakeLog()
+        self.configuration = _configuration.ConfigurationHolder(
+            decode=documents.configuration, on_change=lambda: None, log=log
+        )
+        relay = _relay.StoreRelay(
+            store=cells_store.MemoryStore(),
+            peers=None,
+            peer_address=lambda: None,
+        )
+        self.desk = _desk.JobDesk(
+            cell="all",
+            relay=relay,
+            peers=None,
+            local_cell=lambda: None,
+            owner_address=lambda: None,
+            now_ms=cells_store.SteppingClock().now_ms,
+            log=log,
+        )
+
+
+def _serve(context, vm):
+    context.api = callers.CallersApi(
+        vm=vm,
+        log=cells_store.FakeLog(),
+        metrics=metrics.CallMetrics(),
+        is_stopping=lambda: False,
+    )
+
+
+@behave.given(
+    'an entry VM with queue "/q/" of account "team" and queue "/open/"'
+)
+def given_vm(context):
+    vm = _Vm()
+    vm.configuration.current = documents.configuration(
+        orjson.dumps(CONFIGURATION)
+    )
+    vm.configuration._routes_by_host = _configuration._by_host(
+        vm.configuration.current.routes
+    )
+    _serve(context, vm)
+
+
+@behave.given("an entry VM without a configuration")
+def given_vm_without(context):
+    _serve(context, _Vm())
+
+
+@behave.when('a caller sends {method} "{path}" with key "{key}"')
+def when_keyed(context, method, path, key):
+    _send(context, method, path, key)
+
+
+@behave.when('a caller sends {method} "{path}" with key ""')
+def when_keyless(context, method, path):
+    _send(context, method, path, "")
+
+
+def _send(context, method, path, key):
+    environ = {
+        "REQUEST_METHOD": method,
+        "PATH_INFO": path,
+        "HTTP_HOST": "h:80",
+        "HTTP_X_KEY": key,
+        "wsgi.input": io.BytesIO(JOB),
+        "CONTENT_LENGTH": str(len(JOB)),
+    }
+
+    def start_response(status, headers):
+        context.status = status
+        context.headers = dict(headers)
+
+    context.api(environ, start_response)
+
+
+@behave.then("the answer is {status:d}")
+def then_answer(context, status):
+    assert context.status.startswith(str(status)), context.status
+
+
+@behave.then("it names a time to come back")
+def then_retry_after(context):
+    assert int(context.headers["Retry-After"]) > 0
--- /dev/null
+++ b/features/support/cells_store.py
@@ -0,0 +1,97 @@
+"""Stores for tests of an entry VM: scripted, and in memory."""
+
+from samphiregate.adapters import cells as ports
+from samphiregate import errors
+
+
+class ScriptedStore:
+    """Answers each write with the next word of a script, the last forever.
+
+    Words: ``done``, ``exists``, ``refused`` (nothing was done) and
+    ``silent`` (unknown).
+    """
+
+    def __init__(self, words):
+        self._words = list(words)
+
+    def commit(self, *, expected, writes, removals=()):
+        """See `ports.Store.commit`."""
+        del writes, removals
+        word = self._words.pop(0) if len(self._words) > 1 else self._words[0]
+        if word == "exists":
+            raise ports.ConflictError(dict.fromkeys(expected, 5))
+        if word == "refused":
+            raise errors.UnavailableError("refused")
+        if word == "silent":
+            raise errors.UnavailableError("silent", ran=errors.Ran.UNKNOWN)
+        return 6
+
+
+class MemoryStore:
+    """A store without leases' ends; writes can lose their answers."""
+
+    def __init__(self, loses_answers=False):
+        self.item_by_key = {}
+        self.revision = 1
+        self._loses_answers = loses_answers
+
+    def get(self, key):
+        """See `ports.Store.get`."""
+        return self.item_by_key.get(key)
+
+    def commit(self, *, expected, writes, removals=()):
+        """See `ports.Store.commit`."""
+        present = {
+            key: self.item_by_key[key].revision
+            if key in self.item_by_key
+            else 0
+            for key in expected
+        }
+        if present != dict(expected):
+            raise ports.ConflictError(present)
+        self.revision += 1
+        for write in writes:
+            self.item_by_key[write.key] = ports.StoreItem(
+                write.key, write.value, self.revision, self.revision
+            )
+        for key in removals:
+            self.item_by_key.pop(key, None)
+        if self._loses_answers:
+            raise errors.UnavailableError("lost", ran=errors.Ran.UNKNOWN)
+        return self.revision
+
+
+class FakeLog:
+    """Keeps the lines that are written."""
+
+    def __init__(self):
+        self.lines = []
+
+    def write(self, what, **fields):
+        """Takes a line."""
+        self.lines.append((what, fields))
+
+
+class FakeLease:
+    """A lease that stands as long as `lease_id` is not 0."""
+
+    def __init__(self):
+        self.lease_id = 5
+
+    @property
+    def is_valid(self):
+        """Whether it stands."""
+        return self.lease_id != 0
+
+
+class SteppingClock:
+    """Advances at each look, so that deadlines pass without waiting."""
+
+    def __init__(self, step_ms=50):
+        self.time_ms = 0
+        self._step_ms = step_ms
+
+    def now_ms(self):
+        """Returns the time, which goes on by a step."""
+        self.time_ms += self._step_ms
+        return self.time_ms
--- a/samphiregate/adapters/cells/_ownership.py
+++ b/samphiregate/adapters/cells/_ownership.py
@@ -117,6 +117,7 @@
         self._served_epoch = 0
         self._log = log
         self._changed = gevent.event.Event()
+        self._closing = False
         self._greenlet = None
 
     def __enter__(self):
@@ -124,6 +125,7 @@
         return self
 
     def __exit__(self, *exc_info):
+        self._closing = True
         self.lost.set()
         self._greenlet.join(timeout=1)
         self._greenlet.kill()
@@ -133,7 +135,7 @@
         self._changed.set()
 
     def _run(self):
-        while True:
+        while not self._closing:
             self._changed.clear()
             tenure = None
             if self._lease.is_valid and self._may_own():
