Move tasks that cannot end before their endpoint leaves; run features side by side

Cause: tasks on a leaving endpoint were cut off and held back until their lease had lapsed; a VM whose relayed write was in doubt told its caller that it had not run (found by reading, shown failing by a test first); the suite ran one feature after the other. Change: a run that will be cut off is stopped in time; peers say whether a failed call may have taken effect; four lanes of features with own ports.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	$(BIN)/python -m flake8 .
 
 behave: setup
-	PYTHONPATH=. $(BIN)/python -m features.run
+	PYTHONPATH=. $(BIN)/python -m features.run_all
 
 test: check behave
 
--- a/features/cells.feature
+++ b/features/cells.feature
@@ -147,6 +147,20 @@
     Then 3 tasks of job "s" run
     And no promise was broken
 
+  Scenario Outline: tasks that cannot end before their endpoint leaves move
+    Given 2 endpoints of 4 cores
+    And an owner of the cell
+    When a job "j" of 6 tasks of <span> ms is sent
+    And 200 ms pass
+    And endpoint "e0" drains and leaves after <left> ms
+    Then job "j" is completed within <most> ms
+    And no promise was broken
+
+    Examples:
+      | span | left | most |
+      | 3000 | 2000 | 6500 |
+      | 1500 | 2000 | 1500 |
+
   Scenario: ends are forgotten only once they are stored
     Given 2 endpoints of 4 cores
     And an owner of the cell
--- a/features/cells_vm.feature
+++ b/features/cells_vm.feature
@@ -28,6 +28,7 @@
       | done    | accepted            |
       | exists  | accepted            |
       | refused | unavailable, ran no |
+      | silent  | outcome-unknown     |
 
   Scenario Outline: a cancelling is stored, or the job does not exist
     Given a store in memory that <holds> job "j"
--- /dev/null
+++ b/features/run_all.py
@@ -0,0 +1,95 @@
+"""Runs all features side by side, and closes with one line of counts.
+
+Each feature runs in a process of its own, with ports and seeds of its own;
+`features.run` says how it counts. The features that take longest begin
+first. A feature that ends without a line of counts counts as one failure.
+"""
+
+import concurrent.futures
+import os
+import pathlib
+import queue
+import re
+import subprocess
+import sys
+
+LANES = 4
+LANE_VARIABLE = "SAMPHIREGATE_TEST_LANE"
+FEATURE_TIMEOUT_S = 1_200
+COUNTS = re.compile(r"^(\d+) passed, (\d+) failed, (\d+) skipped$", re.M)
+LONGEST = (
+    "site",
+    "fault_matrix",
+    "cells",
+    "daemon",
+    "configuration",
+    "edge",
+    "jobs",
+    "membership",
+    "peers",
+    "requests",
+    "policies_plays",
+)
+
+
+def ordered_features(folder=pathlib.Path("features")):
+    """Returns the paths of all features, the longest first."""
+    rank_by_stem = {stem: rank for rank, stem in enumerate(LONGEST)}
+    return sorted(
+        folder.glob("*.feature"),
+        key=lambda path: (rank_by_stem.get(path.stem, len(LONGEST)), path),
+    )
+
+
+def run_feature(path, lanes):
+    """Runs one feature on a free lane.
+
+    Returns
+    -------
+    tuple
+        Path, counts of passed, failed and skipped scenarios, and output.
+    """
+    lane = lanes.get()
+    try:
+        done = subprocess.run(
+            [sys.executable, "-m", "features.run", str(path)],
+            env={**os.environ, LANE_VARIABLE: str(lane)},
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+            timeout=FEATURE_TIMEOUT_S,
+        )
+    finally:
+        lanes.put(lane)
+    found = COUNTS.findall(done.stdout)
+    counts = tuple(map(int, found[-1])) if found else (0, 1, 0)
+    if done.returncode and not counts[1]:
+        counts = (counts[0], 1, counts[2])
+    return path, counts, done.stdout
+
+
+def main():
+    """Runs all features and returns the exit status."""
+    lanes = queue.Queue()
+    for lane in range(LANES):
+        lanes.put(lane)
+    totals = [0, 0, 0]
+    with concurrent.futures.ThreadPoolExecutor(LANES) as pool:
+        runs = [
+            pool.submit(run_feature, path, lanes)
+            for path in ordered_features()
+        ]
+        for run in concurrent.futures.as_completed(runs):
+            path, counts, output = run.result()
+            totals = [sum(pair) for pair in zip(totals, counts, strict=True)]
+            print(f"{path}: {counts[0]} passed, {counts[1]} failed")
+            if counts[1] or counts[2]:
+                print(output)
+    passed, failed, skipped = totals
+    print(f"{passed} passed, {failed} failed, {skipped} skipped")
+    return 1 if failed or not passed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/features/steps/cells_steps.py
+++ b/features/steps/cells_steps.py
@@ -215,6 +215,28 @@
     context.play.endpoint_by_id[endpoint_id].is_cut = True
 
 
+@behave.when('a job "{job_id}" of {count:d} tasks of {span:d} ms is sent')
+def when_job_of_length(context, job_id, count, span):
+    step = play_support.make_step(count, estimate_ms=span)
+    context.play.submit(play_support.make_job(job_id, step))
+
+
+@behave.when('endpoint "{endpoint_id}" drains and leaves after {left:d} ms')
+def when_drains(context, endpoint_id, left):
+    play = context.play
+    endpoint = play.endpoint_by_id[endpoint_id]
+    endpoint.draining = True
+    endpoint.remaining_ms = left
+    play.deliver(endpoint.news)
+
+    def leave():
+        endpoint.restart()
+        endpoint.is_cut = True
+        play.deliver(cells.EndpointUnlisted(endpoint_id))
+
+    play.at(left, leave)
+
+
 @behave.when('endpoint "{endpoint_id}" starts anew')
 def when_restarts(context, endpoint_id):
     context.play.endpoint_by_id[endpoint_id].restart()
--- a/features/steps/cells_vm_steps.py
+++ b/features/steps/cells_vm_steps.py
@@ -13,6 +13,7 @@
 from samphiregate.adapters.cells import _desk
 from samphiregate.adapters.cells import _keys
 from samphiregate.adapters.cells import _ownership
+from samphiregate.adapters.cells import _peer_calls
 from samphiregate.adapters.cells import _ports
 from samphiregate.adapters.cells import _relay
 from samphiregate.adapters import http
@@ -39,23 +40,6 @@
     )
 
 
-class _OwnerPeers:
-    """Answers as the owner's VM would."""
-
-    def __init__(self, store):
-        self._relay = _relay.StoreRelay(
-            store=store, peers=None, peer_address=lambda: None
-        )
-
-    def call(self, address, message, timeout_ms):
-        """See `PeerCalls.call`."""
-        del address, timeout_ms
-        try:
-            return self._relay.answer_write(message)
-        except errors.UnavailableError as error:
-            raise errors.UnavailableError(error.detail) from error
-
-
 @behave.given("a store that answers writes with {answers}")
 def given_scripted(context, answers):
     context.store = cells_store.ScriptedStore(answers.split(", "))
@@ -65,7 +49,17 @@
 @behave.given("the owner's VM, whose store answers writes with {answers}")
 def given_owner_vm(context, answers):
     other = cells_store.ScriptedStore(answers.split(", "))
-    _make_desk(context, context.store, _OwnerPeers(other), "owner")
+    owner_relay = _relay.StoreRelay(
+        store=other, peers=None, peer_address=lambda: None
+    )
+    owner_peers = _peer_calls.PeerCalls(answer=owner_relay.answer_write)
+    server = http.NoDelayServer("127.0.0.1:0", owner_peers.application)
+    server.start()
+    context.add_cleanup(server.stop, timeout=0)
+    peers = _peer_calls.PeerCalls(answer=None)
+    context.add_cleanup(peers.__exit__)
+    address = f"127.0.0.1:{server.server_port}"
+    _make_desk(context, context.store, peers, address)
 
 
 @behave.given("a store in memory")
--- a/features/support/cells.py
+++ b/features/support/cells.py
@@ -70,6 +70,7 @@
         self.lost_share = 0.0
         self.slowness = 1.0
         self.draining = False
+        self.remaining_ms = None
         self.starting_until_ms = 0
         self._play = play
         self.born = 1
@@ -111,6 +112,7 @@
             self.labels,
             self.draining,
             self.born,
+            self.remaining_ms,
         )
 
     def start(self, action, epoch, now_ms):
--- a/samphiregate/adapters/cells/_peer_calls.py
+++ b/samphiregate/adapters/cells/_peer_calls.py
@@ -5,6 +5,7 @@
 from samphiregate import errors
 
 PATH = "/peer"
+RAN_HEADER = "Samphiregate-Ran"
 CONNECTIONS = 16
 CONNECT_TIMEOUT_MS = 500
 READ_TIMEOUT_MS = 1_000
@@ -49,15 +50,20 @@
         Raises
         ------
         UnavailableError
-            When there was no whole answer in time.
+            When there was no whole answer in time, or the peer failed; `ran`
+            then says what the peer knows of its own call.
         """
         client = self._client(address, timeout_ms)
         answer = client.request(
             "POST", PATH, body=peers.encode_message(message)
         )
         if answer.status != 200:
+            ran = answer.headers.get(RAN_HEADER.lower())
             raise errors.UnavailableError(
-                f"{address} answered {answer.status}"
+                f"{address} answered {answer.status}",
+                ran=errors.Ran.NO
+                if ran == errors.Ran.NO.value
+                else errors.Ran.UNKNOWN,
             )
         return peers.decode_message(answer.body)
 
@@ -79,7 +85,8 @@
         try:
             answer = self._answer(peers.decode_message(body))
         except errors.SamphiregateError as error:
-            start_response("503 Service Unavailable", [])
+            headers = [(RAN_HEADER, error.ran.value)]
+            start_response("503 Service Unavailable", headers)
             return [error.detail.encode()]
         data = peers.encode_message(answer)
         start_response("200 OK", [("Content-Length", str(len(data)))])
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -275,6 +275,7 @@
             endpoint.start_new_life()
         endpoint.relist(event)
         endpoint.listed = True
+        endpoint.note_leaving(now_ms)
 
     @_take.register
     def _(self, event: _messages.EndpointUnlisted, now_ms):
@@ -526,7 +527,7 @@
             if not endpoint.news.draining:
                 continue
             for booking in endpoint.runs(_tasks.RunState.RUNNING):
-                if self._moves_off(booking):
+                if _cannot_end(booking, endpoint, now_ms):
                     self.book.decided(
                         "run moved off",
                         booking.task.task_id.job_id,
@@ -535,9 +536,6 @@
                     )
                     self.book.stop(booking, now_ms)
 
-    def _moves_off(self, booking):
-        return booking.step.long_running
-
     def _look(self, now_ms):
         for endpoint in self.book.endpoint_by_id.values():
             if endpoint.look_after_ms > now_ms:
@@ -584,3 +582,11 @@
                 deadline_ms,
             )
         )
+
+
+def _cannot_end(booking, endpoint, now_ms):
+    """Whether a run will probably be cut off when its endpoint leaves."""
+    if booking.step.long_running:
+        return True
+    ends_ms = booking.sent_ms + booking.step.estimate_ms
+    return max(ends_ms, now_ms) > endpoint.leaves_ms
--- a/samphiregate/core/cells/_endpoints.py
+++ b/samphiregate/core/cells/_endpoints.py
@@ -45,6 +45,8 @@
         No look before this time.
     rest_until_ms : int
         No start before this time.
+    leaves_ms : float
+        Earliest time at which it leaves; infinite while it does not drain.
     """
 
     news: _messages.EndpointListed
@@ -62,6 +64,7 @@
     looks_under_way: int = 0
     look_after_ms: int = 0
     rest_until_ms: int = 0
+    leaves_ms: float = math.inf
 
     def __attrs_post_init__(self):
         self.free = self.news.capacity
@@ -146,6 +149,14 @@
             self.seen_upto = number
             self.unseen_ends.popleft()
 
+    def note_leaving(self, now_ms):
+        """Notes when it leaves, from the first news that it drains."""
+        if not self.news.draining:
+            self.leaves_ms = math.inf
+        elif self.news.remaining_ms is not None:
+            earliest_ms = now_ms + self.news.remaining_ms
+            self.leaves_ms = min(self.leaves_ms, earliest_ms)
+
     def start_new_life(self):
         """Forgets what was numbered in an earlier life."""
         self.known = False
--- a/standins/processes/_processes.py
+++ b/standins/processes/_processes.py
@@ -17,8 +17,10 @@
 POLL_S = 0.02
 LOOPBACK = "127.0.0.1"
 LOWEST_PORT = 18_000
-PORT_COUNT = 14_000
+LANES = 8
+PORTS_PER_LANE = 1_750
 PORT_STRIDE = 97
+LANE_VARIABLE = "SAMPHIREGATE_TEST_LANE"
 
 
 class StartError(errors.SamphiregateError):
@@ -44,9 +46,12 @@
 
 
 def _endless_ports():
-    first = os.getpid() * PORT_STRIDE % PORT_COUNT
+    """Yields ports; those of test runs side by side never meet."""
+    lane = int(os.environ.get(LANE_VARIABLE, 0)) % LANES
+    lowest = LOWEST_PORT + lane * PORTS_PER_LANE
+    first = os.getpid() * PORT_STRIDE % PORTS_PER_LANE
     for number in itertools.count(first):
-        yield LOWEST_PORT + number % PORT_COUNT
+        yield lowest + number % PORTS_PER_LANE
 
 
 _ports = _endless_ports()
