--- a/samphiregate/adapters/cells/_ownership.py
+++ b/samphiregate/adapters/cells/_ownership.py
@@ -1,5 +1,7 @@
 """Which entry VM owns a cell, and the epoch under which it does."""
 
+import traceback
+
 import attrs
 import cattrs
 from cattrs.preconf import orjson as cattrs_orjson
@@ -153,7 +155,7 @@
             self._log.write("cell taken", cell=tenure.cell, epoch=tenure.epoch)
             self.lost.clear()
             self._served_epoch = tenure.epoch
-            self._serve(tenure, self.lost)
+            self._serve_guarded(tenure)
             self._relinquish(tenure)
             self._log.write("cell left", cell=tenure.cell, epoch=tenure.epoch)
 
@@ -191,6 +193,18 @@
                 return None
         return Tenure(self._cell, epoch, {owner_key: revision}, lease_id)
 
+    def _serve_guarded(self, tenure):
+        """Serves; a fault in it must not leave the cell without an owner."""
+        try:
+            self._serve(tenure, self.lost)
+        except Exception:
+            self._log.write(
+                "cell failed",
+                cell=tenure.cell,
+                epoch=tenure.epoch,
+                trace=traceback.format_exc(),
+            )
+
     def _relinquish(self, tenure):
         """Removes the owner's record, if it stands and still hangs on."""
         while self._lease.lease_id == tenure.lease_id:
--- a/samphiregate/adapters/cells/_vm.py
+++ b/samphiregate/adapters/cells/_vm.py
@@ -218,12 +218,15 @@
             self._session = None
 
     def _address_by_vm(self):
-        return {
-            key.removeprefix(_keys.VMS_PREFIX): _ownership.decode_vm(
-                item.value
-            ).address
-            for key, item in self._vms.item_by_key.items()
-        }
+        address_by_vm = {}
+        for key, item in self._vms.item_by_key.items():
+            try:
+                record = _ownership.decode_vm(item.value)
+            except errors.BadInputError as error:
+                self._log.write("VM unreadable", key=key, reason=error.detail)
+                continue
+            address_by_vm[record.vm_id] = record.address
+        return address_by_vm
 
     def _local_cell(self):
         session = self._session
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -322,6 +322,7 @@
                 "endpoint unreachable",
                 endpoint=event.endpoint_id,
                 process_gone=event.process_gone,
+                reason=event.reason,
                 runs=len(endpoint.bookings_by_run),
             )
         if event.process_gone:
--- a/samphiregate/core/cells/_messages.py
+++ b/samphiregate/core/cells/_messages.py
@@ -178,11 +178,14 @@
         may refuse it while the process runs on.
     fenced : bool
         Whether it has seen a higher epoch.
+    reason : str
+        What went wrong, for the log.
     """
 
     endpoint_id: str
     process_gone: bool = False
     fenced: bool = False
+    reason: str = ""
 
 
 @attrs.frozen
