Run the scenarios of real sites side by side

Cause: they take four and a half of the six minutes of the whole suite, one after the other and mostly waiting. Change: each is a part of its own for the four lanes.

--- a/features/run.py
+++ b/features/run.py
@@ -43,9 +43,16 @@
             print(f"  {step.name}\n  {step.error_message}")
 
 
-def count(features, known_red):
+def count(features, known_red, lines=False):
     """Counts outcomes and prints each known-red scenario.
 
+    Parameters
+    ----------
+    features : list
+    known_red : set of str
+    lines : bool
+        Whether single scenarios were asked for; the others do not count.
+
     Returns
     -------
     tuple of int
@@ -69,7 +76,7 @@
                     print(f"failed: {scenario.name}")
                     print_reason(scenario)
                     failed += 1
-            else:
+            elif not lines:
                 skipped += 1
     return passed, failed, skipped
 
@@ -80,7 +87,8 @@
     config = configuration.Configuration(options or ["features"])
     suite = runner.Runner(config)
     suite.run()
-    passed, failed, skipped = count(suite.features, read_known_red())
+    lines = any(":" in argument for argument in arguments)
+    passed, failed, skipped = count(suite.features, read_known_red(), lines)
     print(f"{passed} passed, {failed} failed, {skipped} skipped")
     return 1 if failed or suite.hook_failures or not passed else 0
 
--- a/features/run_all.py
+++ b/features/run_all.py
@@ -1,8 +1,9 @@
 """Runs all features side by side, and closes with one line of counts.
 
-Each feature runs in a process of its own, with ports and seeds of its own;
-`features.run` says how it counts. The features that take longest begin
-first. A feature that ends without a line of counts counts as one failure.
+Each feature, or scenario of a long one, runs in a process of its own, with
+ports and seeds of its own; `features.run` says how it counts. Those that
+take longest begin first. One that ends without a line of counts counts as
+one failure.
 """
 
 import concurrent.futures
@@ -13,9 +14,12 @@
 import subprocess
 import sys
 
+from behave import parser
+
 LANES = 4
 LANE_VARIABLE = "SAMPHIREGATE_TEST_LANE"
 FEATURE_TIMEOUT_S = 1_200
+SPLIT = ("site",)
 COUNTS = re.compile(r"^(\d+) passed, (\d+) failed, (\d+) skipped$", re.M)
 LONGEST = (
     "site",
@@ -32,27 +36,37 @@
 )
 
 
-def ordered_features(folder=pathlib.Path("features")):
-    """Returns the paths of all features, the longest first."""
+def ordered_parts(folder=pathlib.Path("features")):
+    """Returns what to run, the longest first: a feature or a scenario each."""
     rank_by_stem = {stem: rank for rank, stem in enumerate(LONGEST)}
-    return sorted(
+    paths = sorted(
         folder.glob("*.feature"),
         key=lambda path: (rank_by_stem.get(path.stem, len(LONGEST)), path),
     )
+    parts = []
+    for path in paths:
+        parts += scenarios(path) if path.stem in SPLIT else [str(path)]
+    return parts
+
+
+def scenarios(path):
+    """Returns a part for each scenario and row of examples of a feature."""
+    feature = parser.parse_file(str(path))
+    return [f"{path}:{scenario.line}" for scenario in feature.walk_scenarios()]
 
 
-def run_feature(path, lanes):
-    """Runs one feature on a free lane.
+def run_part(part, lanes):
+    """Runs a feature or scenario on a free lane.
 
     Returns
     -------
     tuple
-        Path, counts of passed, failed and skipped scenarios, and output.
+        Part, counts of passed, failed and skipped scenarios, and output.
     """
     lane = lanes.get()
     try:
         done = subprocess.run(
-            [sys.executable, "-m", "features.run", str(path)],
+            [sys.executable, "-m", "features.run", part],
             env={**os.environ, LANE_VARIABLE: str(lane)},
             stdin=subprocess.DEVNULL,
             stdout=subprocess.PIPE,
@@ -66,7 +80,7 @@
     counts = tuple(map(int, found[-1])) if found else (0, 1, 0)
     if done.returncode and not counts[1]:
         counts = (counts[0], 1, counts[2])
-    return path, counts, done.stdout
+    return part, counts, done.stdout
 
 
 def main():
@@ -76,14 +90,11 @@
         lanes.put(lane)
     totals = [0, 0, 0]
     with concurrent.futures.ThreadPoolExecutor(LANES) as pool:
-        runs = [
-            pool.submit(run_feature, path, lanes)
-            for path in ordered_features()
-        ]
+        runs = [pool.submit(run_part, part, lanes) for part in ordered_parts()]
         for run in concurrent.futures.as_completed(runs):
-            path, counts, output = run.result()
+            part, counts, output = run.result()
             totals = [sum(pair) for pair in zip(totals, counts, strict=True)]
-            print(f"{path}: {counts[0]} passed, {counts[1]} failed")
+            print(f"{part}: {counts[0]} passed, {counts[1]} failed")
             if counts[1] or counts[2]:
                 print(output)
     passed, failed, skipped = totals
