--- a/samphiregate/adapters/cells/_owner.py
+++ b/samphiregate/adapters/cells/_owner.py
@@ -340,10 +340,6 @@
     def _(self, action: cells.StopTask):
         self._orders.spawn(self._stop, action)
 
-    @_perform.register
-    def _(self, action: cells.PaceTask):
-        self._orders.spawn(self._pace, action)
-
     @_perform.register
     def _(self, action: cells.Look):
         self._orders.spawn(self._look, action)
@@ -390,10 +386,6 @@
             answered(False),
         )
 
-    def _pace(self, action):
-        if self._may_order():
-            self._endpoints.pace(action, self._tenure.epoch)
-
     def _look(self, action):
         failed = cells.LookFailed(action.endpoint_id)
         if not self._may_hold():
--- a/samphiregate/adapters/cells/_ports.py
+++ b/samphiregate/adapters/cells/_ports.py
@@ -143,15 +143,9 @@
     def stop(self, action, epoch):
         """Carries out a `StopTask`; returns whether it was confirmed."""
 
-    def pace(self, action, epoch):
-        """Carries out a `PaceTask`; returns whether it was confirmed."""
-
     def look(self, action, epoch, sent_ms):
         """Carries out a `Look`; returns `EndpointLooked` or `LookFailed`."""
 
-    def forget(self, address):
-        """Closes the connections to an address."""
-
 
 class PolicyService(typing.Protocol):
     """Asks which endpoints may run a step."""
--- a/samphiregate/core/cells/__init__.py
+++ b/samphiregate/core/cells/__init__.py
@@ -16,7 +16,6 @@
 from samphiregate.core.cells._messages import JobStored
 from samphiregate.core.cells._messages import Look
 from samphiregate.core.cells._messages import LookFailed
-from samphiregate.core.cells._messages import PaceTask
 from samphiregate.core.cells._messages import RecordsStored
 from samphiregate.core.cells._messages import RunningRow
 from samphiregate.core.cells._messages import StartAnswered
@@ -80,7 +79,6 @@
     "JobStored",
     "Look",
     "LookFailed",
-    "PaceTask",
     "Queue",
     "RecordsStored",
     "Resources",
--- a/samphiregate/core/cells/_book.py
+++ b/samphiregate/core/cells/_book.py
@@ -420,6 +420,3 @@
     def endpoint_of(self, booking):
         """Returns the endpoint of a run."""
         return self.endpoint_by_id[booking.endpoint_id]
-
-
-Endpoint = _endpoints.Endpoint
--- a/samphiregate/core/cells/_endpoints.py
+++ b/samphiregate/core/cells/_endpoints.py
@@ -180,7 +180,7 @@
         if self.looks_under_way != 1 or self.failed_looks:
             return False
         return any(
-            booking.state is RUNNING
+            booking.state is _tasks.RunState.RUNNING
             and not booking.step.long_running
             and self.clock_at_ms < booking.overdue_ms <= now_ms
             for booking in self.bookings_by_run.values()
@@ -223,8 +223,3 @@
             for booking in self.bookings_by_run.values()
             if booking.state is state
         ]
-
-
-STARTING = _tasks.RunState.STARTING
-RUNNING = _tasks.RunState.RUNNING
-STOPPING = _tasks.RunState.STOPPING
--- a/samphiregate/core/cells/_messages.py
+++ b/samphiregate/core/cells/_messages.py
@@ -284,17 +284,6 @@
     run: int
 
 
-@attrs.frozen
-class PaceTask(base.Action):
-    """Order an endpoint to let a run work at a share of its speed."""
-
-    endpoint_id: str
-    address: str
-    task_id: _work.TaskId
-    run: int
-    percent: int
-
-
 @attrs.frozen
 class Look(base.Action):
     """Ask an endpoint what runs there, and prolong its lease.
--- a/samphiregate/core/cells/_tasks.py
+++ b/samphiregate/core/cells/_tasks.py
@@ -4,7 +4,6 @@
 
 import attrs
 
-from samphiregate.core.cells import _messages
 from samphiregate.core.cells import _records
 from samphiregate.core.cells import _work
 
@@ -42,8 +41,6 @@
         As the endpoint lists them.
     progressed_ms : int
         When `percent` last rose.
-    pace : int
-        Share of its speed, in percent, at which the run was told to work.
     orders : int
         Orders to start that were sent.
     """
@@ -60,7 +57,6 @@
     percent: float = 0.0
     gauge: float = 0.0
     progressed_ms: int = 0
-    pace: int = 100
     orders: int = 0
 
     @property
@@ -96,8 +92,6 @@
         Endpoint id and run of each end that was taken in.
     bookings_by_run : dict
         Runs that may exist.
-    retry_after_ms : int
-        Not started again before this time.
     """
 
     task_id: _work.TaskId
@@ -305,11 +299,6 @@
         task.stage.done_count += 1
 
 
-def is_failure(reason):
-    """Whether an end counts as a failed attempt."""
-    return reason is _messages.EndReason.FAILED
-
-
 def _stage_record(stage):
     if stage.is_done and not any(task.bookings_by_run for task in stage.tasks):
         return _records.StageRecord(
