Let one piece of code serve what the cells wrote twice

Cause: read again: five holders of HTTP clients, a second hash of keys beside samphiregate.keys, two codecs of stored values, the lapse of a lease worked out twice, two ways to stop a gang's other members and to order a stop, the relay's turns written for reads and writes apart, a field of the platform's wire named outside platform/, rows of placement known by position only. Change: http.Clients; keys.hash_key; cells.decode; lapse_ms; Book.restart_gang and order_stop; StoreRelay._by_turns; stored_upto; Candidate with names; looks and the load line moved out of _cell.py (593 to 502 lines).

--- a/features/run_all.py
+++ b/features/run_all.py
@@ -16,8 +16,9 @@
 
 from behave import parser
 
+from standins import processes
+
 LANES = 4
-LANE_VARIABLE = "SAMPHIREGATE_TEST_LANE"
 FEATURE_TIMEOUT_S = 1_200
 SPLIT = ("site",)
 COUNTS = re.compile(r"^(\d+) passed, (\d+) failed, (\d+) skipped$", re.M)
@@ -67,7 +68,7 @@
     try:
         done = subprocess.run(
             [sys.executable, "-m", "features.run", part],
-            env={**os.environ, LANE_VARIABLE: str(lane)},
+            env={**os.environ, processes.LANE_VARIABLE: str(lane)},
             stdin=subprocess.DEVNULL,
             stdout=subprocess.PIPE,
             stderr=subprocess.STDOUT,
--- a/features/support/cells.py
+++ b/features/support/cells.py
@@ -171,9 +171,9 @@
         self.epoch = epoch
         if action.deadline_ms is not None:
             self.deadline_ms = max(self.deadline_ms, action.deadline_ms)
-        self._play.note_seen(self, action.seen_upto)
+        self._play.note_forgotten(self, action.stored_upto)
         self.ended = [
-            row for row in self.ended if row.number > action.seen_upto
+            row for row in self.ended if row.number > action.stored_upto
         ]
         return cells.EndpointLooked(
             self.endpoint_id,
@@ -314,7 +314,7 @@
                 self.deliver(endpoint.news)
         for job in self.job_by_id.values():
             data = self.stored_by_id.get(job.job_id)
-            record = cells.decode_record(data) if data else None
+            record = cells.decode(data, cells.JobRecord) if data else None
             self.deliver(cells.JobStored(job, record))
         for job_id in self.cancelled_ids:
             self.deliver(cells.JobCancelled(job_id))
@@ -545,15 +545,17 @@
             if not entry.stages_by_key[task_id.occurrence, number].is_done:
                 self._violate(f"{task_id} started before step {number}")
 
-    def note_seen(self, endpoint, seen_upto):
+    def note_forgotten(self, endpoint, stored_upto):
         """Checks that only ends that are stored are forgotten."""
         for row in endpoint.ended:
-            if row.number > seen_upto or (
+            if row.number > stored_upto or (
                 row.reason is not cells.EndReason.DONE
             ):
                 continue
             data = self.stored_by_id.get(row.task_id.job_id)
-            if not data or not _is_noted(cells.decode_record(data), row):
+            if not data or not _is_noted(
+                cells.decode(data, cells.JobRecord), row
+            ):
                 self._violate(f"the end of {row.task_id} is lost")
 
     def _violate(self, text):
@@ -588,7 +590,7 @@
             )
             return
         ended = any(
-            row.number > self._action.seen_upto for row in endpoint.ended
+            row.number > self._action.stored_upto for row in endpoint.ended
         )
         if not ended and play.now_ms < self._until_ms:
             play.at(10, self.arrive)
--- a/samphiregate/adapters/cells/__init__.py
+++ b/samphiregate/adapters/cells/__init__.py
@@ -2,7 +2,6 @@
 
 from samphiregate.adapters.cells._clock import steady_ms
 from samphiregate.adapters.cells._clock import unix_ms
-from samphiregate.adapters.cells._configuration import hash_key
 from samphiregate.adapters.cells._ports import ConflictError
 from samphiregate.adapters.cells._ports import Decoders
 from samphiregate.adapters.cells._ports import Endpoints
@@ -33,7 +32,6 @@
     "StoreChange",
     "StoreItem",
     "StoreWrite",
-    "hash_key",
     "steady_ms",
     "unix_ms",
 ]
--- a/samphiregate/adapters/cells/_configuration.py
+++ b/samphiregate/adapters/cells/_configuration.py
@@ -1,9 +1,9 @@
 """The configuration that is in force on this VM; it never reverts."""
 
 import collections
-import hashlib
 
 from samphiregate import errors
+from samphiregate import keys
 
 
 class ConfigurationHolder:
@@ -67,12 +67,7 @@
         """Returns the client account of a key; None if it is unknown."""
         if self.current is None or not key:
             return None
-        return self.current.account_by_key_hash.get(hash_key(key))
-
-
-def hash_key(key):
-    """Returns the hash under which a key is kept."""
-    return hashlib.sha256(key.encode()).digest()
+        return self.current.account_by_key_hash.get(keys.hash_key(key))
 
 
 def _by_host(routes):
--- a/samphiregate/adapters/cells/_desk.py
+++ b/samphiregate/adapters/cells/_desk.py
@@ -135,7 +135,7 @@
     def _state_from_store(self, job_id, deadline_ms):
         record = self._read(_keys.record(self._cell, job_id), deadline_ms)
         if record is not None:
-            state = cells.decode_record(record.value).state
+            state = cells.decode(record.value, cells.JobRecord).state
             if state.is_final:
                 return state
         job = self._read(_keys.job(self._cell, job_id), deadline_ms)
--- a/samphiregate/adapters/cells/_lease.py
+++ b/samphiregate/adapters/cells/_lease.py
@@ -6,6 +6,7 @@
 
 from samphiregate.adapters.cells import _keys
 from samphiregate.adapters.cells import _ports
+from samphiregate.core import cells
 from samphiregate import errors
 
 TTL_MS = 2_000
@@ -30,8 +31,6 @@
     store : Store
     record : VmRecord
         Stored under the lease, so that the others find this VM.
-    encode : callable
-        Encodes the record.
     now_ms : callable
     log : DecisionLog
 
@@ -43,12 +42,11 @@
         Local time up to which the lease surely stands.
     """
 
-    def __init__(self, *, store, record, encode, now_ms, log):
+    def __init__(self, *, store, record, now_ms, log):
         self.lease_id = 0
         self.valid_until_ms = 0
         self._store = store
         self._record = record
-        self._encode = encode
         self._now_ms = now_ms
         self._log = log
         self._greenlet = None
@@ -104,7 +102,7 @@
         sent_ms = self._now_ms()
         lease_id, ttl_ms = self._store.grant_lease(TTL_MS)
         write = _ports.StoreWrite(
-            _keys.vm(self._record.vm_id), self._encode(self._record), lease_id
+            _keys.vm(self._record.vm_id), cells.encode(self._record), lease_id
         )
         self._store.commit(expected={}, writes=[write])
         self.lease_id = lease_id
--- a/samphiregate/adapters/cells/_owner.py
+++ b/samphiregate/adapters/cells/_owner.py
@@ -19,10 +19,10 @@
 WATCH_WAIT_MS = 2_000
 LEASE_MS = 5_000  # of tasks, from each order
 HOLD_ON_MS = 2_000  # looks go on so long after the VM's lease has lapsed
-CLOCK_DRIFT = 0.02
+ORDER_SLACK_MS = 200  # an order on its way when the VM's lease lapses
 # Runs of an earlier owner go on so long after its last order, which it gave
 # at the latest so long after its VM's lease had lapsed.
-INHERITED_LEASE_MS = HOLD_ON_MS + round(LEASE_MS * (1 + CLOCK_DRIFT)) + 300
+INHERITED_LEASE_MS = HOLD_ON_MS + cells.lapse_ms(LEASE_MS) + ORDER_SLACK_MS
 LOAD_RETRY_MS = 100
 KEEP_ENDED_MS = 180_000
 FORGET_INTERVAL_MS = 10_000
@@ -185,7 +185,9 @@
         for item in record_items:
             job_id = item.key.rpartition("/")[2]
             try:
-                record_by_id[job_id] = cells.decode_record(item.value)
+                record_by_id[job_id] = cells.decode(
+                    item.value, cells.JobRecord
+                )
             except errors.BadInputError as error:
                 self._log.write(
                     "record unreadable", job=job_id, reason=error.detail
@@ -201,7 +203,7 @@
 
     def _take_job(self, item, record_by_id):
         try:
-            job = cells.decode_job(item.value)
+            job = cells.decode(item.value, cells.Job)
         except errors.BadInputError as error:
             self._log.write(
                 "job unreadable", key=item.key, reason=error.detail
--- a/samphiregate/adapters/cells/_ownership.py
+++ b/samphiregate/adapters/cells/_ownership.py
@@ -3,21 +3,17 @@
 import traceback
 
 import attrs
-import cattrs
-from cattrs.preconf import orjson as cattrs_orjson
 import gevent
 import gevent.event
 
 from samphiregate.adapters.cells import _keys
-from samphiregate.adapters.cells import _lease
 from samphiregate.adapters.cells import _ports
+from samphiregate.core import cells
 from samphiregate import errors
 
 RETRY_INTERVAL_MS = 100
 MOST_JITTER_MS = 60
 
-_converter = cattrs_orjson.make_converter()
-
 
 @attrs.frozen
 class OwnerRecord:
@@ -29,27 +25,9 @@
     instance: str = ""
 
 
-def encode(record):
-    """Encodes a record as bytes."""
-    return _converter.dumps(record)
-
-
 def decode_owner(value):
     """Decodes an `OwnerRecord`; raises `BadInputError`."""
-    return _decode(value, OwnerRecord)
-
-
-def decode_vm(value):
-    """Decodes a `VmRecord`; raises `BadInputError`."""
-    return _decode(value, _lease.VmRecord)
-
-
-def _decode(value, cls):
-    try:
-        return _converter.loads(value, cls)
-    except (ValueError, TypeError, cattrs.BaseValidationError) as error:
-        detail = f"no {cls.__name__}: {error!r}"
-        raise errors.BadInputError(detail) from error
+    return cells.decode(value, OwnerRecord)
 
 
 @attrs.frozen
@@ -179,7 +157,9 @@
                     epoch_key: held.revision if held else 0,
                 },
                 writes=[
-                    _ports.StoreWrite(owner_key, encode(record), lease_id),
+                    _ports.StoreWrite(
+                        owner_key, cells.encode(record), lease_id
+                    ),
                     _ports.StoreWrite(epoch_key, str(epoch).encode()),
                 ],
             )
--- a/samphiregate/adapters/cells/_peer_calls.py
+++ b/samphiregate/adapters/cells/_peer_calls.py
@@ -31,14 +31,17 @@
 
     def __init__(self, *, answer):
         self._answer = answer
-        self._client_by_key = {}
+        self._clients = http.Clients(
+            connections=CONNECTIONS,
+            connect_timeout_ms=CONNECT_TIMEOUT_MS,
+            timeout_step_ms=READ_TIMEOUT_MS,
+        )
 
     def __enter__(self):
         return self
 
     def __exit__(self, *exc_info):
-        for client in self._client_by_key.values():
-            client.close()
+        self._clients.__exit__()
 
     def call(self, address, message, timeout_ms=READ_TIMEOUT_MS):
         """Asks the VM at an address.
@@ -53,7 +56,7 @@
             When there was no whole answer in time, or the peer failed; `ran`
             then says what the peer knows of its own call.
         """
-        client = self._client(address, timeout_ms)
+        client = self._clients.get(address, timeout_ms)
         answer = client.request(
             "POST", PATH, body=peers.encode_message(message)
         )
@@ -67,18 +70,6 @@
             )
         return peers.decode_message(answer.body)
 
-    def _client(self, address, timeout_ms):
-        rounded_ms = -(-timeout_ms // READ_TIMEOUT_MS) * READ_TIMEOUT_MS
-        key = (address, rounded_ms)
-        if key not in self._client_by_key:
-            self._client_by_key[key] = http.Client(
-                address,
-                connections=CONNECTIONS,
-                timeout_ms=rounded_ms,
-                connect_timeout_ms=CONNECT_TIMEOUT_MS,
-            )
-        return self._client_by_key[key]
-
     def application(self, environ, start_response):
         """Serves questions of other VMs, as a WSGI application."""
         body = environ["wsgi.input"].read()
--- a/samphiregate/adapters/cells/_relay.py
+++ b/samphiregate/adapters/cells/_relay.py
@@ -32,29 +32,29 @@
 
     def write(self, expected, write):
         """Writes a key; raises as `Store.commit` does."""
-        if not self._direct_fails:
-            try:
-                self._store.commit(expected=expected, writes=[write])
-                return
-            except errors.UnavailableError:
-                self._direct_fails = True
-                raise
-        self._direct_fails = False
-        self._relay_write(expected, write)
-        self._direct_fails = True
+        self._by_turns(
+            lambda: self._store.commit(expected=expected, writes=[write]),
+            lambda: self._relay_write(expected, write),
+        )
 
     def read(self, key):
         """Reads a key; raises as `Store.get` does."""
-        if not self._direct_fails:
-            try:
-                return self._store.get(key)
-            except errors.UnavailableError:
-                self._direct_fails = True
-                raise
-        self._direct_fails = False
-        item = self._relay_read(key)
-        self._direct_fails = True
-        return item
+        return self._by_turns(
+            lambda: self._store.get(key), lambda: self._relay_read(key)
+        )
+
+    def _by_turns(self, direct, relayed):
+        """Goes the way that did not fail last."""
+        if self._direct_fails:
+            self._direct_fails = False
+            result = relayed()
+            self._direct_fails = True
+            return result
+        try:
+            return direct()
+        except errors.UnavailableError:
+            self._direct_fails = True
+            raise
 
     def _call(self, message):
         address = self._peer_address()
--- a/samphiregate/adapters/cells/_vm.py
+++ b/samphiregate/adapters/cells/_vm.py
@@ -75,7 +75,6 @@
         self._lease = _lease.LeaseKeeper(
             store=ports.store,
             record=_lease.VmRecord(vm_id, peer_address),
-            encode=_ownership.encode,
             now_ms=_clock.steady_ms,
             log=log,
         )
@@ -221,7 +220,7 @@
         address_by_vm = {}
         for key, item in self._vms.item_by_key.items():
             try:
-                record = _ownership.decode_vm(item.value)
+                record = cells.decode(item.value, _lease.VmRecord)
             except errors.BadInputError as error:
                 self._log.write("VM unreadable", key=key, reason=error.detail)
                 continue
--- /dev/null
+++ b/samphiregate/adapters/http/_clients.py
@@ -0,0 +1,47 @@
+"""Clients by address and time-out, made when they are first used."""
+
+from samphiregate.adapters.http import _client
+
+
+class Clients:
+    """Holds a client for each address and time-out; a context manager.
+
+    Parameters
+    ----------
+    connections : int
+        Connections at a time of each client.
+    connect_timeout_ms : int
+        Longest wait for connecting.
+    timeout_step_ms : int
+        Time-outs are rounded up to a multiple of this, so that varying ones
+        share a client.
+    """
+
+    def __init__(self, *, connections, connect_timeout_ms, timeout_step_ms=1):
+        self._connections = connections
+        self._connect_timeout_ms = connect_timeout_ms
+        self._timeout_step_ms = timeout_step_ms
+        self._client_by_key = {}
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        for client in self._client_by_key.values():
+            client.close()
+
+    def get(self, address, timeout_ms):
+        """Returns the `Client` of an address and time-out."""
+        step_ms = self._timeout_step_ms
+        rounded_ms = -(-timeout_ms // step_ms) * step_ms
+        key = (address, rounded_ms)
+        client = self._client_by_key.get(key)
+        if client is None:
+            client = _client.Client(
+                address,
+                connections=self._connections,
+                timeout_ms=rounded_ms,
+                connect_timeout_ms=self._connect_timeout_ms,
+            )
+            self._client_by_key[key] = client
+        return client
--- a/samphiregate/core/cells/__init__.py
+++ b/samphiregate/core/cells/__init__.py
@@ -1,6 +1,7 @@
 """Cells: endpoints and jobs that one entry VM decides for at a time."""
 
 from samphiregate.core.cells._cell import Cell
+from samphiregate.core.cells._endpoints import lapse_ms
 from samphiregate.core.cells._messages import AccountsChanged
 from samphiregate.core.cells._messages import AdviceFailed
 from samphiregate.core.cells._messages import Advised
@@ -35,8 +36,7 @@
 from samphiregate.core.cells._peer_messages import RelayWrite
 from samphiregate.core.cells._peer_messages import WaitingIs
 from samphiregate.core.cells._peer_messages import WriteWas
-from samphiregate.core.cells._records import decode_job
-from samphiregate.core.cells._records import decode_record
+from samphiregate.core.cells._records import decode
 from samphiregate.core.cells._records import encode
 from samphiregate.core.cells._records import JobRecord
 from samphiregate.core.cells._records import StageRecord
@@ -97,7 +97,7 @@
     "RelayRead",
     "RelayWrite",
     "WriteWas",
-    "decode_job",
-    "decode_record",
+    "decode",
     "encode",
+    "lapse_ms",
 ]
--- a/samphiregate/core/cells/_book.py
+++ b/samphiregate/core/cells/_book.py
@@ -251,15 +251,16 @@
         if booking.state is _tasks.RunState.PLANNED:
             self.release(booking)
             return
-        endpoint = self.endpoint_by_id[booking.endpoint_id]
         booking.state = _tasks.RunState.STOPPING
         booking.stop_sent_ms = now_ms
+        endpoint = self.endpoint_by_id[booking.endpoint_id]
+        self.order_stop(endpoint, booking.task.task_id, booking.run)
+
+    def order_stop(self, endpoint, task_id, run):
+        """Orders an endpoint to stop a run, or to refuse it if it comes."""
         self.actions.append(
             _messages.StopTask(
-                endpoint.endpoint_id,
-                endpoint.news.address,
-                booking.task.task_id,
-                booking.run,
+                endpoint.endpoint_id, endpoint.news.address, task_id, run
             )
         )
 
@@ -275,12 +276,13 @@
                 ):
                     self.stop(booking, now_ms)
 
-    def restart_gang(self, booking, now_ms):
+    def restart_gang(self, stage, run, now_ms):
         """Stops the other members of a gang's run that has broken up."""
-        for task in booking.task.stage.tasks:
-            for other in list(task.bookings_by_run.values()):
-                if other.state is not _tasks.RunState.STOPPING:
-                    self.stop(other, now_ms)
+        for task in stage.tasks:
+            booking = task.bookings_by_run.get(run)
+            stopping = _tasks.RunState.STOPPING
+            if booking is not None and booking.state is not stopping:
+                self.stop(booking, now_ms)
 
     def lose(self, endpoint, reason, now_ms):
         """Takes all runs of an endpoint as ended without a result."""
@@ -290,7 +292,7 @@
         for booking in lost:
             self.release(booking)
             if booking.step.gang:
-                self.restart_gang(booking, now_ms)
+                self.restart_gang(booking.task.stage, booking.run, now_ms)
         self.decided(
             "runs lost",
             endpoint=endpoint.endpoint_id,
@@ -318,7 +320,9 @@
             self._settle(task, endpoint, row, now_ms)
             version = entry.version
         endpoint.handled_upto = row.number
-        endpoint.unseen_ends.append((row.number, row.task_id.job_id, version))
+        endpoint.unstored_ends.append(
+            (row.number, row.task_id.job_id, version)
+        )
 
     def _settle(self, task, endpoint, row, now_ms):
         entry = task.stage.entry
@@ -344,7 +348,7 @@
                 endpoint=endpoint.endpoint_id,
             )
         if not task.is_done and task.stage.step.gang:
-            self._restart_others(task, row.run, now_ms)
+            self.restart_gang(task.stage, row.run, now_ms)
         if task.saved and task.stage.step.checkpoints:
             self._share_checkpoint(task)
             self.touch(entry)
@@ -400,13 +404,6 @@
                 failures=failures,
             )
 
-    def _restart_others(self, task, run, now_ms):
-        for member in task.stage.tasks:
-            booking = member.bookings_by_run.get(run)
-            stopping = _tasks.RunState.STOPPING
-            if booking is not None and booking.state is not stopping:
-                self.stop(booking, now_ms)
-
     def _share_checkpoint(self, task):
         if task.stage.step.gang:
             for member in task.stage.tasks:
@@ -416,7 +413,3 @@
         """Returns the version of a job's record in the store."""
         entry = self.entry_by_id.get(job_id)
         return None if entry is None else entry.stored_version
-
-    def endpoint_of(self, booking):
-        """Returns the endpoint of a run."""
-        return self.endpoint_by_id[booking.endpoint_id]
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -1,32 +1,25 @@
 """The owner's part of a cell: decides where its tasks run, and when."""
 
-import collections
-
 import attrs
 
 from samphiregate.core import base
 from samphiregate.core.cells import _book
 from samphiregate.core.cells import _endpoints
 from samphiregate.core.cells import _faults
+from samphiregate.core.cells import _load
+from samphiregate.core.cells import _looks
 from samphiregate.core.cells import _messages
 from samphiregate.core.cells import _planner
 from samphiregate.core.cells import _records
 from samphiregate.core.cells import _sightings
 from samphiregate.core.cells import _stragglers
 from samphiregate.core.cells import _tasks
-from samphiregate.core.cells import _work
 
-LOOK_WAIT_MS = 1_500
-DOUBT_LOOK_WAIT_MS = 300  # while answers of endpoints get lost
-DOUBT_MS = 5_000
 CHECK_INTERVAL_MS = 100
-STORE_LAG_LOOK_MS = 100  # between looks while ends wait for the store
 FAILED_LOOK_MS = 300  # from the second failure in series
 MOST_START_ORDERS = 3
-OVERDUE_LOOK_WAIT_MS = 300
 NO_ROOM_REST_MS = 300
 REFUSED_REST_MS = 500
-MOST_LOOKS = 2
 ADVICE_RETRY_MS = 200
 
 UNPROVEN_OUTCOMES = frozenset(
@@ -61,7 +54,7 @@
     def __init__(self, *, epoch, lease_ms, inherited_lease_ms):
         self.book = _book.Book(epoch, inherited_lease_ms)
         self._lease_ms = lease_ms
-        self._doubt_until_ms = 0
+        self._looks = _looks.Looks(book=self.book, lease_ms=lease_ms)
         self._check_after_ms = 0
         self._judge = _faults.FaultJudge()
         self._speeds = _stragglers.SpeedMeter()
@@ -88,45 +81,8 @@
         )
 
     def load(self):
-        """Returns what the cell's state is, for a log line.
-
-        Returns
-        -------
-        dict
-            Tasks that wait, by queue and reason; used share of processors and
-            accelerators and number of unreachable endpoints, by service.
-        """
-        waiting = collections.Counter()
-        reasons = collections.Counter()
-        for stage in self.book.open_stages.values():
-            count = len(stage.startable())
-            waiting[stage.queue.name] += count
-            if stage.waits_for is not None:
-                reasons[stage.waits_for.value] += count
-        used = collections.defaultdict(lambda: _work.NOTHING)
-        capacity = collections.defaultdict(lambda: _work.NOTHING)
-        unreachable = collections.Counter()
-        for endpoint in self.book.endpoint_by_id.values():
-            service = endpoint.news.service
-            capacity[service] += endpoint.news.capacity
-            used[service] += endpoint.news.capacity - endpoint.free
-            unreachable[service] += bool(endpoint.failed_looks)
-        return {
-            "waiting": dict(waiting),
-            "waits_for": dict(reasons),
-            "unreachable": dict(unreachable),
-            "cpu_share": {
-                service: round(
-                    used[service].cpu_millis / max(one.cpu_millis, 1), 2
-                )
-                for service, one in capacity.items()
-            },
-            "gpu_share": {
-                service: round(used[service].gpus / one.gpus, 2)
-                for service, one in capacity.items()
-                if one.gpus
-            },
-        }
+        """Returns what the cell's state is, for a log line."""
+        return _load.describe(self.book)
 
     def take_records(self, most):
         """Returns up to `most` records to store.
@@ -190,7 +146,7 @@
             self._check_after_ms = now_ms + CHECK_INTERVAL_MS
             self._check(now_ms, unix_ms)
         self._planner.plan(now_ms, askers)
-        self._look(now_ms)
+        self._looks.plan(now_ms)
         return self._drain()
 
     def _check(self, now_ms, unix_ms):
@@ -242,7 +198,7 @@
                 entry.stored_version = max(entry.stored_version, version)
                 self.book.send_planned(entry, now_ms, self._lease_ms)
         for endpoint in self.book.endpoint_by_id.values():
-            endpoint.advance_seen(self.book.stored_version)
+            endpoint.advance_stored(self.book.stored_version)
 
     # Endpoints
 
@@ -301,7 +257,7 @@
         _sightings.take_look(self.book, endpoint, event, now_ms)
         self._judge.note_ends(event, before, now_ms)
         self._note_speed(event, before, now_ms)
-        endpoint.advance_seen(self.book.stored_version)
+        endpoint.advance_stored(self.book.stored_version)
         self.book.drop_if_idle(endpoint)
 
     @_take.register
@@ -374,14 +330,14 @@
             return
         booking.state = _tasks.RunState.RUNNING
         booking.confirmed_ms = now_ms
-        self._look_at(endpoint, now_ms, wait_ms=0)
+        self._looks.look_at(endpoint, now_ms, wait_ms=0)
 
     def _take_silence(self, endpoint, booking, now_ms):
         """Repeats an order to start that was not answered, then stops it.
 
         The same run is started once, however often it is ordered.
         """
-        self._doubt_until_ms = now_ms + DOUBT_MS
+        self._looks.note_silence(now_ms)
         if booking.orders < MOST_START_ORDERS and endpoint.may_start:
             self.book.send_start(booking, endpoint, now_ms, self._lease_ms)
         else:
@@ -391,7 +347,7 @@
         outcomes = _messages.StartOutcome
         self.book.release(booking)
         if booking.step.gang:
-            self.book.restart_gang(booking, now_ms)
+            self.book.restart_gang(booking.task.stage, booking.run, now_ms)
         if outcome is outcomes.NO_ROOM:
             endpoint.rest_until_ms = now_ms + NO_ROOM_REST_MS
         elif outcome is outcomes.FENCED:
@@ -423,7 +379,7 @@
         if booking.stop_confirmed_ms is None:
             booking.stop_confirmed_ms = now_ms
             endpoint.look_after_ms = min(endpoint.look_after_ms, now_ms)
-            self._look_at(endpoint, now_ms, wait_ms=0)
+            self._looks.look_at(endpoint, now_ms, wait_ms=0)
 
     # Advice
 
@@ -537,53 +493,6 @@
                     )
                     self.book.stop(booking, now_ms)
 
-    def _look(self, now_ms):
-        for endpoint in self.book.endpoint_by_id.values():
-            if endpoint.look_after_ms > now_ms:
-                continue
-            if endpoint.looks_under_way:
-                if endpoint.is_overdue(now_ms):
-                    self._look_at(endpoint, now_ms, OVERDUE_LOOK_WAIT_MS)
-                continue
-            needed = (
-                not endpoint.known
-                or endpoint.bookings_by_run
-                or endpoint.unseen_ends
-                or endpoint.handled_upto > endpoint.seen_upto
-            )
-            if needed:
-                wait_ms = self._wait_ms(endpoint, now_ms)
-                self._look_at(endpoint, now_ms, wait_ms)
-
-    def _wait_ms(self, endpoint, now_ms):
-        if not endpoint.known or endpoint.failed_looks:
-            return 0
-        if endpoint.unseen_ends:
-            return 0
-        if now_ms < self._doubt_until_ms:
-            return DOUBT_LOOK_WAIT_MS
-        return LOOK_WAIT_MS
-
-    def _look_at(self, endpoint, now_ms, wait_ms):
-        if endpoint.looks_under_way >= MOST_LOOKS:
-            return
-        deadline_ms = None
-        if endpoint.known and not endpoint.failed_looks:
-            deadline_ms = endpoint.deadline_ms(now_ms, self._lease_ms)
-        endpoint.looks_under_way += 1
-        endpoint.look_after_ms = now_ms + (
-            STORE_LAG_LOOK_MS if endpoint.unseen_ends else 0
-        )
-        self.book.actions.append(
-            _messages.Look(
-                endpoint.endpoint_id,
-                endpoint.news.address,
-                endpoint.seen_to_tell(now_ms),
-                wait_ms,
-                deadline_ms,
-            )
-        )
-
 
 def _cannot_end(booking, endpoint, now_ms):
     """Whether a run will probably be cut off when its endpoint leaves."""
--- a/samphiregate/core/cells/_endpoints.py
+++ b/samphiregate/core/cells/_endpoints.py
@@ -15,6 +15,11 @@
 RACK_LABEL = 1
 
 
+def lapse_ms(lease_ms):
+    """Returns after how long a lease has surely ended on any endpoint."""
+    return round(lease_ms * (1 + CLOCK_DRIFT)) + LAPSE_SLACK_MS
+
+
 @attrs.define(eq=False)
 class Endpoint:
     """An endpoint: what it said of itself, and what may run there.
@@ -36,9 +41,9 @@
         nothing further is sent.
     free : Resources
         Room that is not booked; below 0 of a thing when over-given.
-    handled_upto, seen_upto : int
+    handled_upto, stored_upto : int
         Numbers of the last end taken in, and of the last one stored.
-    unseen_ends : deque
+    unstored_ends : deque
         Number, job id and record version of ends that are not stored yet.
     looks_under_way : int
     look_after_ms : int
@@ -59,8 +64,8 @@
     free: _work.Resources = _work.NOTHING
     bookings_by_run: dict = attrs.field(factory=dict)
     handled_upto: int = 0
-    seen_upto: int = 0
-    unseen_ends: collections.deque = attrs.field(factory=collections.deque)
+    stored_upto: int = 0
+    unstored_ends: collections.deque = attrs.field(factory=collections.deque)
     looks_under_way: int = 0
     look_after_ms: int = 0
     rest_until_ms: int = 0
@@ -90,7 +95,7 @@
             and not self.news.draining
         )
 
-    def seen_to_tell(self, now_ms):
+    def stored_to_tell(self, now_ms):
         """Returns up to which number the endpoint may forget ends.
 
         Numbers begin anew when it restarts, and ends of a new life must not
@@ -100,13 +105,13 @@
         quiet_ms = now_ms - self.clock_at_ms
         if self.failed_looks or quiet_ms >= SHORTEST_RESTART_MS:
             return 0
-        return self.seen_upto
+        return self.stored_upto
 
     def deadline_ms(self, now_ms, lease_ms):
         """Returns a lease end on its clock, and notes the lease."""
         self.lease_until_ms = max(
             self.lease_until_ms,
-            now_ms + round(lease_ms * (1 + CLOCK_DRIFT)) + LAPSE_SLACK_MS,
+            now_ms + lapse_ms(lease_ms),
         )
         return self.clock_ms + now_ms - self.clock_at_ms + lease_ms
 
@@ -132,7 +137,7 @@
         self.free += news.capacity - self.news.capacity
         self.news = news
 
-    def advance_seen(self, stored_version_of):
+    def advance_stored(self, stored_version_of):
         """Passes the ends whose jobs' records are stored.
 
         Parameters
@@ -141,13 +146,13 @@
             Takes a job id; returns the version that the store has, or None
             for a job that is not held any more.
         """
-        while self.unseen_ends:
-            number, job_id, version = self.unseen_ends[0]
+        while self.unstored_ends:
+            number, job_id, version = self.unstored_ends[0]
             stored = stored_version_of(job_id)
             if stored is not None and stored < version:
                 return
-            self.seen_upto = number
-            self.unseen_ends.popleft()
+            self.stored_upto = number
+            self.unstored_ends.popleft()
 
     def note_leaving(self, now_ms):
         """Notes when it leaves, from the first news that it drains."""
@@ -161,8 +166,8 @@
         """Forgets what was numbered in an earlier life."""
         self.known = False
         self.handled_upto = 0
-        self.seen_upto = 0
-        self.unseen_ends.clear()
+        self.stored_upto = 0
+        self.unstored_ends.clear()
 
     @property
     def serves_with_target(self):
--- /dev/null
+++ b/samphiregate/core/cells/_load.py
@@ -0,0 +1,51 @@
+"""Describes what a cell is busy with, and what its tasks wait for."""
+
+import collections
+
+from samphiregate.core.cells import _work
+
+
+def describe(book):
+    """Returns the load of a cell, for a log line.
+
+    Parameters
+    ----------
+    book : Book
+
+    Returns
+    -------
+    dict
+        Tasks that wait, by queue and reason; used share of processors and
+        accelerators and number of unreachable endpoints, by service.
+    """
+    waiting = collections.Counter()
+    reasons = collections.Counter()
+    for stage in book.open_stages.values():
+        count = len(stage.startable())
+        waiting[stage.queue.name] += count
+        if stage.waits_for is not None:
+            reasons[stage.waits_for.value] += count
+    used = collections.defaultdict(lambda: _work.NOTHING)
+    capacity = collections.defaultdict(lambda: _work.NOTHING)
+    unreachable = collections.Counter()
+    for endpoint in book.endpoint_by_id.values():
+        service = endpoint.news.service
+        capacity[service] += endpoint.news.capacity
+        used[service] += endpoint.news.capacity - endpoint.free
+        unreachable[service] += bool(endpoint.failed_looks)
+    return {
+        "waiting": dict(waiting),
+        "waits_for": dict(reasons),
+        "unreachable": dict(unreachable),
+        "cpu_share": {
+            service: round(
+                used[service].cpu_millis / max(one.cpu_millis, 1), 2
+            )
+            for service, one in capacity.items()
+        },
+        "gpu_share": {
+            service: round(used[service].gpus / one.gpus, 2)
+            for service, one in capacity.items()
+            if one.gpus
+        },
+    }
--- /dev/null
+++ b/samphiregate/core/cells/_looks.py
@@ -0,0 +1,82 @@
+"""Decides when an endpoint is asked what runs there.
+
+Answers the load of answers that get lost: looks wait for a shorter time then,
+and a second one goes out when an end is overdue.
+"""
+
+from samphiregate.core.cells import _messages
+
+LOOK_WAIT_MS = 1_500
+DOUBT_LOOK_WAIT_MS = 300  # while answers of endpoints get lost
+DOUBT_MS = 5_000
+OVERDUE_LOOK_WAIT_MS = 300
+STORE_LAG_LOOK_MS = 100  # between looks while ends wait for the store
+MOST_LOOKS = 2
+
+
+class Looks:
+    """Plans the looks of a cell; each prolongs what runs there.
+
+    Parameters
+    ----------
+    book : Book
+    lease_ms : int
+        Lease that a look gives an endpoint's runs.
+    """
+
+    def __init__(self, *, book, lease_ms):
+        self._book = book
+        self._lease_ms = lease_ms
+        self._doubt_until_ms = 0
+
+    def note_silence(self, now_ms):
+        """Notes that an order was not answered."""
+        self._doubt_until_ms = now_ms + DOUBT_MS
+
+    def plan(self, now_ms):
+        """Looks at each endpoint of which anything is to be learnt."""
+        for endpoint in self._book.endpoint_by_id.values():
+            if endpoint.look_after_ms > now_ms:
+                continue
+            if endpoint.looks_under_way:
+                if endpoint.is_overdue(now_ms):
+                    self.look_at(endpoint, now_ms, OVERDUE_LOOK_WAIT_MS)
+                continue
+            needed = (
+                not endpoint.known
+                or endpoint.bookings_by_run
+                or endpoint.unstored_ends
+                or endpoint.handled_upto > endpoint.stored_upto
+            )
+            if needed:
+                self.look_at(endpoint, now_ms, self._wait_ms(endpoint, now_ms))
+
+    def look_at(self, endpoint, now_ms, wait_ms):
+        """Looks at an endpoint, unless enough looks are under way."""
+        if endpoint.looks_under_way >= MOST_LOOKS:
+            return
+        deadline_ms = None
+        if endpoint.known and not endpoint.failed_looks:
+            deadline_ms = endpoint.deadline_ms(now_ms, self._lease_ms)
+        endpoint.looks_under_way += 1
+        endpoint.look_after_ms = now_ms + (
+            STORE_LAG_LOOK_MS if endpoint.unstored_ends else 0
+        )
+        self._book.actions.append(
+            _messages.Look(
+                endpoint.endpoint_id,
+                endpoint.news.address,
+                endpoint.stored_to_tell(now_ms),
+                wait_ms,
+                deadline_ms,
+            )
+        )
+
+    def _wait_ms(self, endpoint, now_ms):
+        if not endpoint.known or endpoint.failed_looks:
+            return 0
+        if endpoint.unstored_ends:
+            return 0
+        if now_ms < self._doubt_until_ms:
+            return DOUBT_LOOK_WAIT_MS
+        return LOOK_WAIT_MS
--- a/samphiregate/core/cells/_messages.py
+++ b/samphiregate/core/cells/_messages.py
@@ -291,7 +291,7 @@
     Parameters
     ----------
     endpoint_id, address : str
-    seen_upto : int
+    stored_upto : int
         Ends up to this number are stored and may be forgotten.
     wait_ms : int
         How long the answer may wait for an end.
@@ -301,7 +301,7 @@
 
     endpoint_id: str
     address: str
-    seen_upto: int
+    stored_upto: int
     wait_ms: int
     deadline_ms: int | None
 
--- a/samphiregate/core/cells/_placement.py
+++ b/samphiregate/core/cells/_placement.py
@@ -31,6 +31,18 @@
     most: int
     penalty: float = 0.0
 
+    def less(self, need):
+        """Returns what is left after one more task of this size."""
+        return attrs.evolve(self, room=self.room - need, most=self.most - 1)
+
+
+@attrs.define(eq=False)
+class _Option:
+    """A candidate with what is left of it, and its present cost."""
+
+    candidate: Candidate
+    cost: float
+
 
 class Packing:
     """Chooses endpoints by best fit; stateless."""
@@ -70,29 +82,21 @@
 
     def _fill(self, step, count, candidates):
         need = step.booked
-        rooms = [
-            [
-                self._cost(step, one),
-                one.most,
-                one.room,
-                one.endpoint,
-                one.penalty,
-            ]
+        options = [
+            _Option(one, self._cost(step, one))
             for one in candidates
             if one.most > 0 and need.fits_in(one.room)
         ]
         chosen = []
-        while rooms and len(chosen) < count:
-            best = min(rooms, key=lambda row: row[0])
-            endpoint = best[3]
-            chosen.append(endpoint)
-            best[1] -= 1
-            best[2] -= need
-            if best[1] <= 0 or not need.fits_in(best[2]):
-                rooms.remove(best)
-                continue
-            left = Candidate(endpoint, best[2], best[1], best[4])
-            best[0] = self._cost(step, left)
+        while options and len(chosen) < count:
+            best = min(options, key=lambda option: option.cost)
+            chosen.append(best.candidate.endpoint)
+            left = best.candidate.less(need)
+            if left.most > 0 and need.fits_in(left.room):
+                best.candidate = left
+                best.cost = self._cost(step, left)
+            else:
+                options.remove(best)
         return chosen
 
     def _cost(self, step, candidate):
--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -69,9 +69,7 @@
         for stage in stages:
             tasks = stage.startable()
             if not tasks:
-                if all(task.is_done for task in stage.tasks) or not any(
-                    task.is_waiting for task in stage.tasks
-                ):
+                if not any(task.is_waiting for task in stage.tasks):
                     del book.open_stages[stage.entry.job.job_id, stage.key]
                 continue
             self._plan_stage(stage, tasks, reserved, now_ms)
--- a/samphiregate/core/cells/_records.py
+++ b/samphiregate/core/cells/_records.py
@@ -69,17 +69,8 @@
     return _converter.dumps(value)
 
 
-def decode_job(data):
-    """Decodes a `Job`; raises `BadInputError`."""
-    return _decode(data, _work.Job)
-
-
-def decode_record(data):
-    """Decodes a `JobRecord`; raises `BadInputError`."""
-    return _decode(data, JobRecord)
-
-
-def _decode(data, cls):
+def decode(data, cls):
+    """Decodes a value of a class; raises `BadInputError`."""
     try:
         return _converter.loads(data, cls)
     except (
--- a/samphiregate/core/cells/_sightings.py
+++ b/samphiregate/core/cells/_sightings.py
@@ -2,7 +2,6 @@
 
 import attrs
 
-from samphiregate.core.cells import _messages
 from samphiregate.core.cells import _tasks
 
 MOST_ENDS_LISTED = 500  # an answer with as many may leave ends out
@@ -86,14 +85,7 @@
         run=row.run,
         endpoint=endpoint.endpoint_id,
     )
-    book.actions.append(
-        _messages.StopTask(
-            endpoint.endpoint_id,
-            endpoint.news.address,
-            row.task_id,
-            row.run,
-        )
-    )
+    book.order_stop(endpoint, row.task_id, row.run)
 
 
 def _update(booking, row, now_ms):
@@ -103,7 +95,6 @@
     if row.percent > booking.percent:
         booking.progressed_ms = now_ms
     booking.percent = row.percent
-    booking.gauge = row.gauge
     if row.saved:
         booking.task.saved = row.saved
 
@@ -125,7 +116,7 @@
         )
         book.release(booking)
         if booking.step.gang:
-            book.restart_gang(booking, now_ms)
+            book.restart_gang(booking.task.stage, booking.run, now_ms)
 
 
 def _known_since(booking):
--- a/samphiregate/core/cells/_tasks.py
+++ b/samphiregate/core/cells/_tasks.py
@@ -37,8 +37,8 @@
     confirmed_ms : int or None
         When the run was last known to exist.
     stop_sent_ms, stop_confirmed_ms : int or None
-    percent, gauge : float
-        As the endpoint lists them.
+    percent : float
+        Progress, as the endpoint lists it.
     progressed_ms : int
         When `percent` last rose.
     orders : int
@@ -55,7 +55,6 @@
     stop_sent_ms: int | None = None
     stop_confirmed_ms: int | None = None
     percent: float = 0.0
-    gauge: float = 0.0
     progressed_ms: int = 0
     orders: int = 0
 
