Measure slow runs by their step's runs elsewhere, not by the estimate

Cause: a run was stopped as standing still when its projected length passed four times its estimate. Change: a run is expected to take what runs of its step take on other endpoints, at least its estimate; it is moved, or copied, only if what is left of it exceeds that. A run without any progress counts as endless. The logic leaves the cell for _stragglers.

--- a/features/cells.feature
+++ b/features/cells.feature
@@ -206,6 +206,20 @@
       | plain       | 8     | 650  | 4500 |
       | plain       | 999   | 650  | 4500 |
 
+  Scenario Outline: jobs longer than their estimates are left to run
+    Given 6 endpoints of 4 cores
+    And an owner of the cell
+    And tasks take 8 times their estimate
+    When a job of <tasks> <kind> tasks is sent each 5000 ms for 30 s
+    Then all jobs are completed within 20000 ms
+    And at most <most> runs were started besides those needed
+
+    Examples:
+      | tasks | kind        | most |
+      | 8     | plain       | 0    |
+      | 8     | speculative | 0    |
+      | 2     | plain       | 4    |
+
   Scenario: nothing is asked of the policy service while there is no room
     Given 1 endpoints of 4 cores
     And an owner of the cell
--- a/features/steps/cells_steps.py
+++ b/features/steps/cells_steps.py
@@ -264,6 +264,11 @@
         context.play.run_for(gap)
 
 
+@behave.given("tasks take {times:d} times their estimate")
+def given_underrated(context, times):
+    context.play.underrated = times
+
+
 @behave.when('endpoint "{endpoint_id}" takes {times:d} times as long')
 def when_slow(context, endpoint_id, times):
     context.play.endpoint_by_id[endpoint_id].slowness = times
@@ -381,6 +386,13 @@
     )
 
 
+@behave.then("at most {most:d} runs were started besides those needed")
+def then_few_runs_more(context, most):
+    play = context.play
+    needed = len({task_id for task_id, _run, _endpoint in play.starts})
+    assert len(play.starts) - needed <= most, len(play.starts) - needed
+
+
 @behave.then("all jobs are completed within {most:d} ms")
 def then_all_completed(context, most):
     _check_completed(context, 0, most)
--- a/features/support/cells.py
+++ b/features/support/cells.py
@@ -241,6 +241,8 @@
         First start of each task.
     misjudged : float
         Largest share by which estimates are too long.
+    underrated : float
+        Factor by which tasks take longer than their estimates.
     stored_by_id : dict
         Records as the store has them.
     """
@@ -265,6 +267,7 @@
         self.askers = 4
         self.most_questions = 0
         self.misjudged = 0.0
+        self.underrated = 1.0
         self.asked = []
         self.epoch = 0
         self.cell = None
@@ -499,8 +502,8 @@
 
     def work_ms(self, task_id):
         """Returns how long a task takes."""
-        estimate_ms = self.step_of(task_id).estimate_ms
-        return estimate_ms * self.random.uniform(1 - self.misjudged, 1)
+        usual_ms = self.step_of(task_id).estimate_ms * self.underrated
+        return usual_ms * self.random.uniform(1 - self.misjudged, 1)
 
     def is_hopeless(self, task_id):
         """Whether a task fails wherever it runs."""
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -57,11 +57,14 @@
         self._looks = _looks.Looks(book=self.book, lease_ms=lease_ms)
         self._check_after_ms = 0
         self._judge = _faults.FaultJudge()
-        self._speeds = _stragglers.SpeedMeter()
+        speeds = _stragglers.SpeedMeter()
+        self._stragglers = _stragglers.Stragglers(
+            book=self.book, speeds=speeds
+        )
         self._planner = _planner.Planner(
             book=self.book,
             is_resting=self._judge.is_resting,
-            speeds=self._speeds,
+            speeds=speeds,
         )
 
     # Queries
@@ -155,7 +158,7 @@
         self._add_occurrences(now_ms, unix_ms)
         self._leave_draining(now_ms)
         self.book.retry_stops(now_ms)
-        self._restart_still(now_ms)
+        self._stragglers.move_slow(now_ms)
         self._planner.plan_copies(now_ms)
 
     def _drain(self):
@@ -256,7 +259,7 @@
         before = dict(endpoint.bookings_by_run)
         _sightings.take_look(self.book, endpoint, event, now_ms)
         self._judge.note_ends(event, before, now_ms)
-        self._note_speed(event, before, now_ms)
+        self._stragglers.take_look(event, before, now_ms)
         endpoint.advance_stored(self.book.stored_version)
         self.book.drop_if_idle(endpoint)
 
@@ -432,40 +435,6 @@
                 self.book.lose(endpoint, "its lease has lapsed", now_ms)
             self.book.drop_if_idle(endpoint)
 
-    def _note_speed(self, event, before, now_ms):
-        for row in event.ended:
-            booking = before.get((row.task_id, row.run))
-            if booking is None or row.reason is not _messages.EndReason.DONE:
-                continue
-            self._speeds.note(
-                event.endpoint_id,
-                now_ms - booking.sent_ms,
-                booking.step.estimate_ms,
-                now_ms,
-            )
-
-    def _restart_still(self, now_ms):
-        """Stops runs that make no progress, to start them elsewhere."""
-        for endpoint in self.book.endpoint_by_id.values():
-            for booking in endpoint.runs(_tasks.RunState.RUNNING):
-                if not _stragglers.is_still(booking, now_ms):
-                    continue
-                self.book.decided(
-                    "run stands still",
-                    booking.task.task_id.job_id,
-                    run=booking.run,
-                    endpoint=endpoint.endpoint_id,
-                    percent=booking.percent,
-                    still_ms=now_ms - booking.progressed_ms,
-                )
-                self._speeds.note(
-                    endpoint.endpoint_id,
-                    now_ms - booking.sent_ms,
-                    booking.step.estimate_ms,
-                    now_ms,
-                )
-                self.book.stop(booking, now_ms)
-
     def _add_occurrences(self, now_ms, unix_ms):
         for entry in self.book.entry_by_id.values():
             schedule = entry.job.schedule
--- a/samphiregate/core/cells/_stragglers.py
+++ b/samphiregate/core/cells/_stragglers.py
@@ -3,18 +3,25 @@
 Answers the load of endpoints that work several times slower for a while, or
 on which tasks stand still: new tasks go elsewhere first, a task that makes
 no progress is stopped and started elsewhere, and one that may run in copies
-gets a copy.
+gets a copy. Estimates are rough, and whole jobs take several times as long
+as theirs: so a run is measured by how its step fares on other endpoints,
+and moved only if a fresh run there would surely end before it.
 """
 
 import attrs
 
+from samphiregate.core.cells import _messages
 from samphiregate.core.cells import _tasks
 
-STILL_MS = 2_500  # before a task can count as still
-STILL_FACTOR = 1.2  # of the estimate, likewise
-STILL_SLOWNESS = 4.0  # of the estimate, for what the whole task would take
-COPY_FACTOR = 2.0  # of the estimate, before a copy is started
-COPY_MS = 400
+MOVE_AFTER_MS = 2_500  # of a run, before it can be moved
+MOVE_AFTER_FACTOR = 1.2  # of what is expected of a run, likewise
+MOVE_GAIN = 2.0  # what is left of a run, in runs as they are expected
+STANDSTILL_MS = 2_500  # without progress
+STANDSTILL_FACTOR = 0.1  # of the estimate; progress is listed in percent
+COPY_AFTER_FACTOR = 1.2  # of what is expected of a run
+COPY_AFTER_MS = 400
+COPY_GAIN = 1.0
+LEAST_PERCENT = 5.0  # before progress tells how long a run will take
 NEWEST_WEIGHT = 0.4
 HALF_LIFE_MS = 3_000
 USUAL_SLOWNESS = 1.5
@@ -27,7 +34,7 @@
 
 
 class SpeedMeter:
-    """Learns by which factor tasks of an endpoint exceed their estimates.
+    """Learns by which factor tasks of an endpoint take longer than expected.
 
     What was learnt fades, so that an endpoint is tried again.
     """
@@ -35,11 +42,11 @@
     def __init__(self):
         self._pace_by_id = {}
 
-    def note(self, endpoint_id, elapsed_ms, estimate_ms, now_ms):
+    def note(self, endpoint_id, elapsed_ms, expected_ms, now_ms):
         """Notes a run that took `elapsed_ms`, or has taken it so far."""
         pace = self._pace_by_id.setdefault(endpoint_id, _Pace(1.0, now_ms))
         faded = self.slowness(endpoint_id, now_ms)
-        seen = elapsed_ms / max(estimate_ms, 1)
+        seen = elapsed_ms / max(expected_ms, 1)
         pace.slowness = faded + NEWEST_WEIGHT * (seen - faded)
         pace.noted_ms = now_ms
 
@@ -56,34 +63,132 @@
         return max(self.slowness(endpoint_id, now_ms) - USUAL_SLOWNESS, 0.0)
 
 
-def is_still(booking, now_ms):
-    """Whether a run makes so little progress that it should move.
+class Stragglers:
+    """Finds slow runs from what endpoints list, and moves them.
+
+    Parameters
+    ----------
+    book : Book
+    speeds : SpeedMeter
+        Learns from the runs that end, or are moved.
+    """
+
+    def __init__(self, *, book, speeds):
+        self._book = book
+        self._speeds = speeds
+
+    def take_look(self, event, before, now_ms):
+        """Takes in how far runs got.
+
+        Parameters
+        ----------
+        event : EndpointLooked
+        before : dict
+            The endpoint's bookings by run, before the ends were taken in.
+        now_ms : int
+        """
+        for row in event.running:
+            booking = before.get((row.task_id, row.run))
+            if booking is not None:
+                _note_progress(booking, row.percent, now_ms)
+        for row in event.ended:
+            booking = before.get((row.task_id, row.run))
+            if booking is None or row.reason is not _messages.EndReason.DONE:
+                continue
+            _note_progress(booking, 100.0, now_ms)
+            self._note_speed(booking, now_ms)
+
+    def move_slow(self, now_ms):
+        """Stops runs that a fresh one elsewhere would surely overtake."""
+        for endpoint in self._book.endpoint_by_id.values():
+            for booking in endpoint.runs(_tasks.RunState.RUNNING):
+                if not is_overtaken(booking, now_ms):
+                    continue
+                self._book.decided(
+                    "slow run stopped",
+                    booking.task.task_id.job_id,
+                    run=booking.run,
+                    endpoint=endpoint.endpoint_id,
+                    percent=booking.percent,
+                    elapsed_ms=now_ms - booking.sent_ms,
+                    expected_ms=round(expected_ms(booking)),
+                )
+                self._note_speed(booking, now_ms)
+                self._book.stop(booking, now_ms)
+
+    def _note_speed(self, booking, now_ms):
+        self._speeds.note(
+            booking.endpoint_id,
+            now_ms - booking.sent_ms,
+            expected_ms(booking),
+            now_ms,
+        )
+
+
+def expected_ms(booking):
+    """Returns how long a run of the same step takes on other endpoints."""
+    stage = booking.task.stage
+    elsewhere = [
+        whole_ms
+        for endpoint_id, whole_ms in stage.whole_ms_by_endpoint.items()
+        if endpoint_id != booking.endpoint_id
+    ]
+    return max(stage.step.estimate_ms, min(elsewhere, default=0))
+
+
+def is_overtaken(booking, now_ms):
+    """Whether a fresh run elsewhere would surely end before this one.
 
     A run that resumed from a checkpoint counts from its start there.
     """
     step = booking.step
-    if (
-        booking.state is not _tasks.RunState.RUNNING
-        or step.long_running
-        or step.gang
-        or booking.confirmed_ms is None
-    ):
+    if step.gang or not _can_be_measured(booking):
         return False
     elapsed_ms = booking.confirmed_ms - booking.sent_ms
-    least_ms = max(STILL_MS, step.estimate_ms * STILL_FACTOR)
-    if elapsed_ms < least_ms:
+    usual_ms = expected_ms(booking)
+    if elapsed_ms < max(MOVE_AFTER_MS, usual_ms * MOVE_AFTER_FACTOR):
         return False
-    whole_ms = elapsed_ms * 100 / max(booking.percent, 0.1)
-    return whole_ms > step.estimate_ms * STILL_SLOWNESS
+    return _left_ms(booking, now_ms) > usual_ms * MOVE_GAIN
 
 
 def wants_copy(task, now_ms):
-    """Whether a task's only run takes so long that a copy may overtake it."""
+    """Whether a copy of a task would probably end before its only run."""
     if not task.stage.step.speculative or len(task.bookings_by_run) != 1:
         return False
     booking = next(iter(task.bookings_by_run.values()))
-    due_ms = task.stage.step.estimate_ms * COPY_FACTOR + COPY_MS
+    if not _can_be_measured(booking):
+        return False
+    usual_ms = expected_ms(booking)
+    due_ms = usual_ms * COPY_AFTER_FACTOR + COPY_AFTER_MS
+    if booking.confirmed_ms - booking.sent_ms < due_ms:
+        return False
+    return _left_ms(booking, now_ms) > usual_ms * COPY_GAIN
+
+
+def _can_be_measured(booking):
     return (
         booking.state is _tasks.RunState.RUNNING
-        and now_ms - booking.sent_ms > due_ms
+        and not booking.step.long_running
+        and booking.confirmed_ms is not None
     )
+
+
+def _left_ms(booking, now_ms):
+    """Returns how much longer a run takes if it goes on as it did."""
+    step = booking.step
+    still_ms = now_ms - (booking.progressed_ms or booking.sent_ms)
+    if still_ms > STANDSTILL_MS + step.estimate_ms * STANDSTILL_FACTOR:
+        return float("inf")
+    percent = max(booking.percent, 0.1)
+    elapsed_ms = booking.confirmed_ms - booking.sent_ms
+    return elapsed_ms * (100 - percent) / percent
+
+
+def _note_progress(booking, percent, now_ms):
+    """Notes what a whole run of the step takes on the run's endpoint."""
+    if percent < LEAST_PERCENT or booking.step.long_running:
+        return
+    whole_ms = (now_ms - booking.sent_ms) * 100 / percent
+    known = booking.task.stage.whole_ms_by_endpoint
+    endpoint_id = booking.endpoint_id
+    known[endpoint_id] = min(known.get(endpoint_id, whole_ms), whole_ms)
--- a/samphiregate/core/cells/_tasks.py
+++ b/samphiregate/core/cells/_tasks.py
@@ -134,6 +134,9 @@
         No question before this time.
     waits_for : WaitReason or None
         Why tasks were not placed when it was last tried.
+    whole_ms_by_endpoint : dict
+        Shortest time that a whole run took, or seems to take, on each
+        endpoint that runs were seen on.
     """
 
     entry: "JobEntry"
@@ -148,6 +151,7 @@
     asking: bool = False
     ask_after_ms: int = 0
     waits_for: object = None
+    whole_ms_by_endpoint: dict[str, float] = attrs.field(factory=dict)
 
     @property
     def key(self):
