Spare the store calls while it is away, and resend a request once at most

Cause: while the store was away each waiting caller repeated its call every 60 ms, and the HTTP library sent each GET up to 25 times on connections that were reset (once more than the pool's size). Change: an outage meter (core) lets one probe through each 200 ms once four calls failed in series; other calls fail at once, so a job that was not sent on is refused as not run, with a Retry-After, and not left in doubt. A GET is resent once. A VM that the store turns away asks any other VM, not only the owner's, until its own lease is renewed again; before, a VM that still took itself for the owner asked nobody. Tests: three scenarios of cells_vm.feature; before: 26 requests for one GET, a call for each refused caller, and a refusal though another VM could write.

--- a/features/cells_vm.feature
+++ b/features/cells_vm.feature
@@ -30,6 +30,22 @@
       | refused | unavailable, ran no |
       | silent  | outcome-unknown     |
 
+  Scenario: another VM is asked where the owner's does not reach the store
+    Given a store that answers writes with refused
+    And the owner's VM, whose store answers writes with refused
+    And one more VM, whose store answers writes with done
+    When a caller sends a job with 1000 ms to spare
+    Then the caller is told accepted
+
+  Scenario: callers of a store that is away are refused without a call each
+    Given a store that answers writes with refused
+    When 40 callers send jobs one after the other
+    Then all are told unavailable, ran no, after at most 30 calls to the store
+    When the store answers writes with done again
+    And 1000 ms of the callers' time go by
+    And 3 callers send jobs one after the other
+    Then all are told accepted, after at most 33 calls to the store
+
   Scenario Outline: a cancelling is stored, or the job does not exist
     Given a store in memory that <holds> job "j"
     When a caller cancels job "j" <times> times
@@ -89,3 +105,13 @@
     Given an HTTP server and a client of 1 connection to it
     When a request fails while another waits for the connection
     Then the other request is answered
+
+  Scenario Outline: a request is sent again once at most
+    Given a server that ends each connection after the request
+    When a client of 24 connections sends a <method> request
+    Then it failed, and the server saw <most> requests
+
+    Examples:
+      | method | most |
+      | GET    | 2    |
+      | POST   | 1    |
--- a/features/steps/cells_vm_steps.py
+++ b/features/steps/cells_vm_steps.py
@@ -6,6 +6,7 @@
 import behave
 import gevent
 import gevent.event
+import gevent.server
 
 from features.support import cells as play_support
 from features.support import cells_store
@@ -25,17 +26,27 @@
 SETTLE_S = 10  # longest wait for a greenlet; never an expected time
 
 
-def _make_desk(context, store, peers=None, owner=None):
-    relay = _relay.StoreRelay(
-        store=store, peers=peers, peer_address=lambda: owner
+def _make_relay(store, clock, peers=None, others=()):
+    return _relay.StoreRelay(
+        store=store,
+        peers=peers,
+        other_addresses=lambda: others,
+        renewed_ms=lambda: 0,
+        now_ms=clock.now_ms,
+        log=cells_store.FakeLog(),
     )
+
+
+def _make_desk(context, store, peers=None, others=()):
+    context.clock = cells_store.SteppingClock(step_ms=15)
+    relay = _make_relay(store, context.clock, peers, others)
     context.desk = _desk.JobDesk(
         cell=CELL,
         relay=relay,
         peers=peers,
         local_cell=lambda: None,
         owner_address=lambda: None,
-        now_ms=cells_store.SteppingClock().now_ms,
+        now_ms=context.clock.now_ms,
         log=cells_store.FakeLog(),
     )
 
@@ -48,18 +59,28 @@
 
 @behave.given("the owner's VM, whose store answers writes with {answers}")
 def given_owner_vm(context, answers):
-    other = cells_store.ScriptedStore(answers.split(", "))
-    owner_relay = _relay.StoreRelay(
-        store=other, peers=None, peer_address=lambda: None
-    )
-    owner_peers = _peer_calls.PeerCalls(answer=owner_relay.answer_write)
-    server = http.NoDelayServer("127.0.0.1:0", owner_peers.application)
+    _add_vm(context, answers)
+
+
+@behave.given("one more VM, whose store answers writes with {answers}")
+def given_other_vm(context, answers):
+    _add_vm(context, answers)
+
+
+def _add_vm(context, answers):
+    store = cells_store.ScriptedStore(answers.split(", "))
+    relay = _make_relay(store, cells_store.SteppingClock())
+    vm_peers = _peer_calls.PeerCalls(answer=relay.answer_write)
+    server = http.NoDelayServer("127.0.0.1:0", vm_peers.application)
     server.start()
     context.add_cleanup(server.stop, timeout=0)
+    context.vm_addresses = [
+        *getattr(context, "vm_addresses", ()),
+        f"127.0.0.1:{server.server_port}",
+    ]
     peers = _peer_calls.PeerCalls(answer=None)
     context.add_cleanup(peers.__exit__)
-    address = f"127.0.0.1:{server.server_port}"
-    _make_desk(context, context.store, peers, address)
+    _make_desk(context, context.store, peers, context.vm_addresses)
 
 
 @behave.given("a store in memory")
@@ -112,6 +133,31 @@
     context.told = _tell(lambda: context.desk.submit(job, timeout))
 
 
+@behave.when("{count:d} callers send jobs one after the other")
+def when_sent_in_series(context, count):
+    context.all_told = []
+    for number in range(count):
+        job = play_support.make_job(f"j{number}", play_support.make_step(2))
+        told = _tell(lambda job=job: context.desk.submit(job, 1_000))
+        context.all_told.append(told)
+
+
+@behave.then("all are told {told}, after at most {most:d} calls to the store")
+def then_all_told(context, told, most):
+    assert set(context.all_told) == {told}, context.all_told
+    assert context.store.calls <= most, context.store.calls
+
+
+@behave.when("{span:d} ms of the callers' time go by")
+def when_time_goes_by(context, span):
+    context.clock.time_ms += span
+
+
+@behave.when("the store answers writes with {answers} again")
+def when_store_answers(context, answers):
+    context.store.set_words(answers.split(", "))
+
+
 @behave.when('a caller cancels job "{job_id}" {times:d} times')
 def when_cancelled(context, job_id, times):
     for _time in range(times):
@@ -301,3 +347,35 @@
 @behave.then("the other request is answered")
 def then_answered(context):
     assert context.waiting.get(timeout=SETTLE_S) == 200
+
+
+@behave.given("a server that ends each connection after the request")
+def given_ending_server(context):
+    context.requests = 0
+
+    def end(sock, _address):
+        if sock.recv(4096):
+            context.requests += 1
+        sock.close()
+
+    listener = gevent.server.StreamServer(("127.0.0.1", 0), end)
+    listener.start()
+    context.add_cleanup(listener.stop, timeout=0)
+    context.server_address = f"127.0.0.1:{listener.server_port}"
+
+
+@behave.when(
+    "a client of {connections:d} connections sends a {method} request"
+)
+def when_sent_to_ending(context, connections, method):
+    with http.Client(context.server_address, connections=connections) as one:
+        try:
+            context.failure = one.request(method, "/")
+        except errors.UnavailableError as error:
+            context.failure = error
+
+
+@behave.then("it failed, and the server saw {count:d} requests")
+def then_sent_again(context, count):
+    assert context.failure.ran is errors.Ran.UNKNOWN, context.failure
+    assert context.requests == count, context.requests
--- a/features/support/cells_store.py
+++ b/features/support/cells_store.py
@@ -9,14 +9,25 @@
 
     Words: ``done``, ``exists``, ``refused`` (nothing was done) and
     ``silent`` (unknown).
+
+    Attributes
+    ----------
+    calls : int
+        Writes that were tried.
     """
 
     def __init__(self, words):
+        self.calls = 0
+        self.set_words(words)
+
+    def set_words(self, words):
+        """Sets the script of the writes to come."""
         self._words = list(words)
 
     def commit(self, *, expected, writes, removals=()):
         """See `ports.Store.commit`."""
         del writes, removals
+        self.calls += 1
         word = self._words.pop(0) if len(self._words) > 1 else self._words[0]
         if word == "exists":
             raise ports.ConflictError(dict.fromkeys(expected, 5))
--- a/samphiregate/adapters/cells/_desk.py
+++ b/samphiregate/adapters/cells/_desk.py
@@ -214,11 +214,14 @@
                 f"the store did not answer: {error.detail}",
                 ran=errors.Ran.UNKNOWN,
             ) from error
-        if not unknown and now_ms - started_ms >= MOST_REFUSED_WAIT_MS:
-            raise errors.UnavailableError(
-                f"the store refuses: {error.detail}",
-                retry_after_ms=RETRY_AFTER_MS,
-            ) from error
+        store_is_away = error.retry_after_ms is not None
+        waited_ms = now_ms - started_ms
+        if unknown or not store_is_away and waited_ms < MOST_REFUSED_WAIT_MS:
+            return
+        raise errors.UnavailableError(
+            f"the store refuses: {error.detail}",
+            retry_after_ms=RETRY_AFTER_MS,
+        ) from error
 
     def _read(self, key, deadline_ms):
         while True:
--- a/samphiregate/adapters/cells/_lease.py
+++ b/samphiregate/adapters/cells/_lease.py
@@ -40,11 +40,14 @@
         0 while none is held.
     valid_until_ms : int
         Local time up to which the lease surely stands.
+    renewed_ms : int
+        Local time at which the last call that the store answered was sent.
     """
 
     def __init__(self, *, store, record, now_ms, log):
         self.lease_id = 0
         self.valid_until_ms = 0
+        self.renewed_ms = 0
         self._store = store
         self._record = record
         self._now_ms = now_ms
@@ -96,6 +99,7 @@
     def _renew(self):
         sent_ms = self._now_ms()
         self._store.renew_lease(self.lease_id)
+        self.renewed_ms = sent_ms
         self.valid_until_ms = sent_ms + TTL_MS - SAFETY_MS
 
     def _grant(self):
@@ -106,5 +110,6 @@
         )
         self._store.commit(expected={}, writes=[write])
         self.lease_id = lease_id
+        self.renewed_ms = sent_ms
         self.valid_until_ms = sent_ms + min(ttl_ms, TTL_MS) - SAFETY_MS
         self._log.write("lease granted", lease=lease_id, ttl_ms=ttl_ms)
--- a/samphiregate/adapters/cells/_relay.py
+++ b/samphiregate/adapters/cells/_relay.py
@@ -10,63 +10,107 @@
 from samphiregate import errors
 
 RELAY_TIMEOUT_MS = 1_000
+RETRY_AFTER_MS = 1_000
 
 
 class StoreRelay:
-    """Calls the store, by turns directly and by way of a peer.
+    """Calls the store directly or by way of a peer, as worked last.
 
     Parameters
     ----------
     store : Store
     peers : PeerCalls
-    peer_address : callable
-        Returns the address of a VM that probably reaches the store, or
-        None.
+    other_addresses : callable
+        Returns the addresses of other VMs, the owner's first.
+    renewed_ms : callable
+        Returns when this VM's lease was last renewed, by a direct call.
+    now_ms : callable
+    log : DecisionLog
     """
 
-    def __init__(self, *, store, peers, peer_address):
+    def __init__(
+        self, *, store, peers, other_addresses, renewed_ms, now_ms, log
+    ):
         self._store = store
         self._peers = peers
-        self._peer_address = peer_address
-        self._direct_fails = False
+        self._other_addresses = other_addresses
+        self._renewed_ms = renewed_ms
+        self._now_ms = now_ms
+        self._log = log
+        self._direct_failed_ms = None
+        self._failed_relays = 0
+        self._outage = cells.OutageMeter()
 
     def write(self, expected, write):
-        """Writes a key; raises as `Store.commit` does."""
-        self._by_turns(
+        """Writes a key; raises as `Store.commit` does.
+
+        While neither way works most calls fail at once: `UnavailableError`
+        with `retry_after_ms`, and nothing was done.
+        """
+        self._call(
             lambda: self._store.commit(expected=expected, writes=[write]),
-            lambda: self._relay_write(expected, write),
+            lambda addresses: self._relay_write(addresses, expected, write),
         )
 
     def read(self, key):
-        """Reads a key; raises as `Store.get` does."""
-        return self._by_turns(
-            lambda: self._store.get(key), lambda: self._relay_read(key)
+        """Reads a key; raises as `Store.get` and `write` do."""
+        return self._call(
+            lambda: self._store.get(key),
+            lambda addresses: self._relay_read(addresses, key),
         )
 
-    def _by_turns(self, direct, relayed):
+    def _call(self, direct, relayed):
         """Goes the way that did not fail last."""
-        if self._direct_fails:
-            self._direct_fails = False
-            result = relayed()
-            self._direct_fails = True
-            return result
+        sent_ms = self._now_ms()
+        if not self._outage.may_try(sent_ms):
+            raise errors.UnavailableError(
+                f"the store is away for {sent_ms - self._outage.since_ms} ms",
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+        addresses = self._other_addresses() if self._direct_fails else ()
+        goes_directly = not addresses
         try:
-            return direct()
-        except errors.UnavailableError:
-            self._direct_fails = True
+            result = direct() if goes_directly else relayed(addresses)
+        except _ports.ConflictError:
+            self._note_success()
             raise
-
-    def _call(self, message):
-        address = self._peer_address()
-        if address is None:
-            raise errors.UnavailableError("no other VM can be asked")
+        except errors.UnavailableError as error:
+            self._direct_failed_ms = sent_ms if goes_directly else None
+            self._failed_relays += not goes_directly
+            self._note_failure(sent_ms, error)
+            raise
+        self._note_success()
+        return result
+
+    @property
+    def _direct_fails(self):
+        """Whether the store has not served this VM since it failed."""
+        failed_ms = self._direct_failed_ms
+        return failed_ms is not None and self._renewed_ms() <= failed_ms
+
+    def _note_failure(self, sent_ms, error):
+        was_away = self._outage.is_away
+        self._outage.note_failure(sent_ms, self._now_ms())
+        if self._outage.is_away and not was_away:
+            self._log.write("store lost", reason=error.detail)
+
+    def _note_success(self):
+        now_ms = self._now_ms()
+        if self._outage.is_away:
+            away_ms = now_ms - self._outage.since_ms
+            self._log.write("store regained", away_ms=away_ms)
+        self._outage.note_success(now_ms)
+
+    def _ask_peer(self, addresses, message):
+        """Asks another VM, a different one after each failure."""
+        address = addresses[self._failed_relays % len(addresses)]
         return self._peers.call(address, message, RELAY_TIMEOUT_MS)
 
-    def _relay_write(self, expected, write):
+    def _relay_write(self, addresses, expected, write):
         message = cells.RelayWrite(
             write.key, write.value, tuple(expected.items())
         )
-        answer = self._call(message)
+        answer = self._ask_peer(addresses, message)
         if not isinstance(answer, cells.WriteWas):
             raise errors.UnavailableError(
                 "another VM did not write", ran=errors.Ran.UNKNOWN
@@ -74,8 +118,8 @@
         if not answer.done:
             raise _ports.ConflictError(dict(answer.revisions))
 
-    def _relay_read(self, key):
-        answer = self._call(cells.RelayRead(key))
+    def _relay_read(self, addresses, key):
+        answer = self._ask_peer(addresses, cells.RelayRead(key))
         if not isinstance(answer, cells.ItemIs):
             raise errors.UnavailableError("another VM did not read")
         if not answer.revision:
--- a/samphiregate/adapters/cells/_vm.py
+++ b/samphiregate/adapters/cells/_vm.py
@@ -23,6 +23,7 @@
 CELL = "all"  # all services; one VM decides for them
 CONFIGURATION_WAIT_MS = 1_000
 OWNERS_WAIT_MS = 2_000
+VMS_WAIT_MS = 8_000
 POLICY_TIMEOUT_MS = 5_000
 
 
@@ -82,7 +83,7 @@
             _keys.OWNERS_PREFIX, self._owner_changed, OWNERS_WAIT_MS
         )
         self._vms = self._mirror(
-            _keys.VMS_PREFIX, lambda _change: None, OWNERS_WAIT_MS
+            _keys.VMS_PREFIX, lambda _change: None, VMS_WAIT_MS
         )
         self._configured = self._mirror(
             ports.decoders.configuration_key,
@@ -92,7 +93,10 @@
         self._relay = _relay.StoreRelay(
             store=ports.store,
             peers=self._peers,
-            peer_address=self._other_address,
+            other_addresses=self._other_addresses,
+            renewed_ms=lambda: self._lease.renewed_ms,
+            now_ms=_clock.steady_ms,
+            log=log,
         )
         self.desk = _desk.JobDesk(
             cell=CELL,
@@ -113,6 +117,7 @@
         self._stack.enter_context(self._peers)
         self._stack.enter_context(self._configured)
         self._stack.enter_context(self._owners)
+        self._stack.enter_context(self._vms)
         self._stack.enter_context(self._lease)
         self._ownership = _ownership.Ownership(
             cell=CELL,
@@ -184,9 +189,15 @@
             self._log.write("owner unreadable", reason=error.detail)
             return None
 
-    def _other_address(self):
-        address = self._owner_address()
-        return None if address == self._peer_address else address
+    def _other_addresses(self):
+        """Returns the addresses of the other VMs, the owner's first."""
+        owner = self._owner_address()
+        others = sorted(
+            set(self._address_by_vm().values()) - {self._peer_address, owner}
+        )
+        if owner is None or owner == self._peer_address:
+            return others
+        return [owner, *others]
 
     def _serve(self, tenure, lost):
         advice = _advice.AdviceDesk(
@@ -211,8 +222,7 @@
             log=self._log,
         )
         try:
-            with self._vms:
-                self._session.serve()
+            self._session.serve()
         finally:
             self._session = None
 
--- a/samphiregate/adapters/http/_client.py
+++ b/samphiregate/adapters/http/_client.py
@@ -12,6 +12,7 @@
 
 from samphiregate import errors
 
+MOST_RESENDS = 1
 READ_BYTES = 65_536
 
 
@@ -57,8 +58,9 @@
 
     Notes
     -----
-    The library sends GET and PUT again when a connection breaks, and never
-    a POST. Calls that must take effect at most once are POSTs.
+    A GET or PUT is sent again once when its connection breaks, as a server
+    may have closed it while it was idle, and a POST never. Calls that must
+    take effect at most once are POSTs.
     """
 
     def __init__(
@@ -83,6 +85,8 @@
             connection_timeout=(connect_timeout_ms or timeout_ms) / 1000,
             network_timeout=timeout_ms / 1000,
         )
+        # The library sends again up to once more than the pool's size.
+        self._client._connection_pool.size = MOST_RESENDS - 1
 
     def __enter__(self):
         return self
--- /dev/null
+++ b/samphiregate/core/cells/_outage.py
@@ -0,0 +1,57 @@
+"""Spaces the tries of calls to the store while it does not answer.
+
+Answers the load of callers that all wait for a store that is away: without
+it each of them would repeat its calls for as long as it waits.
+"""
+
+FAILURES_OF_OUTAGE = 4  # in series; single calls fail at other times too
+PROBE_INTERVAL_MS = 200
+
+
+class OutageMeter:
+    """Tells whether a call to the store is worth a try.
+
+    Attributes
+    ----------
+    since_ms : int or None
+        When the first failure of the present series was noted.
+    """
+
+    def __init__(self):
+        self.since_ms = None
+        self._failures = 0
+        self._succeeded_ms = 0
+        self._probe_after_ms = 0
+
+    @property
+    def is_away(self):
+        """Whether the store is taken to be away."""
+        return self._failures >= FAILURES_OF_OUTAGE
+
+    def may_try(self, now_ms):
+        """Whether to call; while the store is away, one probe at a time."""
+        if not self.is_away:
+            return True
+        if now_ms < self._probe_after_ms:
+            return False
+        self._probe_after_ms = now_ms + PROBE_INTERVAL_MS
+        return True
+
+    def note_failure(self, sent_ms, now_ms):
+        """Notes a call that was not answered, or refused.
+
+        One that was sent before the last success tells nothing new.
+        """
+        if sent_ms < self._succeeded_ms:
+            return
+        if self.since_ms is None:
+            self.since_ms = now_ms
+        self._failures += 1
+        if self._failures == FAILURES_OF_OUTAGE:
+            self._probe_after_ms = now_ms + PROBE_INTERVAL_MS
+
+    def note_success(self, now_ms):
+        """Notes a call that was answered."""
+        self._succeeded_ms = now_ms
+        self._failures = 0
+        self.since_ms = None
