Answer callers before their deadline, and at once when the store is lost

While the store was away callers' own writes served as probes, so that they ended in doubt. Change: calls run beside the caller, who is answered 100 ms before the deadline; a lost lease renewal tells that the direct way is lost, and only renewals tell that it is back; the ways, direct and by another VM, are judged apart; once both are lost, callers are told so at once. Tests: a slow store, a lost renewal, refusals without calls (cells_vm).

--- a/features/cells_vm.feature
+++ b/features/cells_vm.feature
@@ -16,6 +16,7 @@
       | silent                  | outcome-unknown      |
       | refused, silent         | outcome-unknown      |
       | silent, refused         | outcome-unknown      |
+      | slow                    | outcome-unknown      |
 
   Scenario Outline: a VM that the store turns away asks by way of the owner
     Given a store that answers writes with refused
@@ -40,11 +41,23 @@
   Scenario: callers of a store that is away are refused without a call each
     Given a store that answers writes with refused
     When 40 callers send jobs one after the other
-    Then all are told unavailable, ran no, after at most 30 calls to the store
+    Then all are told unavailable, ran no, after at most 3 calls to the store
     When the store answers writes with done again
-    And 1000 ms of the callers' time go by
+    And the store renews the lease
     And 3 callers send jobs one after the other
-    Then all are told accepted, after at most 33 calls to the store
+    Then all are told accepted, after at most 6 calls to the store
+
+  Scenario Outline: a VM that lost the store does not keep callers waiting
+    Given a store that answers writes with <answers>
+    And a lease that the store did not renew
+    When a caller sends a job with 3000 ms to spare
+    Then the caller is told unavailable, ran no
+    And at most 0 calls were made to the store
+
+    Examples:
+      | answers |
+      | silent  |
+      | refused |
 
   Scenario Outline: a cancelling is stored, or the job does not exist
     Given a store in memory that <holds> job "j"
--- a/features/steps/cells_vm_steps.py
+++ b/features/steps/cells_vm_steps.py
@@ -31,7 +31,6 @@
         store=store,
         peers=peers,
         other_addresses=lambda: others,
-        renewed_ms=lambda: 0,
         now_ms=clock.now_ms,
         log=cells_store.FakeLog(),
     )
@@ -40,6 +39,7 @@
 def _make_desk(context, store, peers=None, others=()):
     context.clock = cells_store.SteppingClock(step_ms=15)
     relay = _make_relay(store, context.clock, peers, others)
+    context.relay = relay
     context.desk = _desk.JobDesk(
         cell=CELL,
         relay=relay,
@@ -83,6 +83,16 @@
     _make_desk(context, context.store, peers, context.vm_addresses)
 
 
+@behave.given("a lease that the store did not renew")
+def given_not_renewed(context):
+    context.relay.note_renewal(False)
+
+
+@behave.then("at most {most:d} calls were made to the store")
+def then_few_calls(context, most):
+    assert context.store.calls <= most, context.store.calls
+
+
 @behave.given("a store in memory")
 def given_memory(context):
     context.store = cells_store.MemoryStore()
@@ -148,9 +158,9 @@
     assert context.store.calls <= most, context.store.calls
 
 
-@behave.when("{span:d} ms of the callers' time go by")
-def when_time_goes_by(context, span):
-    context.clock.time_ms += span
+@behave.when("the store renews the lease")
+def when_renewed(context):
+    context.relay.note_renewal(True)
 
 
 @behave.when("the store answers writes with {answers} again")
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -172,7 +172,9 @@
         relay = _relay.StoreRelay(
             store=cells_store.MemoryStore(),
             peers=None,
-            peer_address=lambda: None,
+            other_addresses=lambda: (),
+            now_ms=cells_store.SteppingClock().now_ms,
+            log=log,
         )
         self.desk = _desk.JobDesk(
             cell="all",
--- a/features/support/cells_store.py
+++ b/features/support/cells_store.py
@@ -1,14 +1,19 @@
 """Stores for tests of an entry VM: scripted, and in memory."""
 
+import gevent
+
 from samphiregate.adapters import cells as ports
 from samphiregate import errors
 
 
+SLOW_S = 5  # longer than any caller waits
+
+
 class ScriptedStore:
     """Answers each write with the next word of a script, the last forever.
 
-    Words: ``done``, ``exists``, ``refused`` (nothing was done) and
-    ``silent`` (unknown).
+    Words: ``done``, ``exists``, ``refused`` (nothing was done), ``silent``
+    (unknown) and ``slow`` (no answer for long).
 
     Attributes
     ----------
@@ -33,6 +38,8 @@
             raise ports.ConflictError(dict.fromkeys(expected, 5))
         if word == "refused":
             raise errors.UnavailableError("refused")
+        if word == "slow":
+            gevent.sleep(SLOW_S)
         if word == "silent":
             raise errors.UnavailableError("silent", ran=errors.Ran.UNKNOWN)
         return 6
--- a/samphiregate/adapters/cells/_desk.py
+++ b/samphiregate/adapters/cells/_desk.py
@@ -4,11 +4,13 @@
 
 from samphiregate.adapters.cells import _keys
 from samphiregate.adapters.cells import _ports
+from samphiregate.adapters.cells import _relay
 from samphiregate.core import cells
 from samphiregate import errors
 
 RETRY_INTERVAL_MS = 60
 MOST_REFUSED_WAIT_MS = 250  # for a store that says that it did nothing
+ANSWER_MARGIN_MS = 100  # for the answer's way to the caller
 RETRY_AFTER_MS = 1_000
 STATE_TIMEOUT_MS = 1_000
 WAITING_FRESH_MS = 1_000
@@ -55,7 +57,7 @@
         job_key = _keys.job(self._cell, job.job_id)
         write = _ports.StoreWrite(job_key, cells.encode(job))
         try:
-            self._commit({job_key: 0}, write, timeout_ms)
+            _in_time(self._commit, timeout_ms, {job_key: 0}, write)
         except _ports.ConflictError:
             self._log.write("job known", request=job.job_id)
             return
@@ -77,6 +79,10 @@
             `NOT_FOUND` for a job that does not exist; `UNAVAILABLE` or
             `OUTCOME_UNKNOWN` when it could not be stored for sure.
         """
+        _in_time(self._cancel, timeout_ms, job_id)
+        self._log.write("cancel accepted", request=job_id)
+
+    def _cancel(self, timeout_ms, job_id):
         deadline_ms = self._now_ms() + timeout_ms
         job_key = _keys.job(self._cell, job_id)
         cancel_key = _keys.cancel(self._cell, job_id)
@@ -84,16 +90,12 @@
         if item is None:
             raise _not_found(job_id)
         write = _ports.StoreWrite(cancel_key, b"1")
+        expected = {cancel_key: 0, job_key: item.revision}
         try:
-            self._commit(
-                {cancel_key: 0, job_key: item.revision},
-                write,
-                deadline_ms - self._now_ms(),
-            )
+            self._commit(deadline_ms - self._now_ms(), expected, write)
         except _ports.ConflictError as error:
             if not error.revision_by_key.get(cancel_key):
                 raise _not_found(job_id) from error
-        self._log.write("cancel accepted", request=job_id)
 
     # State
 
@@ -106,10 +108,14 @@
             `NOT_FOUND` for a job that does not exist; `UNAVAILABLE` when
             neither the owner nor the store could be asked.
         """
+        return _in_time(self._state, timeout_ms, job_id)
+
+    def _state(self, timeout_ms, job_id):
+        deadline_ms = self._now_ms() + timeout_ms
         state = self._state_from_owner(job_id)
         if state is not None:
             return state
-        return self._state_from_store(job_id, self._now_ms() + timeout_ms)
+        return self._state_from_store(job_id, deadline_ms)
 
     def _state_from_owner(self, job_id):
         cell = self._local_cell()
@@ -188,11 +194,12 @@
 
     # Calls to the store
 
-    def _commit(self, expected, write, timeout_ms):
-        """Writes, and repeats what was not answered, until the deadline.
+    def _commit(self, timeout_ms, expected, write):
+        """Writes, and repeats what was not answered.
 
         A repeated write either takes effect once, or finds that the first
-        one did.
+        one did. Callers ask other VMs after either refusal, so they are not
+        kept waiting once this one has lost the store.
         """
         started_ms = self._now_ms()
         deadline_ms = started_ms + timeout_ms
@@ -203,26 +210,15 @@
                 return
             except errors.UnavailableError as error:
                 unknown = unknown or error.ran is not errors.Ran.NO
-                self._check_time(error, started_ms, deadline_ms, unknown)
+                now_ms = self._now_ms()
+                if unknown:
+                    gives_up = now_ms >= deadline_ms - RETRY_INTERVAL_MS
+                else:
+                    gives_up = now_ms - started_ms >= MOST_REFUSED_WAIT_MS
+                if gives_up or isinstance(error, _relay.StoreAwayError):
+                    raise _refusal(error, unknown) from error
             gevent.sleep(RETRY_INTERVAL_MS / 1000)
 
-    def _check_time(self, error, started_ms, deadline_ms, unknown):
-        now_ms = self._now_ms()
-        if unknown and now_ms >= deadline_ms - RETRY_INTERVAL_MS:
-            raise errors.SamphiregateError(
-                errors.ErrorCode.OUTCOME_UNKNOWN,
-                f"the store did not answer: {error.detail}",
-                ran=errors.Ran.UNKNOWN,
-            ) from error
-        store_is_away = error.retry_after_ms is not None
-        waited_ms = now_ms - started_ms
-        if unknown or not store_is_away and waited_ms < MOST_REFUSED_WAIT_MS:
-            return
-        raise errors.UnavailableError(
-            f"the store refuses: {error.detail}",
-            retry_after_ms=RETRY_AFTER_MS,
-        ) from error
-
     def _read(self, key, deadline_ms):
         while True:
             try:
@@ -233,6 +229,47 @@
             gevent.sleep(RETRY_INTERVAL_MS / 1000)
 
 
+def _in_time(call, timeout_ms, *args):
+    """Calls with a time-out, and answers the caller before it has passed.
+
+    A call to the store or a peer may outlast the caller's deadline; it then
+    goes on by itself and what comes of it is not waited for.
+    """
+    running = gevent.spawn(_catch, call, timeout_ms, *args)
+    wait_ms = max(timeout_ms - ANSWER_MARGIN_MS, 0)
+    running.join(timeout=wait_ms / 1000)
+    if not running.ready():
+        raise errors.SamphiregateError(
+            errors.ErrorCode.OUTCOME_UNKNOWN,
+            f"no answer of the store within {wait_ms} ms",
+            ran=errors.Ran.UNKNOWN,
+        )
+    result, error = running.value
+    if error is not None:
+        raise error
+    return result
+
+
+def _catch(call, *args):
+    try:
+        return call(*args), None
+    except errors.SamphiregateError as error:
+        return None, error
+
+
+def _refusal(error, unknown):
+    """Returns what a caller is told of a write that did not succeed."""
+    if unknown:
+        return errors.SamphiregateError(
+            errors.ErrorCode.OUTCOME_UNKNOWN,
+            f"the store did not answer: {error.detail}",
+            ran=errors.Ran.UNKNOWN,
+        )
+    return errors.UnavailableError(
+        f"the store refuses: {error.detail}", retry_after_ms=RETRY_AFTER_MS
+    )
+
+
 def _not_found(job_id):
     return errors.SamphiregateError(
         errors.ErrorCode.NOT_FOUND, f"there is no job {job_id}"
--- a/samphiregate/adapters/cells/_lease.py
+++ b/samphiregate/adapters/cells/_lease.py
@@ -31,6 +31,8 @@
     store : Store
     record : VmRecord
         Stored under the lease, so that the others find this VM.
+    on_renewal : callable
+        Takes whether the store answered, after each call.
     now_ms : callable
     log : DecisionLog
 
@@ -40,16 +42,14 @@
         0 while none is held.
     valid_until_ms : int
         Local time up to which the lease surely stands.
-    renewed_ms : int
-        Local time at which the last call that the store answered was sent.
     """
 
-    def __init__(self, *, store, record, now_ms, log):
+    def __init__(self, *, store, record, on_renewal, now_ms, log):
         self.lease_id = 0
         self.valid_until_ms = 0
-        self.renewed_ms = 0
         self._store = store
         self._record = record
+        self._on_renewal = on_renewal
         self._now_ms = now_ms
         self._log = log
         self._greenlet = None
@@ -81,6 +81,7 @@
                     self._renew()
                 else:
                     self._grant()
+                self._on_renewal(True)
             except _ports.LeaseEndedError:
                 self._log.write("lease ended", lease=self.lease_id)
                 self.lease_id = 0
@@ -93,13 +94,13 @@
                     left_ms=self.valid_until_ms - self._now_ms(),
                     reason=error.detail,
                 )
+                self._on_renewal(False)
                 pause_ms = RETRY_INTERVAL_MS
             gevent.sleep(pause_ms / 1000)
 
     def _renew(self):
         sent_ms = self._now_ms()
         self._store.renew_lease(self.lease_id)
-        self.renewed_ms = sent_ms
         self.valid_until_ms = sent_ms + TTL_MS - SAFETY_MS
 
     def _grant(self):
@@ -110,6 +111,5 @@
         )
         self._store.commit(expected={}, writes=[write])
         self.lease_id = lease_id
-        self.renewed_ms = sent_ms
         self.valid_until_ms = sent_ms + min(ttl_ms, TTL_MS) - SAFETY_MS
         self._log.write("lease granted", lease=lease_id, ttl_ms=ttl_ms)
--- a/samphiregate/adapters/cells/_relay.py
+++ b/samphiregate/adapters/cells/_relay.py
@@ -5,6 +5,8 @@
 that it does not matter by which way it goes.
 """
 
+import attrs
+
 from samphiregate.adapters.cells import _ports
 from samphiregate.core import cells
 from samphiregate import errors
@@ -13,6 +15,24 @@
 RETRY_AFTER_MS = 1_000
 
 
+class StoreAwayError(errors.UnavailableError):
+    """No way to the store works, so nothing was sent."""
+
+    def __init__(self, away_ms):
+        super().__init__(
+            f"the store is away for {away_ms} ms",
+            retry_after_ms=RETRY_AFTER_MS,
+        )
+
+
+@attrs.define(eq=False)
+class _Way:
+    """One way to the store."""
+
+    name: str
+    outage: cells.OutageMeter = attrs.field(factory=cells.OutageMeter)
+
+
 class StoreRelay:
     """Calls the store directly or by way of a peer, as worked last.
 
@@ -22,30 +42,27 @@
     peers : PeerCalls
     other_addresses : callable
         Returns the addresses of other VMs, the owner's first.
-    renewed_ms : callable
-        Returns when this VM's lease was last renewed, by a direct call.
     now_ms : callable
     log : DecisionLog
     """
 
-    def __init__(
-        self, *, store, peers, other_addresses, renewed_ms, now_ms, log
-    ):
+    def __init__(self, *, store, peers, other_addresses, now_ms, log):
         self._store = store
         self._peers = peers
         self._other_addresses = other_addresses
-        self._renewed_ms = renewed_ms
         self._now_ms = now_ms
         self._log = log
-        self._direct_failed_ms = None
+        self._direct = _Way("direct")
+        self._relayed = _Way("by another VM")
         self._failed_relays = 0
-        self._outage = cells.OutageMeter()
 
     def write(self, expected, write):
         """Writes a key; raises as `Store.commit` does.
 
-        While neither way works most calls fail at once: `UnavailableError`
-        with `retry_after_ms`, and nothing was done.
+        Raises
+        ------
+        StoreAwayError
+            When neither way works; nothing was sent.
         """
         self._call(
             lambda: self._store.commit(expected=expected, writes=[write]),
@@ -59,47 +76,60 @@
             lambda addresses: self._relay_read(addresses, key),
         )
 
+    def note_renewal(self, succeeded):
+        """Notes whether the store renewed this VM's lease, or refused."""
+        now_ms = self._now_ms()
+        if succeeded:
+            self._note_success(self._direct, now_ms)
+        elif not self._direct.outage.is_away:
+            self._direct.outage.note_away(now_ms)
+            self._log.write("store lost", way=self._direct.name)
+
     def _call(self, direct, relayed):
-        """Goes the way that did not fail last."""
+        """Goes directly if that works, else by another VM."""
         sent_ms = self._now_ms()
-        if not self._outage.may_try(sent_ms):
-            raise errors.UnavailableError(
-                f"the store is away for {sent_ms - self._outage.since_ms} ms",
-                retry_after_ms=RETRY_AFTER_MS,
-            )
-        addresses = self._other_addresses() if self._direct_fails else ()
-        goes_directly = not addresses
+        addresses = self._other_addresses()
+        way = self._choose(sent_ms, addresses)
+        if way is None:
+            away_ms = sent_ms - self._direct.outage.since_ms
+            raise StoreAwayError(away_ms)
         try:
-            result = direct() if goes_directly else relayed(addresses)
+            result = direct() if way is self._direct else relayed(addresses)
         except _ports.ConflictError:
-            self._note_success()
+            self._note_success(way, self._now_ms())
             raise
         except errors.UnavailableError as error:
-            self._direct_failed_ms = sent_ms if goes_directly else None
-            self._failed_relays += not goes_directly
-            self._note_failure(sent_ms, error)
+            self._note_failure(way, sent_ms, error)
             raise
-        self._note_success()
+        self._note_success(way, self._now_ms())
         return result
 
-    @property
-    def _direct_fails(self):
-        """Whether the store has not served this VM since it failed."""
-        failed_ms = self._direct_failed_ms
-        return failed_ms is not None and self._renewed_ms() <= failed_ms
-
-    def _note_failure(self, sent_ms, error):
-        was_away = self._outage.is_away
-        self._outage.note_failure(sent_ms, self._now_ms())
-        if self._outage.is_away and not was_away:
-            self._log.write("store lost", reason=error.detail)
-
-    def _note_success(self):
-        now_ms = self._now_ms()
-        if self._outage.is_away:
-            away_ms = now_ms - self._outage.since_ms
-            self._log.write("store regained", away_ms=away_ms)
-        self._outage.note_success(now_ms)
+    def _choose(self, now_ms, addresses):
+        """Returns the way to go; renewals tell when the direct one is back."""
+        ways = []
+        if not self._direct.outage.is_away:
+            ways.append(self._direct)
+        if addresses:
+            ways.append(self._relayed)
+        ways.sort(key=lambda way: way.outage.since_ms is not None)
+        for way in ways:
+            if way.outage.may_try(now_ms):
+                return way
+        return None
+
+    def _note_failure(self, way, sent_ms, error):
+        if way is self._relayed:
+            self._failed_relays += 1
+        was_away = way.outage.is_away
+        way.outage.note_failure(sent_ms, self._now_ms())
+        if way.outage.is_away and not was_away:
+            self._log.write("store lost", way=way.name, reason=error.detail)
+
+    def _note_success(self, way, now_ms):
+        if way.outage.is_away:
+            away_ms = now_ms - way.outage.since_ms
+            self._log.write("store regained", way=way.name, away_ms=away_ms)
+        way.outage.note_success(now_ms)
 
     def _ask_peer(self, addresses, message):
         """Asks another VM, a different one after each failure."""
--- a/samphiregate/adapters/cells/_vm.py
+++ b/samphiregate/adapters/cells/_vm.py
@@ -76,6 +76,7 @@
         self._lease = _lease.LeaseKeeper(
             store=ports.store,
             record=_lease.VmRecord(vm_id, peer_address),
+            on_renewal=lambda done: self._relay.note_renewal(done),
             now_ms=_clock.steady_ms,
             log=log,
         )
@@ -94,7 +95,6 @@
             store=ports.store,
             peers=self._peers,
             other_addresses=self._other_addresses,
-            renewed_ms=lambda: self._lease.renewed_ms,
             now_ms=_clock.steady_ms,
             log=log,
         )
--- a/samphiregate/core/cells/_outage.py
+++ b/samphiregate/core/cells/_outage.py
@@ -1,10 +1,10 @@
-"""Spaces the tries of calls to the store while it does not answer.
+"""Spaces the tries of calls to the store while it does not answer one way.
 
 Answers the load of callers that all wait for a store that is away: without
 it each of them would repeat its calls for as long as it waits.
 """
 
-FAILURES_OF_OUTAGE = 4  # in series; single calls fail at other times too
+FAILURES_OF_OUTAGE = 3  # in series; single calls fail at other times too
 PROBE_INTERVAL_MS = 200
 
 
@@ -29,7 +29,7 @@
         return self._failures >= FAILURES_OF_OUTAGE
 
     def may_try(self, now_ms):
-        """Whether to call; while the store is away, one probe at a time."""
+        """Whether to call; while the store is away, a probe now and then."""
         if not self.is_away:
             return True
         if now_ms < self._probe_after_ms:
@@ -50,6 +50,12 @@
         if self._failures == FAILURES_OF_OUTAGE:
             self._probe_after_ms = now_ms + PROBE_INTERVAL_MS
 
+    def note_away(self, now_ms):
+        """Notes a failure that by itself tells that the store is away."""
+        if self.since_ms is None:
+            self.since_ms = now_ms
+        self._failures = max(self._failures, FAILURES_OF_OUTAGE)
+
     def note_success(self, now_ms):
         """Notes a call that was answered."""
         self._succeeded_ms = now_ms
