Copy tasks whose endpoint is silent

Cause: since copies wait for a look that lists the run late, tasks on an endpoint that no look reaches got none, and waited for the lease to lapse. Change: without news for two seconds a run counts as late. Test: "tasks that may run in copies do not wait for a silent endpoint" (before: a job still running after 4 s).

--- a/features/cells.feature
+++ b/features/cells.feature
@@ -206,6 +206,13 @@
       | plain       | 8     | 650  | 4500 |
       | plain       | 999   | 650  | 4500 |
 
+  Scenario: tasks that may run in copies do not wait for a silent endpoint
+    Given 4 endpoints of 4 cores
+    And an owner of the cell
+    When a job of 8 speculative tasks is sent each 100 ms for 1 s
+    And endpoint "e0" cannot be reached
+    Then all jobs are completed within 4000 ms
+
   Scenario Outline: jobs longer than their estimates are left to run
     Given 6 endpoints of 4 cores
     And an owner of the cell
--- a/samphiregate/core/cells/_stragglers.py
+++ b/samphiregate/core/cells/_stragglers.py
@@ -21,6 +21,7 @@
 COPY_AFTER_FACTOR = 1.2  # of what is expected of a run
 COPY_AFTER_MS = 400
 COPY_GAIN = 1.0
+SILENT_MS = 2_000  # without news of a run; looks come oftener
 LEAST_PERCENT = 5.0  # before progress tells how long a run will take
 NEWEST_WEIGHT = 0.4
 HALF_LIFE_MS = 3_000
@@ -160,9 +161,11 @@
         return False
     usual_ms = expected_ms(booking)
     due_ms = usual_ms * COPY_AFTER_FACTOR + COPY_AFTER_MS
-    if booking.confirmed_ms - booking.sent_ms < due_ms:
+    is_silent = now_ms - booking.confirmed_ms > SILENT_MS
+    seen_ms = now_ms if is_silent else booking.confirmed_ms
+    if seen_ms - booking.sent_ms < due_ms:
         return False
-    return _left_ms(booking, now_ms) > usual_ms * COPY_GAIN
+    return is_silent or _left_ms(booking, now_ms) > usual_ms * COPY_GAIN
 
 
 def _can_be_measured(booking):
