Hold the look after an end back until the end is stored

Cause: a look that goes out before the last ends are stored cannot tell so and is answered at once with the same ends: each end cost two looks or more. Change: the next look waits for the store, 100 ms at most. Test: "an end costs about one look" (before: 102 looks for 50 ends).

--- a/features/cells.feature
+++ b/features/cells.feature
@@ -260,6 +260,14 @@
     And 8 jobs of 4 tasks of 1000 ms that need advice are sent to service "other" with priority 2
     Then the jobs sent last are completed within 5000 ms
 
+  Scenario: an end costs about one look
+    Given 2 endpoints of 4 cores
+    And an owner of the cell
+    And a store that takes 25 ms a write
+    When a job of 1 plain tasks is sent each 200 ms for 10 s
+    Then all jobs are completed within 2000 ms
+    And at most 60 looks were made in all
+
   Scenario Outline: faults in series break no promise
     Given 6 endpoints of 4 cores
     And an owner of the cell
--- a/features/steps/cells_steps.py
+++ b/features/steps/cells_steps.py
@@ -420,6 +420,16 @@
     )
 
 
+@behave.given("a store that takes {span:d} ms a write")
+def given_slow_store(context, span):
+    context.play.store_ms = span
+
+
+@behave.then("at most {most:d} looks were made in all")
+def then_few_looks(context, most):
+    assert context.play.looks <= most, context.play.looks
+
+
 @behave.then("at most {most:d} runs were started besides those needed")
 def then_few_runs_more(context, most):
     play = context.play
--- a/features/support/cells.py
+++ b/features/support/cells.py
@@ -251,6 +251,10 @@
         Largest share by which estimates are too long.
     underrated : float
         Factor by which tasks take longer than their estimates.
+    store_ms : int
+        How long a write takes.
+    looks : int
+        Looks at endpoints that were ordered.
     stored_by_id : dict
         Records as the store has them.
     """
@@ -269,11 +273,13 @@
         self.hopeless_ids = set()
         self.accounts = ()
         self.store_up = True
+        self.store_ms = STORE_MS
         self.owner_up = True
         self.allowed_by_step = {}
         self.advice_ms = 30
         self.askers = 4
         self.most_questions = 0
+        self.looks = 0
         self.misjudged = 0.0
         self.underrated = 1.0
         self.asked = []
@@ -380,7 +386,7 @@
         if rows:
             self._writing = True
             self.at(
-                STORE_MS,
+                self.store_ms,
                 functools.partial(self._written, rows, self._generation),
             )
 
@@ -470,6 +476,7 @@
         self.at(LINK_MS, arrive)
 
     def _order_look(self, action):
+        self.looks += 1
         generation = self._generation
         endpoint = self.endpoint_by_id.get(action.endpoint_id)
         failed = cells.LookFailed(action.endpoint_id)
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -210,7 +210,8 @@
                 entry.stored_version = max(entry.stored_version, version)
                 self.book.send_planned(entry, now_ms, self._lease_ms)
         for endpoint in self.book.endpoint_by_id.values():
-            endpoint.advance_stored(self.book.stored_version)
+            if endpoint.advance_stored(self.book.stored_version):
+                self._looks.hasten(endpoint, now_ms)
 
     # Endpoints
 
@@ -270,6 +271,7 @@
         self._judge.note_ends(event, before, now_ms)
         self._stragglers.take_look(event, before, now_ms)
         endpoint.advance_stored(self.book.stored_version)
+        self._looks.await_store(endpoint, now_ms)
         self.book.drop_if_idle(endpoint)
 
     @_take.register
@@ -390,7 +392,7 @@
             return
         if booking.stop_confirmed_ms is None:
             booking.stop_confirmed_ms = now_ms
-            endpoint.look_after_ms = min(endpoint.look_after_ms, now_ms)
+            self._looks.hasten(endpoint, now_ms)
             self._looks.look_at(endpoint, now_ms, wait_ms=0)
 
     # Advice
--- a/samphiregate/core/cells/_endpoints.py
+++ b/samphiregate/core/cells/_endpoints.py
@@ -145,14 +145,21 @@
         stored_version_of : callable
             Takes a job id; returns the version that the store has, or None
             for a job that is not held any more.
+
+        Returns
+        -------
+        bool
+            Whether there were such ends and all of them are passed.
         """
+        had_any = bool(self.unstored_ends)
         while self.unstored_ends:
             number, job_id, version = self.unstored_ends[0]
             stored = stored_version_of(job_id)
             if stored is not None and stored < version:
-                return
+                return False
             self.stored_upto = number
             self.unstored_ends.popleft()
+        return had_any
 
     def note_leaving(self, now_ms):
         """Notes when it leaves, from the first news that it drains."""
--- a/samphiregate/core/cells/_looks.py
+++ b/samphiregate/core/cells/_looks.py
@@ -10,7 +10,7 @@
 DOUBT_LOOK_WAIT_MS = 300  # while answers of endpoints get lost
 DOUBT_MS = 5_000
 OVERDUE_LOOK_WAIT_MS = 300
-STORE_LAG_LOOK_MS = 100  # between looks while ends wait for the store
+STORE_LAG_LOOK_MS = 100  # most that a look waits for ends to be stored
 MOST_LOOKS = 2
 
 
@@ -33,6 +33,18 @@
         """Notes that an order was not answered."""
         self._doubt_until_ms = now_ms + DOUBT_MS
 
+    def await_store(self, endpoint, now_ms):
+        """Holds the next look back until the ends listed are stored.
+
+        A look that cannot tell so is answered at once with the same ends.
+        """
+        if endpoint.unstored_ends:
+            endpoint.look_after_ms = now_ms + STORE_LAG_LOOK_MS
+
+    def hasten(self, endpoint, now_ms):
+        """Lets the next look at an endpoint go out now."""
+        endpoint.look_after_ms = min(endpoint.look_after_ms, now_ms)
+
     def plan(self, now_ms):
         """Looks at each endpoint of which anything is to be learnt."""
         for endpoint in self._book.endpoint_by_id.values():
