Tell a request's story from log lines: samphiregate explain

The lines of a request, and those that explain them (lease, store and cell of the VMs in it, endpoints that ran its tasks), in order, with the decisive one marked and a closing line: refused, in doubt, failed, or the longest wait and what it is put down to. Text for people, JSON for programs; reads files or standard input, with prefixes. Tests: features/explain.feature (six stories, the command line).

--- /dev/null
+++ b/features/explain.feature
@@ -0,0 +1,46 @@
+Feature: the story of a request, from log lines alone
+
+  Scenario Outline: explain: a request that <what>
+    Given the log lines of a played day
+      """
+      {"vm":"a","time":100.0,"request":"r1","method":"POST","status":"503","code":"unavailable","reason":"the store refuses: the store is away for 900 ms","ran":"no","event":"request refused"}
+      {"vm":"a","time":99.1,"lease":7,"left_ms":900,"reason":"no whole answer from 10.0.0.9:7000","event":"lease not renewed"}
+      {"vm":"b","time":99.2,"lease":8,"left_ms":900,"reason":"of a VM that is not in the story","event":"lease not renewed"}
+      {"vm":"a","time":100.0,"request":"r2","queue":"q","account":"t","event":"job accepted"}
+      {"vm":"c","time":100.01,"queue":"q","account":"t","state":"queued","request":"r2","event":"job queued"}
+      {"vm":"c","time":100.1,"step":[0,0],"placed":1,"wanted":1,"waited_ms":90,"endpoints":["e1"],"request":"r2","event":"tasks placed"}
+      {"vm":"b","time":102.3,"cell":"all","epoch":4,"event":"cell taken"}
+      {"vm":"b","time":102.4,"queue":"q","account":"t","state":"running","request":"r2","event":"job queued"}
+      {"vm":"b","time":103.0,"state":"completed","elapsed_ms":600,"request":"r2","event":"job ended"}
+      {"vm":"a","time":100.0,"request":"r3","queue":"q","account":"t","event":"job accepted"}
+      {"vm":"c","time":100.2,"run":1,"endpoint":"e1","reason":"failed","request":"r3","event":"run failed"}
+      {"vm":"c","time":100.9,"state":"failed","elapsed_ms":900,"task":[0,0,1],"failures":2,"request":"r3","event":"job ended"}
+      {"vm":"a","time":100.0,"request":"r4","queue":"q","account":"t","event":"job accepted"}
+      {"vm":"c","time":100.1,"step":[0,0],"placed":1,"wanted":1,"waited_ms":90,"endpoints":["e1"],"request":"r4","event":"tasks placed"}
+      {"vm":"c","time":107.9,"state":"completed","elapsed_ms":7900,"request":"r4","event":"job ended"}
+      {"vm":"a","time":100.0,"request":"r5","method":"POST","status":"504","code":"outcome-unknown","reason":"no answer of the store within 2900 ms","ran":"unknown","event":"request refused"}
+      {"vm":"a","time":98.9,"request":"r6","queue":"q","account":"t","event":"job accepted"}
+      {"vm":"c","time":99.0,"step":[0,0],"placed":1,"wanted":1,"waited_ms":90,"endpoints":["e2"],"request":"r6","event":"tasks placed"}
+      {"vm":"c","time":104.2,"endpoint":"e2","reason":"its lease has lapsed","runs":1,"event":"runs lost"}
+      {"vm":"c","time":104.3,"step":[0,0],"placed":1,"wanted":1,"waited_ms":90,"endpoints":["e3"],"request":"r6","event":"tasks placed"}
+      no decision, but text
+      """
+    When request <id> is explained
+    Then it is told as <verdict>, decided by "<event>" of VM <vm>
+
+    Examples:
+      | what                             | id | verdict      | event           | vm   |
+      | was refused as not run           | r1 | refused      | request refused | a    |
+      | waited for a takeover            | r2 | completed    | cell taken      | b    |
+      | failed by its own tasks          | r3 | failed       | job ended       | c    |
+      | only ran for long                | r4 | completed    |                 | none |
+      | is in doubt                      | r5 | in doubt     | request refused | a    |
+      | lost its run with an endpoint    | r6 | not finished | runs lost       | c    |
+
+  Scenario: explain: the command line
+    Given a file of log lines with a prefix
+    Then these commands end as told
+      | command                         | exit | shows                                     |
+      | explain r1 LINES                | 0    | decided by: request refused on a (away)   |
+      | --output json explain r1 LINES  | 0    | "verdict": "refused"                      |
+      | explain r9 LINES                | 9    | no line names request r9                  |
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -101,7 +101,7 @@
 
 def place(context, word):
     """Returns a word of a command, with directories and keys put in."""
-    if word in ("LISTS", "GOT", "MINE"):
+    if word in ("LISTS", "GOT", "MINE", "LINES"):
         return str(context.directory / word)
     if word == "KEY":
         listed = support.run_here(
--- /dev/null
+++ b/features/steps/explain_steps.py
@@ -0,0 +1,53 @@
+"""Steps about stories of requests."""
+
+import pathlib
+import tempfile
+
+import behave
+
+from features.support import platform as platform_support
+from samphiregate import logs
+
+PREFIXED_LINE = (
+    '  12.5 a {"vm":"a","time":1.0,"request":"r1","method":"POST",'
+    '"reason":"away","ran":"no","event":"request refused"}\n'
+)
+
+
+@behave.given("the log lines of a played day")
+def given_lines(context):
+    parsed = [logs.parse_line(text) for text in context.text.splitlines()]
+    context.lines = [line for line in parsed if line is not None]
+
+
+@behave.given("a file of log lines with a prefix")
+def given_file(context):
+    directory = platform_support.enter(context, tempfile.TemporaryDirectory())
+    context.directory = pathlib.Path(directory)
+    (context.directory / "LINES").write_text(PREFIXED_LINE)
+    context.variables = {}
+
+
+@behave.when("request {request_id} is explained")
+def when_explained(context, request_id):
+    context.story = logs.tell(context.lines, request_id)
+
+
+@behave.then('it is told as {verdict}, decided by "{event}" of VM {vm}')
+def then_told_by(context, verdict, event, vm):
+    check_decided(context.story, verdict, event, vm)
+
+
+@behave.then('it is told as {verdict}, decided by "" of VM {vm}')
+def then_told_by_none(context, verdict, vm):
+    check_decided(context.story, verdict, "", vm)
+
+
+def check_decided(story, verdict, event, vm):
+    """Checks the verdict and the line that is marked."""
+    assert story.verdict.value == verdict, story
+    if not event:
+        assert story.decisive is None, story.lines[story.decisive]
+        return
+    line = story.lines[story.decisive]
+    assert (line.event, line.vm) == (event, vm), line
--- a/samphiregate/cli/_main.py
+++ b/samphiregate/cli/_main.py
@@ -9,6 +9,7 @@
 
 import samphiregate
 from samphiregate.cli import _exit_codes
+from samphiregate.cli import _explain
 from samphiregate.cli import _jobs
 from samphiregate.cli import _keys
 from samphiregate.cli import _lists
@@ -36,6 +37,7 @@
         | _status.Status
         | _status.Queues
         | _status.Histograms
+        | _explain.Explain
     ]
     platform: typing.Annotated[
         str, _options.option("platform", "ip:port of the platform.", "")
--- /dev/null
+++ b/samphiregate/logs/_stories.py
@@ -0,0 +1,244 @@
+"""Reads decision lines back and tells the story of one request.
+
+The lines of a request name it. Beside them stand lines that explain them
+and name no request: what a VM of the story believed of its store, its lease
+and its cell, and what became of endpoints that ran the request's tasks.
+"""
+
+import enum
+
+import attrs
+import orjson
+
+CONTEXT_MARGIN_S = 2.0  # before the first and after the last line
+LONG_WAIT_S = 1.0  # a shorter gap explains nothing by itself
+ACCEPTING_EVENTS = frozenset({"job accepted", "job known"})
+VM_EVENTS = frozenset(
+    {
+        "cell failed",
+        "cell left",
+        "cell served",
+        "cell taken",
+        "lease ended",
+        "lease granted",
+        "lease not renewed",
+        "ownership lost",
+        "policy service not reached",
+        "records not stored",
+        "started",
+        "stopping",
+        "store lost",
+        "store regained",
+        "watch history lost",
+        "watch lost",
+    }
+)
+ENDPOINT_EVENTS = frozenset(
+    {
+        "endpoint draining",
+        "endpoint regained",
+        "endpoint unlisted",
+        "endpoint unreachable",
+        "runs lost",
+    }
+)
+
+
+class Verdict(enum.Enum):
+    """What became of a request."""
+
+    REFUSED = "refused"
+    IN_DOUBT = "in doubt"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    COMPLETED = "completed"
+    UNFINISHED = "not finished"
+
+
+@attrs.frozen
+class Line:
+    """One decision line.
+
+    Parameters
+    ----------
+    time_s : float
+        Unix seconds by the clock of the VM.
+    vm : str
+    event : str
+    fields : dict
+        The rest of the line.
+    """
+
+    time_s: float
+    vm: str
+    event: str
+    fields: dict
+
+
+@attrs.frozen
+class Story:
+    """The lines of one request, in order.
+
+    Parameters
+    ----------
+    lines : list of Line
+    verdict : Verdict
+    decisive : int or None
+        Index of the line that explains the verdict, or the longest wait.
+    longest_wait_s : float
+        Longest time between two lines of the request.
+    """
+
+    lines: list
+    verdict: Verdict
+    decisive: int | None
+    longest_wait_s: float
+
+
+def parse_line(text):
+    """Decodes a line, with or without a prefix of what collected it.
+
+    Returns
+    -------
+    Line or None
+        None for text that is no decision line.
+    """
+    start = text.find("{")
+    if start < 0:
+        return None
+    try:
+        fields = orjson.loads(text[start:])
+        return Line(
+            float(fields.pop("time")),
+            str(fields.pop("vm")),
+            str(fields.pop("event")),
+            fields,
+        )
+    except (orjson.JSONDecodeError, AttributeError, KeyError, TypeError):
+        return None
+
+
+def tell(lines, request_id):
+    """Returns the story of a request.
+
+    Parameters
+    ----------
+    lines : iterable of Line
+        Of all VMs, in any order.
+    request_id : str
+
+    Returns
+    -------
+    Story or None
+        None if no line names the request.
+    """
+    lines = sorted(lines, key=lambda line: line.time_s)
+    own = [line for line in lines if _names(line, request_id)]
+    if not own:
+        return None
+    context = [line for line in lines if _explains(line, own)]
+    shown = sorted(own + context, key=lambda line: line.time_s)
+    verdict, cause = _judge(own)
+    wait_s, resumed = _longest_wait(own, context)
+    if cause is None and wait_s >= LONG_WAIT_S:
+        cause = _cause_of_wait(context, resumed, wait_s)
+    index = None if cause is None else _index(shown, cause)
+    return Story(shown, verdict, index, wait_s)
+
+
+def _names(line, request_id):
+    return line.fields.get("request") == request_id
+
+
+def _explains(line, own):
+    """Whether a line that names no request belongs to a story."""
+    first_s = own[0].time_s - CONTEXT_MARGIN_S
+    last_s = own[-1].time_s + CONTEXT_MARGIN_S
+    if not first_s <= line.time_s <= last_s or line.fields.get("request"):
+        return False
+    if line.event in VM_EVENTS:
+        return line.vm in {one.vm for one in own}
+    if line.event in ENDPOINT_EVENTS:
+        used = {
+            endpoint
+            for one in own
+            for endpoint in (
+                *one.fields.get("endpoints", ()),
+                one.fields.get("endpoint"),
+            )
+        }
+        return line.fields.get("endpoint") in used
+    return False
+
+
+def _judge(own):
+    """Returns the verdict, and the line that explains it if one does."""
+    ends = [line for line in own if line.event == "job ended"]
+    if ends:
+        verdict = _verdict_of_state(ends[-1].fields.get("state"))
+        is_cause = verdict is Verdict.FAILED
+        return verdict, ends[-1] if is_cause else None
+    if any(line.event in ACCEPTING_EVENTS for line in own):
+        return Verdict.UNFINISHED, None
+    refusals = [
+        line
+        for line in own
+        if line.event == "request refused"
+        and line.fields.get("method") == "POST"
+    ]
+    if not refusals:
+        return Verdict.UNFINISHED, None
+    in_doubt = [
+        line for line in refusals if line.fields.get("ran") == "unknown"
+    ]
+    if in_doubt:
+        return Verdict.IN_DOUBT, in_doubt[-1]
+    return Verdict.REFUSED, refusals[-1]
+
+
+def _verdict_of_state(state):
+    return next(
+        (verdict for verdict in Verdict if verdict.value == state),
+        Verdict.UNFINISHED,
+    )
+
+
+def _longest_wait(own, context):
+    """Returns the longest gap between lines, and the line that ends it.
+
+    Between the start of tasks and the next line they run, unless something
+    happened to a VM or an endpoint meanwhile.
+    """
+    longest = (0.0, None)
+    for earlier, later in zip(own, own[1:], strict=False):
+        disturbed = any(
+            earlier.time_s <= line.time_s <= later.time_s for line in context
+        )
+        gap_s = later.time_s - earlier.time_s
+        waits = earlier.event != "tasks placed" or disturbed
+        if waits and gap_s > longest[0]:
+            longest = (gap_s, later)
+    return longest
+
+
+def _cause_of_wait(context, resumed, wait_s):
+    """Returns what a wait is put down to, or else what ended it.
+
+    Lost endpoints go before a new owner, and that before what a VM of the
+    story met with.
+    """
+    since_s = resumed.time_s - wait_s
+    during = [
+        line for line in context if since_s <= line.time_s <= resumed.time_s
+    ]
+    return min(during, key=_rank, default=resumed)
+
+
+def _rank(line):
+    if line.event in ENDPOINT_EVENTS:
+        return 0
+    return 1 if line.event == "cell taken" else 2
+
+
+def _index(lines, wanted):
+    return next(i for i, line in enumerate(lines) if line is wanted)
