--- a/features/explain.feature
+++ b/features/explain.feature
@@ -44,3 +44,7 @@
       | explain r1 LINES                | 0    | decided by: request refused on a (away)   |
       | --output json explain r1 LINES  | 0    | "verdict": "refused"                      |
       | explain r9 LINES                | 9    | no line names request r9                  |
+
+  Scenario: explain: the page on log lines names all events and fields
+    Given the calls that write decision lines
+    Then docs/LOGGING.md names each event and field
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -5,9 +5,11 @@
 
 import behave
 
+from features.support import log_lines
 from features.support import platform as platform_support
 from samphiregate import logs
 
+LEAST_CALLS = 40  # fewer were found only by a broken search
 PREFIXED_LINE = (
     '  12.5 a {"vm":"a","time":1.0,"request":"r1","method":"POST",'
     '"reason":"away","ran":"no","event":"request refused"}\n'
@@ -51,3 +53,21 @@
         return
     line = story.lines[story.decisive]
     assert (line.event, line.vm) == (event, vm), line
+
+
+@behave.given("the calls that write decision lines")
+def given_calls(context):
+    context.calls = log_lines.find_calls()
+    assert len(context.calls) > LEAST_CALLS, context.calls
+
+
+@behave.then("{page} names each event and field")
+def then_named(context, page):
+    text = pathlib.Path(page).read_text()
+    missing = [
+        (call.place, name)
+        for call in context.calls
+        for name in (*call.events, *call.fields)
+        if f"`{name}`" not in text
+    ]
+    assert not missing, missing
--- a/samphiregate/adapters/cells/_owner.py
+++ b/samphiregate/adapters/cells/_owner.py
@@ -190,7 +190,9 @@
                 )
             except errors.BadInputError as error:
                 self._log.write(
-                    "record unreadable", job=job_id, reason=error.detail
+                    "record unreadable",
+                    request=job_id,
+                    reason=error.detail,
                 )
         cancelled = []
         for item in work_items:
