--- /dev/null
+++ b/features/steps/cells_outcome_steps.py
@@ -0,0 +1,150 @@
+"""Steps about what callers and endpoints get from the owner of a cell."""
+
+import behave
+
+from samphiregate.core import cells
+
+
+@behave.then("the jobs sent last are completed within {most:d} ms")
+def then_last_completed(context, most):
+    play = context.play
+    play.run_for(most)
+    missing = [
+        one for one in context.sent_ids if one not in play.done_ms_by_job
+    ]
+    assert not missing, missing
+
+
+@behave.then('job "{job_id}" is completed within {most:d} ms')
+def then_completed(context, job_id, most):
+    play = context.play
+    took_ms = play.run_until(lambda: job_id in play.done_ms_by_job, most)
+    state = play.cell.state_of(job_id)
+    assert job_id in play.done_ms_by_job, f"{took_ms} ms: {state}"
+
+
+def _check_completed(context, missing, most):
+    play = context.play
+    wanted = len(play.job_by_id) - missing
+    play.run_until(lambda: _count_completed(play) >= wanted, most)
+    states = {
+        job_id: play.cell.state_of(job_id)
+        for job_id in play.job_by_id
+        if play.cell.state_of(job_id) is not cells.JobState.COMPLETED
+    }
+    assert _count_completed(play) >= wanted, states
+
+
+def _count_completed(play):
+    return sum(
+        play.cell.state_of(job_id) is cells.JobState.COMPLETED
+        for job_id in play.job_by_id
+    )
+
+
+@behave.then("at most {most:d} looks were made in all")
+def then_few_looks(context, most):
+    assert context.play.looks <= most, context.play.looks
+
+
+@behave.then("at most {most:d} runs were started besides those needed")
+def then_few_runs_more(context, most):
+    play = context.play
+    needed = len({task_id for task_id, _run, _endpoint in play.starts})
+    assert len(play.starts) - needed <= most, len(play.starts) - needed
+
+
+@behave.then("all jobs are completed within {most:d} ms")
+def then_all_completed(context, most):
+    _check_completed(context, 0, most)
+
+
+@behave.then("all but {count:d} jobs are completed within {most:d} ms")
+def then_most_completed(context, count, most):
+    _check_completed(context, count, most)
+
+
+@behave.then("no promise was broken")
+def then_no_violation(context):
+    assert not context.play.violations, context.play.violations[:5]
+
+
+@behave.then('job "{job_id}" is shown as {state}')
+def then_state(context, job_id, state):
+    shown = context.play.cell.state_of(job_id)
+    assert shown.value == state, shown
+
+
+@behave.then("{count:d} tasks were started")
+def then_started(context, count):
+    assert len(context.play.starts) == count, context.play.starts
+
+
+@behave.then("no task was started anew within {span:d} ms")
+def then_not_anew(context, span):
+    play = context.play
+    seen = set()
+    for task_id, run, _endpoint in play.starts:
+        if run > 1:
+            seen.add(task_id)
+    assert seen
+    restarted_ms = play.done_ms_by_job["j"] - 500
+    assert restarted_ms - context.cut_ms >= span - 100, restarted_ms
+
+
+@behave.then("at most {count:d} tasks ever run at a time")
+def then_at_most(context, count):
+    play = context.play
+    most = 0
+    for _round in range(200):
+        play.run_for(20)
+        running = sum(
+            len(one.run_by_key) for one in play.endpoint_by_id.values()
+        )
+        most = max(most, running)
+    assert 0 < most <= count, most
+
+
+@behave.then('{count:d} tasks of job "{job_id}" run')
+def then_running(context, count, job_id):
+    running = [
+        run
+        for endpoint in context.play.endpoint_by_id.values()
+        for run in endpoint.run_by_key.values()
+        if run.job_id == job_id
+    ]
+    assert len(running) == count, running
+
+
+@behave.then(
+    "half of the jobs took at most {half:d} ms, and all at most {most:d} ms"
+)
+def then_took(context, half, most):
+    done_ms = context.play.done_ms_by_job
+    took = sorted(
+        done_ms.get(job_id, context.play.now_ms) - sent_ms
+        for job_id, sent_ms in context.sent_ms_by_job.items()
+    )
+    assert took[len(took) // 2] <= half, took
+    assert took[-1] <= most, took
+
+
+@behave.then("the large task started within {most:d} ms")
+def then_large_started(context, most):
+    task_id = cells.TaskId("large", 0, 0, 0)
+    started_ms = context.play.start_ms_by_task.get(task_id)
+    assert started_ms is not None
+    waited_ms = started_ms - context.large_sent_ms
+    assert waited_ms <= most, waited_ms
+
+
+@behave.then("at most {count:d} questions were open at a time")
+def then_questions(context, count):
+    assert 0 < context.play.most_questions <= count, (
+        context.play.most_questions
+    )
+
+
+@behave.then("the policy service was asked {count:d} times")
+def then_asked(context, count):
+    assert len(context.play.asked) == count, context.play.asked
--- a/features/steps/cells_vm_steps.py
+++ b/features/steps/cells_vm_steps.py
@@ -8,8 +8,8 @@
 import gevent.event
 import gevent.server
 
-from features.support import cells as play_support
 from features.support import cells_store
+from features.support import cells_work
 from samphiregate.adapters.cells import _configuration
 from samphiregate.adapters.cells import _desk
 from samphiregate.adapters.cells import _keys
@@ -107,7 +107,7 @@
 def given_memory_with(context, holds, job_id):
     context.store = cells_store.MemoryStore()
     if holds == "holds":
-        job = play_support.make_job(job_id, play_support.make_step(2))
+        job = cells_work.make_job(job_id, cells_work.make_step(2))
         write = _ports.StoreWrite(_keys.job(CELL, job_id), cells.encode(job))
         context.store.commit(expected={}, writes=[write])
     _make_desk(context, context.store)
@@ -139,7 +139,7 @@
 
 @behave.when("a caller sends a job with {timeout:d} ms to spare")
 def when_sent(context, timeout):
-    job = play_support.make_job("j", play_support.make_step(2))
+    job = cells_work.make_job("j", cells_work.make_step(2))
     context.told = _tell(lambda: context.desk.submit(job, timeout))
 
 
@@ -147,7 +147,7 @@
 def when_sent_in_series(context, count):
     context.all_told = []
     for number in range(count):
-        job = play_support.make_job(f"j{number}", play_support.make_step(2))
+        job = cells_work.make_job(f"j{number}", cells_work.make_step(2))
         told = _tell(lambda job=job: context.desk.submit(job, 1_000))
         context.all_told.append(told)
 
--- a/features/support/cells.py
+++ b/features/support/cells.py
@@ -10,8 +10,7 @@
 import itertools
 import random
 
-import attrs
-
+from features.support import cells_endpoints
 from samphiregate.core import cells
 
 LINK_MS = 1
@@ -19,219 +18,8 @@
 TICK_MS = 100
 SILENT_MS = 1_000
 ORDER_TIMEOUT_MS = 400
-RESTART_MS = 700
 LEASE_MS = 5_000
 INHERITED_LEASE_MS = 7_400
-SERVICE = "svc"
-
-
-@attrs.define(eq=False)
-class FakeRun:
-    """A run on a fake endpoint."""
-
-    task_id: cells.TaskId
-    run: int
-    step: cells.Step
-    job_id: str
-    started_ms: int
-    ends_ms: float
-    reason: cells.EndReason = cells.EndReason.DONE
-
-    def percent(self, now_ms):
-        """Returns its progress."""
-        span_ms = self.ends_ms - self.started_ms
-        return 100 * (now_ms - self.started_ms) / span_ms
-
-
-class FakeEndpoint:
-    """An endpoint that runs tasks for their estimate.
-
-    Attributes
-    ----------
-    is_cut : bool
-        Whether no order and no answer gets through; runs go on.
-    late_ms : int
-        Starts are not answered and carried out so much later, if above 0.
-    fails : bool
-        Whether all that it starts ends as failed.
-    lost_share : float
-        Share of starts and looks that are carried out and not answered.
-    slowness : float
-        Factor by which tasks take longer; infinite if they stand still.
-    """
-
-    def __init__(
-        self,
-        endpoint_id,
-        capacity,
-        play,
-        labels=("a", "r1"),
-        service=SERVICE,
-    ):
-        self.endpoint_id = endpoint_id
-        self.capacity = capacity
-        self.labels = labels
-        self.service = service
-        self.is_cut = False
-        self.late_ms = 0
-        self.fails = False
-        self.lost_share = 0.0
-        self.slowness = 1.0
-        self.draining = False
-        self.remaining_ms = None
-        self.starting_until_ms = 0
-        self._play = play
-        self.born = 1
-        self._clear()
-
-    @property
-    def reachable(self):
-        """Whether orders get through now."""
-        starting = self._play.now_ms < self.starting_until_ms
-        return not self.is_cut and not starting
-
-    def _clear(self):
-        self.epoch = 0
-        self.deadline_ms = 0
-        self.run_by_key = {}
-        self.settled_by_task = {}
-        self.done_tasks = set()
-        self.ended = []
-        self.count = 0
-
-    def restart(self):
-        """Begins a new life; everything that ran is gone.
-
-        Open connections end at once; new ones take a while.
-        """
-        self.born += 1
-        self._clear()
-        self.starting_until_ms = self._play.now_ms + RESTART_MS
-
-    @property
-    def news(self):
-        """Its entry."""
-        return cells.EndpointListed(
-            self.endpoint_id,
-            self.service,
-            self.endpoint_id,
-            "north",
-            self.capacity,
-            self.labels,
-            self.draining,
-            self.born,
-            self.remaining_ms,
-        )
-
-    def start(self, action, epoch, now_ms):
-        """Carries out an order to start."""
-        outcomes = cells.StartOutcome
-        if epoch < self.epoch:
-            return outcomes.FENCED
-        self.epoch = epoch
-        if action.deadline_ms <= now_ms:
-            return outcomes.TOO_LATE
-        self.deadline_ms = max(self.deadline_ms, action.deadline_ms)
-        key = (action.task_id, action.run)
-        if key in self.run_by_key:
-            return outcomes.STARTED
-        if action.run <= self.settled_by_task.get(action.task_id, 0):
-            return outcomes.SUPERSEDED
-        step = self._play.step_of(action.task_id)
-        work_ms = self._play.work_ms(action.task_id) * self.slowness
-        reason = cells.EndReason.DONE
-        if self.fails or self._play.is_hopeless(action.task_id):
-            reason = cells.EndReason.FAILED
-        ends_ms = now_ms + work_ms
-        if step.long_running:
-            ends_ms = float("inf")
-        self.run_by_key[key] = FakeRun(
-            action.task_id,
-            action.run,
-            step,
-            action.task_id.job_id,
-            now_ms,
-            ends_ms,
-            reason,
-        )
-        self._play.note_start(self, action)
-        return outcomes.STARTED
-
-    def start_late(self, action, epoch, born):
-        """Carries out an order that was held back; it ends with its life."""
-        if born == self.born:
-            self.start(action, epoch, self._play.now_ms)
-
-    def stop(self, action, epoch, now_ms):
-        """Carries out an order to stop."""
-        if epoch < self.epoch:
-            return False
-        self.epoch = epoch
-        self._end((action.task_id, action.run), cells.EndReason.STOPPED)
-        settled = self.settled_by_task.get(action.task_id, 0)
-        self.settled_by_task[action.task_id] = max(settled, action.run)
-        return True
-
-    def look(self, action, epoch, sent_ms, now_ms):
-        """Carries out a look."""
-        if epoch < self.epoch:
-            return cells.LookFailed(self.endpoint_id, fenced=True)
-        self.epoch = epoch
-        if action.deadline_ms is not None:
-            self.deadline_ms = max(self.deadline_ms, action.deadline_ms)
-        self._play.note_forgotten(self, action.stored_upto)
-        self.ended = [
-            row for row in self.ended if row.number > action.stored_upto
-        ]
-        return cells.EndpointLooked(
-            self.endpoint_id,
-            sent_ms,
-            now_ms,
-            self.born,
-            tuple(
-                cells.RunningRow(
-                    run.task_id, run.run, percent=run.percent(now_ms)
-                )
-                for run in self.run_by_key.values()
-            ),
-            tuple(self.ended),
-        )
-
-    def advance(self, now_ms):
-        """Ends what is due; returns whether anything ended."""
-        before = self.count
-        if self.deadline_ms <= now_ms:
-            # Ends that were not told before the lease lapsed do not count.
-            self.done_tasks.clear()
-        for key, run in list(self.run_by_key.items()):
-            if run.ends_ms <= now_ms:
-                self._end(key, run.reason)
-            elif self.deadline_ms <= now_ms:
-                self._end(key, cells.EndReason.LAPSED)
-        return self.count > before
-
-    def _end(self, key, reason):
-        run = self.run_by_key.pop(key, None)
-        if run is None:
-            return
-        if run.step.gang and reason is cells.EndReason.DONE:
-            reason = self._play.gang_reason(run)
-        self.count += 1
-        self.ended.append(
-            cells.EndedRow(self.count, run.task_id, run.run, reason)
-        )
-        settled = self.settled_by_task.get(run.task_id, 0)
-        self.settled_by_task[run.task_id] = max(settled, run.run)
-        if reason is cells.EndReason.DONE:
-            self.done_tasks.add(run.task_id)
-
-    @property
-    def used(self):
-        """What runs there takes."""
-        total = cells.Resources()
-        for run in self.run_by_key.values():
-            total += run.step.booked
-        return total
 
 
 class CellPlay:
@@ -296,7 +84,9 @@
     def add_endpoint(self, endpoint_id, cpu=4_000, gpus=0, **kwargs):
         """Adds an endpoint."""
         capacity = cells.Resources(cpu, 1_000_000, gpus)
-        endpoint = FakeEndpoint(endpoint_id, capacity, self, **kwargs)
+        endpoint = cells_endpoints.FakeEndpoint(
+            endpoint_id, capacity, self, **kwargs
+        )
         self.endpoint_by_id[endpoint_id] = endpoint
         if self.cell is not None:
             self.deliver(endpoint.news)
@@ -634,19 +424,3 @@
         if same and (stage.all_done or row.task_id.index in stage.done):
             return True
     return False
-
-
-def make_queue(**kwargs):
-    """Returns a queue of the service that the play's endpoints run."""
-    return cells.Queue(**{"name": "queue", "service": SERVICE, **kwargs})
-
-
-def make_job(job_id, *steps, account="", **queue):
-    """Returns a job of steps."""
-    return cells.Job(job_id, make_queue(**queue), account, "text", steps)
-
-
-def make_step(count=1, cpu=1_000, estimate_ms=500, **kwargs):
-    """Returns a step."""
-    demand = cells.Resources(cpu, 1_000, kwargs.pop("gpus", 0))
-    return cells.Step(count, demand, estimate_ms, **kwargs)
--- /dev/null
+++ b/features/support/cells_work.py
@@ -0,0 +1,21 @@
+"""Jobs for plays of a cell."""
+
+from samphiregate.core import cells
+
+SERVICE = "svc"
+
+
+def make_queue(**kwargs):
+    """Returns a queue of the service that the play's endpoints run."""
+    return cells.Queue(**{"name": "queue", "service": SERVICE, **kwargs})
+
+
+def make_job(job_id, *steps, account="", **queue):
+    """Returns a job of steps."""
+    return cells.Job(job_id, make_queue(**queue), account, "text", steps)
+
+
+def make_step(count=1, cpu=1_000, estimate_ms=500, **kwargs):
+    """Returns a step."""
+    demand = cells.Resources(cpu, 1_000, kwargs.pop("gpus", 0))
+    return cells.Step(count, demand, estimate_ms, **kwargs)
