Show store calls, leases, configuration and waits as metrics

The metrics of an entry VM move from the adapter into the product and grow: calls to the store by kind and outcome with latencies, time left of the lease, version and age of the configuration, jobs held, tasks that wait by reason, unreachable endpoints by service. Test: cells_vm.feature.

--- a/features/cells_vm.feature
+++ b/features/cells_vm.feature
@@ -128,3 +128,17 @@
       | method | most |
       | GET    | 2    |
       | POST   | 1    |
+
+  Scenario: metrics tell of requests, store calls and the state of the VM
+    Given metrics of a VM whose store answers writes with done, silent
+    When two writes are tried and a caller's POST is answered with 503
+    Then the metrics show
+      | line                                                                    |
+      | samphiregate_request_seconds_count{method="POST",status="503"} 1.0      |
+      | samphiregate_store_call_seconds_count{call="commit",outcome="ok"} 1.0   |
+      | samphiregate_store_call_seconds_count{call="commit",outcome="unavailable"} 1.0 |
+      | samphiregate_lease_left_seconds 1.5                                     |
+      | samphiregate_owns_cell 1.0                                              |
+      | samphiregate_tasks_waiting{reason="room"} 7.0                           |
+      | samphiregate_endpoints_unreachable{service="svc"} 2.0                   |
+      | samphiregate_configuration_version 9.0                                  |
--- a/features/steps/cells_vm_steps.py
+++ b/features/steps/cells_vm_steps.py
@@ -13,14 +13,17 @@
 from samphiregate.adapters.cells import _configuration
 from samphiregate.adapters.cells import _desk
 from samphiregate.adapters.cells import _keys
+from samphiregate.adapters.cells import _metered
 from samphiregate.adapters.cells import _ownership
 from samphiregate.adapters.cells import _peer_calls
 from samphiregate.adapters.cells import _ports
 from samphiregate.adapters.cells import _relay
+from samphiregate.adapters.cells import _vm
 from samphiregate.adapters import http
 from samphiregate.core import cells
 from samphiregate import errors
 from samphiregate import logs
+from samphiregate import metrics
 
 CELL = "all"
 SETTLE_S = 10  # longest wait for a greenlet; never an expected time
@@ -389,3 +392,38 @@
 def then_sent_again(context, count):
     assert context.failure.ran is errors.Ran.UNKNOWN, context.failure
     assert context.requests == count, context.requests
+
+
+class _DescribedVm:
+    """Tells a fixed state."""
+
+    def describe(self):
+        """See `EntryVm.describe`."""
+        return _vm.VmState(1_500, True, 3, {"room": 7}, {"svc": 2}, 9, 100)
+
+
+@behave.given("metrics of a VM whose store answers writes with {answers}")
+def given_metrics(context, answers):
+    context.metrics = metrics.VmMetrics()
+    context.metrics.watch_vm(_DescribedVm())
+    context.metered = _metered.MeteredStore(
+        store=cells_store.ScriptedStore(answers.split(", ")),
+        note=context.metrics.note_store_call,
+    )
+
+
+@behave.when(
+    "two writes are tried and a caller's {method} is answered with {status}"
+)
+def when_measured(context, method, status):
+    for _time in range(2):
+        _tell(lambda: context.metered.commit(expected={}, writes=[]))
+    with context.metrics.time_request(method) as outcome:
+        outcome.status = status
+
+
+@behave.then("the metrics show")
+def then_metrics(context):
+    text = context.metrics.text().decode()
+    for row in context.table:
+        assert row["line"] in text.splitlines(), (row["line"], text)
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -13,6 +13,7 @@
 from samphiregate.adapters.cells import _relay
 from samphiregate.adapters import http
 from samphiregate import errors
+from samphiregate import metrics
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path.append(str(ROOT / "platform"))
@@ -20,7 +21,6 @@
 from samphiregate_platform import callers  # noqa: E402
 from samphiregate_platform import documents  # noqa: E402
 from samphiregate_platform import endpoints  # noqa: E402
-from samphiregate_platform import metrics  # noqa: E402
 from samphiregate_platform import settings  # noqa: E402
 
 SETTINGS = {
@@ -191,7 +191,7 @@
     context.api = callers.CallersApi(
         vm=vm,
         log=cells_store.FakeLog(),
-        metrics=metrics.CallMetrics(),
+        metrics=metrics.VmMetrics(),
         is_stopping=lambda: False,
     )
 
--- a/samphiregate/adapters/cells/__init__.py
+++ b/samphiregate/adapters/cells/__init__.py
@@ -2,6 +2,7 @@
 
 from samphiregate.adapters.cells._clock import steady_ms
 from samphiregate.adapters.cells._clock import unix_ms
+from samphiregate.adapters.cells._metered import MeteredStore
 from samphiregate.adapters.cells._ports import ConflictError
 from samphiregate.adapters.cells._ports import Decoders
 from samphiregate.adapters.cells._ports import Endpoints
@@ -24,6 +25,7 @@
     "EntryVm",
     "HistoryLostError",
     "LeaseEndedError",
+    "MeteredStore",
     "PolicyService",
     "Ports",
     "Route",
--- a/samphiregate/adapters/cells/_vm.py
+++ b/samphiregate/adapters/cells/_vm.py
@@ -37,6 +37,34 @@
     policy: object
 
 
+@attrs.frozen
+class VmState:
+    """What an entry VM's metrics tell of it.
+
+    Parameters
+    ----------
+    lease_left_ms : int
+        0 without a lease.
+    owns_cell : bool
+        Whether it serves the cell now; the rest is 0 or empty otherwise.
+    jobs : int
+    waiting_by_reason, unreachable_by_service : dict
+        Counts of tasks, and of endpoints.
+    version : int
+        Of the configuration in force; 0 without one.
+    configuration_age_ms : int
+        Since the store was last asked for it.
+    """
+
+    lease_left_ms: int
+    owns_cell: bool
+    jobs: int
+    waiting_by_reason: dict
+    unreachable_by_service: dict
+    version: int
+    configuration_age_ms: int
+
+
 class EntryVm:
     """Serves callers, and owns the cell while no other VM does.
 
@@ -146,6 +174,22 @@
             and self._lease.is_valid
         )
 
+    def describe(self):
+        """Returns the `VmState`."""
+        now_ms = _clock.steady_ms()
+        cell = self._local_cell()
+        load = cell.load() if cell is not None else {}
+        configuration = self.configuration.current
+        return VmState(
+            lease_left_ms=max(self._lease.valid_until_ms - now_ms, 0),
+            owns_cell=cell is not None,
+            jobs=len(cell.book.entry_by_id) if cell is not None else 0,
+            waiting_by_reason=load.get("waits_for", {}),
+            unreachable_by_service=load.get("unreachable", {}),
+            version=configuration.version if configuration else 0,
+            configuration_age_ms=now_ms - self._configured.fresh_ms,
+        )
+
     def hand_over(self):
         """Gives up ownership, so that another VM takes it at once."""
         self._stopping = True
--- /dev/null
+++ b/samphiregate/metrics/_vm.py
@@ -0,0 +1,124 @@
+"""Metrics of an entry VM on a platform, in Prometheus' text format."""
+
+import contextlib
+import time
+
+import prometheus_client
+from prometheus_client import core as prometheus_core
+
+PATH = "/metrics"
+
+
+class VmMetrics:
+    """Counts callers' requests and calls to the store, and how long each took.
+
+    Attributes
+    ----------
+    registry : prometheus_client.CollectorRegistry
+    """
+
+    def __init__(self):
+        self.registry = prometheus_client.CollectorRegistry()
+        self._request_seconds = prometheus_client.Histogram(
+            "samphiregate_request_seconds",
+            "Time to answer a caller.",
+            ["method", "status"],
+            registry=self.registry,
+        )
+        self._store_seconds = prometheus_client.Histogram(
+            "samphiregate_store_call_seconds",
+            "Time of a call to the store.",
+            ["call", "outcome"],
+            registry=self.registry,
+        )
+        self._lines = prometheus_client.Gauge(
+            "samphiregate_log_lines_dropped",
+            "Log lines left out so far.",
+            registry=self.registry,
+        )
+
+    def watch_log(self, log):
+        """Shows how many lines a log has left out."""
+        self._lines.set_function(lambda: sum(log.dropped_by_kind.values()))
+
+    def watch_vm(self, vm):
+        """Shows the state of an entry VM.
+
+        Parameters
+        ----------
+        vm : EntryVm
+            Asked for its `VmState` each time that metrics are read.
+        """
+        self.registry.register(_StateCollector(vm))
+
+    @contextlib.contextmanager
+    def time_request(self, method):
+        """Times a request; set `status` of what is yielded."""
+        outcome = _Outcome()
+        started_s = time.monotonic()
+        try:
+            yield outcome
+        finally:
+            self._request_seconds.labels(method, outcome.status).observe(
+                time.monotonic() - started_s
+            )
+
+    def note_store_call(self, call, outcome, span_s):
+        """Notes a call to the store.
+
+        Parameters
+        ----------
+        call, outcome : str
+        span_s : float
+            How long it took, in seconds.
+        """
+        self._store_seconds.labels(call, outcome).observe(span_s)
+
+    def text(self):
+        """Returns all metrics in the text format."""
+        return prometheus_client.generate_latest(self.registry)
+
+
+class _Outcome:
+    status = "500"
+
+
+class _StateCollector:
+    """Reads the state of a VM when metrics are read."""
+
+    def __init__(self, vm):
+        self._vm = vm
+
+    def collect(self):
+        """Yields one family of metrics after the other."""
+        state = self._vm.describe()
+        for name, text, value in (
+            ("lease_left_seconds", "Time left.", state.lease_left_ms / 1000),
+            ("owns_cell", "1 for the cell's owner.", int(state.owns_cell)),
+            ("jobs", "Jobs that the owner holds.", state.jobs),
+            ("configuration_version", "In force.", state.version),
+            (
+                "configuration_age_seconds",
+                "Time since the store last told of the configuration.",
+                state.configuration_age_ms / 1000,
+            ),
+        ):
+            yield prometheus_core.GaugeMetricFamily(
+                f"samphiregate_{name}", text, value=value
+            )
+        waiting = prometheus_core.GaugeMetricFamily(
+            "samphiregate_tasks_waiting",
+            "Tasks that wait, by reason; told by the owner.",
+            labels=["reason"],
+        )
+        for reason, count in state.waiting_by_reason.items():
+            waiting.add_metric([reason], count)
+        yield waiting
+        unreachable = prometheus_core.GaugeMetricFamily(
+            "samphiregate_endpoints_unreachable",
+            "Endpoints that do not answer; told by the owner.",
+            labels=["service"],
+        )
+        for service, count in state.unreachable_by_service.items():
+            unreachable.add_metric([service], count)
+        yield unreachable
