Drop HTTP clients that were not used for longest

Each endpoint that ever was kept a client with its idle connections for good. Test: cells_vm.feature.

--- a/features/cells_vm.feature
+++ b/features/cells_vm.feature
@@ -142,3 +142,9 @@
       | samphiregate_tasks_waiting{reason="room"} 7.0                           |
       | samphiregate_endpoints_unreachable{service="svc"} 2.0                   |
       | samphiregate_configuration_version 9.0                                  |
+
+  Scenario: clients of addresses that are not used any more are dropped
+    Given an HTTP server and at most 2 clients
+    When clients are used for 3 time-outs in turn, the first one kept in hand
+    Then the first client has no idle connection, and still answers
+    And at most 2 clients are held
--- a/features/steps/cells_vm_steps.py
+++ b/features/steps/cells_vm_steps.py
@@ -427,3 +427,44 @@
     text = context.metrics.text().decode()
     for row in context.table:
         assert row["line"] in text.splitlines(), (row["line"], text)
+
+
+@behave.given("an HTTP server and at most {most:d} clients")
+def given_few_clients(context, most):
+    def application(_environ, start_response):
+        start_response("200 OK", [("Content-Length", "2")])
+        return [b"ok"]
+
+    server = http.NoDelayServer("127.0.0.1:0", application)
+    server.start()
+    context.add_cleanup(server.stop, timeout=0)
+    context.server_address = f"127.0.0.1:{server.server_port}"
+    context.clients = http.Clients(
+        connections=2, connect_timeout_ms=SETTLE_S * 1_000, most_clients=most
+    )
+    context.add_cleanup(context.clients.__exit__)
+
+
+@behave.when(
+    "clients are used for {count:d} time-outs in turn, the first one kept in "
+    "hand"
+)
+def when_clients_used(context, count):
+    held = []
+    for number in range(count):
+        timeout_ms = SETTLE_S * 1_000 + number
+        client = context.clients.get(context.server_address, timeout_ms)
+        assert client.request("POST", "/").status == 200
+        held.append(client)
+    context.client = held[0]
+
+
+@behave.then("the first client has no idle connection, and still answers")
+def then_dropped(context):
+    assert context.client._client._connection_pool._socket_queue.empty()
+    assert context.client.request("POST", "/").status == 200
+
+
+@behave.then("at most {most:d} clients are held")
+def then_few_clients(context, most):
+    assert len(context.clients._client_by_key) <= most
--- a/samphiregate/adapters/http/_client.py
+++ b/samphiregate/adapters/http/_client.py
@@ -98,6 +98,10 @@
         """Closes every pooled connection."""
         self._client.close()
 
+    def close_idle(self):
+        """Closes the connections that no call uses now."""
+        self._client._connection_pool.close_idle()
+
     def request(self, method, path, *, body=b"", headers=None):
         """Sends a request and reads the whole answer.
 
@@ -122,7 +126,7 @@
             ) from error
         except (OSError, http_response.HTTPParseError) as error:
             # One silent connection may not be the only one.
-            self._client._connection_pool.close_idle()
+            self.close_idle()
             raise errors.UnavailableError(
                 f"no whole answer from {self.endpoint}",
                 ran=errors.Ran.UNKNOWN,
