Keep writes that are carried out late from undoing newer ones

The store left writes unanswered and carried them out up to 6 s later; the owner's record writes had only the ownership as their condition, so an old record overwrote a newer one. The next owner read that the job was still running and started its tasks again. Change: each write of the owner sets one key under the condition of its last revision; a late one fails. A conflict with the ownership intact means that a write was done unanswered: it is repeated from there.

--- a/features/cells_vm.feature
+++ b/features/cells_vm.feature
@@ -148,3 +148,14 @@
     When clients are used for 3 time-outs in turn, the first one kept in hand
     Then the first client has no idle connection, and still answers
     And at most 2 clients are held
+
+  Scenario Outline: a write that is carried out late undoes no newer one
+    Given a store that carries <losses> writes out late, <when>
+    When the owner stores the notes "first", then "second" of a job
+    Then the store has the notes "second" of the job
+
+    Examples:
+      | losses | when                  |
+      | 1      | after the last one    |
+      | 2      | after the last one    |
+      | 1      | before the second one |
--- a/features/steps/cells_vm_steps.py
+++ b/features/steps/cells_vm_steps.py
@@ -19,6 +19,7 @@
 from samphiregate.adapters.cells import _ports
 from samphiregate.adapters.cells import _relay
 from samphiregate.adapters.cells import _vm
+from samphiregate.adapters.cells import _writer
 from samphiregate.adapters import http
 from samphiregate.core import cells
 from samphiregate import errors
@@ -468,3 +469,41 @@
 @behave.then("at most {most:d} clients are held")
 def then_few_clients(context, most):
     assert len(context.clients._client_by_key) <= most
+
+
+@behave.given("a store that carries {losses:d} writes out late, {when}")
+def given_late_store(context, losses, when):
+    context.store = cells_store.LateStore(losses)
+    context.late_before_second = when.startswith("before")
+
+
+@behave.when('the owner stores the notes "{first}", then "{second}" of a job')
+def when_notes_stored(context, first, second):
+    notes = [[("j", 1, first.encode())], [("j", 2, second.encode())]]
+    finished = gevent.event.Event()
+
+    def take(_most):
+        if len(notes) == 1 and context.late_before_second:
+            context.store.carry_out_held()
+        if notes:
+            return notes.pop(0)
+        finished.set()
+        return []
+
+    writer = _writer.RecordWriter(
+        store=context.store,
+        tenure=_ownership.Tenure(CELL, 1, {}, 1),
+        take_records=take,
+        on_stored=lambda _rows: None,
+        on_lost=lambda _reason: finished.set(),
+        log=cells_store.FakeLog(),
+    )
+    with writer:
+        assert finished.wait(SETTLE_S)
+    context.store.carry_out_held()
+
+
+@behave.then('the store has the notes "{text}" of the job')
+def then_notes(context, text):
+    item = context.store.get(_keys.record(CELL, "j"))
+    assert item.value == text.encode(), item
--- a/features/support/cells_store.py
+++ b/features/support/cells_store.py
@@ -1,5 +1,7 @@
 """Stores for tests of an entry VM: scripted, and in memory."""
 
+import contextlib
+
 import gevent
 
 from samphiregate.adapters import cells as ports
@@ -79,6 +81,38 @@
         return self.revision
 
 
+class LateStore(MemoryStore):
+    """Does not answer some writes, and carries them out later.
+
+    Parameters
+    ----------
+    losses : int
+        Writes that are held back from the first one on.
+    """
+
+    def __init__(self, losses):
+        super().__init__()
+        self._losses = losses
+        self._held = []
+
+    def commit(self, *, expected, writes, removals=()):
+        """See `ports.Store.commit`."""
+        if self._losses:
+            self._losses -= 1
+            self._held.append((dict(expected), list(writes)))
+            raise errors.UnavailableError("late", ran=errors.Ran.UNKNOWN)
+        return super().commit(
+            expected=expected, writes=writes, removals=removals
+        )
+
+    def carry_out_held(self):
+        """Carries out what was held back, where its conditions hold."""
+        held, self._held = self._held, []
+        for expected, writes in held:
+            with contextlib.suppress(ports.ConflictError):
+                super().commit(expected=expected, writes=writes)
+
+
 class FakeLog:
     """Keeps the lines that are written."""
 
--- a/samphiregate/adapters/cells/_keys.py
+++ b/samphiregate/adapters/cells/_keys.py
@@ -39,6 +39,11 @@
     return f"records/{cell}/{job_id}"
 
 
+def last_write(cell):
+    """Key that each write of the owner's notes sets."""
+    return f"writes/{cell}"
+
+
 def vm(vm_id):
     """Key of an entry VM's leased record."""
     return f"{VMS_PREFIX}{vm_id}"
--- a/samphiregate/adapters/cells/_writer.py
+++ b/samphiregate/adapters/cells/_writer.py
@@ -1,4 +1,9 @@
-"""Stores what a cell's owner notes, several records a transaction."""
+"""Stores what a cell's owner notes, several records a transaction.
+
+A write that was not answered may be carried out seconds later, after newer
+ones. So each write is made only if the one before it was the last: they all
+set one key, under the condition of its revision.
+"""
 
 import gevent
 import gevent.event
@@ -7,7 +12,7 @@
 from samphiregate.adapters.cells import _ports
 from samphiregate import errors
 
-MOST_WRITES = 30  # of a transaction
+MOST_WRITES = 28  # of a transaction, which has two conditions more
 RETRY_INTERVAL_MS = 100
 
 
@@ -36,6 +41,8 @@
         self._on_stored = on_stored
         self._on_lost = on_lost
         self._log = log
+        self._last_write_key = _keys.last_write(tenure.cell)
+        self._last_revision = 0
         self._wake = gevent.event.Event()
         self._greenlet = None
 
@@ -67,13 +74,25 @@
             _ports.StoreWrite(_keys.record(cell, job_id), data)
             for job_id, _version, data in rows
         ]
+        writes.append(_ports.StoreWrite(self._last_write_key, b"1"))
         while True:
+            expected = {
+                **self._tenure.guard,
+                self._last_write_key: self._last_revision,
+            }
             try:
-                self._store.commit(expected=self._tenure.guard, writes=writes)
+                self._last_revision = self._store.commit(
+                    expected=expected, writes=writes
+                )
                 return True
-            except _ports.ConflictError:
-                self._on_lost("another VM has taken the cell")
-                return False
+            except _ports.ConflictError as error:
+                if not self._still_owns(error.revision_by_key):
+                    self._on_lost("another VM has taken the cell")
+                    return False
+                # A write took effect that was not answered.
+                self._last_revision = error.revision_by_key.get(
+                    self._last_write_key, 0
+                )
             except errors.SamphiregateError as error:
                 self._log.write(
                     "records not stored",
@@ -82,3 +101,9 @@
                     reason=error.detail,
                 )
                 gevent.sleep(RETRY_INTERVAL_MS / 1000)
+
+    def _still_owns(self, revision_by_key):
+        return all(
+            revision_by_key.get(key) == revision
+            for key, revision in self._tenure.guard.items()
+        )
