--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -99,3 +99,13 @@
     When a caller sends POST "/q/5c0e7a21d94b36f8" with key "secret"
     Then the answer is 503
     And it names a time to come back
+
+  Scenario Outline: a slow hand-over does not outlast the time to stop
+    Given a VM that may take <allowed> s to stop and hands over for <spent> s
+    Then it goes on answering for <rest> s
+
+    Examples:
+      | allowed | spent | rest |
+      | 6       | 0     | 5    |
+      | 6       | 2     | 3    |
+      | 6       | 9     | 0    |
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -21,6 +21,7 @@
 from samphiregate_platform import callers  # noqa: E402
 from samphiregate_platform import documents  # noqa: E402
 from samphiregate_platform import endpoints  # noqa: E402
+from samphiregate_platform import main  # noqa: E402
 from samphiregate_platform import settings  # noqa: E402
 
 SETTINGS = {
@@ -250,3 +251,15 @@
 @behave.then("it names a time to come back")
 def then_retry_after(context):
     assert int(context.headers["Retry-After"]) > 0
+
+
+@behave.given(
+    "a VM that may take {allowed:d} s to stop and hands over for {spent:d} s"
+)
+def given_stopping(context, allowed, spent):
+    context.rest_s = main.drain_s(allowed, spent)
+
+
+@behave.then("it goes on answering for {rest:d} s")
+def then_rest(context, rest):
+    assert context.rest_s == rest, context.rest_s
