--- a/features/explain.feature
+++ b/features/explain.feature
@@ -37,6 +37,18 @@
       | is in doubt                      | r5 | in doubt     | request refused | a    |
       | lost its run with an endpoint    | r6 | not finished | runs lost       | c    |
 
+  Scenario: explain: lines that a VM repeats are told once
+    Given the log lines of a played day
+      """
+      {"vm":"a","time":100.0,"request":"r1","queue":"q","account":"t","event":"job accepted"}
+      {"vm":"a","time":100.1,"lease":7,"left_ms":900,"reason":"silent","event":"lease not renewed"}
+      {"vm":"a","time":100.3,"lease":7,"left_ms":700,"reason":"silent","event":"lease not renewed"}
+      {"vm":"a","time":100.5,"lease":7,"left_ms":500,"reason":"silent","event":"lease not renewed"}
+      {"vm":"a","time":102.0,"state":"completed","elapsed_ms":2000,"request":"r1","event":"job ended"}
+      """
+    When request r1 is explained
+    Then the story has 3 lines
+
   Scenario: explain: the command line
     Given a file of log lines with a prefix
     Then these commands end as told
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -45,6 +45,11 @@
     check_decided(context.story, verdict, "", vm)
 
 
+@behave.then("the story has {count:d} lines")
+def then_lines(context, count):
+    assert len(context.story.lines) == count, context.story.lines
+
+
 def check_decided(story, verdict, event, vm):
     """Checks the verdict and the line that is marked."""
     assert story.verdict.value == verdict, story
--- a/samphiregate/logs/_stories.py
+++ b/samphiregate/logs/_stories.py
@@ -6,12 +6,15 @@
 """
 
 import enum
+import math
 
 import attrs
 import orjson
 
 CONTEXT_MARGIN_S = 2.0  # before the first and after the last line
+REPEAT_S = 2.0  # a line like one before it is left out for so long
 LONG_WAIT_S = 1.0  # a shorter gap explains nothing by itself
+DISTURBANCES = ("runs lost", "cell taken")  # the first explains most
 ACCEPTING_EVENTS = frozenset({"job accepted", "job known"})
 VM_EVENTS = frozenset(
     {
@@ -136,7 +139,7 @@
     own = [line for line in lines if _names(line, request_id)]
     if not own:
         return None
-    context = [line for line in lines if _explains(line, own)]
+    context = _without_repeats(line for line in lines if _explains(line, own))
     shown = sorted(own + context, key=lambda line: line.time_s)
     verdict, cause = _judge(own)
     wait_s, resumed = _longest_wait(own, context)
@@ -171,6 +174,18 @@
     return False
 
 
+def _without_repeats(lines):
+    """Returns lines without those that a VM said a short while before."""
+    kept = []
+    said_s = {}
+    for line in lines:
+        what = (line.vm, line.event, line.fields.get("endpoint"))
+        if line.time_s - said_s.get(what, -math.inf) >= REPEAT_S:
+            kept.append(line)
+            said_s[what] = line.time_s
+    return kept
+
+
 def _judge(own):
     """Returns the verdict, and the line that explains it if one does."""
     ends = [line for line in own if line.event == "job ended"]
@@ -206,13 +221,15 @@
 def _longest_wait(own, context):
     """Returns the longest gap between lines, and the line that ends it.
 
-    Between the start of tasks and the next line they run, unless something
-    happened to a VM or an endpoint meanwhile.
+    Between the start of tasks and the next line they run, unless runs were
+    lost or the owner changed meanwhile.
     """
     longest = (0.0, None)
     for earlier, later in zip(own, own[1:], strict=False):
         disturbed = any(
-            earlier.time_s <= line.time_s <= later.time_s for line in context
+            earlier.time_s <= line.time_s <= later.time_s
+            and line.event in DISTURBANCES
+            for line in context
         )
         gap_s = later.time_s - earlier.time_s
         waits = earlier.event != "tasks placed" or disturbed
@@ -224,7 +241,7 @@
 def _cause_of_wait(context, resumed, wait_s):
     """Returns what a wait is put down to, or else what ended it.
 
-    Lost endpoints go before a new owner, and that before what a VM of the
+    Lost runs go before a new owner, and that before what else a VM of the
     story met with.
     """
     since_s = resumed.time_s - wait_s
@@ -235,9 +252,9 @@
 
 
 def _rank(line):
-    if line.event in ENDPOINT_EVENTS:
-        return 0
-    return 1 if line.event == "cell taken" else 2
+    if line.event in DISTURBANCES:
+        return DISTURBANCES.index(line.event)
+    return len(DISTURBANCES)
 
 
 def _index(lines, wanted):
