Do not send a call that found no free connection in time

Change: a call waits for a free connection no longer than to connect, and then fails as not sent. A fault in a call made for a caller is raised to him as it is. Test: "a call that finds no free connection in time is not sent" (before: the second call was sent once the first had ended).

--- a/features/cells_vm.feature
+++ b/features/cells_vm.feature
@@ -159,3 +159,8 @@
       | 1      | after the last one    |
       | 2      | after the last one    |
       | 1      | before the second one |
+
+  Scenario: a call that finds no free connection in time is not sent
+    Given an HTTP server and a client of 1 connection to it
+    When a request is sent while another one holds the connection for long
+    Then it is refused as not sent, and the server saw 1 request
--- a/features/steps/cells_vm_steps.py
+++ b/features/steps/cells_vm_steps.py
@@ -329,7 +329,10 @@
 def given_http(context):
     context.release = gevent.event.Event()
 
+    context.requests = 0
+
     def application(environ, start_response):
+        context.requests += 1
         if environ["PATH_INFO"] == "/hangs":
             context.release.wait()
         start_response("200 OK", [("Content-Length", "2")])
@@ -339,7 +342,13 @@
     server.start()
     context.add_cleanup(server.stop, timeout=0)
     address = f"127.0.0.1:{server.server_port}"
-    context.client = http.Client(address, connections=1, timeout_ms=500)
+    context.server_address = address
+    context.client = http.Client(
+        address,
+        connections=1,
+        timeout_ms=500,
+        connect_timeout_ms=SETTLE_S * 1_000,
+    )
     context.add_cleanup(context.client.close)
 
 
@@ -507,3 +516,32 @@
 def then_notes(context, text):
     item = context.store.get(_keys.record(CELL, "j"))
     assert item.value == text.encode(), item
+
+
+@behave.when(
+    "a request is sent while another one holds the connection for long"
+)
+def when_none_free(context):
+    with http.Client(
+        context.server_address,
+        connections=1,
+        timeout_ms=SETTLE_S * 1_000,
+        connect_timeout_ms=100,
+    ) as client:
+        holding = gevent.spawn(client.request, "POST", "/hangs")
+        while not context.requests:
+            gevent.sleep(0.001)
+        context.told = None
+        try:
+            client.request("POST", "/answers")
+        except errors.UnavailableError as error:
+            context.told = error.ran
+        context.seen = context.requests
+        context.release.set()
+        assert holding.get(timeout=SETTLE_S).status == 200
+
+
+@behave.then("it is refused as not sent, and the server saw {count:d} request")
+def then_not_sent(context, count):
+    assert context.told is errors.Ran.NO, context.told
+    assert context.seen == count, context.seen
--- a/samphiregate/adapters/cells/_desk.py
+++ b/samphiregate/adapters/cells/_desk.py
@@ -251,9 +251,10 @@
 
 
 def _catch(call, *args):
+    """Returns the result and None, or None and what was raised."""
     try:
         return call(*args), None
-    except errors.SamphiregateError as error:
+    except Exception as error:
         return None, error
 
 
--- a/samphiregate/adapters/http/_client.py
+++ b/samphiregate/adapters/http/_client.py
@@ -51,7 +51,8 @@
     timeout_ms : int
         Longest wait for connecting and for each read.
     connect_timeout_ms : int or None
-        Longest wait for connecting, if it is to differ.
+        Longest wait for connecting, and before that for one of the
+        connections to be free, if it is to differ.
     most_body_bytes : int or None
         Longest answer body that is read; a longer one counts as no whole
         answer.
@@ -163,6 +164,17 @@
     def after_connect(self, sock):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
+    def get_socket(self):
+        """Returns a connection; waits no longer for one than to connect.
+
+        An order that waited for long would be sent when it is not wanted any
+        more.
+        """
+        if not self._semaphore.acquire(timeout=self.connection_timeout):
+            raise _NotConnectedError("no connection is free")
+        self._semaphore.release()
+        return super().get_socket()
+
     def close_idle(self):
         """Closes the connections that no request uses now."""
         while True:
