Bound the wait for a free connection only for orders to endpoints

Test: that scenario; "a call that finds no free connection in time is not sent" sets the bound itself.

--- a/features/steps/cells_vm_steps.py
+++ b/features/steps/cells_vm_steps.py
@@ -347,7 +347,6 @@
         address,
         connections=1,
         timeout_ms=500,
-        connect_timeout_ms=SETTLE_S * 1_000,
     )
     context.add_cleanup(context.client.close)
 
@@ -526,7 +525,7 @@
         context.server_address,
         connections=1,
         timeout_ms=SETTLE_S * 1_000,
-        connect_timeout_ms=100,
+        wait_timeout_ms=100,
     ) as client:
         holding = gevent.spawn(client.request, "POST", "/hangs")
         while not context.requests:
--- a/samphiregate/adapters/http/_client.py
+++ b/samphiregate/adapters/http/_client.py
@@ -51,8 +51,11 @@
     timeout_ms : int
         Longest wait for connecting and for each read.
     connect_timeout_ms : int or None
-        Longest wait for connecting, and before that for one of the
-        connections to be free, if it is to differ.
+        Longest wait for connecting, if it is to differ.
+    wait_timeout_ms : int or None
+        Longest wait for one of the connections to be free; by default there
+        is no bound. An order that waits for long is sent when it is not
+        wanted any more.
     most_body_bytes : int or None
         Longest answer body that is read; a longer one counts as no whole
         answer.
@@ -71,6 +74,7 @@
         connections=8,
         timeout_ms=5_000,
         connect_timeout_ms=None,
+        wait_timeout_ms=None,
         most_body_bytes=None,
     ):
         host, _colon, port = endpoint.rpartition(":")
@@ -86,6 +90,7 @@
             connection_timeout=(connect_timeout_ms or timeout_ms) / 1000,
             network_timeout=timeout_ms / 1000,
         )
+        self._client._connection_pool.wait_timeout_ms = wait_timeout_ms
         # The library sends again up to once more than the pool's size.
         self._client._connection_pool.size = MOST_RESENDS - 1
 
@@ -161,18 +166,18 @@
 class _NoDelayPool(connectionpool.ConnectionPool):
     """Connections with TCP_NODELAY that tell a failed connect apart."""
 
+    wait_timeout_ms = None
+
     def after_connect(self, sock):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def get_socket(self):
-        """Returns a connection; waits no longer for one than to connect.
-
-        An order that waited for long would be sent when it is not wanted any
-        more.
-        """
-        if not self._semaphore.acquire(timeout=self.connection_timeout):
-            raise _NotConnectedError("no connection is free")
-        self._semaphore.release()
+        """Returns a connection, once one of them is free."""
+        if self.wait_timeout_ms is not None:
+            wait_s = self.wait_timeout_ms / 1000
+            if not self._semaphore.acquire(timeout=wait_s):
+                raise _NotConnectedError("no connection is free")
+            self._semaphore.release()
         return super().get_socket()
 
     def close_idle(self):
--- a/samphiregate/adapters/http/_clients.py
+++ b/samphiregate/adapters/http/_clients.py
@@ -19,6 +19,8 @@
         Connections at a time of each client.
     connect_timeout_ms : int
         Longest wait for connecting.
+    wait_timeout_ms : int or None
+        Longest wait for one of them to be free; see `Client`.
     timeout_step_ms : int
         Time-outs are rounded up to a multiple of this, so that varying ones
         share a client.
@@ -31,11 +33,13 @@
         *,
         connections,
         connect_timeout_ms,
+        wait_timeout_ms=None,
         timeout_step_ms=1,
         most_clients=MOST_CLIENTS,
     ):
         self._connections = connections
         self._connect_timeout_ms = connect_timeout_ms
+        self._wait_timeout_ms = wait_timeout_ms
         self._timeout_step_ms = timeout_step_ms
         self._most_clients = most_clients
         self._client_by_key = collections.OrderedDict()
@@ -59,6 +63,7 @@
                 connections=self._connections,
                 timeout_ms=rounded_ms,
                 connect_timeout_ms=self._connect_timeout_ms,
+                wait_timeout_ms=self._wait_timeout_ms,
             )
             self._client_by_key[key] = client
             self._drop_oldest()
