Say once what the change said twice, and off the hot path

Read again, behaviour as it was: - a question asks for room by `room_at` alone; `room_in_ms` worked the same out by sorting ends, and is gone; - the other VMs' records are decoded only when the direct way to the store has failed, not for each call; - what runs of a step take elsewhere is worked out only for runs that are old enough to be moved; - `explain` gathers a story's VMs and endpoints once, not for each line, and finds the lines in a wait once; - one Retry-After for a lost store, one way to hand an action out, one maker of labelled gauges.

--- a/samphiregate/adapters/cells/_desk.py
+++ b/samphiregate/adapters/cells/_desk.py
@@ -11,7 +11,6 @@
 RETRY_INTERVAL_MS = 60
 MOST_REFUSED_WAIT_MS = 250  # for a store that says that it did nothing
 ANSWER_MARGIN_MS = 100  # for the answer's way to the caller
-RETRY_AFTER_MS = 1_000
 STATE_TIMEOUT_MS = 1_000
 WAITING_FRESH_MS = 1_000
 
@@ -172,7 +171,7 @@
             return answer.count
         raise errors.UnavailableError(
             "the owner of the queue cannot be asked",
-            retry_after_ms=RETRY_AFTER_MS,
+            retry_after_ms=_relay.RETRY_AFTER_MS,
         )
 
     # Questions of other VMs
@@ -267,7 +266,8 @@
             ran=errors.Ran.UNKNOWN,
         )
     return errors.UnavailableError(
-        f"the store refuses: {error.detail}", retry_after_ms=RETRY_AFTER_MS
+        f"the store refuses: {error.detail}",
+        retry_after_ms=_relay.RETRY_AFTER_MS,
     )
 
 
--- a/samphiregate/adapters/cells/_relay.py
+++ b/samphiregate/adapters/cells/_relay.py
@@ -88,8 +88,7 @@
     def _call(self, direct, relayed):
         """Goes directly if that works, else by another VM."""
         sent_ms = self._now_ms()
-        addresses = self._other_addresses()
-        way = self._choose(sent_ms, addresses)
+        way, addresses = self._choose(sent_ms)
         if way is None:
             away_ms = sent_ms - self._direct.outage.since_ms
             raise StoreAwayError(away_ms)
@@ -104,8 +103,14 @@
         self._note_success(way, self._now_ms())
         return result
 
-    def _choose(self, now_ms, addresses):
-        """Returns the way to go; renewals tell when the direct one is back."""
+    def _choose(self, now_ms):
+        """Returns the way to go, or None, and the VMs to go by.
+
+        Renewals tell when the direct way is back.
+        """
+        if self._direct.outage.since_ms is None:
+            return self._direct, ()
+        addresses = self._other_addresses()
         ways = []
         if not self._direct.outage.is_away:
             ways.append(self._direct)
@@ -114,8 +119,8 @@
         ways.sort(key=lambda way: way.outage.since_ms is not None)
         for way in ways:
             if way.outage.may_try(now_ms):
-                return way
-        return None
+                return way, addresses
+        return None, ()
 
     def _note_failure(self, way, sent_ms, error):
         if way is self._relayed:
--- a/samphiregate/core/cells/_book.py
+++ b/samphiregate/core/cells/_book.py
@@ -62,7 +62,7 @@
 
     def decided(self, what, job_id="", **fields):
         """Asks for a log line."""
-        self.actions.append(_messages.Decided(what, job_id, fields))
+        self.act(_messages.Decided(what, job_id, fields))
 
     # Jobs
 
@@ -222,7 +222,7 @@
         booking.state = _tasks.RunState.STARTING
         booking.sent_ms = now_ms
         booking.orders += 1
-        self.actions.append(
+        self.act(
             _messages.StartTask(
                 endpoint.endpoint_id,
                 endpoint.news.address,
@@ -258,7 +258,7 @@
 
     def order_stop(self, endpoint, task_id, run):
         """Orders an endpoint to stop a run, or to refuse it if it comes."""
-        self.actions.append(
+        self.act(
             _messages.StopTask(
                 endpoint.endpoint_id, endpoint.news.address, task_id, run
             )
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -284,7 +284,7 @@
             FAILED_LOOK_MS if endpoint.failed_looks else 0
         )
         if event.fenced:
-            self.book.actions.append(_messages.StepDown(event.endpoint_id))
+            self.book.act(_messages.StepDown(event.endpoint_id))
             return
         endpoint.failed_looks += 1
         if endpoint.failed_looks == 1:
@@ -365,8 +365,7 @@
         if outcome is outcomes.NO_ROOM:
             endpoint.rest_until_ms = now_ms + NO_ROOM_REST_MS
         elif outcome is outcomes.FENCED:
-            step_down = _messages.StepDown(endpoint.endpoint_id)
-            self.book.actions.append(step_down)
+            self.book.act(_messages.StepDown(endpoint.endpoint_id))
         elif outcome is outcomes.SUPERSEDED:
             booking.task.last_run += _book.RUNS_PER_EPOCH
         elif outcome is outcomes.TOO_LATE:
--- a/samphiregate/core/cells/_endpoints.py
+++ b/samphiregate/core/cells/_endpoints.py
@@ -208,36 +208,6 @@
                 room += step.booked
         return room
 
-    def room_in_ms(self, need, now_ms):
-        """Returns how long it probably takes until there is room.
-
-        Parameters
-        ----------
-        need : Resources
-        now_ms : int
-
-        Returns
-        -------
-        float
-            Milliseconds; infinite if only lasting tasks are in the way.
-        """
-        room = self.free
-        if need.fits_in(room):
-            return 0.0
-        ends = sorted(
-            (
-                (booking.sent_ms + booking.step.estimate_ms, booking.step)
-                for booking in self.bookings_by_run.values()
-                if not booking.step.long_running
-            ),
-            key=lambda row: row[0],
-        )
-        for end_ms, step in ends:
-            room += step.booked
-            if need.fits_in(room):
-                return max(end_ms - now_ms, 0.0)
-        return math.inf
-
     def runs(self, state):
         """Returns the runs in a state."""
         return [
--- a/samphiregate/core/cells/_looks.py
+++ b/samphiregate/core/cells/_looks.py
@@ -74,7 +74,7 @@
         endpoint.look_after_ms = now_ms + (
             STORE_LAG_LOOK_MS if endpoint.unstored_ends else 0
         )
-        self._book.actions.append(
+        self._book.act(
             _messages.Look(
                 endpoint.endpoint_id,
                 endpoint.news.address,
--- a/samphiregate/core/cells/_questions.py
+++ b/samphiregate/core/cells/_questions.py
@@ -170,7 +170,7 @@
     with_room = [
         one
         for one in able
-        if one.room_in_ms(need, now_ms) <= answered_ms - now_ms
+        if need.fits_in(one.room_at(answered_ms))
         and stage.most_further(one.endpoint_id) > 0
         and not has_ticket(stage, one.endpoint_id, now_ms)
     ]
--- a/samphiregate/core/cells/_stragglers.py
+++ b/samphiregate/core/cells/_stragglers.py
@@ -146,8 +146,10 @@
     if step.gang or not _can_be_measured(booking):
         return False
     elapsed_ms = booking.confirmed_ms - booking.sent_ms
+    if elapsed_ms < MOVE_AFTER_MS:
+        return False
     usual_ms = expected_ms(booking)
-    if elapsed_ms < max(MOVE_AFTER_MS, usual_ms * MOVE_AFTER_FACTOR):
+    if elapsed_ms < usual_ms * MOVE_AFTER_FACTOR:
         return False
     return _left_ms(booking, now_ms) > usual_ms * MOVE_GAIN
 
--- a/samphiregate/logs/_stories.py
+++ b/samphiregate/logs/_stories.py
@@ -139,12 +139,12 @@
     own = [line for line in lines if _names(line, request_id)]
     if not own:
         return None
-    context = _without_repeats(line for line in lines if _explains(line, own))
+    context = _without_repeats(_context(lines, own))
     shown = sorted(own + context, key=lambda line: line.time_s)
     verdict, cause = _judge(own)
-    wait_s, resumed = _longest_wait(own, context)
+    wait_s, during, resumed = _longest_wait(own, context)
     if cause is None and wait_s >= LONG_WAIT_S:
-        cause = _cause_of_wait(context, resumed, wait_s)
+        cause = min(during, key=_rank, default=resumed)
     index = None if cause is None else _index(shown, cause)
     return Story(shown, verdict, index, wait_s)
 
@@ -153,25 +153,24 @@
     return line.fields.get("request") == request_id
 
 
-def _explains(line, own):
-    """Whether a line that names no request belongs to a story."""
+def _context(lines, own):
+    """Yields the lines that name no request and belong to a story."""
     first_s = own[0].time_s - CONTEXT_MARGIN_S
     last_s = own[-1].time_s + CONTEXT_MARGIN_S
-    if not first_s <= line.time_s <= last_s or line.fields.get("request"):
-        return False
-    if line.event in VM_EVENTS:
-        return line.vm in {one.vm for one in own}
-    if line.event in ENDPOINT_EVENTS:
-        used = {
-            endpoint
-            for one in own
-            for endpoint in (
-                *one.fields.get("endpoints", ()),
-                one.fields.get("endpoint"),
-            )
-        }
-        return line.fields.get("endpoint") in used
-    return False
+    vms = {line.vm for line in own}
+    endpoints = {line.fields.get("endpoint") for line in own}
+    for line in own:
+        endpoints.update(line.fields.get("endpoints", ()))
+    for line in lines:
+        if line.fields.get("request"):
+            continue
+        of_vm = line.event in VM_EVENTS and line.vm in vms
+        of_endpoint = (
+            line.event in ENDPOINT_EVENTS
+            and line.fields.get("endpoint") in endpoints
+        )
+        if first_s <= line.time_s <= last_s and (of_vm or of_endpoint):
+            yield line
 
 
 def _without_repeats(lines):
@@ -219,39 +218,33 @@
 
 
 def _longest_wait(own, context):
-    """Returns the longest gap between lines, and the line that ends it.
+    """Returns the longest gap between lines, and what is known of it.
 
     Between the start of tasks and the next line they run, unless runs were
     lost or the owner changed meanwhile.
+
+    Returns
+    -------
+    tuple
+        Seconds, the lines of the context in it, and the line that ends it.
     """
-    longest = (0.0, None)
+    longest = (0.0, [], None)
     for earlier, later in zip(own, own[1:], strict=False):
-        disturbed = any(
-            earlier.time_s <= line.time_s <= later.time_s
-            and line.event in DISTURBANCES
+        during = [
+            line
             for line in context
-        )
+            if earlier.time_s <= line.time_s <= later.time_s
+        ]
+        disturbed = any(line.event in DISTURBANCES for line in during)
         gap_s = later.time_s - earlier.time_s
         waits = earlier.event != "tasks placed" or disturbed
         if waits and gap_s > longest[0]:
-            longest = (gap_s, later)
+            longest = (gap_s, during, later)
     return longest
 
 
-def _cause_of_wait(context, resumed, wait_s):
-    """Returns what a wait is put down to, or else what ended it.
-
-    Lost runs go before a new owner, and that before what else a VM of the
-    story met with.
-    """
-    since_s = resumed.time_s - wait_s
-    during = [
-        line for line in context if since_s <= line.time_s <= resumed.time_s
-    ]
-    return min(during, key=_rank, default=resumed)
-
-
 def _rank(line):
+    """Sorts lines in a wait: lost runs, then a new owner, explain most."""
     if line.event in DISTURBANCES:
         return DISTURBANCES.index(line.event)
     return len(DISTURBANCES)
--- a/samphiregate/metrics/_vm.py
+++ b/samphiregate/metrics/_vm.py
@@ -106,19 +106,23 @@
             yield prometheus_core.GaugeMetricFamily(
                 f"samphiregate_{name}", text, value=value
             )
-        waiting = prometheus_core.GaugeMetricFamily(
+        yield _family_by(
+            "reason",
+            state.waiting_by_reason,
             "samphiregate_tasks_waiting",
             "Tasks that wait, by reason; told by the owner.",
-            labels=["reason"],
         )
-        for reason, count in state.waiting_by_reason.items():
-            waiting.add_metric([reason], count)
-        yield waiting
-        unreachable = prometheus_core.GaugeMetricFamily(
+        yield _family_by(
+            "service",
+            state.unreachable_by_service,
             "samphiregate_endpoints_unreachable",
             "Endpoints that do not answer; told by the owner.",
-            labels=["service"],
         )
-        for service, count in state.unreachable_by_service.items():
-            unreachable.add_metric([service], count)
-        yield unreachable
+
+
+def _family_by(label, count_by_value, name, text):
+    """Returns a family of gauges, one for each value of a label."""
+    family = prometheus_core.GaugeMetricFamily(name, text, labels=[label])
+    for value, count in count_by_value.items():
+        family.add_metric([value], count)
+    return family
