Stop restored runs that are no longer needed at a takeover

What callers saw: a task of a cancelled job ran on (UNASKED), and a task that was done was started again (TWICE), both after two changes of owner. Cause: the record of a job that has ended, or of a task that is done, still lists a run while its stop is not confirmed. The next owner restored it as a running one and stopped nothing, as the job was final already. Of a task that may run in copies it made another copy after 2 s, though the task was done. Change: a takeover orders the stop again; a done task gets no copy.

--- a/features/cells.feature
+++ b/features/cells.feature
@@ -64,6 +64,35 @@
     And all jobs are completed within 12000 ms
     And no invariant was violated
 
+  Scenario: a run of a cancelled job does not run on after a takeover
+    Given 1 endpoints of 4 cores
+    And an owner of the cell
+    When a long-running job "j" of 1 tasks is submitted
+    And 300 ms pass
+    And endpoint "e0" becomes unreachable
+    And job "j" is cancelled
+    And 500 ms pass
+    And the owner is lost for 2000 ms
+    And endpoint "e0" is reachable again
+    And another VM takes over the cell
+    And 500 ms pass
+    Then 0 tasks of job "j" run
+
+  Scenario: a task that is done gets no copy after a takeover
+    Given 2 endpoints of 4 cores
+    And an owner of the cell
+    When a job "j" of 4 speculative tasks is submitted
+    And 100 ms pass
+    And endpoint "e0" becomes unreachable
+    And a job "k" of 1 tasks of 20000 ms is submitted
+    And 2300 ms pass
+    And endpoint "e1" takes 999 times as long
+    And 500 ms pass
+    And the owner is lost for 300 ms
+    And another VM takes over the cell
+    And 2500 ms pass
+    Then 9 tasks were started
+
   Scenario: tasks of an unreachable endpoint restart elsewhere after its lease
     Given 2 endpoints of 4 cores
     And an owner of the cell
--- a/features/steps/cells_fault_steps.py
+++ b/features/steps/cells_fault_steps.py
@@ -31,6 +31,11 @@
     context.simulation.endpoint_by_id[endpoint_id].is_partitioned = True
 
 
+@behave.when('endpoint "{endpoint_id}" is reachable again')
+def when_reachable_again(context, endpoint_id):
+    context.simulation.endpoint_by_id[endpoint_id].is_partitioned = False
+
+
 @behave.when('endpoint "{endpoint_id}" drains and leaves after {left_ms:d} ms')
 def when_drains(context, endpoint_id, left_ms):
     simulation = context.simulation
--- a/features/steps/cells_steps.py
+++ b/features/steps/cells_steps.py
@@ -104,6 +104,17 @@
     context.simulation.submit(cells_work.make_job(job_id, step))
 
 
+@behave.when('a job "{job_id}" of {count:d} speculative tasks is submitted')
+def when_speculative_job(context, job_id, count):
+    step = cells_work.make_step(count, speculative=True)
+    context.simulation.submit(cells_work.make_job(job_id, step))
+
+
+@behave.when('job "{job_id}" is cancelled')
+def when_cancelled(context, job_id):
+    context.simulation.cancel(job_id)
+
+
 def _submit_many(context, count, *steps, **kwargs):
     first = len(context.simulation.job_by_id)
     job_ids = [f"j{number}" for number in range(first, first + count)]
--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -119,7 +119,8 @@
 
         The first poll shows which of them exist: from then on the endpoint
         has seen the new epoch and refuses late start orders of earlier
-        owners.
+        owners. A run that is no longer needed is stopped, as the stop that
+        an earlier owner ordered may not have reached the endpoint.
         """
         for stage_record in record.stages:
             key = (stage_record.occurrence, stage_record.step)
@@ -138,6 +139,8 @@
                 # run if the endpoint does not list it.
                 booking.state = _tasks.RunState.RUNNING
                 booking.confirmed_ms = now_ms
+                if not booking.task.needs_run:
+                    self.stop(booking, now_ms)
 
     def _inherited_endpoint(self, endpoint_id, service, address):
         endpoint = self.endpoint_by_id.get(endpoint_id)
--- a/samphiregate/core/cells/_tasks.py
+++ b/samphiregate/core/cells/_tasks.py
@@ -110,6 +110,11 @@
         """Whether the task is not done and no run of it can exist."""
         return not self.is_done and not self.bookings_by_run
 
+    @property
+    def needs_run(self):
+        """Whether a run of the task is still of use."""
+        return not self.is_done and not self.stage.entry.state.is_final
+
 
 @attrs.define(eq=False)
 class Ticket:
