--- /dev/null
+++ b/samphiregate/adapters/cells/_loader.py
@@ -0,0 +1,179 @@
+"""Reads the content of a cell from the store, and follows its changes."""
+
+import contextlib
+
+import attrs
+
+from samphiregate.adapters.cells import _keys
+from samphiregate.adapters.cells import _ports
+from samphiregate.adapters.cells import _watched_prefix
+from samphiregate.core import cells
+from samphiregate import errors
+
+WATCH_WAIT_MS = 2_000
+
+
+@attrs.frozen
+class CellContent:
+    """What the store held of a cell when it was read.
+
+    Parameters
+    ----------
+    endpoint_items, work_items, record_items : list of StoreItem
+    endpoints_revision, work_revision : int
+        Revisions from which changes are followed.
+    """
+
+    endpoint_items: list
+    endpoints_revision: int
+    work_items: list
+    work_revision: int
+    record_items: list
+
+
+class CellLoader:
+    """Delivers the content of a cell and its changes as events.
+
+    Parameters
+    ----------
+    cell_name : str
+    store : Store
+    decoders : Decoders
+    deliver : callable
+        Takes each event.
+    now_ms : callable
+    log : DecisionLog
+    """
+
+    def __init__(self, *, cell_name, store, decoders, deliver, now_ms, log):
+        self._cell_name = cell_name
+        self._store = store
+        self._decoders = decoders
+        self._deliver = deliver
+        self._now_ms = now_ms
+        self._log = log
+
+    def read(self):
+        """Returns the `CellContent`; raises `UnavailableError`."""
+        endpoint_items, endpoints_revision = self._store.list(
+            self._decoders.endpoints_prefix
+        )
+        work_items, work_revision = self._store.list(
+            _keys.work_prefix(self._cell_name)
+        )
+        record_items, _revision = self._store.list(
+            _keys.records_prefix(self._cell_name)
+        )
+        return CellContent(
+            endpoint_items,
+            endpoints_revision,
+            work_items,
+            work_revision,
+            record_items,
+        )
+
+    def deliver_all(self, content):
+        """Delivers the events of a `CellContent`."""
+        for item in content.endpoint_items:
+            self._endpoint_changed(
+                _ports.StoreChange(item.key, item.revision, item)
+            )
+        self._deliver_work(content.work_items, content.record_items)
+
+    @contextlib.contextmanager
+    def following(self, content):
+        """Delivers the changes since `content` was read."""
+        with (
+            self._watch(
+                self._decoders.endpoints_prefix,
+                self._endpoint_changed,
+                (content.endpoint_items, content.endpoints_revision),
+            ),
+            self._watch(
+                _keys.work_prefix(self._cell_name),
+                self._work_changed,
+                (content.work_items, content.work_revision),
+            ),
+        ):
+            yield
+
+    def _watch(self, prefix, on_change, listed):
+        watched_prefix = _watched_prefix.WatchedPrefix(
+            store=self._store,
+            prefix=prefix,
+            on_change=on_change,
+            now_ms=self._now_ms,
+            wait_ms=WATCH_WAIT_MS,
+            log=self._log,
+        )
+        watched_prefix.start_from(*listed)
+        return watched_prefix
+
+    def _deliver_work(self, work_items, record_items):
+        record_by_id = {}
+        for item in record_items:
+            job_id = item.key.rpartition("/")[2]
+            try:
+                record_by_id[job_id] = cells.decode(
+                    item.value, cells.JobRecord
+                )
+            except errors.BadInputError as error:
+                self._log.write(
+                    "record unreadable",
+                    request=job_id,
+                    reason=error.detail,
+                )
+        cancelled = []
+        for item in work_items:
+            if _is_cancel(item.key):
+                cancelled.append(item)
+            else:
+                self._deliver_job(item, record_by_id)
+        for item in cancelled:
+            self._deliver(cells.JobCancelled(_job_id(item.key)))
+
+    def _deliver_job(self, item, record_by_id):
+        try:
+            job = cells.decode(item.value, cells.Job)
+        except errors.BadInputError as error:
+            self._log.write(
+                "job unreadable", key=item.key, reason=error.detail
+            )
+            return
+        record = record_by_id.get(job.job_id)
+        self._deliver(cells.JobStored(job, record))
+
+    def _endpoint_changed(self, change):
+        if change.item is None:
+            endpoint_id = change.key.removeprefix(
+                self._decoders.endpoints_prefix
+            )
+            self._deliver(cells.EndpointDeregistered(endpoint_id))
+            return
+        try:
+            event = self._decoders.endpoint(change.key, change.item.value)
+        except errors.BadInputError as error:
+            self._log.write(
+                "endpoint entry unreadable",
+                key=change.key,
+                reason=error.detail,
+            )
+            return
+        self._deliver(event)
+
+    def _work_changed(self, change):
+        if change.item is None:
+            if not _is_cancel(change.key):
+                self._deliver(cells.JobRemoved(_job_id(change.key)))
+        elif _is_cancel(change.key):
+            self._deliver(cells.JobCancelled(_job_id(change.key)))
+        else:
+            self._deliver_job(change.item, {})
+
+
+def _is_cancel(key):
+    return key.split("/")[-2] == "cancel"
+
+
+def _job_id(key):
+    return key.rpartition("/")[2]
