Tell what an interrupted long-running task waits for

A takeover did not name the runs that it restored, "tasks placed" had no run numbers, ends of runs named the task in different ways, and what a task waited for was only a count.

Change: - Each long-running task without a run is followed (RunGaps). After a second `task waits` tells the reason, once more when it changes, with the endpoint and its lease where an earlier run is waited for, and the states of the service's endpoints where none is. `task runs again` tells the whole time. - `job queued` names the restored runs, `tasks placed` each run, `runs lost` the long-running tasks, `endpoint unreachable` how long its runs may last and whether they were inherited; ends of runs name the task. - Metrics: tasks without a run, the oldest, unconfirmed ones, restarts and their time; requests answered after SIGTERM, also in the line `stopped`. - `samphiregate explain` shows the waits, also those without an owner, and marks the longest.

Bounds: one line a second for each job, 20 for a cell, 10 for a wait; nothing for tasks that run.

--- a/features/cells.feature
+++ b/features/cells.feature
@@ -184,6 +184,30 @@
     Then 3 tasks of job "s" run
     And no invariant was violated
 
+  Scenario Outline: the log tells what an interrupted long-running task waits for
+    Given <endpoints> endpoints of 4 cores
+    And an owner of the cell
+    When a long-running job "s" of 1 tasks is submitted
+    And 300 ms pass
+    And a fault befalls job "s": <fault>
+    Then the log of 9000 ms tells that job "s" waits for "<reasons>"
+    And the log tells each run of job "s" and who ordered it
+
+    Examples:
+      | endpoints | fault                                           | reasons                            |
+      | 2         | its endpoint and the owner are lost             | an inherited run                   |
+      | 2         | its endpoint and two owners are lost            | an inherited run, then an inherited run |
+      | 1         | its endpoint is lost                            | no usable endpoint                 |
+      | 1         | its endpoint restarts, and others take the room | room                               |
+      | 2         | its endpoint restarts while the store is away   | the store to take the record       |
+
+  Scenario: a backlog of waiting tasks costs few log lines
+    Given 1 endpoints of 4 cores
+    And an owner of the cell
+    When 60 long-running jobs of 1 tasks are submitted
+    And 20000 ms pass
+    Then 56 lines tell of waits
+
   Scenario Outline: tasks that cannot end before their endpoint leaves are moved
     Given 2 endpoints of 4 cores
     And an owner of the cell
--- a/features/cells_vm.feature
+++ b/features/cells_vm.feature
@@ -134,6 +134,7 @@
   Scenario: metrics show requests, store calls and the state of the VM
     Given metrics of a VM whose store answers writes with done, silent
     When two writes are tried and a caller's POST is answered with 503
+    And a caller is answered with 200 after SIGTERM
     Then the metrics show
       | line                                                                    |
       | samphiregate_request_seconds_count{method="POST",status="503"} 1.0      |
@@ -144,6 +145,12 @@
       | samphiregate_tasks_waiting{reason="room"} 7.0                           |
       | samphiregate_endpoints_unreachable{service="svc"} 2.0                   |
       | samphiregate_configuration_version 9.0                                  |
+      | samphiregate_tasks_without_run 2.0                                      |
+      | samphiregate_tasks_without_run_oldest_seconds 14.8                      |
+      | samphiregate_tasks_unconfirmed 1.0                                      |
+      | samphiregate_task_restart_seconds_count 3.0                             |
+      | samphiregate_task_restart_seconds_sum 9.5                               |
+      | samphiregate_stopping_requests_total{status="200"} 1.0                  |
 
   Scenario: clients that are no longer used are dropped
     Given an HTTP server and at most 2 clients
--- a/features/steps/cells_steps.py
+++ b/features/steps/cells_steps.py
@@ -130,6 +130,12 @@
     _submit_many(context, count, cells_work.make_step(tasks))
 
 
+@behave.when("{count:d} long-running jobs of {tasks:d} tasks are submitted")
+def when_long_running_jobs(context, count, tasks):
+    step = cells_work.make_step(tasks, long_running=True)
+    _submit_many(context, count, step)
+
+
 @behave.when(
     "{count:d} jobs of {tasks:d} tasks with {attempts:d} attempts are "
     "submitted"
--- a/features/steps/cells_vm_steps.py
+++ b/features/steps/cells_vm_steps.py
@@ -419,7 +419,16 @@
 
     def describe(self):
         """See `EntryVm.describe`."""
-        return _vm.VmState(1_500, True, 3, {"room": 7}, {"svc": 2}, 9, 100)
+        gaps = {
+            "without_run": 2,
+            "oldest_ms": 14_800,
+            "unconfirmed": 1,
+            "restarted": 3,
+            "restart_ms": 9_500,
+        }
+        return _vm.VmState(
+            1_500, True, 3, {"room": 7}, {"svc": 2}, 9, 100, gaps
+        )
 
 
 @behave.given("metrics of a VM whose store answers writes with {answers}")
@@ -442,6 +451,11 @@
         outcome.status = status
 
 
+@behave.when("a caller is answered with {status} after SIGTERM")
+def when_stopping(context, status):
+    context.metrics.note_stopping_request(status)
+
+
 @behave.then("the metrics show")
 def then_metrics(context):
     text = context.metrics.text().decode()
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -50,6 +50,31 @@
     assert len(context.story.lines) == count, context.story.lines
 
 
+@behave.then("the story tells these waits")
+def then_waits(context):
+    told = [
+        (
+            ".".join(str(number) for number in wait.task),
+            wait.line.vm,
+            round(wait.start_s, 3),
+            round(wait.span_s, 3),
+            wait.reason,
+        )
+        for wait in context.story.waits
+    ]
+    expected = [
+        (
+            row["task"],
+            row["vm"],
+            float(row["from_s"]),
+            float(row["span_s"]),
+            row["reason"],
+        )
+        for row in context.table
+    ]
+    assert told == expected, told
+
+
 def check_decided(story, verdict, event, vm):
     """Checks the verdict and the line that is marked."""
     assert story.verdict.value == verdict, story
--- a/features/support/cells.py
+++ b/features/support/cells.py
@@ -13,6 +13,7 @@
 
 from features.support import cells_endpoints
 from samphiregate.core import cells
+from samphiregate import logs
 
 LINK_DELAY_MS = 1
 STORE_WRITE_MS = 6
@@ -46,6 +47,8 @@
         Number of polls sent to endpoints.
     stored_by_id : dict
         Stored records, encoded.
+    log_lines : list of logs.Line
+        Decisions that owners logged; a VM is named by its epoch.
     """
 
     def __init__(self, seed=0):
@@ -72,6 +75,7 @@
         self.max_overestimate_share = 0.0
         self.underestimate_factor = 1.0
         self.sent_queries = []
+        self.log_lines = []
         self.epoch = 0
         self.cell = None
         self._work_ms_by_task = {}
@@ -216,6 +220,17 @@
             self._send_poll(action)
         elif isinstance(action, cells.QueryPolicy):
             self._send_policy_query(action)
+        elif isinstance(action, cells.LogDecision):
+            self._log(action)
+
+    def _log(self, action):
+        fields = dict(action.fields)
+        if action.job_id:
+            fields["request"] = action.job_id
+        line = logs.Line(
+            self.now_ms / 1000, f"vm-{self.epoch}", action.event, fields
+        )
+        self.log_lines.append(line)
 
     def _answer(self, delay_ms, event, generation):
         def deliver():
--- a/samphiregate/adapters/cells/_vm.py
+++ b/samphiregate/adapters/cells/_vm.py
@@ -57,6 +57,9 @@
         0 without one.
     configuration_age_ms : int
         Time since the last answered request for it was sent to the store.
+    run_gaps : dict
+        Long-running tasks without a run and those restarted, as in
+        `RunGaps.describe`; empty unless it serves the cell.
     """
 
     lease_left_ms: int
@@ -66,6 +69,7 @@
     unreachable_by_service: dict
     configuration_version: int
     configuration_age_ms: int
+    run_gaps: dict = attrs.field(factory=dict)
 
 
 class EntryVm:
@@ -195,6 +199,7 @@
             else 0,
             configuration_age_ms=now_ms
             - self._watched_configuration.last_sync_ms,
+            run_gaps=load.get("run_gaps", {}),
         )
 
     def hand_over(self):
--- a/samphiregate/cli/_explain.py
+++ b/samphiregate/cli/_explain.py
@@ -48,6 +48,7 @@
             "request": command.request_id,
             "verdict": story.verdict.value,
             "longest_wait_ms": round(story.longest_wait_s * 1000),
+            "waits": _wait_rows(story),
             "lines": rows,
         }
         _output.show(document, root.output)
@@ -58,6 +59,11 @@
             f"{mark} {row['after_ms'] / 1000:+9.3f} s  {row['vm']}  "
             f"{row['event']}  {_text(row['fields'])}".rstrip()
         )
+    for row in _wait_rows(story):
+        print(
+            f"task {row['task']} waited {row['after_ms'] / 1000:+.3f} s "
+            f"to {row['until_ms'] / 1000:+.3f} s for {row['reason']}"
+        )
     print(_summary(command.request_id, story))
     return _exit_codes.ExitCode.OK
 
@@ -98,6 +104,20 @@
     ]
 
 
+def _wait_rows(story):
+    start_s = story.lines[0].time_s
+    return [
+        {
+            "task": ".".join(str(number) for number in wait.task),
+            "after_ms": round((wait.start_s - start_s) * 1000),
+            "until_ms": round((wait.end_s - start_s) * 1000),
+            "reason": wait.reason,
+            "vm": wait.line.vm,
+        }
+        for wait in story.waits
+    ]
+
+
 def _text(fields):
     return " ".join(
         f"{name}={value}"
@@ -115,4 +135,4 @@
         if reason:
             text += f" ({reason})"
     wait_ms = round(story.longest_wait_s * 1000)
-    return f"{text}; longest wait between two lines: {wait_ms} ms"
+    return f"{text}; longest wait: {wait_ms} ms"
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -15,6 +15,7 @@
 from samphiregate.core.cells import _records
 from samphiregate.core.cells import _stragglers
 from samphiregate.core.cells import _tasks
+from samphiregate.core.cells import _wait_reports
 
 CHECK_INTERVAL_MS = 100
 POLL_RETRY_MS = 300  # the first retry is sent at once
@@ -83,6 +84,10 @@
             is_backing_off=self._failure_backoff.is_backing_off,
             slowness_estimator=slowness_estimator,
         )
+        self._wait_reporter = _wait_reports.WaitReporter(
+            cell_state=self.cell_state,
+            is_backing_off=self._failure_backoff.is_backing_off,
+        )
 
     # Read access for callers and for the store
 
@@ -146,6 +151,7 @@
 
     def handle(self, event, now_ms):
         """Applies one event; see `StateMachine.handle`."""
+        self.cell_state.now_ms = now_ms
         self._apply(event, now_ms)
         return self._drain()
 
@@ -182,6 +188,7 @@
         self.cell_state.retry_stops(now_ms)
         self._stragglers.stop_slow_runs(now_ms)
         self._planner.plan_copies(now_ms)
+        self._wait_reporter.report(now_ms)
 
     def _drain(self):
         actions = self.cell_state.actions
@@ -325,6 +332,8 @@
                 process_gone=event.process_gone,
                 reason=event.reason,
                 runs=len(endpoint.bookings_by_run),
+                left_ms=max(endpoint.lease_until_ms - now_ms, 0),
+                inherited=not endpoint.has_answered,
             )
         if event.process_gone:
             self.cell_state.release_lost_runs(
@@ -348,11 +357,12 @@
         if outcome is _messages.StartOutcome.STARTED:
             booking.confirmed_ms = now_ms
             if booking.state is _tasks.RunState.STARTING:
-                booking.state = _tasks.RunState.RUNNING
+                self.cell_state.confirm_start(booking, now_ms)
             return
         self.cell_state.log_decision(
             "start failed",
             event.task_id.job_id,
+            task=event.task_id.position,
             run=event.run,
             endpoint=event.endpoint_id,
             outcome=outcome.value,
@@ -511,6 +521,7 @@
                     self.cell_state.log_decision(
                         "run moved off",
                         booking.task.task_id.job_id,
+                        task=booking.task.task_id.position,
                         run=booking.run,
                         endpoint=endpoint.endpoint_id,
                     )
--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -1,16 +1,20 @@
 """State of a cell: its jobs, endpoints and runs, and the changes to them."""
 
+import itertools
+
 import attrs
 
 from samphiregate.core.cells import _account_limits
 from samphiregate.core.cells import _endpoints
 from samphiregate.core.cells import _messages
 from samphiregate.core.cells import _order
+from samphiregate.core.cells import _run_gaps
 from samphiregate.core.cells import _tasks
 from samphiregate.core.cells import _work
 
 RUN_NUMBER_SKIP = 1_000  # skips numbers that earlier owners may have used
 STOP_RETRY_MS = 400
+MAX_RUNS_TOLD = 20  # in one log line
 RECENT_URGENT_MS = 5_000
 
 
@@ -40,6 +44,8 @@
         Ids of jobs whose cancellation was read before the job itself.
     actions : list
         Actions that `Cell` has not returned yet.
+    run_gaps : RunGaps
+        Long-running tasks without a run.
     """
 
     epoch: int
@@ -58,6 +64,7 @@
     share_limiter: _order.ShareLimiter = attrs.field(
         factory=_order.ShareLimiter
     )
+    run_gaps: _run_gaps.RunGaps = attrs.field(factory=_run_gaps.RunGaps)
     unix_ms: int = 0
     now_ms: int = 0
     _last_urgent_ms_by_account: dict = attrs.field(factory=dict)
@@ -108,6 +115,7 @@
             account=job.account,
             within_share=entry.within_share,
             state=entry.state.value,
+            restored=_describe_runs(entry.bookings()),
         )
         if job.job_id in self.early_cancelled_ids:
             self.early_cancelled_ids.discard(job.job_id)
@@ -177,6 +185,7 @@
             if stage.opened_ms is None and entry.are_dependencies_done(stage):
                 stage.opened_ms = now_ms
                 self.mark_startable(stage)
+                self.run_gaps.open_stage(stage, now_ms)
 
     def mark_startable(self, stage):
         """Marks an opened stage for the planner."""
@@ -272,6 +281,22 @@
         self.account_limits.remove(entry.job.account, booking.step.demand)
         if booking.task.is_waiting:
             self.mark_startable(booking.task.stage)
+            self.run_gaps.note_release(booking, self.now_ms)
+
+    def confirm_start(self, booking, now_ms):
+        """Marks a run as running, as its endpoint confirmed the start."""
+        booking.state = _tasks.RunState.RUNNING
+        gap = self.run_gaps.close(booking.task, now_ms)
+        if gap is not None:
+            self.log_decision(
+                "task runs again",
+                booking.task.task_id.job_id,
+                task=booking.task.task_id.position,
+                run=booking.run,
+                endpoint=booking.endpoint_id,
+                waited_ms=now_ms - gap.since_ms,
+                inherited=gap.inherited,
+            )
 
     def stop(self, booking, now_ms):
         """Orders a run to stop; its room stays reserved until it has ended."""
@@ -329,6 +354,9 @@
             reason=reason,
             runs=len(lost),
             jobs=sorted({booking.task.task_id.job_id for booking in lost}),
+            lost=_describe_runs(
+                booking for booking in lost if booking.step.long_running
+            ),
         )
 
     def remove_if_idle(self, endpoint):
@@ -372,14 +400,14 @@
         if entry.state.is_final or task.is_done:
             return
         if row.reason is _messages.EndReason.DONE:
-            self._apply_success(task, row.run, now_ms)
+            self._apply_success(task, endpoint, row.run, now_ms)
         elif row.reason is _messages.EndReason.FAILED:
             self._apply_failure(task, endpoint, row.run, now_ms)
         else:
             self.log_decision(
                 "run ended",
                 entry.job.job_id,
-                task=attrs.astuple(task.task_id)[1:],
+                task=task.task_id.position,
                 run=row.run,
                 reason=row.reason.value,
                 endpoint=endpoint.endpoint_id,
@@ -392,12 +420,16 @@
         if task.is_waiting:
             self.mark_startable(task.stage)
 
-    def _apply_success(self, task, run, now_ms):
+    def _apply_success(self, task, endpoint, run, now_ms):
         stage = task.stage
         entry = stage.entry
         if stage.step.long_running:
             self.log_decision(
-                "long-running task ended", entry.job.job_id, run=run
+                "long-running task ended",
+                entry.job.job_id,
+                task=task.task_id.position,
+                run=run,
+                endpoint=endpoint.endpoint_id,
             )
             return
         # The end of one member of a gang as done stands for all members.
@@ -428,7 +460,7 @@
         self.log_decision(
             "run failed",
             entry.job.job_id,
-            task=attrs.astuple(task.task_id)[1:],
+            task=task.task_id.position,
             run=run,
             failures=failures,
             most=queue.max_attempts,
@@ -442,7 +474,7 @@
                 entry,
                 _work.JobState.FAILED,
                 now_ms,
-                task=attrs.astuple(task.task_id)[1:],
+                task=task.task_id.position,
                 failures=failures,
             )
 
@@ -455,3 +487,11 @@
         """Returns the stored record version of a job; None if not held."""
         entry = self.entry_by_id.get(job_id)
         return None if entry is None else entry.stored_version
+
+
+def _describe_runs(bookings):
+    """Returns job, task, run and endpoint of some runs, for the log."""
+    return [
+        _tasks.describe_run(booking)
+        for booking in itertools.islice(bookings, MAX_RUNS_TOLD)
+    ]
--- a/samphiregate/core/cells/_load.py
+++ b/samphiregate/core/cells/_load.py
@@ -15,7 +15,8 @@
     Returns
     -------
     dict
-        Numbers of waiting tasks by queue and by reason; by service, the
+        Long-running tasks without a run and those that run again; numbers of
+        waiting tasks by queue and by reason; by service, the
         number of unreachable endpoints and the used shares of processors
         and accelerators.
     """
@@ -35,6 +36,7 @@
         used[service] += endpoint.registration.capacity - endpoint.free
         unreachable[service] += bool(endpoint.failed_polls)
     return {
+        "run_gaps": cell_state.run_gaps.describe(cell_state.now_ms),
         "waiting": dict(waiting_by_queue),
         "waits_for": dict(waiting_by_reason),
         "unreachable": dict(unreachable),
--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -10,6 +10,7 @@
 MAX_HELD_SHARE = 0.25  # of a service's endpoints
 URGENT_LIMIT_SHARE = 0.2  # of an account's limit
 LARGE_TASK_MIN_SHARE = 0.3  # of an endpoint's capacity
+MAX_RUNS_TOLD = 20  # in one log line
 
 
 class WaitReason(enum.Enum):
@@ -218,6 +219,13 @@
             wanted=len(tasks),
             waited_ms=now_ms - (stage.opened_ms or now_ms),
             endpoints=sorted({one.endpoint_id for one in chosen}),
+            runs=[
+                (one.task.task_id.index, one.run, one.endpoint_id)
+                for one in bookings[:MAX_RUNS_TOLD]
+            ],
+        )
+        cell_state.run_gaps.placed_by_service[stage.queue.service] += len(
+            bookings
         )
 
     def _hold_endpoints(self, stage, usable, unplaced_count, held_ids):
--- a/samphiregate/core/cells/_reconciliation.py
+++ b/samphiregate/core/cells/_reconciliation.py
@@ -65,6 +65,8 @@
     """Updates or adopts a listed run; stops one that is not needed."""
     booking = endpoint.bookings_by_run.get((row.task_id, row.run))
     if booking is not None:
+        if booking.state is STARTING:
+            cell_state.confirm_start(booking, now_ms)
         _update_booking(booking, row, now_ms)
         return
     entry = cell_state.entry_by_id.get(row.task_id.job_id)
@@ -76,13 +78,15 @@
         # The end was already applied; this answer is older.
         return
     superfluous = not task.needs_run or task.bookings_by_run
+    if not superfluous:
+        cell_state.run_gaps.drop(task)
     booking = cell_state.reserve(task, row.run, endpoint, now_ms)
     booking.state = RUNNING
     _update_booking(booking, row, now_ms)
     cell_state.log_decision(
         "run adopted",
         row.task_id.job_id,
-        task=(row.task_id.occurrence, row.task_id.step, row.task_id.index),
+        task=row.task_id.position,
         run=row.run,
         endpoint=endpoint.endpoint_id,
         wanted=not superfluous,
@@ -96,6 +100,7 @@
     cell_state.log_decision(
         "stray run",
         row.task_id.job_id,
+        task=row.task_id.position,
         run=row.run,
         endpoint=endpoint.endpoint_id,
     )
@@ -104,8 +109,6 @@
 
 def _update_booking(booking, row, now_ms):
     booking.confirmed_ms = now_ms
-    if booking.state is STARTING:
-        booking.state = RUNNING
     if row.percent > booking.percent:
         booking.progressed_ms = now_ms
     booking.percent = row.percent
@@ -125,6 +128,7 @@
         cell_state.log_decision(
             "run not there",
             booking.task.task_id.job_id,
+            task=booking.task.task_id.position,
             run=booking.run,
             state=booking.state.value,
             endpoint=endpoint.endpoint_id,
--- a/samphiregate/core/cells/_stragglers.py
+++ b/samphiregate/core/cells/_stragglers.py
@@ -126,6 +126,7 @@
                 self._cell_state.log_decision(
                     "slow run stopped",
                     booking.task.task_id.job_id,
+                    task=booking.task.task_id.position,
                     run=booking.run,
                     endpoint=endpoint.endpoint_id,
                     percent=booking.percent,
--- a/samphiregate/core/cells/_work.py
+++ b/samphiregate/core/cells/_work.py
@@ -293,3 +293,8 @@
     occurrence: int
     step: int
     index: int
+
+    @property
+    def position(self):
+        """Place in the job: occurrence, step and index."""
+        return (self.occurrence, self.step, self.index)
--- a/samphiregate/logs/_stories.py
+++ b/samphiregate/logs/_stories.py
@@ -11,9 +11,13 @@
 import attrs
 import orjson
 
+from samphiregate.logs import _waits
+
 CONTEXT_MARGIN_S = 2.0  # before the first and after the last line
 REPEAT_S = 2.0  # a line like one before it is left out for so long
 LONG_WAIT_S = 1.0  # a shorter gap explains nothing by itself
+# After these, nothing is waited for unless a run is lost.
+RUNNING_EVENTS = frozenset({"task runs again", "tasks placed"})
 DISTURBANCES = ("runs lost", "cell taken")  # the first explains most
 ACCEPTING_EVENTS = frozenset({"job accepted", "job known"})
 VM_EVENTS = frozenset(
@@ -89,13 +93,17 @@
     decisive : int or None
         Index of the line that explains the verdict, or the longest wait.
     longest_wait_s : float
-        Longest time between two lines of the request.
+        Longest time between two lines of the request, or that a task of it
+        waited for one thing.
+    waits : list of Wait
+        What tasks that had a run waited for until the next one.
     """
 
     lines: list
     verdict: Verdict
     decisive: int | None
     longest_wait_s: float
+    waits: list = attrs.field(factory=list)
 
 
 def parse_line(text):
@@ -139,21 +147,28 @@
     own = [line for line in lines if _names(line, request_id)]
     if not own:
         return None
-    context = _without_repeats(_context(lines, own))
+    context = _without_repeats(_context(lines, own, request_id))
     shown = sorted(own + context, key=lambda line: line.time_s)
     verdict, cause = _judge(own)
     wait_s, during, resumed = _longest_wait(own, context)
+    until_s = own[-1].time_s if _ends(own) else lines[-1].time_s
+    waits = _waits.find_waits(own, context, until_s)
+    longest = max(waits, key=lambda wait: wait.span_s, default=None)
+    told = longest is not None and longest.span_s >= wait_s
+    if told:
+        wait_s = longest.span_s
     if cause is None and wait_s >= LONG_WAIT_S:
-        cause = min(during, key=_rank, default=resumed)
+        cause = longest.line if told else None
+        cause = cause or min(during, key=_rank, default=resumed)
     index = None if cause is None else _index(shown, cause)
-    return Story(shown, verdict, index, wait_s)
+    return Story(shown, verdict, index, wait_s, waits)
 
 
 def _names(line, request_id):
     return line.fields.get("request") == request_id
 
 
-def _context(lines, own):
+def _context(lines, own, request_id):
     """Yields the lines that name no request and belong to a story."""
     first_s = own[0].time_s - CONTEXT_MARGIN_S
     last_s = own[-1].time_s + CONTEXT_MARGIN_S
@@ -169,10 +184,17 @@
             line.event in ENDPOINT_EVENTS
             and line.fields.get("endpoint") in endpoints
         )
-        if first_s <= line.time_s <= last_s and (of_vm or of_endpoint):
+        of_request = request_id in _jobs(line)
+        concerns = of_vm or of_endpoint or of_request
+        if first_s <= line.time_s <= last_s and concerns:
             yield line
 
 
+def _jobs(line):
+    jobs = line.fields.get("jobs")
+    return jobs if isinstance(jobs, list) else ()
+
+
 def _without_repeats(lines):
     """Returns lines without those that a VM said a short while before."""
     kept = []
@@ -187,7 +209,7 @@
 
 def _judge(own):
     """Returns the verdict, and the line that explains it if one does."""
-    ends = [line for line in own if line.event == "job ended"]
+    ends = _ends(own)
     if ends:
         verdict = _verdict_of_state(ends[-1].fields.get("state"))
         is_cause = verdict is Verdict.FAILED
@@ -210,6 +232,10 @@
     return Verdict.REFUSED, refusals[-1]
 
 
+def _ends(own):
+    return [line for line in own if line.event == "job ended"]
+
+
 def _verdict_of_state(state):
     return next(
         (verdict for verdict in Verdict if verdict.value == state),
@@ -221,13 +247,15 @@
     """Returns the longest gap between lines, and what is known of it.
 
     Between the start of tasks and the next line they run, unless runs were
-    lost or the owner changed meanwhile.
+    lost or the owner changed meanwhile and no line tells the task's own
+    waits. So do those that a new owner found in the record.
 
     Returns
     -------
     tuple
         Seconds, the lines of the context in it, and the line that ends it.
     """
+    told = any(line.event in _waits.EVENTS for line in own)
     longest = (0.0, [], None)
     for earlier, later in zip(own, own[1:], strict=False):
         during = [
@@ -237,7 +265,10 @@
         ]
         disturbed = any(line.event in DISTURBANCES for line in during)
         gap_s = later.time_s - earlier.time_s
-        waits = earlier.event != "tasks placed" or disturbed
+        running = earlier.event in RUNNING_EVENTS or bool(
+            earlier.fields.get("restored")
+        )
+        waits = not running or (disturbed and not told)
         if waits and gap_s > longest[0]:
             longest = (gap_s, during, later)
     return longest
--- a/samphiregate/metrics/_vm.py
+++ b/samphiregate/metrics/_vm.py
@@ -1,5 +1,6 @@
 """Metrics of an entry VM on a platform, in Prometheus' text format."""
 
+import collections
 import contextlib
 import time
 
@@ -15,9 +16,12 @@
     Attributes
     ----------
     registry : prometheus_client.CollectorRegistry
+    stopping_requests_by_status : collections.Counter
+        Requests that were answered after SIGTERM.
     """
 
     def __init__(self):
+        self.stopping_requests_by_status = collections.Counter()
         self.registry = prometheus_client.CollectorRegistry()
         self._request_seconds = prometheus_client.Histogram(
             "samphiregate_request_seconds",
@@ -31,6 +35,12 @@
             ["call", "outcome"],
             registry=self.registry,
         )
+        self._stopping_requests = prometheus_client.Counter(
+            "samphiregate_stopping_requests",
+            "Requests answered after SIGTERM.",
+            ["status"],
+            registry=self.registry,
+        )
         self._lines = prometheus_client.Gauge(
             "samphiregate_log_lines_dropped",
             "Log lines left out so far.",
@@ -63,6 +73,11 @@
                 time.monotonic() - started_s
             )
 
+    def note_stopping_request(self, status):
+        """Counts a request that was answered after SIGTERM."""
+        self._stopping_requests.labels(status).inc()
+        self.stopping_requests_by_status[status] += 1
+
     def note_store_call(self, call, outcome, span_s):
         """Notes a call to the store.
 
@@ -122,6 +137,32 @@
             "samphiregate_endpoints_unreachable",
             "Endpoints that do not answer; told by the owner.",
         )
+        yield from _gap_families(state.run_gaps)
+
+
+def _gap_families(gaps):
+    """Yields the families about long-running tasks without a run."""
+    yield prometheus_core.GaugeMetricFamily(
+        "samphiregate_tasks_without_run",
+        "Long-running tasks without a run; told by the owner.",
+        value=gaps.get("without_run", 0),
+    )
+    yield prometheus_core.GaugeMetricFamily(
+        "samphiregate_tasks_unconfirmed",
+        "Long-running tasks whose run no endpoint has confirmed yet.",
+        value=gaps.get("unconfirmed", 0),
+    )
+    yield prometheus_core.GaugeMetricFamily(
+        "samphiregate_tasks_without_run_oldest_seconds",
+        "Time that the oldest of them has been without a run.",
+        value=gaps.get("oldest_ms", 0) / 1000,
+    )
+    yield prometheus_core.SummaryMetricFamily(
+        "samphiregate_task_restart_seconds",
+        "Time that interrupted long-running tasks were without a run.",
+        count_value=gaps.get("restarted", 0),
+        sum_value=gaps.get("restart_ms", 0) / 1000,
+    )
 
 
 def _family_by(label, count_by_value, name, text):
