Store that a run was released, so that no later owner waits for it

Cause: a run that was released as lost (lease expired, process gone, not listed by its endpoint) stayed in the stored record until another change of the job was stored. Each new owner reserved its room and its account's limit again, and waited the whole inherited lease if the endpoint was silent.

Change: `release` marks the job; the mark is cleared by any write of the record, else the periodic check (100 ms) queues one. The version of the record stays, so a final state that is stored does not disappear meanwhile.

--- a/features/cells.feature
+++ b/features/cells.feature
@@ -78,6 +78,24 @@
     And 500 ms pass
     Then 0 tasks of job "j" run
 
+  Scenario: a takeover does not wait again for runs that an earlier owner released
+    Given 1 endpoints of 4 cores
+    And account "team" is limited to 4 cores
+    And an owner of the cell
+    When a long-running job "j" of 4 tasks of account "team" is submitted
+    And 300 ms pass
+    And endpoint "e1" of 4 cores is added
+    And a job "k" of 4 tasks of 20000 ms is submitted
+    And 300 ms pass
+    And endpoint "e0" becomes unreachable
+    And 6500 ms pass
+    And the owner is lost for 2000 ms
+    And another VM takes over the cell
+    And job "k" is cancelled
+    And 500 ms pass
+    Then 4 tasks of job "j" run
+    And no invariant was violated
+
   Scenario: a task that is done gets no copy after a takeover
     Given 2 endpoints of 4 cores
     And an owner of the cell
@@ -305,6 +323,13 @@
     Then all jobs are completed within 2000 ms
     And at most 60 polls were sent in total
 
+  Scenario: a job of one task takes two writes, at its start and at its end
+    Given 2 endpoints of 4 cores
+    And an owner of the cell
+    When a job of 1 plain tasks is submitted every 200 ms for 10 s
+    Then all jobs are completed within 2000 ms
+    And at most 100 writes were made in total
+
   Scenario Outline: a series of faults violates no invariant
     Given 6 endpoints of 4 cores
     And an owner of the cell
--- a/features/steps/cells_outcome_steps.py
+++ b/features/steps/cells_outcome_steps.py
@@ -57,6 +57,12 @@
     )
 
 
+@behave.then("at most {max_count:d} writes were made in total")
+def then_few_writes(context, max_count):
+    write_count = context.simulation.write_count
+    assert write_count <= max_count, write_count
+
+
 @behave.then("at most {max_count:d} more runs than needed were started")
 def then_few_unneeded_runs(context, max_count):
     simulation = context.simulation
--- a/features/steps/cells_steps.py
+++ b/features/steps/cells_steps.py
@@ -24,6 +24,11 @@
         )
 
 
+@behave.when('endpoint "{endpoint_id}" of {cores:d} cores is added')
+def when_endpoint_added(context, endpoint_id, cores):
+    context.simulation.add_endpoint(endpoint_id, cpu=cores * 1_000)
+
+
 @behave.given("an owner of the cell")
 def given_owner(context):
     context.simulation.take_over()
@@ -104,6 +109,16 @@
     context.simulation.submit(cells_work.make_job(job_id, step))
 
 
+@behave.when(
+    'a long-running job "{job_id}" of {count:d} tasks of account "{account}" '
+    "is submitted"
+)
+def when_long_running_of_account(context, job_id, count, account):
+    step = cells_work.make_step(count, long_running=True)
+    job = cells_work.make_job(job_id, step, account=account)
+    context.simulation.submit(job)
+
+
 @behave.when('a job "{job_id}" of {count:d} speculative tasks is submitted')
 def when_speculative_job(context, job_id, count):
     step = cells_work.make_step(count, speculative=True)
--- a/features/support/cells.py
+++ b/features/support/cells.py
@@ -44,6 +44,8 @@
         How long a write takes.
     poll_count : int
         Number of polls sent to endpoints.
+    write_count : int
+        Number of writes to the store.
     stored_by_id : dict
         Stored records, encoded.
     """
@@ -69,6 +71,7 @@
         self.query_slots = 4
         self.max_queries_in_flight = 0
         self.poll_count = 0
+        self.write_count = 0
         self.max_overestimate_share = 0.0
         self.underestimate_factor = 1.0
         self.sent_queries = []
@@ -179,6 +182,7 @@
         rows = self.cell.pop_records(30)
         if rows:
             self._writing = True
+            self.write_count += 1
             self.at(
                 self.store_write_ms,
                 functools.partial(self._written, rows, self._generation),
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -118,6 +118,7 @@
         rows = []
         for job_id in job_ids:
             del self.cell_state.dirty_ids[job_id]
+            self.cell_state.moved_ids.pop(job_id, None)
             entry = self.cell_state.entry_by_id.get(job_id)
             if entry is not None:
                 record = entry.to_record(self._address_of)
@@ -131,7 +132,8 @@
     def expired_jobs(self, unix_ms, retention_ms):
         """Returns the ids of jobs that ended more than `retention_ms` ago.
 
-        Jobs with runs that may still exist are left out.
+        Jobs with runs that may still exist, or whose end is yet to be
+        stored, are left out.
         """
         return [
             job_id
@@ -140,6 +142,7 @@
             and entry.ended_unix_ms
             and unix_ms - entry.ended_unix_ms > retention_ms
             and not any(entry.bookings())
+            and job_id not in self.cell_state.moved_ids
         ]
 
     # Entry points of the state machine
@@ -177,6 +180,7 @@
     def _run_periodic_checks(self, now_ms, unix_ms):
         """Runs the checks that are not needed in every plan."""
         self._release_expired(now_ms)
+        self.cell_state.store_moved()
         self._add_occurrences(now_ms, unix_ms)
         self._move_off_draining(now_ms)
         self.cell_state.retry_stops(now_ms)
--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -36,6 +36,9 @@
         Stages whose tasks can be started, keyed by job id and stage key.
     dirty_ids : dict
         Ids of jobs whose record is to be stored, in insertion order.
+    moved_ids : dict
+        Ids of jobs whose runs changed in a way that is stored with the next
+        write of the record, or after the next periodic check.
     early_cancelled_ids : set
         Ids of jobs whose cancellation was read before the job itself.
     actions : list
@@ -48,6 +51,7 @@
     endpoint_by_id: dict = attrs.field(factory=dict)
     startable_stages: dict = attrs.field(factory=dict)
     dirty_ids: dict = attrs.field(factory=dict)
+    moved_ids: dict = attrs.field(factory=dict)
     early_cancelled_ids: set = attrs.field(factory=set)
     actions: list = attrs.field(factory=list)
     account_limits: _account_limits.AccountLimits = attrs.field(
@@ -188,6 +192,20 @@
         entry.version += 1
         self.dirty_ids[entry.job.job_id] = None
 
+    def mark_moved(self, entry):
+        """Marks a job one of whose runs was released.
+
+        Until its record is stored, a later owner waits for the run that is
+        gone. The version stays, so a final state that is stored remains
+        visible.
+        """
+        self.moved_ids[entry.job.job_id] = None
+
+    def store_moved(self):
+        """Marks the records of the jobs that `mark_moved` has marked."""
+        self.dirty_ids.update(self.moved_ids)
+        self.moved_ids.clear()
+
     def finish(self, entry, state, now_ms, **log_fields):
         """Gives a job its final state and stops its runs."""
         if entry.state.is_final:
@@ -270,6 +288,7 @@
         endpoint.release(booking)
         entry = booking.task.stage.entry
         self.account_limits.remove(entry.job.account, booking.step.demand)
+        self.mark_moved(entry)
         if booking.task.is_waiting:
             self.mark_startable(booking.task.stage)
 
