Keep a needed run that a poll finds, instead of stopping it

Cause: whether the run was superfluous was kept as the task's dict of runs, which was tested after the found run had been added to it: so each adopted run was stopped, and its task placed again.

Change: decided before the run is added.

--- a/features/cells.feature
+++ b/features/cells.feature
@@ -96,6 +96,18 @@
     Then 4 tasks of job "j" run
     And no invariant was violated
 
+  Scenario: a run that is not in the stored record is adopted, not stopped
+    Given 1 endpoints of 4 cores
+    And an owner of the cell
+    When a long-running job "j" of 1 tasks is submitted
+    And 300 ms pass
+    And the stored record of job "j" is lost
+    And the owner is lost for 2000 ms
+    And another VM takes over the cell
+    And 500 ms pass
+    Then 1 tasks of job "j" run
+    And 1 tasks were started
+
   Scenario: a task that is done gets no copy after a takeover
     Given 2 endpoints of 4 cores
     And an owner of the cell
--- a/features/steps/cells_fault_steps.py
+++ b/features/steps/cells_fault_steps.py
@@ -24,6 +24,11 @@
     context.simulation.take_over()
 
 
+@behave.when('the stored record of job "{job_id}" is lost')
+def when_record_lost(context, job_id):
+    del context.simulation.stored_by_id[job_id]
+
+
 @behave.when('endpoint "{endpoint_id}" becomes unreachable')
 def when_unreachable(context, endpoint_id):
     context.unreachable_ms = context.simulation.now_ms
--- a/samphiregate/core/cells/_reconciliation.py
+++ b/samphiregate/core/cells/_reconciliation.py
@@ -75,7 +75,7 @@
     if (endpoint.endpoint_id, row.run) in task.ended_runs:
         # The end was already applied; this answer is older.
         return
-    superfluous = not task.needs_run or task.bookings_by_run
+    superfluous = not task.needs_run or bool(task.bookings_by_run)
     booking = cell_state.reserve(task, row.run, endpoint, now_ms)
     booking.state = RUNNING
     _update_booking(booking, row, now_ms)
