Store the runs that a poll finds

Cause: a run that was adopted from an endpoint's answer did not enter the stored record. If the endpoint then fell silent, the next owner did not know of the run and started the task elsewhere: it ran twice.

Change: an adopted run marks the job as a released one does.

Result: the scenario "a run that was found by a poll is not started again after a takeover" failed before (2 starts) and passes; cells.feature passes.

--- a/features/cells.feature
+++ b/features/cells.feature
@@ -108,6 +108,23 @@
     Then 1 tasks of job "j" run
     And 1 tasks were started
 
+  Scenario: a run that was found by a poll is not started again after a takeover
+    Given 1 endpoints of 4 cores
+    And an owner of the cell
+    When a long-running job "j" of 1 tasks is submitted
+    And 300 ms pass
+    And the stored record of job "j" is lost
+    And the owner is lost for 2000 ms
+    And another VM takes over the cell
+    And 500 ms pass
+    And endpoint "e1" of 4 cores is added
+    And endpoint "e0" becomes unreachable
+    And the owner is lost for 100 ms
+    And another VM takes over the cell
+    And 2000 ms pass
+    Then 1 tasks were started
+    And no invariant was violated
+
   Scenario: a task that is done gets no copy after a takeover
     Given 2 endpoints of 4 cores
     And an owner of the cell
--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -193,11 +193,11 @@
         self.dirty_ids[entry.job.job_id] = None
 
     def mark_moved(self, entry):
-        """Marks a job one of whose runs was released.
+        """Marks a job one of whose runs was released or adopted.
 
         Until its record is stored, a later owner waits for the run that is
-        gone. The version stays, so a final state that is stored remains
-        visible.
+        gone, or does not know of the one that exists. The version stays, so
+        a final state that is stored remains visible.
         """
         self.moved_ids[entry.job.job_id] = None
 
--- a/samphiregate/core/cells/_reconciliation.py
+++ b/samphiregate/core/cells/_reconciliation.py
@@ -78,6 +78,7 @@
     superfluous = not task.needs_run or bool(task.bookings_by_run)
     booking = cell_state.reserve(task, row.run, endpoint, now_ms)
     booking.state = RUNNING
+    cell_state.mark_moved(entry)
     _update_booking(booking, row, now_ms)
     cell_state.log_decision(
         "run adopted",
