Keep the announced leave time of an endpoint that a new owner reads

Cause: the time left until a draining endpoint leaves was applied at changes of its registration, not at the first one. A new owner so took the endpoint to stay for ever, and left tasks there that could not end in time.

Change: the leave time is set when the endpoint is first read.

Result: the scenario "a new owner moves tasks off an endpoint that drains already" failed before (not completed within 6500 ms) and passes; cells.feature passes.

--- a/features/cells.feature
+++ b/features/cells.feature
@@ -245,6 +245,17 @@
       | 3000    | 2000    | 6500   |
       | 1500    | 2000    | 1500   |
 
+  Scenario: a new owner moves tasks off an endpoint that drains already
+    Given 2 endpoints of 4 cores
+    And an owner of the cell
+    When a job "j" of 6 tasks of 3000 ms is submitted
+    And 200 ms pass
+    And the owner is lost for 100 ms
+    And endpoint "e0" drains and leaves after 2000 ms
+    And another VM takes over the cell
+    Then job "j" is completed within 6500 ms
+    And no invariant was violated
+
   Scenario: endpoints discard ends only once they are stored
     Given 2 endpoints of 4 cores
     And an owner of the cell
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -242,9 +242,9 @@
     def _(self, event: _messages.EndpointRegistered, now_ms):
         endpoint = self.cell_state.endpoint_by_id.get(event.endpoint_id)
         if endpoint is None:
-            self.cell_state.endpoint_by_id[event.endpoint_id] = (
-                _endpoints.Endpoint(event)
-            )
+            endpoint = _endpoints.Endpoint(event)
+            endpoint.update_leave_time(now_ms)
+            self.cell_state.endpoint_by_id[event.endpoint_id] = endpoint
             self.cell_state.log_decision(
                 "endpoint listed",
                 endpoint=event.endpoint_id,
