--- a/features/cells.feature
+++ b/features/cells.feature
@@ -78,6 +78,53 @@
     And 500 ms pass
     Then 0 tasks of job "j" run
 
+  Scenario: a takeover does not wait again for runs that an earlier owner released
+    Given 1 endpoints of 4 cores
+    And account "team" is limited to 4 cores
+    And an owner of the cell
+    When a long-running job "j" of 4 tasks of account "team" is submitted
+    And 300 ms pass
+    And endpoint "e1" of 4 cores is added
+    And a job "k" of 4 tasks of 20000 ms is submitted
+    And 300 ms pass
+    And endpoint "e0" becomes unreachable
+    And 6500 ms pass
+    And the owner is lost for 2000 ms
+    And another VM takes over the cell
+    And job "k" is cancelled
+    And 500 ms pass
+    Then 4 tasks of job "j" run
+    And no invariant was violated
+
+  Scenario: a run that is not in the stored record is adopted, not stopped
+    Given 1 endpoints of 4 cores
+    And an owner of the cell
+    When a long-running job "j" of 1 tasks is submitted
+    And 300 ms pass
+    And the stored record of job "j" is lost
+    And the owner is lost for 2000 ms
+    And another VM takes over the cell
+    And 500 ms pass
+    Then 1 tasks of job "j" run
+    And 1 tasks were started
+
+  Scenario: a run that was found by a poll is not started again after a takeover
+    Given 1 endpoints of 4 cores
+    And an owner of the cell
+    When a long-running job "j" of 1 tasks is submitted
+    And 300 ms pass
+    And the stored record of job "j" is lost
+    And the owner is lost for 2000 ms
+    And another VM takes over the cell
+    And 500 ms pass
+    And endpoint "e1" of 4 cores is added
+    And endpoint "e0" becomes unreachable
+    And the owner is lost for 100 ms
+    And another VM takes over the cell
+    And 2000 ms pass
+    Then 1 tasks were started
+    And no invariant was violated
+
   Scenario: a task that is done gets no copy after a takeover
     Given 2 endpoints of 4 cores
     And an owner of the cell
@@ -222,6 +269,17 @@
       | 3000    | 2000    | 6500   |
       | 1500    | 2000    | 1500   |
 
+  Scenario: a new owner moves tasks off an endpoint that drains already
+    Given 2 endpoints of 4 cores
+    And an owner of the cell
+    When a job "j" of 6 tasks of 3000 ms is submitted
+    And 200 ms pass
+    And the owner is lost for 100 ms
+    And endpoint "e0" drains and leaves after 2000 ms
+    And another VM takes over the cell
+    Then job "j" is completed within 6500 ms
+    And no invariant was violated
+
   Scenario: endpoints discard ends only once they are stored
     Given 2 endpoints of 4 cores
     And an owner of the cell
@@ -329,6 +387,13 @@
     Then all jobs are completed within 2000 ms
     And at most 60 polls were sent in total
 
+  Scenario: a job of one task takes two writes, at its start and at its end
+    Given 2 endpoints of 4 cores
+    And an owner of the cell
+    When a job of 1 plain tasks is submitted every 200 ms for 10 s
+    Then all jobs are completed within 2000 ms
+    And at most 100 writes were made in total
+
   Scenario Outline: a series of faults violates no invariant
     Given 6 endpoints of 4 cores
     And an owner of the cell
