Start interrupted long-running tasks before all other work

What callers saw: a task that is to last lapsed and was not started again while there was room for it (LOST). Cause: a restart was queued like new work. Its due time is long past, so it came behind all urgent work and all other work of its priority; the same order held for policy queries, where slow queries also leave slots free, and small urgent tasks took the room while its query was in flight. Change: tasks of a long-running step that ran before and have no run go first in the plan and in the policy queries, hold endpoints with room (a quarter of them at most, as for large tasks), and need not leave a part of their account's limit to urgent work. First starts stay as they were. The stored record does not tell which tasks of a step ran, so after a takeover all waiting tasks of a step that has started count as interrupted.

--- /dev/null
+++ b/features/cells_restart.feature
@@ -0,0 +1,36 @@
+Feature: interrupted long-running tasks are started again at once
+
+  A long-running task serves as long as its job lives, so each second without
+  a run is lost. When its run was lost and an endpoint has room for another
+  one, it must run again within three seconds, however much other work waits.
+
+  Scenario Outline: an interrupted long-running task does not wait behind urgent work
+    Given 4 endpoints of 4 cores
+    And an owner of the cell
+    And <vms> VMs can query the policy service, which takes <query_ms> ms
+    And long-running tasks are watched
+    When a long-running job of 6 tasks that <kind> is submitted
+    And 2000 ms pass
+    And urgent tasks that <kind> fill all endpoints from now on
+    And 2000 ms pass
+    And endpoint "e0" restarts
+    And endpoint "e1" restarts
+    And 4000 ms pass
+    Then each long-running task was without a run for at most 3000 ms
+    And no invariant was violated
+
+    Examples:
+      | kind            | vms | query_ms |
+      | need no tickets | 4   | 30       |
+      | need tickets    | 4   | 30       |
+      | need tickets    | 4   | 400      |
+      | need tickets    | 1   | 400      |
+
+  Scenario: the first start of a long-running task does not go before urgent work
+    Given 4 endpoints of 4 cores
+    And an owner of the cell
+    When urgent tasks that need no tickets fill all endpoints from now on
+    And 2000 ms pass
+    And a long-running job of 6 tasks that need no tickets is submitted
+    And 2000 ms pass
+    Then 0 tasks of job "service" run
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -397,7 +397,7 @@
 
     def _on_start_refused(self, endpoint, booking, outcome, now_ms):
         outcomes = _messages.StartOutcome
-        self.cell_state.release(booking)
+        self.cell_state.release(booking, has_begun=False)
         if booking.step.gang:
             self.cell_state.stop_gang(booking.task.stage, booking.run, now_ms)
         if outcome is outcomes.NO_ROOM:
--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -262,21 +262,30 @@
             )
         )
 
-    def release(self, booking):
-        """Releases the room of a run that is known to have ended."""
+    def release(self, booking, *, has_begun=True):
+        """Releases the room of a run that is known not to exist.
+
+        Parameters
+        ----------
+        booking : Booking
+        has_begun : bool
+            False if no endpoint began the run.
+        """
         endpoint = self.endpoint_by_id[booking.endpoint_id]
         if booking.key not in endpoint.bookings_by_run:
             return
         endpoint.release(booking)
         entry = booking.task.stage.entry
         self.account_limits.remove(entry.job.account, booking.step.demand)
+        if has_begun:
+            booking.task.interrupted_ms = self.now_ms
         if booking.task.is_waiting:
             self.mark_startable(booking.task.stage)
 
     def stop(self, booking, now_ms):
         """Orders a run to stop; its room stays reserved until it has ended."""
         if booking.state is _tasks.RunState.PLANNED:
-            self.release(booking)
+            self.release(booking, has_begun=False)
             return
         booking.state = _tasks.RunState.STOPPING
         booking.stop_sent_ms = now_ms
@@ -320,7 +329,8 @@
         if not lost:
             return
         for booking in lost:
-            self.release(booking)
+            planned = booking.state is _tasks.RunState.PLANNED
+            self.release(booking, has_begun=not planned)
             if booking.step.gang:
                 self.stop_gang(booking.task.stage, booking.run, now_ms)
         self.log_decision(
--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -51,6 +51,8 @@
     def plan(self, now_ms, query_slots):
         """Places waiting tasks where they fit, the most urgent stages first.
 
+        Interrupted long-running tasks go before all others.
+
         Parameters
         ----------
         now_ms : int
@@ -64,6 +66,12 @@
             cell_state.startable_stages.values(),
             key=lambda stage: _order.priority_key(stage, now_ms),
         )
+        for stage in stages:
+            interrupted = stage.interrupted()
+            if interrupted:
+                self._plan_stage(
+                    stage, interrupted, held_ids, now_ms, is_restart=True
+                )
         for stage in stages:
             tasks = stage.startable()
             if not tasks:
@@ -72,12 +80,17 @@
                         stage.entry.job.job_id, stage.key
                     ]
                 continue
-            self._plan_stage(stage, tasks, held_ids, now_ms)
+            interrupted = stage.interrupted()
+            first_starts = [one for one in tasks if one not in interrupted]
+            if first_starts:
+                self._plan_stage(stage, first_starts, held_ids, now_ms)
         self._policy_queries.send_queries(query_slots, now_ms)
 
-    def _plan_stage(self, stage, tasks, held_ids, now_ms):
+    def _plan_stage(self, stage, tasks, held_ids, now_ms, is_restart=False):
         account = stage.entry.job.account
-        tasks = self._within_account_limit(stage, tasks, account)
+        tasks = self._within_account_limit(
+            stage, tasks, account, is_restart=is_restart
+        )
         if not tasks:
             stage.waits_for = WaitReason.ACCOUNT_LIMIT
             return
@@ -91,9 +104,16 @@
             stage.waits_for = _wait_reason(stage, usable, candidates)
             if stage.queue.advice:
                 self._policy_queries.request(
-                    stage, usable, unplaced_count, now_ms
+                    stage,
+                    usable,
+                    unplaced_count,
+                    now_ms,
+                    is_restart=is_restart,
                 )
-            self._hold_endpoints(stage, usable, unplaced_count, held_ids)
+            if is_restart:
+                _hold_for_restarts(stage, usable, unplaced_count, held_ids)
+            else:
+                self._hold_endpoints(stage, usable, unplaced_count, held_ids)
 
     def plan_copies(self, now_ms):
         """Places copies of speculative tasks that run longer than expected."""
@@ -129,16 +149,19 @@
             if chosen:
                 self._place(stage, [task], chosen, now_ms)
 
-    def _within_account_limit(self, stage, tasks, account):
+    def _within_account_limit(self, stage, tasks, account, is_restart=False):
         """Returns the leading tasks that fit within the account's limit.
 
         If the account submitted urgent jobs recently, its other jobs leave
-        `URGENT_LIMIT_SHARE` of the limit free for further urgent ones.
+        `URGENT_LIMIT_SHARE` of the limit free for further urgent ones; not
+        so the restarts of interrupted tasks.
         """
         account_limits = self._cell_state.account_limits
         limit_share = 1.0
-        if stage.queue.priority and self._cell_state.has_recent_urgent_work(
-            account
+        if (
+            stage.queue.priority
+            and not is_restart
+            and self._cell_state.has_recent_urgent_work(account)
         ):
             limit_share = 1.0 - URGENT_LIMIT_SHARE
         demand = stage.step.demand
@@ -233,8 +256,7 @@
         so that the room is still free when the answer arrives.
         """
         need = stage.step.booked
-        max_count = max(1, round(len(usable) * MAX_HELD_SHARE))
-        max_count -= sum(one.endpoint_id in held_ids for one in usable)
+        max_count = _max_more_held(usable, held_ids)
         if max_count <= 0 or not stage.entry.within_share:
             return
         holdable = [
@@ -249,15 +271,47 @@
                 not stage.queue.advice or one.endpoint_id in stage.ticket_by_id
             )
         ]
-        holdable.sort(
-            key=lambda one: (need - one.free).dominant_share(
-                one.registration.capacity
-            )
-        )
+        holdable.sort(key=lambda one: _missing_share(need, one))
         for endpoint in holdable[: min(unplaced_count, max_count)]:
             held_ids.add(endpoint.endpoint_id)
 
 
+def _max_more_held(usable, held_ids):
+    max_count = max(1, round(len(usable) * MAX_HELD_SHARE))
+    return max_count - sum(one.endpoint_id in held_ids for one in usable)
+
+
+def _missing_share(need, endpoint):
+    """Returns the share of its capacity that an endpoint has too little."""
+    return (need - endpoint.free).dominant_share(
+        endpoint.registration.capacity
+    )
+
+
+def _hold_for_restarts(stage, usable, unplaced_count, held_ids):
+    """Holds endpoints for interrupted tasks, whatever their size.
+
+    Those with the most room, and at most `MAX_HELD_SHARE` of the endpoints,
+    but at least one. So their room is not taken while the stage waits for a
+    ticket.
+    """
+    need = stage.step.booked
+    holdable = [
+        one
+        for one in usable
+        if one.endpoint_id not in held_ids
+        and need.fits_in(one.registration.capacity)
+        and stage.max_more_on(one.endpoint_id) > 0
+        and (not stage.queue.advice or one.endpoint_id in stage.ticket_by_id)
+    ]
+    holdable.sort(key=lambda one: _missing_share(need, one))
+    for endpoint in holdable[: max(0, _max_more_held(usable, held_ids))]:
+        if unplaced_count <= 0:
+            break
+        held_ids.add(endpoint.endpoint_id)
+        unplaced_count -= max(1, need.count_fitting_in(endpoint.free))
+
+
 def _wait_reason(stage, usable, candidates):
     """Returns the `WaitReason` of a stage with tasks that were not placed."""
     if not usable:
--- a/samphiregate/core/cells/_policy_queries.py
+++ b/samphiregate/core/cells/_policy_queries.py
@@ -3,8 +3,8 @@
 Each VM has one query in flight at a time and a query takes long, so query
 slots are the scarce resource. They are shared evenly among the services
 whose tasks wait, the most urgent stages first, so that a service with many
-waiting tasks does not hold up another. Queries whose answer could not start
-a task are not sent.
+waiting tasks does not hold up another. Queries for interrupted long-running
+tasks go first. Queries whose answer could not start a task are not sent.
 """
 
 import attrs
@@ -23,6 +23,7 @@
 
     service: str
     is_slow: bool
+    is_restart: bool
 
 
 @attrs.frozen(eq=False)
@@ -32,6 +33,7 @@
     stage: object
     usable: list
     unplaced_count: int
+    is_restart: bool
 
 
 class PolicyQueries:
@@ -47,6 +49,7 @@
         self._add_action = add_action
         self._in_flight_by_stage = {}
         self._requests_by_service = {}
+        self._restart_requests = []
         self._sent_count = 0
         self._last_sent_by_service = {}
 
@@ -68,7 +71,9 @@
         stage.query_in_flight = False
         stage.next_query_ms = next_query_ms
 
-    def request(self, stage, usable, unplaced_count, now_ms):
+    def request(
+        self, stage, usable, unplaced_count, now_ms, *, is_restart=False
+    ):
         """Requests tickets for waiting tasks of a stage.
 
         Must be called in order of urgency, before `send_queries`.
@@ -80,13 +85,17 @@
         unplaced_count : int
             Number of tasks that were not placed.
         now_ms : int
+        is_restart : bool
+            Whether the tasks are interrupted long-running ones.
         """
         if stage.query_in_flight or stage.next_query_ms > now_ms:
             return
-        requests = self._requests_by_service.setdefault(
-            stage.queue.service, []
-        )
-        requests.append(_Request(stage, usable, unplaced_count))
+        requests = self._restart_requests
+        if not is_restart:
+            requests = self._requests_by_service.setdefault(
+                stage.queue.service, []
+            )
+        requests.append(_Request(stage, usable, unplaced_count, is_restart))
 
     def send_queries(self, query_slots, now_ms):
         """Sends as many of the requested queries as there are free slots.
@@ -100,6 +109,7 @@
             Number of VMs that can query the policy service.
         now_ms : int
         """
+        self._send_restart_queries(query_slots, now_ms)
         pending = {
             service: iter(requests)
             for service, requests in self._requests_by_service.items()
@@ -118,6 +128,21 @@
             else:
                 self._send(request, now_ms)
 
+    def _send_restart_queries(self, query_slots, now_ms):
+        """Sends the queries for interrupted tasks.
+
+        They do not wait for slots that are kept for fast queries, but leave
+        as many slots to other queries.
+        """
+        requests, self._restart_requests = self._restart_requests, []
+        max_count = query_slots - _reserved_count(query_slots)
+        for request in requests:
+            in_flight = self._in_flight_by_stage.values()
+            restart_count = sum(one.is_restart for one in in_flight)
+            if len(in_flight) >= query_slots or restart_count >= max_count:
+                return
+            self._send(request, now_ms)
+
     def _service_priority(self, service):
         """Returns the sort key of a service; the lowest one is served next."""
         in_flight = sum(
@@ -130,17 +155,15 @@
         return request.stage.queue.advice.decide_ms >= SLOW_QUERY_MS
 
     def _may_send_slow(self, query_slots):
-        # At least one slot if there are several.
-        reserved_count = max(
-            round(query_slots * FAST_QUERY_SLOT_SHARE), min(query_slots - 1, 1)
-        )
         slow_count = sum(
             one.is_slow for one in self._in_flight_by_stage.values()
         )
-        return slow_count < query_slots - reserved_count
+        return slow_count < query_slots - _reserved_count(query_slots)
 
     def _send(self, request, now_ms):
         stage = request.stage
+        if stage.query_in_flight:
+            return
         queried = _endpoints_to_query(request, now_ms)
         if not queried:
             return
@@ -149,7 +172,7 @@
         self._sent_count += 1
         self._last_sent_by_service[stage.queue.service] = self._sent_count
         self._in_flight_by_stage[stage] = _QueryInFlight(
-            stage.queue.service, self._is_slow(request)
+            stage.queue.service, self._is_slow(request), request.is_restart
         )
         self._add_action(
             _messages.QueryPolicy(
@@ -163,6 +186,13 @@
         )
 
 
+def _reserved_count(query_slots):
+    """Returns the slots kept for fast queries: some, if there are several."""
+    return max(
+        round(query_slots * FAST_QUERY_SLOT_SHARE), min(query_slots - 1, 1)
+    )
+
+
 def has_ticket(stage, endpoint_id, now_ms):
     """Whether a stage holds a ticket that is valid long enough to start."""
     ticket = stage.ticket_by_id.get(endpoint_id)
--- a/samphiregate/core/cells/_tasks.py
+++ b/samphiregate/core/cells/_tasks.py
@@ -88,6 +88,8 @@
         Highest run number assigned.
     saved : str
         Latest checkpoint; empty for none.
+    interrupted_ms : int or None
+        When its latest run was lost or ended; None before the first run.
     failed_runs : set of int
         Runs that ended as failed.
     ended_runs : set
@@ -101,6 +103,7 @@
     is_done: bool = False
     last_run: int = 0
     saved: str = ""
+    interrupted_ms: int | None = None
     failed_runs: set[int] = attrs.field(factory=set)
     ended_runs: set = attrs.field(factory=set)
     bookings_by_run: dict[int, Booking] = attrs.field(factory=dict)
@@ -182,6 +185,19 @@
             return []
         return waiting
 
+    def interrupted(self):
+        """Returns the startable long-running tasks that ran before.
+
+        All members of a gang if one of them ran.
+        """
+        if not self.step.long_running:
+            return []
+        waiting = self.startable()
+        interrupted = [
+            task for task in waiting if task.interrupted_ms is not None
+        ]
+        return waiting if interrupted and self.step.gang else interrupted
+
     def max_more_on(self, endpoint_id):
         """Returns how many more tasks may run on an endpoint."""
         if not self.step.most_per_endpoint:
@@ -368,3 +384,5 @@
         task.failed_runs.update(stage_record.failures.get(index, ()))
         task.saved = stage_record.saved.get(index, "")
         task.last_run = stage_record.last_run
+        # The record does not tell which of the tasks ran.
+        task.interrupted_ms = 0
