Keep failures of long-running tasks from delaying their restart

What callers would see: a task that is to last is not started again for up to 10 s on a sound endpoint (LOST); found by reading, not seen in the record. Cause: three failures of different jobs put an endpoint into back-off, each time for longer, and only a task that ends as done resets it. Long-running tasks never do, and may fail by their own fault at any time, so on their endpoints the back-off grew to its maximum and stayed there. Change: a failure after 5 s of work resets the back-off as a success does; and 2 s after an interruption a restart may go to an endpoint that is backing off if it found no other.

--- a/features/cells_restart.feature
+++ b/features/cells_restart.feature
@@ -34,3 +34,16 @@
     And a long-running job of 6 tasks that need no tickets is submitted
     And 2000 ms pass
     Then 0 tasks of job "service" run
+
+  Scenario Outline: failures of long-running tasks do not keep their restart off a sound endpoint
+    Given 1 endpoints of 4 cores
+    And an owner of the cell
+    And long-running tasks are watched
+    When 3 long-running jobs are submitted
+    And one long-running task after the other fails every <gap_ms> ms for 40 s
+    Then each long-running task was without a run for at most 3000 ms
+
+    Examples:
+      | gap_ms |
+      | 400    |
+      | 3000   |
--- a/features/steps/cells_restart_steps.py
+++ b/features/steps/cells_restart_steps.py
@@ -6,6 +6,7 @@
 from features.support import cells_work
 
 LOW_PRIORITY = 2
+SETTLE_MS = 1_000
 URGENT_TASKS = 4  # per interval; half as many again as fit
 
 
@@ -39,3 +40,27 @@
 )
 def then_gap(context, max_ms):
     assert context.watch.max_gap_ms <= max_ms, context.watch.max_gap_ms
+
+
+@behave.when("{count:d} long-running jobs are submitted")
+def when_long_running_jobs(context, count):
+    step = cells_work.make_step(1, long_running=True)
+    for number in range(count):
+        context.simulation.submit(
+            cells_work.make_job(f"service-{number}", step)
+        )
+    context.simulation.run_for(SETTLE_MS)
+
+
+@behave.when(
+    "one long-running task after the other fails every {gap_ms:d} ms for "
+    "{span_s:d} s"
+)
+def when_fail_in_turn(context, gap_ms, span_s):
+    simulation = context.simulation
+    for _time in range(span_s * 1_000 // gap_ms):
+        runs = cells_restart.long_running_runs(simulation)
+        if runs:
+            endpoint, run = min(runs, key=lambda row: row[1].started_ms)
+            endpoint.fail(run)
+        simulation.run_for(gap_ms)
--- a/features/support/cells_endpoints.py
+++ b/features/support/cells_endpoints.py
@@ -198,6 +198,10 @@
                 self._end(key, cells.EndReason.LEASE_EXPIRED)
         return self.ended_count > before
 
+    def fail(self, run):
+        """Ends a run as failed."""
+        self._end((run.task_id, run.run), cells.EndReason.FAILED)
+
     def _end(self, key, reason):
         run = self.run_by_key.pop(key, None)
         if run is None:
--- a/features/support/cells_restart.py
+++ b/features/support/cells_restart.py
@@ -20,6 +20,16 @@
     )
 
 
+def long_running_runs(simulation):
+    """Returns the endpoint and run of each long-running task at work."""
+    return [
+        (endpoint, run)
+        for endpoint in simulation.endpoint_by_id.values()
+        for run in endpoint.run_by_key.values()
+        if run.step.long_running
+    ]
+
+
 @attrs.define(eq=False)
 class UrgentStream:
     """Submits urgent small tasks all the time, more than the endpoints hold.
@@ -73,9 +83,7 @@
 
     def _look(self):
         now_ms = self._simulation.now_ms
-        for endpoint in self._simulation.endpoint_by_id.values():
-            for run in endpoint.run_by_key.values():
-                if run.step.long_running:
-                    self._last_seen_ms_by_task[run.task_id] = now_ms
+        for _endpoint, run in long_running_runs(self._simulation):
+            self._last_seen_ms_by_task[run.task_id] = now_ms
         for last_ms in self._last_seen_ms_by_task.values():
             self.max_gap_ms = max(self.max_gap_ms, now_ms - last_ms)
--- a/samphiregate/core/cells/_backoff.py
+++ b/samphiregate/core/cells/_backoff.py
@@ -2,7 +2,9 @@
 
 An endpoint on which every task fails immediately always has free capacity and
 would attract all waiting tasks. After failures of several jobs without a
-success in between, it gets no tasks for a while, each time for longer.
+success in between, it gets no tasks for a while, each time for longer. A
+long-running task never ends as done; if it worked for long before it failed,
+that counts as a success.
 """
 
 import attrs
@@ -12,6 +14,7 @@
 BACKOFF_FAILED_JOB_COUNT = 3
 MIN_BACKOFF_MS = 2_000
 MAX_BACKOFF_MS = 10_000
+SOUND_RUN_MS = 5_000  # work that shows that tasks can run on an endpoint
 
 
 @attrs.define
@@ -44,14 +47,18 @@
         now_ms : int
         """
         for row in event.ended:
-            if (row.task_id, row.run) in expected_runs:
-                self._record_end(event.endpoint_id, row, now_ms)
+            booking = expected_runs.get((row.task_id, row.run))
+            if booking is not None:
+                self._record_end(event.endpoint_id, row, booking, now_ms)
 
-    def _record_end(self, endpoint_id, row, now_ms):
+    def _record_end(self, endpoint_id, row, booking, now_ms):
         reasons = _messages.EndReason
         if row.reason is reasons.DONE:
             self._record_by_id.pop(endpoint_id, None)
         elif row.reason is reasons.FAILED:
+            if _has_worked_long(booking, now_ms):
+                self._record_by_id.pop(endpoint_id, None)
+                return
             record = self._record_by_id.setdefault(
                 endpoint_id, _FailureRecord()
             )
@@ -60,3 +67,8 @@
                 record.backoff_until_ms = now_ms + record.backoff_ms
                 record.backoff_ms = min(record.backoff_ms * 2, MAX_BACKOFF_MS)
                 record.failed_job_ids.clear()
+
+
+def _has_worked_long(booking, now_ms):
+    worked_ms = now_ms - booking.sent_ms
+    return booking.step.long_running and worked_ms >= SOUND_RUN_MS
--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -10,6 +10,8 @@
 MAX_HELD_SHARE = 0.25  # of a service's endpoints
 URGENT_LIMIT_SHARE = 0.2  # of an account's limit
 LARGE_TASK_MIN_SHARE = 0.3  # of an endpoint's capacity
+# After this wait, interrupted tasks may go to endpoints that are backing off.
+MAX_RESTART_WAIT_MS = 2_000
 
 
 class WaitReason(enum.Enum):
@@ -94,7 +96,11 @@
         if not tasks:
             stage.waits_for = WaitReason.ACCOUNT_LIMIT
             return
-        usable = self._usable(stage, now_ms)
+        usable = self._usable(
+            stage,
+            now_ms,
+            ignores_failures=is_restart and _is_overdue(tasks, now_ms),
+        )
         candidates = self._candidates(stage, usable, held_ids, now_ms)
         chosen = self._packing.choose(stage.step, len(tasks), candidates)
         if chosen:
@@ -178,10 +184,11 @@
             allowed += 1
         return tasks[:allowed]
 
-    def _usable(self, stage, now_ms):
+    def _usable(self, stage, now_ms, *, ignores_failures=False):
         """Returns the endpoints that accept tasks of the stage now.
 
-        Free capacity, tickets and held endpoints are not considered.
+        Free capacity, tickets and held endpoints are not considered; nor is
+        the backoff after failed tasks if `ignores_failures`.
         """
         service = stage.queue.service
         label = stage.step.required_label
@@ -192,7 +199,10 @@
             and endpoint.may_start
             and endpoint.backoff_until_ms <= now_ms
             and (not label or label in endpoint.registration.labels)
-            and not self._is_backing_off(endpoint.endpoint_id, now_ms)
+            and (
+                ignores_failures
+                or not self._is_backing_off(endpoint.endpoint_id, now_ms)
+            )
         ]
 
     def _candidates(self, stage, usable, held_ids, now_ms):
@@ -276,6 +286,15 @@
             held_ids.add(endpoint.endpoint_id)
 
 
+def _is_overdue(tasks, now_ms):
+    """Whether one of the tasks was interrupted `MAX_RESTART_WAIT_MS` ago."""
+    return any(
+        task.interrupted_ms is not None
+        and now_ms - task.interrupted_ms >= MAX_RESTART_WAIT_MS
+        for task in tasks
+    )
+
+
 def _max_more_held(usable, held_ids):
     max_count = max(1, round(len(usable) * MAX_HELD_SHARE))
     return max_count - sum(one.endpoint_id in held_ids for one in usable)
