Let a test of the log fill the other endpoint before the fault

Cause: the row let urgent work take the room of an interrupted long-running task. Since such a task goes before all other work, nothing takes it any more. Change: the other endpoint is full before the task's endpoint is lost, so the task still has to wait for room; the reason that must be told is the same.

--- a/features/cells.feature
+++ b/features/cells.feature
@@ -245,7 +245,7 @@
       | 2         | its endpoint and the owner are lost             | an inherited run                   |
       | 2         | its endpoint and two owners are lost            | an inherited run, then an inherited run |
       | 1         | its endpoint is lost                            | no usable endpoint                 |
-      | 1         | its endpoint restarts, and others take the room | room                               |
+      | 2         | its endpoint is lost, and the other is full     | room                               |
       | 2         | its endpoint restarts while the store is away   | the store to take the record       |
 
   Scenario: a backlog of waiting tasks costs few log lines
--- a/features/steps/cells_log_steps.py
+++ b/features/steps/cells_log_steps.py
@@ -29,15 +29,11 @@
     endpoint.is_partitioned = True
 
 
-def _restart_without_room(simulation, endpoint):
-    endpoint.restart()
-    step = cells_work.make_step(
-        len(simulation.endpoint_by_id),
-        cpu=FILLING_CORES,
-        estimate_ms=3_000,
-        long_running=False,
-    )
+def _lose_endpoint_without_room(simulation, endpoint):
+    step = cells_work.make_step(1, cpu=FILLING_CORES, estimate_ms=20_000)
     simulation.submit(cells_work.make_job("filling", step, priority=0))
+    simulation.run_for(300)
+    endpoint.is_partitioned = True
 
 
 def _restart_without_store(simulation, endpoint):
@@ -58,7 +54,7 @@
     "its endpoint and the owner are lost": _lose_endpoint_and_owner,
     "its endpoint and two owners are lost": _lose_endpoint_of_other_owner,
     "its endpoint is lost": _lose_endpoint,
-    "its endpoint restarts, and others take the room": _restart_without_room,
+    "its endpoint is lost, and the other is full": _lose_endpoint_without_room,
     "its endpoint restarts while the store is away": _restart_without_store,
 }
 
