Store ended jobs without their steps and payload

Cause: a new owner reads every stored job, and most of them have ended within the 180 s for which they are kept. Change: with the final record of a job, once no run of it can exist, its stored job loses its steps and payload, in the same transaction. The scenario 'a takeover does not read the whole of jobs that have ended' fails without the change.

--- a/features/cells.feature
+++ b/features/cells.feature
@@ -140,6 +140,19 @@
     And 2500 ms pass
     Then 9 tasks were started
 
+  Scenario: a takeover does not read the whole of jobs that have ended
+    Given 2 endpoints of 4 cores
+    And an owner of the cell
+    When 20 jobs of 6 tasks are submitted
+    And a long-running job "s" of 1 tasks is submitted
+    And 9000 ms pass
+    And the owner is lost for 300 ms
+    And another VM takes over the cell
+    Then all but 1 jobs are completed within 1000 ms
+    And no payload, steps or runs are stored for jobs that have ended
+    And 1 tasks of job "s" run
+    And no invariant was violated
+
   Scenario: tasks of an unreachable endpoint restart elsewhere after its lease
     Given 2 endpoints of 4 cores
     And an owner of the cell
--- a/features/steps/cells_outcome_steps.py
+++ b/features/steps/cells_outcome_steps.py
@@ -170,3 +170,14 @@
     assert len(context.simulation.sent_queries) == count, (
         context.simulation.sent_queries
     )
+
+
+@behave.then("no payload, steps or runs are stored for jobs that have ended")
+def then_compacted(context):
+    simulation = context.simulation
+    assert simulation.done_ms_by_job
+    for job_id in simulation.done_ms_by_job:
+        data = simulation.stored_by_id[job_id]
+        record = cells.decode(data, cells.JobRecord)
+        job = simulation.stored_job(job_id)
+        assert (job.payload, job.steps, record.stages) == ("", (), ()), job
--- a/features/steps/cells_vm_steps.py
+++ b/features/steps/cells_vm_steps.py
@@ -513,10 +513,13 @@
     'the owner stores the records "{first}", then "{second}" of a job'
 )
 def when_records_stored(context, first, second):
-    rows = [[("j", 1, first.encode())], [("j", 2, second.encode())]]
+    rows = [
+        [cells.StoredRow("j", 1, first.encode())],
+        [cells.StoredRow("j", 2, second.encode())],
+    ]
     finished = gevent.event.Event()
 
-    def pop_records(_max_count):
+    def pop_records(_max_items):
         if len(rows) == 1 and context.late_before_second:
             context.store.apply_delayed()
         if rows:
--- a/features/support/cells.py
+++ b/features/support/cells.py
@@ -49,6 +49,8 @@
         Number of writes to the store.
     stored_by_id : dict
         Stored records, encoded.
+    stored_job_by_id : dict
+        Stored jobs that the owner replaced, encoded.
     log_lines : list of logs.Line
         Decisions that owners logged; a VM is named by its epoch.
     """
@@ -61,6 +63,7 @@
         self.done_ms_by_job = {}
         self.starts = []
         self.stored_by_id = {}
+        self.stored_job_by_id = {}
         self.job_by_id = {}
         self.cancelled_ids = set()
         self.endpoint_by_id = {}
@@ -131,7 +134,8 @@
         for job in self.job_by_id.values():
             data = self.stored_by_id.get(job.job_id)
             record = cells.decode(data, cells.JobRecord) if data else None
-            self.deliver(cells.JobStored(job, record))
+            stored_job = self.stored_job(job.job_id)
+            self.deliver(cells.JobStored(stored_job, record))
         for job_id in self.cancelled_ids:
             self.deliver(cells.JobCancelled(job_id))
 
@@ -140,6 +144,13 @@
         self.owner_up = False
         self._generation += 1
 
+    def stored_job(self, job_id):
+        """Returns a job as the store holds it."""
+        data = self.stored_job_by_id.get(job_id)
+        if data is None:
+            return self.job_by_id[job_id]
+        return cells.decode(data, cells.Job)
+
     # Running
 
     def at(self, delay_ms, call):
@@ -200,14 +211,16 @@
             self.at(100, retry)
             return
         self._writing = False
-        for job_id, _version, data in rows:
-            self.stored_by_id[job_id] = data
-        versions = tuple((row[0], row[1]) for row in rows)
+        for row in rows:
+            self.stored_by_id[row.job_id] = row.record
+            if row.job is not None:
+                self.stored_job_by_id[row.job_id] = row.job
+        versions = tuple((row.job_id, row.version) for row in rows)
         self.deliver(cells.RecordsStored(versions))
-        for job_id, _version, _data in rows:
-            state = self.cell.state_of(job_id)
+        for row in rows:
+            state = self.cell.state_of(row.job_id)
             if state is cells.JobState.COMPLETED:
-                self.done_ms_by_job.setdefault(job_id, self.now_ms)
+                self.done_ms_by_job.setdefault(row.job_id, self.now_ms)
 
     # Actions
 
--- a/samphiregate/adapters/cells/_writer.py
+++ b/samphiregate/adapters/cells/_writer.py
@@ -13,7 +13,7 @@
 from samphiregate import errors
 
 # The transaction also has the last-write key and two conditions.
-MAX_RECORDS_PER_COMMIT = 28
+MAX_ITEMS_PER_COMMIT = 28
 RETRY_INTERVAL_MS = 100
 
 
@@ -25,8 +25,7 @@
     store : Store
     tenure : Tenure
     pop_records : callable
-        Takes the maximal number of records; returns rows of job id, version
-        and bytes.
+        Takes the maximal number of items; returns a list of `StoredRow`.
     on_stored : callable
         Takes rows of job id and version.
     on_lost : callable
@@ -59,20 +58,25 @@
 
     def _run(self):
         while True:
-            rows = self._pop_records(MAX_RECORDS_PER_COMMIT)
+            rows = self._pop_records(MAX_ITEMS_PER_COMMIT)
             if not rows:
                 self._wake.clear()
                 self._wake.wait()
                 continue
             if not self._write(rows):
                 return
-            self._on_stored(tuple((row[0], row[1]) for row in rows))
+            self._on_stored(tuple((row.job_id, row.version) for row in rows))
 
     def _write(self, rows):
         cell = self._tenure.cell
         writes = [
-            _ports.StoreWrite(_keys.record(cell, job_id), data)
-            for job_id, _version, data in rows
+            _ports.StoreWrite(_keys.record(cell, row.job_id), row.record)
+            for row in rows
+        ]
+        writes += [
+            _ports.StoreWrite(_keys.job(cell, row.job_id), row.job)
+            for row in rows
+            if row.job is not None
         ]
         writes.append(_ports.StoreWrite(self._last_write_key, b"1"))
         while True:
--- a/samphiregate/core/cells/__init__.py
+++ b/samphiregate/core/cells/__init__.py
@@ -40,6 +40,7 @@
 from samphiregate.core.cells._records import encode
 from samphiregate.core.cells._records import JobRecord
 from samphiregate.core.cells._records import StageRecord
+from samphiregate.core.cells._records import StoredRow
 from samphiregate.core.cells._store_availability import StoreAvailability
 from samphiregate.core.cells._work import Account
 from samphiregate.core.cells._work import Job
@@ -98,6 +99,7 @@
     "StepDown",
     "StopAnswered",
     "StopTask",
+    "StoredRow",
     "StoreAvailability",
     "TaskId",
     "WaitingIs",
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -12,7 +12,6 @@
 from samphiregate.core.cells import _policy_queries
 from samphiregate.core.cells import _polling
 from samphiregate.core.cells import _reconciliation
-from samphiregate.core.cells import _records
 from samphiregate.core.cells import _stragglers
 from samphiregate.core.cells import _tasks
 from samphiregate.core.cells import _wait_reports
@@ -109,26 +108,28 @@
         """Returns the load of the cell; see `_load.describe`."""
         return _load.describe(self.cell_state)
 
-    def pop_records(self, max_count):
-        """Returns up to `max_count` changed records, to be stored.
+    def pop_records(self, max_items):
+        """Returns changed records, to be stored with up to `max_items` items.
 
         The records no longer count as changed afterwards.
 
         Returns
         -------
-        list of tuple
-            Job id, version, and the encoded record.
+        list of StoredRow
         """
-        job_ids = list(self.cell_state.dirty_ids)[:max_count]
         rows = []
-        for job_id in job_ids:
-            del self.cell_state.dirty_ids[job_id]
-            self.cell_state.moved_ids.pop(job_id, None)
+        item_count = 0
+        for job_id in list(self.cell_state.dirty_ids):
             entry = self.cell_state.entry_by_id.get(job_id)
             if entry is not None:
-                record = entry.to_record(self._address_of)
-                data = _records.encode(record)
-                rows.append((job_id, entry.version, data))
+                row = entry.to_row(self._address_of)
+                item_count += row.item_count
+                if item_count > max_items:
+                    break
+                rows.append(row)
+                entry.is_compacted |= row.job is not None
+            del self.cell_state.dirty_ids[job_id]
+            self.cell_state.moved_ids.pop(job_id, None)
         return rows
 
     def _address_of(self, endpoint_id):
--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -111,6 +111,7 @@
             entry.add_occurrence(0)
         if event.record is not None:
             entry.restore(event.record)
+            entry.is_compacted = entry.state.is_final and not job.steps
             self._restore_runs(entry, event.record, now_ms)
         self.log_decision(
             "job queued",
--- a/samphiregate/core/cells/_records.py
+++ b/samphiregate/core/cells/_records.py
@@ -64,6 +64,32 @@
     address_by_id: dict[str, str] = attrs.field(factory=dict)
 
 
+@attrs.frozen
+class StoredRow:
+    """What is written to the store after a change of a job.
+
+    Parameters
+    ----------
+    job_id : str
+    version : int
+        Version of the job's record.
+    record : bytes
+        Encoded `JobRecord`.
+    job : bytes or None
+        Encoded `Job` that replaces the stored one; None to keep that.
+    """
+
+    job_id: str
+    version: int
+    record: bytes
+    job: bytes | None = None
+
+    @property
+    def item_count(self):
+        """Number of items to write."""
+        return 1 if self.job is None else 2
+
+
 def encode(value):
     """Encodes a job or a record as JSON bytes."""
     return _converter.dumps(value)
--- a/samphiregate/core/cells/_tasks.py
+++ b/samphiregate/core/cells/_tasks.py
@@ -235,6 +235,8 @@
         When it reached a final state; 0 before.
     has_started : bool
         Whether a run of any task was ever reserved.
+    is_compacted : bool
+        Whether the stored job is reduced to what is needed after its end.
     """
 
     job: _work.Job
@@ -248,6 +250,7 @@
     stored_version: int = 0
     ended_unix_ms: int = 0
     has_started: bool = False
+    is_compacted: bool = False
 
     @property
     def has_speculative(self):
@@ -300,6 +303,25 @@
             for task in stage.tasks:
                 yield from task.bookings_by_run.values()
 
+    def to_row(self, address_of):
+        """Returns the `StoredRow` for the store; see `to_record`.
+
+        A job that has ended, and of which no run can exist, loses its steps
+        and its payload: most stored jobs have ended, and a new owner reads
+        them all.
+        """
+        if not self.state.is_final or any(self.bookings()):
+            record = _records.encode(self.to_record(address_of))
+            return _records.StoredRow(self.job.job_id, self.version, record)
+        record = _records.JobRecord(self.state, (), self.ended_unix_ms)
+        job = attrs.evolve(self.job, payload="", steps=(), schedule=None)
+        return _records.StoredRow(
+            self.job.job_id,
+            self.version,
+            _records.encode(record),
+            None if self.is_compacted else _records.encode(job),
+        )
+
     def to_record(self, address_of):
         """Returns the progress as a `JobRecord` for the store.
 
