Let stronger VMs acquire a cell first

Cause: any VM took a cell without an owner after a random delay of up to 60 ms, so that at times a VM with half a core owned a large cell while others had four times that.

Change: a VM publishes the processor capacity of its settings in its record, and yields up to 90 ms before the random delay, in proportion to what it lacks of the strongest VM with a lease. The strongest, equal ones, a VM alone and one of unknown capacity wait as before. Records without the field are read as of unknown capacity, and readers of other versions ignore the field.

--- a/features/cells_vm.feature
+++ b/features/cells_vm.feature
@@ -92,6 +92,37 @@
     When its session ends while the lease is valid
     Then the cell has no owner
 
+  Scenario Outline: a weak VM does not take a cell before a stronger one
+    Given a VM of <own> cores, and others of <others> cores
+    Then it yields for <yield_ms> ms
+
+    Examples:
+      | own  | others             | yield_ms |
+      | 0.5  | no                 | 0        |
+      | 0.5  | 0.5, 0.5           | 0        |
+      | 2    | 0.5, 1, 2          | 0        |
+      | 1    | 0.5, 1, 2          | 45       |
+      | 0.5  | 0.5, 1, 2          | 67.5     |
+      | 0.5  | unknown            | 0        |
+      | 1    | unknown, 2         | 45       |
+      | 0    | 2                  | 0        |
+      | 0.01 | 1000               | 89.9991  |
+
+  Scenario: a VM that yields leaves the cell to the one that took it meanwhile
+    Given a store in memory
+    When another VM acquires the cell while this one yields
+    Then this VM leaves it to the other
+
+  Scenario Outline: records of VMs of other versions are read
+    When the record <record> of a VM is read
+    Then its capacity is <cores> cores
+
+    Examples:
+      | record                                             | cores |
+      | {"vm_id":"a","address":"a:1"}                      | 0     |
+      | {"vm_id":"a","address":"a:1","capacity":1.5}       | 1.5   |
+      | {"vm_id":"a","address":"a:1","capacity":2,"new":7} | 2     |
+
   Scenario: an ownership whose answer was lost is resumed
     Given a store in memory that carries out writes but does not answer
     And a VM that acquires the cell
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -14,6 +14,11 @@
       | listen.front  | nothing          | setting "listen.front" is named |
       | platform.addr | nothing          | setting "platform.addr" is named |
       | port_range    | port_range=x,y   | setting "port_range" is named  |
+      | nothing       | limits.cores=2   | the VM has 0 cores             |
+      | nothing       | limits.cpu_share=0.5 and limits.cores=2 | the VM has 1 cores |
+      | nothing       | limits.cpu_share=0.5 | the VM has 0.5 cores       |
+      | nothing       | limits.cpu_share=nan | setting "limits.cpu_share" is named |
+      | nothing       | limits.cpu_share=-1  | setting "limits.cpu_share" is named |
 
   Scenario Outline: registrations of endpoints are checked
     When an endpoint's registration <entry> is decoded
--- a/features/steps/cells_vm_steps.py
+++ b/features/steps/cells_vm_steps.py
@@ -1,5 +1,6 @@
 """Steps about an entry VM on a platform with a store."""
 
+import math
 import os
 import random
 
@@ -13,10 +14,12 @@
 from samphiregate.adapters.cells import _configuration
 from samphiregate.adapters.cells import _job_service
 from samphiregate.adapters.cells import _keys
+from samphiregate.adapters.cells import _lease
 from samphiregate.adapters.cells import _metered
 from samphiregate.adapters.cells import _ownership
 from samphiregate.adapters.cells import _peer_calls
 from samphiregate.adapters.cells import _ports
+from samphiregate.adapters.cells import _precedence
 from samphiregate.adapters.cells import _relay
 from samphiregate.adapters.cells import _vm
 from samphiregate.adapters.cells import _writer
@@ -202,7 +205,7 @@
     assert context.state.value == state, context.state
 
 
-def _make_ownership(context, serve):
+def _make_ownership(context, serve, yield_ms=lambda: 0):
     store = context.store
     context.lease = cells_store.FakeLease()
     return _ownership.Ownership(
@@ -214,6 +217,7 @@
         owner_item=lambda: store.get(_keys.owner(CELL)),
         may_own=lambda: not getattr(context, "has_acquired", False),
         serve=serve,
+        yield_ms=yield_ms,
         random_state=random.Random(1),
         log=cells_store.FakeLog(),
     )
@@ -232,6 +236,61 @@
     context.ownership = _make_ownership(context, serve)
 
 
+@behave.given("a VM of {own:g} cores, and others of {others} cores")
+def given_capacities(context, own, others):
+    values = [] if others == "no" else others.split(", ")
+    records = [
+        cells.encode(
+            _lease.VmRecord("vm", "a:1")
+            if value == "unknown"
+            else _lease.VmRecord("vm", "a:1", float(value))
+        )
+        for value in values
+    ]
+    context.yield_ms = _precedence.yield_ms(
+        capacity=own,
+        other_capacities=[
+            cells.decode(record, _lease.VmRecord).capacity
+            for record in records
+        ],
+    )
+
+
+@behave.then("it yields for {yield_ms:g} ms")
+def then_yields(context, yield_ms):
+    assert math.isclose(context.yield_ms, yield_ms), context.yield_ms
+
+
+@behave.when("another VM acquires the cell while this one yields")
+def when_other_acquires(context):
+    record = _ownership.OwnerRecord("other", "b:1", 7)
+    write = _ports.StoreWrite(_keys.owner(CELL), cells.encode(record))
+
+    def yield_ms():
+        context.store.commit(expected={}, writes=[write])
+        return 0
+
+    ownership = _make_ownership(context, serve=None, yield_ms=yield_ms)
+    context.tenure = ownership._acquire()
+
+
+@behave.then("this VM leaves it to the other")
+def then_left_to_other(context):
+    assert context.tenure is None, context.tenure
+    item = context.store.get(_keys.owner(CELL))
+    assert _ownership.decode_owner(item.value).vm_id == "other", item
+
+
+@behave.when("the record {record} of a VM is read")
+def when_record_read(context, record):
+    context.vm_record = cells.decode(record.encode(), _lease.VmRecord)
+
+
+@behave.then("its capacity is {cores:g} cores")
+def then_record_capacity(context, cores):
+    assert context.vm_record.capacity == cores, context.vm_record
+
+
 @behave.when("its session ends while the lease is valid")
 def when_session_ends(context):
     with context.ownership:
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -94,7 +94,7 @@
     }
     lines = [f"{name}={value}" for name, value in fields.items()]
     if extra != "nothing":
-        lines.append(extra)
+        lines += extra.split(" and ")
     context.settings_text = "\n".join(lines)
 
 
@@ -111,6 +111,11 @@
     assert context.settings.vm_id == vm_id
 
 
+@behave.then("the VM has {cores:g} cores")
+def then_capacity(context, cores):
+    assert context.settings.capacity == cores, context.settings
+
+
 @behave.then('setting "{name}" is named')
 def then_setting_named(context, name):
     assert context.settings.setting == name, context.settings
--- a/samphiregate/adapters/cells/_lease.py
+++ b/samphiregate/adapters/cells/_lease.py
@@ -18,10 +18,18 @@
 
 @attrs.frozen
 class VmRecord:
-    """The record of an entry VM, which the other entry VMs read."""
+    """The record of an entry VM, which the other entry VMs read.
+
+    Parameters
+    ----------
+    vm_id, address : str
+    capacity : float
+        Of its processor, in cores; 0 if unknown.
+    """
 
     vm_id: str
     address: str
+    capacity: float = 0.0
 
 
 class LeaseRenewer:
--- a/samphiregate/adapters/cells/_ownership.py
+++ b/samphiregate/adapters/cells/_ownership.py
@@ -76,6 +76,8 @@
     serve : callable
         Takes a `Tenure` and the `session_end` event; serves until the event
         is set.
+    yield_ms : callable
+        Returns for how long stronger VMs may acquire the cell first.
     random_state : random.Random
     log : DecisionLog
 
@@ -97,6 +99,7 @@
         owner_item,
         may_own,
         serve,
+        yield_ms,
         random_state,
         log,
     ):
@@ -109,6 +112,7 @@
         self._owner_item = owner_item
         self._may_own = may_own
         self._serve = serve
+        self._yield_ms = yield_ms
         self._random = random_state
         self._instance = f"{random_state.getrandbits(64):016x}"
         self._served_epoch = 0
@@ -158,7 +162,8 @@
         item = self._owner_item()
         if item is not None:
             return self._adopt(item)
-        gevent.sleep(self._random.uniform(0, MAX_JITTER_MS) / 1000)
+        jitter_ms = self._random.uniform(0, MAX_JITTER_MS)
+        gevent.sleep((self._yield_ms() + jitter_ms) / 1000)
         if self._owner_item() is not None:
             return None
         epoch_key = _keys.epoch(self._cell)
--- /dev/null
+++ b/samphiregate/adapters/cells/_precedence.py
@@ -0,0 +1,29 @@
+"""How long a VM lets stronger ones acquire a cell first.
+
+The owner of a cell decides for all of its endpoints and jobs, so that a VM
+with little processor capacity is a worse owner than one with more.
+"""
+
+MAX_YIELD_MS = 90  # of a VM with next to no capacity
+
+
+def yield_ms(*, capacity, other_capacities):
+    """Returns for how long a VM yields before it acquires a cell.
+
+    Parameters
+    ----------
+    capacity : float
+        Processor capacity of the VM, in cores; 0 if unknown.
+    other_capacities : iterable of float
+        Of the other VMs with a lease.
+
+    Returns
+    -------
+    float
+        Milliseconds, in proportion to what the VM lacks of the strongest
+        one; 0 for the strongest and for a VM of unknown capacity.
+    """
+    strongest = max(other_capacities, default=0)
+    if capacity <= 0 or capacity >= strongest:
+        return 0
+    return MAX_YIELD_MS * (1 - capacity / strongest)
--- a/samphiregate/adapters/cells/_vm.py
+++ b/samphiregate/adapters/cells/_vm.py
@@ -14,6 +14,7 @@
 from samphiregate.adapters.cells import _ownership
 from samphiregate.adapters.cells import _peer_calls
 from samphiregate.adapters.cells import _policy_queries
+from samphiregate.adapters.cells import _precedence
 from samphiregate.adapters.cells import _relay
 from samphiregate.adapters.cells import _watched_prefix
 from samphiregate.adapters import http
@@ -82,6 +83,8 @@
     vm_id : str
     peer_address : str
         ``ip:port`` for requests of other VMs.
+    capacity : float
+        Of the VM's processor, in cores; 0 if unknown.
     ports : Ports
     random_state : random.Random
     log : DecisionLog
@@ -92,8 +95,11 @@
     job_service : JobService
     """
 
-    def __init__(self, *, vm_id, peer_address, ports, random_state, log):
+    def __init__(
+        self, *, vm_id, peer_address, capacity, ports, random_state, log
+    ):
         self._vm_id = vm_id
+        self._capacity = capacity
         self._peer_address = peer_address
         self._ports = ports
         self._random = random_state
@@ -110,7 +116,7 @@
         )
         self._lease = _lease.LeaseRenewer(
             store=ports.store,
-            record=_lease.VmRecord(vm_id, peer_address),
+            record=_lease.VmRecord(vm_id, peer_address, capacity),
             # `_relay` is created below.
             on_renewal=lambda succeeded: self._relay.record_renewal(succeeded),
             now_ms=_clock.steady_ms,
@@ -164,6 +170,7 @@
             owner_item=self._owner_item,
             may_own=self._may_own,
             serve=self._serve,
+            yield_ms=self._yield_ms,
             random_state=self._random,
             log=self._log,
         )
@@ -285,16 +292,28 @@
         finally:
             self._session = None
 
+    def _yield_ms(self):
+        return _precedence.yield_ms(
+            capacity=self._capacity,
+            other_capacities=[
+                record.capacity
+                for record in self._vm_records()
+                if record.vm_id != self._vm_id
+            ],
+        )
+
     def _address_by_vm(self):
-        address_by_vm = {}
+        return {record.vm_id: record.address for record in self._vm_records()}
+
+    def _vm_records(self):
+        """Returns the readable records of the VMs with a lease."""
+        records = []
         for key, item in self._vms.item_by_key.items():
             try:
-                record = cells.decode(item.value, _lease.VmRecord)
+                records.append(cells.decode(item.value, _lease.VmRecord))
             except errors.BadInputError as error:
                 self._log.write("VM unreadable", key=key, reason=error.detail)
-                continue
-            address_by_vm[record.vm_id] = record.address
-        return address_by_vm
+        return records
 
     def _local_cell(self):
         session = self._session
