Tell for how long a cell had no owner

Cause: an owner that is killed writes no `cell left`, so that the time until the next `cell taken` could not be told from the wait before it.

Change: `cell taken` says how long the VM has seen no owner, and `explain` parts that time from a task's wait under the owner before.

On the code before, the new scenario of cells_vm fails for the missing argument and the explain row "is killed" counts the time as a wait for room. cells_vm, platform_adapter and explain pass (127 scenarios).

--- a/features/cells_vm.feature
+++ b/features/cells_vm.feature
@@ -123,6 +123,11 @@
       | {"vm_id":"a","address":"a:1","capacity":1.5}       | 1.5   |
       | {"vm_id":"a","address":"a:1","capacity":2,"new":7} | 2     |
 
+  Scenario: the log tells for how long a cell had no owner
+    Given a store in memory
+    When another VM gives up the cell and this one acquires it 150 ms later
+    Then the log tells 150 ms without an owner
+
   Scenario: an ownership whose answer was lost is resumed
     Given a store in memory that carries out writes but does not answer
     And a VM that acquires the cell
--- a/features/explain.feature
+++ b/features/explain.feature
@@ -37,15 +37,15 @@
       | is in doubt                      | r5 | in doubt     | request refused | a    |
       | lost its run with an endpoint    | r6 | not finished | runs lost       | c    |
 
-  Scenario: explain: a long-running task waits under one owner, under none, and under the next
+  Scenario Outline: explain: a long-running task waits under an owner that <what>, under none, and under the next
     Given the log lines of a played day
       """
       {"vm":"a","time":93.0,"request":"r1","queue":"q","account":"t","event":"job accepted"}
       {"vm":"d","time":93.1,"step":[0,0],"placed":1,"wanted":1,"waited_ms":90,"endpoints":["e1"],"runs":[[0,1,"e1"]],"request":"r1","event":"tasks placed"}
       {"vm":"d","time":137.0,"endpoint":"e1","reason":"its lease has expired","runs":1,"jobs":["r1"],"lost":[["r1",0,0,0,1,"e1"]],"event":"runs lost"}
       {"vm":"d","time":138.0,"task":[0,0,0],"run":1,"reason":"room","waited_ms":1000,"request":"r1","event":"task waits"}
-      {"vm":"d","time":141.0,"cell":"all","epoch":4,"event":"cell left"}
-      {"vm":"b","time":142.9,"cell":"all","epoch":5,"event":"cell taken"}
+      {"vm":"d","time":141.0,"cell":"all","epoch":4,"event":"<last_event>"}
+      {"vm":"b","time":142.9,"cell":"all","epoch":5,"waited_ms":1900,"event":"cell taken"}
       {"vm":"b","time":143.0,"queue":"q","account":"t","state":"running","restored":[["r1",0,0,0,3,"e1"]],"request":"r1","event":"job queued"}
       {"vm":"b","time":144.0,"task":[0,0,0],"run":3,"endpoint":"e1","left_ms":6400,"reason":"an inherited run","waited_ms":1000,"request":"r1","event":"task waits"}
       {"vm":"b","time":150.4,"step":[0,0],"placed":1,"wanted":1,"waited_ms":7400,"endpoints":["e2"],"runs":[[0,4,"e2"]],"request":"r1","event":"tasks placed"}
@@ -58,9 +58,14 @@
     And the story tells these waits
       | task  | vm | from_s | span_s | reason               |
       | 0.0.0 | d  | 137.0  | 4.0    | room                 |
-      | 0.0.0 | d  | 141.0  | 2.0    | an owner of the cell |
+      | 0.0.0 | <told_by> | 141.0 | 2.0 | an owner of the cell |
       | 0.0.0 | b  | 143.0  | 7.5    | an inherited run     |
 
+    Examples:
+      | what      | last_event | told_by |
+      | leaves    | cell left  | d       |
+      | is killed | watch lost | b       |
+
   Scenario: explain: lines that a VM repeats are told once
     Given the log lines of a played day
       """
--- a/features/steps/cells_vm_steps.py
+++ b/features/steps/cells_vm_steps.py
@@ -208,6 +208,8 @@
 def _make_ownership(context, serve, yield_ms=lambda: 0):
     store = context.store
     context.lease = cells_store.FakeLease()
+    context.ownership_now_ms = 0
+    context.ownership_log = cells_store.FakeLog()
     return _ownership.Ownership(
         cell=CELL,
         vm_id="vm",
@@ -219,7 +221,8 @@
         serve=serve,
         yield_ms=yield_ms,
         random_state=random.Random(1),
-        log=cells_store.FakeLog(),
+        now_ms=lambda: context.ownership_now_ms,
+        log=context.ownership_log,
     )
 
 
@@ -281,6 +284,34 @@
     assert _ownership.decode_owner(item.value).vm_id == "other", item
 
 
+@behave.when(
+    "another VM gives up the cell and this one acquires it {later_ms:d} ms "
+    "later"
+)
+def when_acquires_later(context, later_ms):
+    serving = gevent.event.Event()
+
+    def serve(_tenure, session_end):
+        serving.set()
+        session_end.wait()
+
+    ownership = _make_ownership(context, serve)
+    ownership.owner_changed()
+    context.ownership_now_ms += later_ms
+    with ownership:
+        assert serving.wait(SETTLE_S)
+
+
+@behave.then("the log tells {span_ms:d} ms without an owner")
+def then_without_owner(context, span_ms):
+    fields = next(
+        fields
+        for event, fields in context.ownership_log.lines
+        if event == "cell taken"
+    )
+    assert fields["waited_ms"] == span_ms, fields
+
+
 @behave.when("the record {record} of a VM is read")
 def when_record_read(context, record):
     context.vm_record = cells.decode(record.encode(), _lease.VmRecord)
--- a/samphiregate/adapters/cells/_ownership.py
+++ b/samphiregate/adapters/cells/_ownership.py
@@ -79,6 +79,7 @@
     yield_ms : callable
         Returns for how long stronger VMs may acquire the cell first.
     random_state : random.Random
+    now_ms : callable
     log : DecisionLog
 
     Attributes
@@ -101,6 +102,7 @@
         serve,
         yield_ms,
         random_state,
+        now_ms,
         log,
     ):
         self.session_end = gevent.event.Event()
@@ -115,7 +117,9 @@
         self._yield_ms = yield_ms
         self._random = random_state
         self._instance = f"{random_state.getrandbits(64):016x}"
+        self._now_ms = now_ms
         self._served_epoch = 0
+        self._without_owner_since_ms = None
         self._log = log
         self._changed = gevent.event.Event()
         self._closing = False
@@ -133,6 +137,8 @@
 
     def owner_changed(self):
         """Wakes the loop after a change of the owner's record."""
+        if self._owner_item() is None:
+            self._without_owner_since_ms = self._now_ms()
         self._changed.set()
 
     def _run(self):
@@ -151,13 +157,24 @@
             if tenure is None:
                 self._changed.wait(RETRY_INTERVAL_MS / 1000)
                 continue
-            self._log.write("cell taken", cell=tenure.cell, epoch=tenure.epoch)
+            self._log.write(
+                "cell taken",
+                cell=tenure.cell,
+                epoch=tenure.epoch,
+                waited_ms=self._without_owner_ms(),
+            )
             self.session_end.clear()
             self._served_epoch = tenure.epoch
             self._serve_and_log_errors(tenure)
             self._relinquish(tenure)
             self._log.write("cell left", cell=tenure.cell, epoch=tenure.epoch)
 
+    def _without_owner_ms(self):
+        """Returns for how long the cell had no owner; None if unknown."""
+        if self._without_owner_since_ms is None:
+            return None
+        return self._now_ms() - self._without_owner_since_ms
+
     def _acquire(self):
         item = self._owner_item()
         if item is not None:
--- a/samphiregate/adapters/cells/_vm.py
+++ b/samphiregate/adapters/cells/_vm.py
@@ -172,6 +172,7 @@
             serve=self._serve,
             yield_ms=self._yield_ms,
             random_state=self._random,
+            now_ms=_clock.steady_ms,
             log=self._log,
         )
         self._stack.enter_context(self._ownership)
--- a/samphiregate/logs/_waits.py
+++ b/samphiregate/logs/_waits.py
@@ -71,41 +71,61 @@
         if line.event == END_EVENT:
             start_s = None
             continue
-        if start_s is None or line.vm != lines[number - 1].vm:
-            start_s = _begin_s(line)
+        if start_s is None or _owner(line) != _owner(lines[number - 1]):
+            start_s = _before_s(line)
         following = lines[number + 1] if number + 1 < len(lines) else None
         end_s = _end_s(line, following, until_s)
-        left = _leaving_of(line, start_s, end_s, context)
         reason = line.fields.get("reason", "")
-        if left is None:
+        gone = _owner_gone(line, following, context)
+        if gone is None or not start_s <= gone.start_s < end_s:
             yield Wait(task, reason, line, start_s, end_s)
         else:
-            yield Wait(task, reason, line, start_s, left.time_s)
-            yield Wait(task, NO_OWNER, left, left.time_s, end_s)
+            yield Wait(task, reason, line, start_s, gone.start_s)
+            yield Wait(task, NO_OWNER, gone.line, gone.start_s, end_s)
         start_s = end_s
 
 
-def _begin_s(line):
-    return line.time_s - line.fields.get("waited_ms", 0) / 1000
+def _owner(line):
+    return (line.vm, line.fields.get("epoch"))
+
+
+def _before_s(line):
+    """Returns when the wait began that a line tells of."""
+    return line.time_s - (line.fields.get("waited_ms") or 0) / 1000
 
 
 def _end_s(line, following, until_s):
     if following is None:
         return until_s
-    if following.event == WAIT_EVENT and following.vm != line.vm:
-        return max(_begin_s(following), line.time_s)
+    if following.event == WAIT_EVENT and _owner(following) != _owner(line):
+        return max(_before_s(following), line.time_s)
     return following.time_s
 
 
-def _leaving_of(line, start_s, end_s, context):
-    """Returns the line in a wait that tells that its owner left the cell."""
-    return next(
-        (
-            one
-            for one in context
-            if one.event == "cell left"
-            and one.vm == line.vm
-            and start_s <= one.time_s < end_s
-        ),
-        None,
-    )
+@attrs.frozen
+class _OwnerGone:
+    """The line that tells that an owner is gone, and since when."""
+
+    line: object
+    start_s: float
+
+
+def _owner_gone(line, following, context):
+    """Returns the earliest `_OwnerGone` after a line; None if there is none.
+
+    An owner that was killed does not tell it: then the next one tells for
+    how long the cell had no owner.
+    """
+    found = []
+    for one in context:
+        if one.time_s < line.time_s:
+            continue
+        if one.event == "cell left" and one.vm == line.vm:
+            found.append(_OwnerGone(one, one.time_s))
+        elif (
+            one.event == "cell taken"
+            and following is not None
+            and one.vm == following.vm
+        ):
+            found.append(_OwnerGone(one, _before_s(one)))
+    return min(found, key=lambda gone: gone.start_s, default=None)
