--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -40,6 +40,9 @@
         Stages whose tasks can be started, keyed by job id and stage key.
     dirty_ids : dict
         Ids of jobs whose record is to be stored, in insertion order.
+    moved_ids : dict
+        Ids of jobs whose runs changed in a way that is stored with the next
+        write of the record, or after the next periodic check.
     early_cancelled_ids : set
         Ids of jobs whose cancellation was read before the job itself.
     actions : list
@@ -54,6 +57,7 @@
     endpoint_by_id: dict = attrs.field(factory=dict)
     startable_stages: dict = attrs.field(factory=dict)
     dirty_ids: dict = attrs.field(factory=dict)
+    moved_ids: dict = attrs.field(factory=dict)
     early_cancelled_ids: set = attrs.field(factory=set)
     actions: list = attrs.field(factory=list)
     account_limits: _account_limits.AccountLimits = attrs.field(
@@ -197,6 +201,20 @@
         entry.version += 1
         self.dirty_ids[entry.job.job_id] = None
 
+    def mark_moved(self, entry):
+        """Marks a job one of whose runs was released or adopted.
+
+        Until its record is stored, a later owner waits for the run that is
+        gone, or does not know of the one that exists. The version stays, so
+        a final state that is stored remains visible.
+        """
+        self.moved_ids[entry.job.job_id] = None
+
+    def store_moved(self):
+        """Marks the records of the jobs that `mark_moved` has marked."""
+        self.dirty_ids.update(self.moved_ids)
+        self.moved_ids.clear()
+
     def finish(self, entry, state, now_ms, **log_fields):
         """Gives a job its final state and stops its runs."""
         if entry.state.is_final:
@@ -271,14 +289,24 @@
             )
         )
 
-    def release(self, booking):
-        """Releases the room of a run that is known to have ended."""
+    def release(self, booking, *, has_begun=True):
+        """Releases the room of a run that is known not to exist.
+
+        Parameters
+        ----------
+        booking : Booking
+        has_begun : bool
+            False if no endpoint began the run.
+        """
         endpoint = self.endpoint_by_id[booking.endpoint_id]
         if booking.key not in endpoint.bookings_by_run:
             return
         endpoint.release(booking)
         entry = booking.task.stage.entry
         self.account_limits.remove(entry.job.account, booking.step.demand)
+        self.mark_moved(entry)
+        if has_begun:
+            booking.task.interrupted_ms = self.now_ms
         if booking.task.is_waiting:
             self.mark_startable(booking.task.stage)
             self.run_gaps.note_release(booking, self.now_ms)
@@ -301,7 +329,7 @@
     def stop(self, booking, now_ms):
         """Orders a run to stop; its room stays reserved until it has ended."""
         if booking.state is _tasks.RunState.PLANNED:
-            self.release(booking)
+            self.release(booking, has_begun=False)
             return
         booking.state = _tasks.RunState.STOPPING
         booking.stop_sent_ms = now_ms
@@ -345,7 +373,8 @@
         if not lost:
             return
         for booking in lost:
-            self.release(booking)
+            planned = booking.state is _tasks.RunState.PLANNED
+            self.release(booking, has_begun=not planned)
             if booking.step.gang:
                 self.stop_gang(booking.task.stage, booking.run, now_ms)
         self.log_decision(
--- a/samphiregate/core/cells/_reconciliation.py
+++ b/samphiregate/core/cells/_reconciliation.py
@@ -77,11 +77,12 @@
     if (endpoint.endpoint_id, row.run) in task.ended_runs:
         # The end was already applied; this answer is older.
         return
-    superfluous = not task.needs_run or task.bookings_by_run
+    superfluous = not task.needs_run or bool(task.bookings_by_run)
     if not superfluous:
         cell_state.run_gaps.drop(task)
     booking = cell_state.reserve(task, row.run, endpoint, now_ms)
     booking.state = RUNNING
+    cell_state.mark_moved(entry)
     _update_booking(booking, row, now_ms)
     cell_state.log_decision(
         "run adopted",
