--- /dev/null
+++ b/features/steps/cells_metrics_steps.py
@@ -0,0 +1,97 @@
+"""Steps about the log lines and metrics of an entry VM."""
+
+import os
+
+import behave
+import gevent
+
+from features.support import cells_store
+from samphiregate.adapters.cells import _metered
+from samphiregate.adapters.cells import _vm
+from samphiregate import logs
+from samphiregate import metrics
+
+
+@behave.given("a log into a pipe that nobody reads")
+def given_log(context):
+    reader, writer = os.pipe()
+    context.add_cleanup(os.close, reader)
+    context.add_cleanup(os.close, writer)
+    context.unix_s = 1000.0
+    context.log = logs.DecisionLog(
+        vm_id="vm", descriptor=writer, unix_s=lambda: context.unix_s
+    )
+
+
+@behave.when("{count:d} lines of {kinds:d} kinds are written")
+def when_lines(context, count, kinds):
+    context.written = 0
+    context.log.__enter__()
+    for number in range(count):
+        context.unix_s += 0.001
+        context.log.write(f"kind {number % kinds}", text="x" * 200)
+        context.written += 1
+        if number % 1000 == 0:
+            gevent.sleep(0)
+    context.log._greenlet.kill()
+
+
+@behave.then("the writer was not blocked")
+def then_not_blocked(context):
+    assert context.written == 20_000
+
+
+@behave.then("the log counts the lines that it dropped")
+def then_dropped_lines(context):
+    assert sum(context.log.dropped_by_kind.values()) > 0
+
+
+class _DescribedVm:
+    """A VM with a fixed state."""
+
+    def describe(self):
+        """See `EntryVm.describe`."""
+        gaps = {
+            "without_run": 2,
+            "oldest_ms": 14_800,
+            "unconfirmed": 1,
+            "restarted": 3,
+            "restart_ms": 9_500,
+        }
+        return _vm.VmState(
+            1_500, True, 3, {"room": 7}, {"svc": 2}, 9, 100, gaps
+        )
+
+
+@behave.given("metrics of a VM whose store answers writes with {answers}")
+def given_metrics(context, answers):
+    context.metrics = metrics.VmMetrics()
+    context.metrics.watch_vm(_DescribedVm())
+    context.metered = _metered.MeteredStore(
+        store=cells_store.ScriptedStore(answers.split(", ")),
+        record_call=context.metrics.note_store_call,
+    )
+
+
+@behave.when(
+    "two writes are tried and a caller's {method} is answered with {status}"
+)
+def when_measured(context, method, status):
+    for _time in range(2):
+        cells_store.result_of(
+            lambda: context.metered.commit(expected={}, writes=[])
+        )
+    with context.metrics.time_request(method) as outcome:
+        outcome.status = status
+
+
+@behave.when("a caller is answered with {status} after SIGTERM")
+def when_stopping(context, status):
+    context.metrics.note_stopping_request(status)
+
+
+@behave.then("the metrics show")
+def then_metrics(context):
+    text = context.metrics.text().decode()
+    for row in context.table:
+        assert row["line"] in text.splitlines(), (row["line"], text)
--- /dev/null
+++ b/features/steps/cells_ownership_steps.py
@@ -0,0 +1,170 @@
+"""Steps about how entry VMs acquire and give up a cell."""
+
+import math
+import random
+
+import behave
+import gevent
+import gevent.event
+
+from features.support import cells_store
+from samphiregate.adapters.cells import _keys
+from samphiregate.adapters.cells import _lease
+from samphiregate.adapters.cells import _ownership
+from samphiregate.adapters.cells import _ports
+from samphiregate.adapters.cells import _precedence
+from samphiregate.core import cells
+
+
+def _make_ownership(context, serve, yield_ms=lambda: 0):
+    store = context.store
+    context.lease = cells_store.FakeLease()
+    context.ownership_now_ms = 0
+    context.ownership_log = cells_store.FakeLog()
+    return _ownership.Ownership(
+        cell=cells_store.CELL,
+        vm_id="vm",
+        address="a:1",
+        store=store,
+        lease=context.lease,
+        owner_item=lambda: store.get(_keys.owner(cells_store.CELL)),
+        may_own=lambda: not getattr(context, "has_acquired", False),
+        serve=serve,
+        yield_ms=yield_ms,
+        random_state=random.Random(1),
+        now_ms=lambda: context.ownership_now_ms,
+        log=context.ownership_log,
+    )
+
+
+@behave.given("a VM that acquires the cell only once")
+def given_owner_once(context):
+    context.serving = gevent.event.Event()
+
+    def serve(tenure, session_end):
+        del tenure
+        context.has_acquired = True
+        context.serving.set()
+        session_end.wait()
+
+    context.ownership = _make_ownership(context, serve)
+
+
+@behave.given("a VM of {own:g} cores, and others of {others} cores")
+def given_capacities(context, own, others):
+    values = [] if others == "no" else others.split(", ")
+    records = [
+        cells.encode(
+            _lease.VmRecord("vm", "a:1")
+            if value == "unknown"
+            else _lease.VmRecord("vm", "a:1", float(value))
+        )
+        for value in values
+    ]
+    context.yield_ms = _precedence.yield_ms(
+        capacity=own,
+        other_capacities=[
+            cells.decode(record, _lease.VmRecord).capacity
+            for record in records
+        ],
+    )
+
+
+@behave.then("it yields for {yield_ms:g} ms")
+def then_yields(context, yield_ms):
+    assert math.isclose(context.yield_ms, yield_ms), context.yield_ms
+
+
+@behave.when("another VM acquires the cell while this one yields")
+def when_other_acquires(context):
+    record = _ownership.OwnerRecord("other", "b:1", 7)
+    write = _ports.StoreWrite(
+        _keys.owner(cells_store.CELL), cells.encode(record)
+    )
+
+    def yield_ms():
+        context.store.commit(expected={}, writes=[write])
+        return 0
+
+    ownership = _make_ownership(context, serve=None, yield_ms=yield_ms)
+    context.tenure = ownership._acquire()
+
+
+@behave.then("this VM leaves it to the other")
+def then_left_to_other(context):
+    assert context.tenure is None, context.tenure
+    item = context.store.get(_keys.owner(cells_store.CELL))
+    assert _ownership.decode_owner(item.value).vm_id == "other", item
+
+
+@behave.when(
+    "another VM gives up the cell and this one acquires it {later_ms:d} ms "
+    "later"
+)
+def when_acquires_later(context, later_ms):
+    serving = gevent.event.Event()
+
+    def serve(_tenure, session_end):
+        serving.set()
+        session_end.wait()
+
+    ownership = _make_ownership(context, serve)
+    ownership.owner_changed()
+    context.ownership_now_ms += later_ms
+    with ownership:
+        assert serving.wait(cells_store.SETTLE_S)
+
+
+@behave.then("the log tells {span_ms:d} ms without an owner")
+def then_without_owner(context, span_ms):
+    fields = next(
+        fields
+        for event, fields in context.ownership_log.lines
+        if event == "cell taken"
+    )
+    assert fields["waited_ms"] == span_ms, fields
+
+
+@behave.when("the record {record} of a VM is read")
+def when_record_read(context, record):
+    context.vm_record = cells.decode(record.encode(), _lease.VmRecord)
+
+
+@behave.then("its capacity is {cores:g} cores")
+def then_record_capacity(context, cores):
+    assert context.vm_record.capacity == cores, context.vm_record
+
+
+@behave.when("its session ends while the lease is valid")
+def when_session_ends(context):
+    with context.ownership:
+        assert context.serving.wait(cells_store.SETTLE_S)
+        assert context.store.get(_keys.owner(cells_store.CELL)) is not None
+        context.ownership.session_end.set()
+        with gevent.Timeout(cells_store.SETTLE_S):
+            while context.store.get(_keys.owner(cells_store.CELL)) is not None:
+                gevent.sleep(0.01)
+
+
+@behave.then("the cell has no owner")
+def then_no_owner(context):
+    assert context.store.get(_keys.owner(cells_store.CELL)) is None
+
+
+@behave.given("a VM that acquires the cell")
+def given_acquirer(context):
+    context.epochs = []
+    serving = gevent.event.Event()
+
+    def serve(tenure, session_end):
+        context.epochs.append(tenure.epoch)
+        serving.set()
+        session_end.wait()
+
+    with _make_ownership(context, serve):
+        assert serving.wait(cells_store.SETTLE_S)
+
+
+@behave.then("the VM serves the cell with epoch {epoch:d}")
+def then_serves(context, epoch):
+    assert context.epochs == [epoch], context.epochs
--- a/features/support/cells_store.py
+++ b/features/support/cells_store.py
@@ -7,7 +7,8 @@
 from samphiregate.adapters import cells as ports
 from samphiregate import errors
 
-
+CELL = "all"
+SETTLE_S = 10  # upper bound of a wait for a greenlet, not an expected time
 SLOW_WRITE_S = 5  # longer than any caller waits
 
 
@@ -151,3 +152,14 @@
         """Advances the time by one step and returns it."""
         self.time_ms += self._step_ms
         return self.time_ms
+
+
+def result_of(call):
+    """Returns what a caller is told of a call, in words."""
+    try:
+        call()
+    except errors.SamphiregateError as error:
+        if error.code is errors.ErrorCode.UNAVAILABLE:
+            return f"unavailable, ran {error.ran.value}"
+        return error.code.value
+    return "accepted"
