--- a/features/steps/shutdown_steps.py
+++ b/features/steps/shutdown_steps.py
@@ -1,7 +1,13 @@
 """Steps about the end of an entry VM's process."""
 
 import contextlib
+import os
+import pathlib
+import signal
 import struct
+import subprocess
+import sys
+import tempfile
 
 import behave
 import gevent
@@ -231,3 +237,42 @@
 def then_all_answered(context):
     assert context.outcome.read >= stops.REQUESTS_BEFORE, context.outcome
     assert not context.outcome.unanswered, context.outcome
+
+
+@behave.given("a process that waits for its settings file")
+def given_starting(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    path = pathlib.Path(folder.name) / "settings"
+    os.mkfifo(path)
+    context.process = subprocess.Popen(
+        [sys.executable, "platform"],
+        env={**os.environ, "SAMPHIREGATE_BOOT": str(path)},
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    context.add_cleanup(context.process.kill)
+    context.settings_file = None
+    _wait_for(lambda: _is_open_for_reading(context, path))
+
+
+def _is_open_for_reading(context, path):
+    """Opens the other end of a pipe, once a process reads it."""
+    with contextlib.suppress(OSError):
+        descriptor = os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+        context.settings_file = os.fdopen(descriptor, "w")
+    return context.settings_file is not None
+
+
+@behave.when("it gets SIGHUP, and then settings without a name")
+def when_sighup(context):
+    context.process.send_signal(signal.SIGHUP)
+    context.settings_file.write("ip=127.0.0.1\n")
+    context.settings_file.close()
+
+
+@behave.then("it reports the missing name and ends with status {status:d}")
+def then_refused(context, status):
+    _output, text = context.process.communicate(timeout=WAIT_S)
+    assert context.process.returncode == status, context.process.returncode
+    assert "node_name" in text, text
