Give up a cell that was acquired while the VM stops

Cause: a stop between the call that acquires the cell and its answer was forgotten, as the session's end was reset afterwards. The VM served the cell until it was killed one second later, and left its owner's record to the end of its lease. Change: after an acquisition a VM that stops removes its record and ends.

--- a/features/cells_vm.feature
+++ b/features/cells_vm.feature
@@ -92,6 +92,12 @@
     When its session ends while the lease is valid
     Then the cell has no owner
 
+  Scenario: a VM that stops while it acquires the cell does not serve it
+    Given a store in memory
+    When a VM acquires the cell and is stopped before the store's answer
+    Then it served no epoch
+    And the cell has no owner
+
   Scenario: an ownership whose answer was lost is resumed
     Given a store in memory that carries out writes but does not answer
     And a VM that acquires the cell
--- a/features/steps/cells_vm_steps.py
+++ b/features/steps/cells_vm_steps.py
@@ -262,6 +262,36 @@
         assert serving.wait(SETTLE_S)
 
 
+@behave.when("a VM acquires the cell and is stopped before the store's answer")
+def when_stopped_early(context):
+    context.epochs = []
+    stopping = []
+
+    def serve(tenure, session_end):
+        context.epochs.append(tenure.epoch)
+        session_end.wait()
+
+    def commit(**arguments):
+        revision = store_commit(**arguments)
+        if not stopping:
+            stopping.append(gevent.spawn(ownership.__exit__))
+            gevent.sleep(0)
+        return revision
+
+    store_commit = context.store.commit
+    context.store.commit = commit
+    ownership = _make_ownership(context, serve)
+    ownership.__enter__()
+    with gevent.Timeout(SETTLE_S):
+        while not stopping or not stopping[0].ready():
+            gevent.sleep(0.01)
+
+
+@behave.then("it served no epoch")
+def then_no_epoch(context):
+    assert not context.epochs, context.epochs
+
+
 @behave.then("the VM serves the cell with epoch {epoch:d}")
 def then_serves(context, epoch):
     assert context.epochs == [epoch], context.epochs
--- a/samphiregate/adapters/cells/_ownership.py
+++ b/samphiregate/adapters/cells/_ownership.py
@@ -147,6 +147,9 @@
             if tenure is None:
                 self._changed.wait(RETRY_INTERVAL_MS / 1000)
                 continue
+            if self._closing:
+                self._relinquish(tenure)
+                return
             self._log.write("cell taken", cell=tenure.cell, epoch=tenure.epoch)
             self.session_end.clear()
             self._served_epoch = tenure.epoch
