--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -195,6 +195,7 @@
         vm=vm,
         log=cells_store.FakeLog(),
         metrics=metrics.VmMetrics(),
+        is_stopping=lambda: False,
     )
 
 
--- a/features/support/cells.py
+++ b/features/support/cells.py
@@ -13,6 +13,7 @@
 
 from features.support import cells_endpoints
 from samphiregate.core import cells
+from samphiregate import logs
 
 LINK_DELAY_MS = 1
 STORE_WRITE_MS = 6
@@ -44,8 +45,12 @@
         How long a write takes.
     poll_count : int
         Number of polls sent to endpoints.
+    write_count : int
+        Number of writes to the store.
     stored_by_id : dict
         Stored records, encoded.
+    log_lines : list of logs.Line
+        Decisions that owners logged; a VM is named by its epoch.
     """
 
     def __init__(self, seed=0):
@@ -69,9 +74,11 @@
         self.query_slots = 4
         self.max_queries_in_flight = 0
         self.poll_count = 0
+        self.write_count = 0
         self.max_overestimate_share = 0.0
         self.underestimate_factor = 1.0
         self.sent_queries = []
+        self.log_lines = []
         self.epoch = 0
         self.cell = None
         self._work_ms_by_task = {}
@@ -179,6 +186,7 @@
         rows = self.cell.pop_records(30)
         if rows:
             self._writing = True
+            self.write_count += 1
             self.at(
                 self.store_write_ms,
                 functools.partial(self._written, rows, self._generation),
@@ -216,6 +224,17 @@
             self._send_poll(action)
         elif isinstance(action, cells.QueryPolicy):
             self._send_policy_query(action)
+        elif isinstance(action, cells.LogDecision):
+            self._log(action)
+
+    def _log(self, action):
+        fields = dict(action.fields)
+        if action.job_id:
+            fields["request"] = action.job_id
+        line = logs.Line(
+            self.now_ms / 1000, f"vm-{self.epoch}", action.event, fields
+        )
+        self.log_lines.append(line)
 
     def _answer(self, delay_ms, event, generation):
         def deliver():
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -15,6 +15,7 @@
 from samphiregate.core.cells import _records
 from samphiregate.core.cells import _stragglers
 from samphiregate.core.cells import _tasks
+from samphiregate.core.cells import _wait_reports
 
 CHECK_INTERVAL_MS = 100
 POLL_RETRY_MS = 300  # the first retry is sent at once
@@ -83,6 +84,10 @@
             is_backing_off=self._failure_backoff.is_backing_off,
             slowness_estimator=slowness_estimator,
         )
+        self._wait_reporter = _wait_reports.WaitReporter(
+            cell_state=self.cell_state,
+            is_backing_off=self._failure_backoff.is_backing_off,
+        )
 
     # Read access for callers and for the store
 
@@ -118,6 +123,7 @@
         rows = []
         for job_id in job_ids:
             del self.cell_state.dirty_ids[job_id]
+            self.cell_state.moved_ids.pop(job_id, None)
             entry = self.cell_state.entry_by_id.get(job_id)
             if entry is not None:
                 record = entry.to_record(self._address_of)
@@ -131,7 +137,8 @@
     def expired_jobs(self, unix_ms, retention_ms):
         """Returns the ids of jobs that ended more than `retention_ms` ago.
 
-        Jobs with runs that may still exist are left out.
+        Jobs with runs that may still exist, or whose end is yet to be
+        stored, are left out.
         """
         return [
             job_id
@@ -140,12 +147,14 @@
             and entry.ended_unix_ms
             and unix_ms - entry.ended_unix_ms > retention_ms
             and not any(entry.bookings())
+            and job_id not in self.cell_state.moved_ids
         ]
 
     # Entry points of the state machine
 
     def handle(self, event, now_ms):
         """Applies one event; see `StateMachine.handle`."""
+        self.cell_state.now_ms = now_ms
         self._apply(event, now_ms)
         return self._drain()
 
@@ -177,11 +186,13 @@
     def _run_periodic_checks(self, now_ms, unix_ms):
         """Runs the checks that are not needed in every plan."""
         self._release_expired(now_ms)
+        self.cell_state.store_moved()
         self._add_occurrences(now_ms, unix_ms)
         self._move_off_draining(now_ms)
         self.cell_state.retry_stops(now_ms)
         self._stragglers.stop_slow_runs(now_ms)
         self._planner.plan_copies(now_ms)
+        self._wait_reporter.report(now_ms)
 
     def _drain(self):
         actions = self.cell_state.actions
@@ -238,9 +249,9 @@
     def _(self, event: _messages.EndpointRegistered, now_ms):
         endpoint = self.cell_state.endpoint_by_id.get(event.endpoint_id)
         if endpoint is None:
-            self.cell_state.endpoint_by_id[event.endpoint_id] = (
-                _endpoints.Endpoint(event)
-            )
+            endpoint = _endpoints.Endpoint(event)
+            endpoint.update_leave_time(now_ms)
+            self.cell_state.endpoint_by_id[event.endpoint_id] = endpoint
             self.cell_state.log_decision(
                 "endpoint listed",
                 endpoint=event.endpoint_id,
@@ -325,6 +336,8 @@
                 process_gone=event.process_gone,
                 reason=event.reason,
                 runs=len(endpoint.bookings_by_run),
+                left_ms=max(endpoint.lease_until_ms - now_ms, 0),
+                inherited=not endpoint.has_answered,
             )
         if event.process_gone:
             self.cell_state.release_lost_runs(
@@ -348,11 +361,12 @@
         if outcome is _messages.StartOutcome.STARTED:
             booking.confirmed_ms = now_ms
             if booking.state is _tasks.RunState.STARTING:
-                booking.state = _tasks.RunState.RUNNING
+                self.cell_state.confirm_start(booking, now_ms)
             return
         self.cell_state.log_decision(
             "start failed",
             event.task_id.job_id,
+            task=event.task_id.position,
             run=event.run,
             endpoint=event.endpoint_id,
             outcome=outcome.value,
@@ -397,7 +411,7 @@
 
     def _on_start_refused(self, endpoint, booking, outcome, now_ms):
         outcomes = _messages.StartOutcome
-        self.cell_state.release(booking)
+        self.cell_state.release(booking, has_begun=False)
         if booking.step.gang:
             self.cell_state.stop_gang(booking.task.stage, booking.run, now_ms)
         if outcome is outcomes.NO_ROOM:
@@ -511,6 +525,7 @@
                     self.cell_state.log_decision(
                         "run moved off",
                         booking.task.task_id.job_id,
+                        task=booking.task.task_id.position,
                         run=booking.run,
                         endpoint=endpoint.endpoint_id,
                     )
