Play stops of a VM whose store has not answered yet

The process scenarios and the soak have a third behaviour of the store: silent from the start, so that SIGTERM arrives before the VM has a lease or a configuration.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -51,6 +51,7 @@
       | 1    | answers late                       | SIGTERM                                    |
       | 2    | is silent from the SIGTERM on      | SIGHUP, SIGTERM, SIGHUP, SIGTERM           |
       | 3    | answers late                       | SIGHUP, SIGHUP, SIGTERM, SIGTERM, SIGHUP   |
+      | 4    | is silent from the start           | SIGTERM, SIGHUP                            |
 
   Scenario: a SIGHUP during the start does not end the process
     Given a process that waits for its settings file
--- a/features/soak_stops.py
+++ b/features/soak_stops.py
@@ -21,8 +21,11 @@
     signals = random.Random(seed).choices(
         ("SIGHUP", "SIGTERM"), k=SIGNALS_BEFORE
     )
+    behaviours = list(stops.StoreBehaviour)
     return stops.play(
-        seed=seed, store_stops=bool(seed % 2), names=[*signals, "SIGTERM"]
+        seed=seed,
+        store=behaviours[seed % len(behaviours)],
+        names=[*signals, "SIGTERM"],
     )
 
 
--- a/features/steps/shutdown_steps.py
+++ b/features/steps/shutdown_steps.py
@@ -216,14 +216,14 @@
 @behave.given("a VM under load, and a store that {store}, with seed {seed:d}")
 def given_loaded_vm(context, store, seed):
     context.seed = seed
-    context.store_stops = store == "is silent from the SIGTERM on"
+    context.store = stops.StoreBehaviour(store)
 
 
 @behave.when("it gets {names} while the configuration changes")
 def when_signals(context, names):
     context.outcome = stops.play(
         seed=context.seed,
-        store_stops=context.store_stops,
+        store=context.store,
         names=names.split(", "),
     )
 
--- a/features/support/stops.py
+++ b/features/support/stops.py
@@ -2,6 +2,7 @@
 
 import base64
 import contextlib
+import enum
 import itertools
 import pathlib
 import random
@@ -28,6 +29,7 @@
 GRACE_S = 2
 REQUESTS_BEFORE = 20
 BODY = b'{"spec":"x","steps":[{"count":1,"cpu":100}]}'
+STARTED = '"started"'
 METHODS = ("POST", "GET", "DELETE")
 HABITS = ("steady", "fresh", "slow body", "pipelined")
 SETTINGS = """\
@@ -42,14 +44,21 @@
 """
 
 
+class StoreBehaviour(enum.Enum):
+    """How the store answers calls."""
+
+    LATE = "answers late"
+    SILENT_AFTER_STOP = "is silent from the SIGTERM on"
+    SILENT = "is silent from the start"
+
+
 class StoppedVm(contextlib.ExitStack):
     """A process of an entry VM, its store and its clients.
 
     Parameters
     ----------
     seed : int
-    store_stops : bool
-        Whether the store is silent from the first SIGTERM on.
+    store : StoreBehaviour
 
     Attributes
     ----------
@@ -57,11 +66,11 @@
         Numbers of the requests that got a whole answer.
     """
 
-    def __init__(self, *, seed, store_stops):
+    def __init__(self, *, seed, store):
         super().__init__()
         self.answered = set()
         self._random = random.Random(seed)
-        self._store_stops = store_stops
+        self._store = store
         self._numbers = itertools.count()
         self._version = 0
         self._terminated = False
@@ -82,7 +91,7 @@
         )
         self._log_path = folder / "vm.log"
         processes.wait_until(
-            lambda: _is_ready(ready), WAIT_S, "readiness of the VM"
+            lambda: self._serves(ready), WAIT_S, "start of the VM"
         )
         self._clients = [
             gevent.spawn(self._use, HABITS[number % len(HABITS)])
@@ -95,6 +104,11 @@
             "first answers",
         )
 
+    def _serves(self, ready):
+        if self._store is StoreBehaviour.SILENT:
+            return STARTED in self._log_path.read_text()
+        return _is_ready(ready)
+
     def _start_store(self):
         application = standin.Application(standin.Values(), self._delay_s)
         self._values = application.values
@@ -116,7 +130,10 @@
         )
 
     def _delay_s(self):
-        if self._terminated and self._store_stops:
+        if self._store is StoreBehaviour.SILENT:
+            return SILENCE_S
+        stops = self._store is StoreBehaviour.SILENT_AFTER_STOP
+        if self._terminated and stops:
             return SILENCE_S
         return self._random.uniform(0, SLOWEST_CALL_S)
 
@@ -250,9 +267,9 @@
     unanswered: tuple
 
 
-def play(*, seed, store_stops, names):
+def play(*, seed, store, names):
     """Plays one stop and returns its `Outcome`."""
-    with StoppedVm(seed=seed, store_stops=store_stops) as vm:
+    with StoppedVm(seed=seed, store=store) as vm:
         vm.start()
         vm.play(names)
         status = vm.wait()
