--- a/features/cells_vm.feature
+++ b/features/cells_vm.feature
@@ -128,6 +128,12 @@
     When another VM gives up the cell and this one acquires it 150 ms later
     Then the log tells 150 ms without an owner
 
+  Scenario: a VM that stops while it acquires the cell does not serve it
+    Given a store in memory
+    When a VM acquires the cell and is stopped before the store's answer
+    Then it served no epoch
+    And the cell has no owner
+
   Scenario: an ownership whose answer was lost is resumed
     Given a store in memory that carries out writes but does not answer
     And a VM that acquires the cell
