Count the wait for a silent endpoint from its last answer's epoch

Cause: each new owner waited the whole inherited lease (7.4 s) for a silent endpoint from its own takeover, though an owner that the endpoint has not answered cannot have extended its lease. With a takeover every few seconds, a task there was not started again for as long as the series lasted.

Change: the owner stores which endpoints with inherited runs have not answered it, with the last epoch that they may have answered, and removes an endpoint from there before it extends its lease again. Each VM notes when it has seen an epoch end; a new owner counts the wait from the end of that epoch, or from now if its process has not seen it. Nothing is written while all endpoints answer.

The simulation lets former owners extend leases for the whole grace at endpoints that answered them, keeps the list, and has owners whose process has just started.

--- a/features/cells.feature
+++ b/features/cells.feature
@@ -96,6 +96,88 @@
     Then 4 tasks of job "j" run
     And no invariant was violated
 
+  Scenario Outline: an epoch counts as ended from when the VM has seen its end
+    When a VM has seen <seen>
+    Then epoch <epoch> is known to have ended <ended>
+
+    Examples:
+      | seen                               | epoch | ended       |
+      | none at 5                          | 1     | at no time  |
+      | owner 3 at 10                      | 2     | at 10       |
+      | owner 3 at 10                      | 3     | at no time  |
+      | owner 3 at 10, none at 20          | 3     | at 20       |
+      | owner 3 at 10, none at 20          | 2     | at 10       |
+      | owner 3 at 10, owner 5 at 30       | 3     | at 30       |
+      | owner 3 at 10, none at 20, none at 40 | 3  | at 20       |
+
+  Scenario Outline: a series of takeovers does not prolong the wait for a silent endpoint
+    Given 1 endpoints of 4 cores
+    And an owner of the cell
+    When a long-running job "j" of 4 tasks is submitted
+    And 300 ms pass
+    And endpoint "e1" of 4 cores is added
+    And endpoint "e0" is silent for later owners
+    And <count> owners in turn take over the cell, each for <span_ms> ms
+    And another VM takes over the cell
+    And 2000 ms pass
+    Then 4 tasks of job "j" run
+    And no invariant was violated
+
+    Examples: all start more than 7400 ms after the first owner was lost
+      | count | span_ms |
+      | 6     | 1250    |
+      | 3     | 2500    |
+      | 2     | 4000    |
+
+  Scenario: a silent endpoint is waited for again after an owner has reached it
+    Given 1 endpoints of 4 cores
+    And an owner of the cell
+    When a long-running job "j" of 4 tasks is submitted
+    And 300 ms pass
+    And endpoint "e1" of 4 cores is added
+    And endpoint "e0" is silent for later owners
+    And 2 owners in turn take over the cell, each for 1500 ms
+    And endpoint "e0" is no longer silent
+    And 1500 ms pass
+    And endpoint "e0" is silent for later owners
+    And 3 owners in turn take over the cell, each for 2300 ms
+    Then 4 tasks were started
+    And no invariant was violated
+
+  Scenario: no lease is extended while the store lists the endpoint as silent
+    Given 1 endpoints of 4 cores
+    And an owner of the cell
+    When a long-running job "j" of 4 tasks is submitted
+    And 300 ms pass
+    And endpoint "e1" of 4 cores is added
+    And endpoint "e0" is silent for later owners
+    And 2 owners in turn take over the cell, each for 1500 ms
+    And the store becomes unavailable
+    And endpoint "e0" is no longer silent
+    And 1500 ms pass
+    And endpoint "e0" is silent for later owners
+    And the store is available again
+    And 3 owners in turn take over the cell, each for 2300 ms
+    Then no invariant was violated
+
+  Scenario Outline: no task runs twice while takeovers and silences of endpoints overlap
+    Given 4 endpoints of 4 cores
+    And an owner of the cell
+    When a long-running job "j" of 6 tasks is submitted
+    And owners change 40 times while endpoints fall silent, with seed <seed>
+    And 9000 ms pass
+    Then 6 tasks of job "j" run
+    And no invariant was violated
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+      | 5    |
+      | 6    |
+
   Scenario: a run that is not in the stored record is adopted, not stopped
     Given 1 endpoints of 4 cores
     And an owner of the cell
--- a/features/cells_vm.feature
+++ b/features/cells_vm.feature
@@ -151,6 +151,17 @@
     Then the first client has no idle connection, and still answers
     And at most 2 clients are held
 
+  Scenario Outline: the list of silent endpoints counts as stored once it is
+    Given a store that carries out <delayed> writes late, after the last one
+    When the owner stores that endpoint "e0" is silent
+    Then the store lists endpoint "e0" as silent
+    And <reports> write of the list was reported
+
+    Examples:
+      | delayed | reports |
+      | 0       | 1       |
+      | 1       | 1       |
+
   Scenario Outline: a write that is carried out late does not undo a newer one
     Given a store that carries out <delayed> writes late, <when>
     When the owner stores the records "first", then "second" of a job
--- a/features/steps/cells_fault_steps.py
+++ b/features/steps/cells_fault_steps.py
@@ -1,5 +1,7 @@
 """Steps that inject faults into a simulated cell."""
 
+import math
+
 import behave
 
 from features.support import cells_work
@@ -19,6 +21,72 @@
     context.simulation.run_for(span_ms)
 
 
+@behave.when(
+    "{count:d} owners in turn take over the cell, each for {span_ms:d} ms"
+)
+def when_taken_over_in_series(context, count, span_ms):
+    for _number in range(count):
+        context.simulation.take_over()
+        context.simulation.run_for(span_ms)
+
+
+@behave.when("a VM has seen {seen}")
+def when_epochs_seen(context, seen):
+    context.epoch_history = cells.EpochHistory()
+    for observation in seen.split(", "):
+        what, seen_ms = observation.split(" at ")
+        if what == "none":
+            context.epoch_history.record_no_owner(int(seen_ms))
+        else:
+            epoch = int(what.removeprefix("owner "))
+            context.epoch_history.record_owner(epoch, int(seen_ms))
+
+
+@behave.when('endpoint "{endpoint_id}" is silent for later owners')
+def when_silent_for_later(context, endpoint_id):
+    simulation = context.simulation
+    endpoint = simulation.endpoint_by_id[endpoint_id]
+    endpoint.silent_from_epoch = simulation.epoch + 1
+
+
+@behave.when('endpoint "{endpoint_id}" is no longer silent')
+def when_not_silent(context, endpoint_id):
+    _end_silence(context.simulation, endpoint_id)
+
+
+def _end_silence(simulation, endpoint_id):
+    endpoint = simulation.endpoint_by_id[endpoint_id]
+    endpoint.silent_from_epoch = math.inf
+    simulation.deliver(endpoint.registration)
+
+
+@behave.when(
+    "owners change {count:d} times while endpoints fall silent, with seed "
+    "{seed:d}"
+)
+def when_owners_change(context, count, seed):
+    simulation = context.simulation
+    simulation.random.seed(seed)
+    endpoints = list(simulation.endpoint_by_id.values())
+    for _number in range(count):
+        simulation.run_for(simulation.random.randint(20, 4_000))
+        endpoint = simulation.random.choice(endpoints)
+        endpoint.silent_from_epoch = simulation.random.choice(
+            (simulation.epoch, simulation.epoch + 1, math.inf)
+        )
+        simulation.store_up = simulation.random.random() < 0.8
+        if simulation.random.random() < 0.5:
+            simulation.kill_owner()
+            simulation.run_for(simulation.random.randint(20, 2_000))
+        has_just_started = simulation.random.random() < 0.2
+        simulation.take_over(
+            cells.EpochHistory() if has_just_started else None
+        )
+    simulation.store_up = True
+    for endpoint in endpoints:
+        _end_silence(simulation, endpoint.endpoint_id)
+
+
 @behave.when("another VM takes over the cell")
 def when_taken_over(context):
     context.simulation.take_over()
@@ -103,6 +171,16 @@
     context.simulation.store_up = True
 
 
+@behave.when("the store becomes unavailable")
+def when_store_down(context):
+    context.simulation.store_up = False
+
+
+@behave.when("the store is available again")
+def when_store_up(context):
+    context.simulation.store_up = True
+
+
 @behave.when(
     "random faults and jobs occur for {span_s:d} s with seed {seed:d}"
 )
--- a/features/steps/cells_outcome_steps.py
+++ b/features/steps/cells_outcome_steps.py
@@ -82,6 +82,12 @@
     _check_completed(context, count, max_ms)
 
 
+@behave.then("epoch {epoch:d} is known to have ended at {time}")
+def then_epoch_ended(context, epoch, time):
+    ended_ms = context.epoch_history.ended_ms(epoch)
+    assert ended_ms == (None if time == "no time" else int(time)), ended_ms
+
+
 @behave.then("no invariant was violated")
 def then_no_violation(context):
     assert not context.simulation.violations, context.simulation.violations[:5]
--- a/features/steps/cells_vm_steps.py
+++ b/features/steps/cells_vm_steps.py
@@ -495,6 +495,55 @@
     context.late_before_second = when.startswith("before")
 
 
+def _make_writer(store, **callables):
+    arguments = {
+        "pop_records": lambda _max_count: [],
+        "pop_silent_record": lambda: None,
+        "on_stored": lambda _rows: None,
+        "on_silent_record_stored": lambda: None,
+        "on_lost": lambda _reason: None,
+    }
+    return _writer.RecordWriter(
+        store=store,
+        tenure=_ownership.Tenure(CELL, 1, {}, 1),
+        log=cells_store.FakeLog(),
+        **(arguments | callables),
+    )
+
+
+@behave.when('the owner stores that endpoint "{endpoint_id}" is silent')
+def when_silent_record_stored(context, endpoint_id):
+    record = cells.encode(cells.SilentRecord({endpoint_id: 1}))
+    records = [record]
+    finished = gevent.event.Event()
+    context.reports = 0
+
+    def report():
+        context.reports += 1
+        finished.set()
+
+    writer = _make_writer(
+        context.store,
+        pop_silent_record=lambda: records.pop() if records else None,
+        on_silent_record_stored=report,
+    )
+    with writer:
+        assert finished.wait(SETTLE_S)
+    context.store.apply_delayed()
+
+
+@behave.then('the store lists endpoint "{endpoint_id}" as silent')
+def then_listed(context, endpoint_id):
+    item = context.store.get(_keys.silent_endpoints(CELL))
+    record = cells.decode(item.value, cells.SilentRecord)
+    assert record.epoch_by_id == {endpoint_id: 1}, record
+
+
+@behave.then("{count:d} write of the list was reported")
+def then_reported(context, count):
+    assert context.reports == count, context.reports
+
+
 @behave.when(
     'the owner stores the records "{first}", then "{second}" of a job'
 )
@@ -510,13 +559,10 @@
         finished.set()
         return []
 
-    writer = _writer.RecordWriter(
-        store=context.store,
-        tenure=_ownership.Tenure(CELL, 1, {}, 1),
+    writer = _make_writer(
+        context.store,
         pop_records=pop_records,
-        on_stored=lambda _rows: None,
         on_lost=lambda _reason: finished.set(),
-        log=cells_store.FakeLog(),
     )
     with writer:
         assert finished.wait(SETTLE_S)
--- a/features/support/cells.py
+++ b/features/support/cells.py
@@ -20,6 +20,7 @@
 UNREACHABLE_TIMEOUT_MS = 1_000
 ORDER_TIMEOUT_MS = 400
 LEASE_MS = 5_000
+LAPSED_GRACE_MS = 2_000  # for which an owner polls after its lease's end
 INHERITED_LEASE_MS = 7_400
 
 
@@ -48,6 +49,9 @@
         Number of writes to the store.
     stored_by_id : dict
         Stored records, encoded.
+    stored_silent_record : bytes or None
+    epoch_history : EpochHistory
+        Of a VM that sees the end of each ownership at the next takeover.
     """
 
     def __init__(self, seed=0):
@@ -58,6 +62,8 @@
         self.done_ms_by_job = {}
         self.starts = []
         self.stored_by_id = {}
+        self.stored_silent_record = None
+        self.epoch_history = cells.EpochHistory()
         self.job_by_id = {}
         self.cancelled_ids = set()
         self.endpoint_by_id = {}
@@ -81,6 +87,7 @@
         self._queue = []
         self._order = itertools.count()
         self._writing = False
+        self._lapsed_owners = []
         # Rises at each change of owner; answers to an earlier one are dropped.
         self._generation = 0
 
@@ -109,16 +116,29 @@
         if self.owner_up and self.cell is not None:
             self.deliver(cells.JobCancelled(job_id))
 
-    def take_over(self):
-        """Starts a new owner, which loads the cell from the store."""
+    def take_over(self, epoch_history=None):
+        """Starts a new owner, which loads the cell from the store.
+
+        Parameters
+        ----------
+        epoch_history : EpochHistory or None
+            That of the VM; `self.epoch_history` by default.
+        """
         self._generation += 1
+        if self.cell is not None:
+            until_ms = self.now_ms + LAPSED_GRACE_MS
+            self._lapsed_owners.append((self.epoch, self.cell, until_ms))
+        self.epoch_history.record_no_owner(self.now_ms)
         self.epoch += 1
+        self.epoch_history.record_owner(self.epoch, self.now_ms)
         self.owner_up = True
         self._writing = False
         self.cell = cells.Cell(
             epoch=self.epoch,
             lease_ms=LEASE_MS,
             inherited_lease_ms=INHERITED_LEASE_MS,
+            epoch_history=epoch_history or self.epoch_history,
+            silent_record=self._load_silent_record(),
         )
         self.deliver(cells.AccountsChanged(self.accounts))
         for endpoint in self.endpoint_by_id.values():
@@ -131,6 +151,10 @@
         for job_id in self.cancelled_ids:
             self.deliver(cells.JobCancelled(job_id))
 
+    def _load_silent_record(self):
+        data = self.stored_silent_record
+        return cells.decode(data, cells.SilentRecord) if data else None
+
     def kill_owner(self):
         """Kills the owner; calls that it has in flight may still arrive."""
         self.owner_up = False
@@ -164,6 +188,7 @@
     def _tick(self):
         for endpoint in self.endpoint_by_id.values():
             endpoint.advance(self.now_ms)
+            self._extend_by_lapsed_owners(endpoint)
         if self.owner_up and self.cell is not None:
             actions = self.cell.plan(
                 self.now_ms, self.now_ms, self.query_slots
@@ -171,6 +196,24 @@
             self._perform(actions)
             self._write()
 
+    def _extend_by_lapsed_owners(self, endpoint):
+        """Extends a lease as former owners still may, the longest possible.
+
+        They do so at the endpoints that have answered them, until these have
+        seen a higher epoch.
+        """
+        for epoch, cell, until_ms in self._lapsed_owners:
+            known = cell.cell_state.endpoint_by_id.get(endpoint.endpoint_id)
+            if (
+                self.now_ms < until_ms
+                and endpoint.is_reachable_for(epoch)
+                and epoch >= endpoint.epoch
+                and known is not None
+                and known.has_answered
+            ):
+                endpoint.epoch = epoch
+                endpoint.extend_lease(self.now_ms + LEASE_MS)
+
     def deliver(self, event):
         """Delivers an event to the current owner."""
         self._perform(self.cell.handle(event, self.now_ms))
@@ -179,23 +222,29 @@
     def _write(self):
         if self._writing or not self.store_up:
             return
+        silent_record = self.cell.pop_silent_record()
         rows = self.cell.pop_records(30)
-        if rows:
+        if rows or silent_record is not None:
             self._writing = True
             self.write_count += 1
-            self.at(
-                self.store_write_ms,
-                functools.partial(self._written, rows, self._generation),
+            written = functools.partial(
+                self._written, rows, silent_record, self._generation
             )
+            self.at(self.store_write_ms, written)
 
-    def _written(self, rows, generation):
+    def _written(self, rows, silent_record, generation):
         if generation != self._generation:
             return
         if not self.store_up:
-            retry = functools.partial(self._written, rows, generation)
+            retry = functools.partial(
+                self._written, rows, silent_record, generation
+            )
             self.at(100, retry)
             return
         self._writing = False
+        if silent_record is not None:
+            self.stored_silent_record = silent_record
+            self.deliver(cells.SilentRecordStored())
         for job_id, _version, data in rows:
             self.stored_by_id[job_id] = data
         versions = tuple((row[0], row[1]) for row in rows)
--- a/features/support/cells_endpoints.py
+++ b/features/support/cells_endpoints.py
@@ -1,5 +1,7 @@
 """Endpoints for simulations of a cell: they run tasks in virtual time."""
 
+import math
+
 import attrs
 
 from features.support import cells_work
@@ -33,6 +35,8 @@
     ----------
     is_partitioned : bool
         Whether calls and answers get lost; runs continue.
+    silent_from_epoch : float
+        Owners of this and later epochs do not reach it.
     start_delay_ms : int
         If above 0, starts are not answered and are executed after this delay.
     fails_all_tasks : bool
@@ -56,6 +60,7 @@
         self.labels = labels
         self.service = service
         self.is_partitioned = False
+        self.silent_from_epoch = math.inf
         self.start_delay_ms = 0
         self.fails_all_tasks = False
         self.unanswered_share = 0.0
@@ -69,9 +74,21 @@
 
     @property
     def reachable(self):
-        """Whether calls reach the endpoint now."""
+        """Whether calls of the owner reach the endpoint now."""
+        return self.is_reachable_for(self._simulation.epoch)
+
+    def is_reachable_for(self, epoch):
+        """Whether calls of the owner of an epoch reach the endpoint now."""
         is_restarting = self._simulation.now_ms < self.restarting_until_ms
-        return not self.is_partitioned and not is_restarting
+        return (
+            not self.is_partitioned
+            and not is_restarting
+            and epoch < self.silent_from_epoch
+        )
+
+    def extend_lease(self, deadline_ms):
+        """Extends the lease; it never becomes shorter."""
+        self.deadline_ms = max(self.deadline_ms, deadline_ms)
 
     def _clear(self):
         self.epoch = 0
@@ -114,7 +131,7 @@
         self.epoch = epoch
         if action.deadline_ms <= now_ms:
             return outcomes.TOO_LATE
-        self.deadline_ms = max(self.deadline_ms, action.deadline_ms)
+        self.extend_lease(action.deadline_ms)
         key = (action.task_id, action.run)
         if key in self.run_by_key:
             return outcomes.STARTED
@@ -165,7 +182,7 @@
             return cells.PollFailed(self.endpoint_id, fenced=True)
         self.epoch = epoch
         if action.deadline_ms is not None:
-            self.deadline_ms = max(self.deadline_ms, action.deadline_ms)
+            self.extend_lease(action.deadline_ms)
         self._simulation.check_discarded_ends(self, action.stored_upto)
         self.ended = [
             row for row in self.ended if row.number > action.stored_upto
--- a/samphiregate/adapters/cells/_keys.py
+++ b/samphiregate/adapters/cells/_keys.py
@@ -39,6 +39,11 @@
     return f"records/{cell}/{job_id}"
 
 
+def silent_endpoints(cell):
+    """Returns the key of the endpoints that have not answered the owner."""
+    return f"silent/{cell}"
+
+
 def last_write(cell):
     """Returns the key that each write of job records sets."""
     return f"writes/{cell}"
--- a/samphiregate/adapters/cells/_owner.py
+++ b/samphiregate/adapters/cells/_owner.py
@@ -50,6 +50,7 @@
     session_end : gevent.event.Event
         Set when the session must end: the ownership was lost, or the VM
         stops.
+    epoch_history : EpochHistory
     now_ms, unix_ms : callable
     log : DecisionLog
     """
@@ -65,6 +66,7 @@
         lease,
         configuration,
         session_end,
+        epoch_history,
         now_ms,
         unix_ms,
         log,
@@ -78,6 +80,7 @@
         self._lease = lease
         self._configuration = configuration
         self._session_end = session_end
+        self._epoch_history = epoch_history
         self._now_ms = now_ms
         self._unix_ms = unix_ms
         self._log = log
@@ -145,6 +148,8 @@
             epoch=self._tenure.epoch,
             lease_ms=TASK_LEASE_MS,
             inherited_lease_ms=INHERITED_TASK_LEASE_MS,
+            epoch_history=self._epoch_history,
+            silent_record=self._load_silent_record(),
         )
         self.cell = loaded_cell
         self._apply_configuration()
@@ -171,12 +176,27 @@
                 store=self._store,
                 tenure=self._tenure,
                 pop_records=loaded_cell.pop_records,
+                pop_silent_record=loaded_cell.pop_silent_record,
                 on_stored=self._records_stored,
+                on_silent_record_stored=self._silent_record_stored,
                 on_lost=self._end,
                 log=self._log,
             )
         )
 
+    def _load_silent_record(self):
+        """Returns the stored `SilentRecord`; None if there is none."""
+        item = self._store.get(_keys.silent_endpoints(self._tenure.cell))
+        if item is None:
+            return None
+        try:
+            return cells.decode(item.value, cells.SilentRecord)
+        except errors.BadInputError as error:
+            self._log.write(
+                "record unreadable", key=item.key, reason=error.detail
+            )
+            return None
+
     def _follow(self, stack, prefix, on_change, listed):
         watched_prefix = _watched_prefix.WatchedPrefix(
             store=self._store,
@@ -266,6 +286,9 @@
     def _records_stored(self, versions):
         self.deliver(cells.RecordsStored(versions))
 
+    def _silent_record_stored(self):
+        self.deliver(cells.SilentRecordStored())
+
     # The loop
 
     def deliver(self, event):
--- a/samphiregate/adapters/cells/_vm.py
+++ b/samphiregate/adapters/cells/_vm.py
@@ -98,6 +98,7 @@
         self._session = None
         self._ownership = None
         self._stopping = False
+        self._epoch_history = cells.EpochHistory()
         self._peers = _peer_calls.PeerCalls(answer=self._answer)
         self.configuration = _configuration.ConfigurationHolder(
             decode=ports.decoders.configuration,
@@ -229,10 +230,24 @@
         return self._owners.item_by_key.get(_keys.owner(CELL))
 
     def _owner_changed(self, change):
-        del change
+        if change.key == _keys.owner(CELL):
+            self._record_owner(change.item)
         if self._ownership is not None:
             self._ownership.owner_changed()
 
+    def _record_owner(self, item):
+        """Records which epochs a change of the owner's record shows ended."""
+        now_ms = _clock.steady_ms()
+        if item is None:
+            self._epoch_history.record_no_owner(now_ms)
+            return
+        try:
+            epoch = _ownership.decode_owner(item.value).epoch
+        except errors.BadInputError as error:
+            self._log.write("owner unreadable", reason=error.detail)
+            return
+        self._epoch_history.record_owner(epoch, now_ms)
+
     def _owner_address(self):
         item = self._owner_item()
         if item is None:
@@ -271,6 +286,7 @@
             lease=self._lease,
             configuration=lambda: self.configuration.current,
             session_end=session_end,
+            epoch_history=self._epoch_history,
             now_ms=_clock.steady_ms,
             unix_ms=_clock.unix_ms,
             log=self._log,
--- a/samphiregate/adapters/cells/_writer.py
+++ b/samphiregate/adapters/cells/_writer.py
@@ -12,7 +12,8 @@
 from samphiregate.adapters.cells import _ports
 from samphiregate import errors
 
-# The transaction also has the last-write key and two conditions.
+# The transaction also has the last-write key, the record of silent endpoints
+# and two conditions.
 MAX_RECORDS_PER_COMMIT = 28
 RETRY_INTERVAL_MS = 100
 
@@ -27,18 +28,34 @@
     pop_records : callable
         Takes the maximal number of records; returns rows of job id, version
         and bytes.
+    pop_silent_record : callable
+        Returns the record of silent endpoints as bytes; None if unchanged.
     on_stored : callable
         Takes rows of job id and version.
+    on_silent_record_stored : callable
     on_lost : callable
         Called with a reason when the ownership is lost.
     log : DecisionLog
     """
 
-    def __init__(self, *, store, tenure, pop_records, on_stored, on_lost, log):
+    def __init__(
+        self,
+        *,
+        store,
+        tenure,
+        pop_records,
+        pop_silent_record,
+        on_stored,
+        on_silent_record_stored,
+        on_lost,
+        log,
+    ):
         self._store = store
         self._tenure = tenure
         self._pop_records = pop_records
+        self._pop_silent_record = pop_silent_record
         self._on_stored = on_stored
+        self._on_silent_record_stored = on_silent_record_stored
         self._on_lost = on_lost
         self._log = log
         self._last_write_key = _keys.last_write(tenure.cell)
@@ -59,22 +76,32 @@
 
     def _run(self):
         while True:
+            silent_record = self._pop_silent_record()
             rows = self._pop_records(MAX_RECORDS_PER_COMMIT)
-            if not rows:
+            if not rows and silent_record is None:
                 self._wake.clear()
                 self._wake.wait()
                 continue
-            if not self._write(rows):
+            if not self._write(self._writes(rows, silent_record)):
                 return
-            self._on_stored(tuple((row[0], row[1]) for row in rows))
+            if silent_record is not None:
+                self._on_silent_record_stored()
+            if rows:
+                self._on_stored(tuple((row[0], row[1]) for row in rows))
 
-    def _write(self, rows):
+    def _writes(self, rows, silent_record):
         cell = self._tenure.cell
         writes = [
             _ports.StoreWrite(_keys.record(cell, job_id), data)
             for job_id, _version, data in rows
         ]
+        if silent_record is not None:
+            key = _keys.silent_endpoints(cell)
+            writes.append(_ports.StoreWrite(key, silent_record))
         writes.append(_ports.StoreWrite(self._last_write_key, b"1"))
+        return writes
+
+    def _write(self, writes):
         while True:
             expected = {
                 **self._tenure.guard,
@@ -96,8 +123,8 @@
             except errors.SamphiregateError as error:
                 self._log.write(
                     "records not stored",
-                    cell=cell,
-                    records=len(rows),
+                    cell=self._tenure.cell,
+                    records=len(writes) - 1,
                     reason=error.detail,
                 )
                 gevent.sleep(RETRY_INTERVAL_MS / 1000)
--- a/samphiregate/core/cells/__init__.py
+++ b/samphiregate/core/cells/__init__.py
@@ -2,6 +2,8 @@
 
 from samphiregate.core.cells._cell import Cell
 from samphiregate.core.cells._endpoints import max_lease_ms
+from samphiregate.core.cells._inheritance import EpochHistory
+from samphiregate.core.cells._inheritance import SilentRecord
 from samphiregate.core.cells._messages import AccountsChanged
 from samphiregate.core.cells._messages import EndedRow
 from samphiregate.core.cells._messages import EndpointDeregistered
@@ -19,6 +21,7 @@
 from samphiregate.core.cells._messages import QueryPolicy
 from samphiregate.core.cells._messages import RecordsStored
 from samphiregate.core.cells._messages import RunningRow
+from samphiregate.core.cells._messages import SilentRecordStored
 from samphiregate.core.cells._messages import StartAnswered
 from samphiregate.core.cells._messages import StartOutcome
 from samphiregate.core.cells._messages import StartTask
@@ -65,6 +68,7 @@
     "EndpointPolled",
     "EndpointRegistered",
     "EndReason",
+    "EpochHistory",
     "ItemIs",
     "Job",
     "JobCancelled",
@@ -90,6 +94,8 @@
     "Resources",
     "RunningRow",
     "Schedule",
+    "SilentRecord",
+    "SilentRecordStored",
     "StageRecord",
     "StartAnswered",
     "StartOutcome",
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -6,6 +6,7 @@
 from samphiregate.core.cells import _backoff
 from samphiregate.core.cells import _cell_state
 from samphiregate.core.cells import _endpoints
+from samphiregate.core.cells import _inheritance
 from samphiregate.core.cells import _load
 from samphiregate.core.cells import _messages
 from samphiregate.core.cells import _planner
@@ -18,6 +19,7 @@
 
 CHECK_INTERVAL_MS = 100
 POLL_RETRY_MS = 300  # the first retry is sent at once
+LISTED_POLL_INTERVAL_MS = 100  # while the store lists it as silent
 MAX_START_ATTEMPTS = 3
 NO_ROOM_BACKOFF_MS = 300
 NOT_STARTED_BACKOFF_MS = 500
@@ -49,7 +51,11 @@
         endpoint.
     inherited_lease_ms : int
         How long in milliseconds runs that earlier owners started may go on
-        while their endpoint does not answer.
+        after the end of the epoch in which their endpoint last answered.
+    epoch_history : EpochHistory or None
+        None if nothing is known of earlier epochs.
+    silent_record : SilentRecord or None
+        As an earlier owner stored it; None if there is none.
 
     Attributes
     ----------
@@ -62,8 +68,22 @@
     that can start. Several events can be applied before the next plan.
     """
 
-    def __init__(self, *, epoch, lease_ms, inherited_lease_ms):
-        self.cell_state = _cell_state.CellState(epoch, inherited_lease_ms)
+    def __init__(
+        self,
+        *,
+        epoch,
+        lease_ms,
+        inherited_lease_ms,
+        epoch_history=None,
+        silent_record=None,
+    ):
+        inherited_leases = _inheritance.InheritedLeases(
+            epoch=epoch,
+            lease_ms=inherited_lease_ms,
+            history=epoch_history or _inheritance.EpochHistory(),
+            record=silent_record or _inheritance.SilentRecord(),
+        )
+        self.cell_state = _cell_state.CellState(epoch, inherited_leases)
         self._lease_ms = lease_ms
         self._poller = _polling.EndpointPoller(
             cell_state=self.cell_state, lease_ms=lease_ms
@@ -126,6 +146,14 @@
                 rows.append((job_id, entry.version, data))
         return rows
 
+    def pop_silent_record(self):
+        """Returns the changed record of silent endpoints, encoded, or None.
+
+        It must not be stored later than records that are popped after it.
+        """
+        record = self.cell_state.inherited_leases.pop_record()
+        return None if record is None else _records.encode(record)
+
     def _address_of(self, endpoint_id):
         return self.cell_state.endpoint_by_id[endpoint_id].registration.address
 
@@ -236,6 +264,11 @@
             if endpoint.advance_stored(self.cell_state.stored_version):
                 self._poller.make_due(endpoint, now_ms)
 
+    @_apply.register
+    def _(self, event: _messages.SilentRecordStored, now_ms):
+        del event, now_ms
+        self.cell_state.inherited_leases.record_stored()
+
     # Registrations and polls of endpoints
 
     @_apply.register
@@ -303,12 +336,24 @@
         endpoint.polls_in_flight = max(0, endpoint.polls_in_flight - 1)
         expected_runs = dict(endpoint.bookings_by_run)
         _reconciliation.apply_poll(self.cell_state, endpoint, event, now_ms)
+        self._settle_inherited_lease(endpoint, now_ms)
         self._failure_backoff.record_ends(event, expected_runs, now_ms)
         self._stragglers.apply_poll(event, expected_runs, now_ms)
         endpoint.advance_stored(self.cell_state.stored_version)
         self._poller.delay_until_stored(endpoint, now_ms)
         self.cell_state.remove_if_idle(endpoint)
 
+    def _settle_inherited_lease(self, endpoint, now_ms):
+        """Keeps an endpoint as unanswered until the store shows its answer.
+
+        Until then no order may extend its lease.
+        """
+        leases = self.cell_state.inherited_leases
+        leases.record_answer(endpoint.endpoint_id)
+        if not leases.may_extend(endpoint.endpoint_id):
+            endpoint.has_answered = False
+            endpoint.next_poll_ms = now_ms + LISTED_POLL_INTERVAL_MS
+
     @_apply.register
     def _(self, event: _messages.PollFailed, now_ms):
         endpoint = self.cell_state.endpoint_by_id.get(event.endpoint_id)
@@ -336,6 +381,8 @@
             )
             endpoint.reset_incarnation()
             self.cell_state.remove_if_idle(endpoint)
+        else:
+            self.cell_state.inherited_leases.record_silence(event.endpoint_id)
 
     # Answers to start and stop orders
 
--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -4,6 +4,7 @@
 
 from samphiregate.core.cells import _account_limits
 from samphiregate.core.cells import _endpoints
+from samphiregate.core.cells import _inheritance
 from samphiregate.core.cells import _messages
 from samphiregate.core.cells import _order
 from samphiregate.core.cells import _tasks
@@ -22,9 +23,7 @@
     ----------
     epoch : int
         Fencing token of this ownership.
-    inherited_lease_ms : int
-        How long in milliseconds runs that earlier owners started may go on
-        while their endpoint does not answer.
+    inherited_leases : InheritedLeases
 
     Attributes
     ----------
@@ -46,7 +45,7 @@
     """
 
     epoch: int
-    inherited_lease_ms: int = 0
+    inherited_leases: _inheritance.InheritedLeases
     entry_by_id: dict = attrs.field(factory=dict)
     endpoint_by_id: dict = attrs.field(factory=dict)
     startable_stages: dict = attrs.field(factory=dict)
@@ -135,7 +134,9 @@
                     entry.job.queue.service,
                     record.address_by_id.get(endpoint_id, ""),
                 )
-                endpoint.inherit_lease(now_ms + self.inherited_lease_ms)
+                endpoint.inherit_lease(
+                    self.inherited_leases.inherit(endpoint_id, now_ms)
+                )
                 booking = self.reserve(
                     stage.tasks[index], run, endpoint, now_ms
                 )
--- a/samphiregate/core/cells/_messages.py
+++ b/samphiregate/core/cells/_messages.py
@@ -270,6 +270,11 @@
     versions: tuple[tuple[str, int], ...]
 
 
+@attrs.frozen
+class SilentRecordStored(base.Event):
+    """The record of silent endpoints that was popped last was stored."""
+
+
 @attrs.frozen
 class StartTask(base.Action):
     """Order an endpoint to start a run of a task.
