--- a/samphiregate/adapters/cells/_writer.py
+++ b/samphiregate/adapters/cells/_writer.py
@@ -14,7 +14,7 @@
 
 # The transaction also has the last-write key, the record of silent endpoints
 # and two conditions.
-MAX_RECORDS_PER_COMMIT = 28
+MAX_ITEMS_PER_COMMIT = 28
 RETRY_INTERVAL_MS = 100
 
 
@@ -26,8 +26,7 @@
     store : Store
     tenure : Tenure
     pop_records : callable
-        Takes the maximal number of records; returns rows of job id, version
-        and bytes.
+        Takes the maximal number of items; returns a list of `StoredRow`.
     pop_silent_record : callable
         Returns the record of silent endpoints as bytes; None if unchanged.
     on_stored : callable
@@ -77,7 +76,7 @@
     def _run(self):
         while True:
             silent_record = self._pop_silent_record()
-            rows = self._pop_records(MAX_RECORDS_PER_COMMIT)
+            rows = self._pop_records(MAX_ITEMS_PER_COMMIT)
             if not rows and silent_record is None:
                 self._wake.clear()
                 self._wake.wait()
@@ -87,13 +86,20 @@
             if silent_record is not None:
                 self._on_silent_record_stored()
             if rows:
-                self._on_stored(tuple((row[0], row[1]) for row in rows))
+                self._on_stored(
+                    tuple((row.job_id, row.version) for row in rows)
+                )
 
     def _writes(self, rows, silent_record):
         cell = self._tenure.cell
         writes = [
-            _ports.StoreWrite(_keys.record(cell, job_id), data)
-            for job_id, _version, data in rows
+            _ports.StoreWrite(_keys.record(cell, row.job_id), row.record)
+            for row in rows
+        ]
+        writes += [
+            _ports.StoreWrite(_keys.job(cell, row.job_id), row.job)
+            for row in rows
+            if row.job is not None
         ]
         if silent_record is not None:
             key = _keys.silent_endpoints(cell)
