Do not count an earlier owner's urgent jobs as recent after a takeover

Cause: each owner took all stored jobs of priority 0, ended ones included, as read just now, and so kept the reserve of their accounts' limits from other work for 5 s after each takeover.

Change: only jobs without a record, which no owner has begun, count as recent.

Result: the scenario "an urgent job that ran long ago does not count as recent after a takeover" failed before (not all 8 tasks started) and passes; cells.feature passes.

--- a/features/cells.feature
+++ b/features/cells.feature
@@ -217,6 +217,17 @@
     And another VM takes over the cell
     Then job "j" is reported as completed
 
+  Scenario: an urgent job that ran long ago does not count as recent after a takeover
+    Given 2 endpoints of 4 cores
+    And account "team" is limited to 8 cores
+    And an owner of the cell
+    When an urgent job "u" of 1 tasks of account "team" is submitted
+    And 8000 ms pass
+    And another VM takes over the cell
+    And 1 jobs of 8 tasks of account "team" are submitted
+    And 200 ms pass
+    Then 9 tasks were started
+
   Scenario: a task that is done gets no copy after a takeover
     Given 2 endpoints of 4 cores
     And an owner of the cell
--- a/features/steps/cells_steps.py
+++ b/features/steps/cells_steps.py
@@ -109,6 +109,17 @@
     context.simulation.submit(cells_work.make_job(job_id, step))
 
 
+@behave.when(
+    'an urgent job "{job_id}" of {count:d} tasks of account "{account}" is '
+    "submitted"
+)
+def when_urgent_of_account(context, job_id, count, account):
+    job = cells_work.make_job(
+        job_id, cells_work.make_step(count), account=account, priority=0
+    )
+    context.simulation.submit(job)
+
+
 @behave.when(
     'a long-running job "{job_id}" of {count:d} tasks of account "{account}" '
     "is submitted"
--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -103,7 +103,7 @@
             entry.within_share = self.share_limiter.try_consume(
                 account, now_ms
             )
-        if job.queue.priority == 0:
+        if job.queue.priority == 0 and event.record is None:
             self._last_urgent_ms_by_account[job.account] = now_ms
         self.entry_by_id[job.job_id] = entry
         if job.schedule is None:
@@ -178,7 +178,7 @@
         """Whether the account has urgent jobs that were read recently.
 
         These are jobs of priority 0, read within the last
-        `RECENT_URGENT_MS`.
+        `RECENT_URGENT_MS`, but not those that an earlier owner has begun.
         """
         read_ms = self._last_urgent_ms_by_account.get(account)
         return read_ms is not None and self.now_ms - read_ms < RECENT_URGENT_MS
