--- a/samphiregate/adapters/cells/_loader.py
+++ b/samphiregate/adapters/cells/_loader.py
@@ -22,6 +22,7 @@
     endpoint_items, work_items, record_items : list of StoreItem
     endpoints_revision, work_revision : int
         Revisions from which changes are followed.
+    silent_record : SilentRecord or None
     """
 
     endpoint_items: list
@@ -29,6 +30,7 @@
     work_items: list
     work_revision: int
     record_items: list
+    silent_record: cells.SilentRecord | None
 
 
 class CellLoader:
@@ -70,8 +72,21 @@
             work_items,
             work_revision,
             record_items,
+            self._read_silent_record(),
         )
 
+    def _read_silent_record(self):
+        item = self._store.get(_keys.silent_endpoints(self._cell_name))
+        if item is None:
+            return None
+        try:
+            return cells.decode(item.value, cells.SilentRecord)
+        except errors.BadInputError as error:
+            self._log.write(
+                "record unreadable", key=item.key, reason=error.detail
+            )
+            return None
+
     def deliver_all(self, content):
         """Delivers the events of a `CellContent`."""
         for item in content.endpoint_items:
