--- a/features/support/cells.py
+++ b/features/support/cells.py
@@ -50,11 +50,11 @@
         Number of writes to the store.
     stored_by_id : dict
         Stored records, encoded.
+    stored_job_by_id : dict
+        Stored jobs that the owner replaced, encoded.
     stored_silent_record : bytes or None
     epoch_history : EpochHistory
         Of a VM that sees the end of each ownership at the next takeover.
-    stored_job_by_id : dict
-        Stored jobs that the owner replaced, encoded.
     log_lines : list of logs.Line
         Decisions that owners logged; a VM is named by its epoch.
     """
@@ -67,9 +67,9 @@
         self.done_ms_by_job = {}
         self.starts = []
         self.stored_by_id = {}
+        self.stored_job_by_id = {}
         self.stored_silent_record = None
         self.epoch_history = cells.EpochHistory()
-        self.stored_job_by_id = {}
         self.job_by_id = {}
         self.cancelled_ids = set()
         self.endpoint_by_id = {}
--- a/samphiregate/adapters/cells/_vm.py
+++ b/samphiregate/adapters/cells/_vm.py
@@ -110,8 +110,8 @@
         self._session = None
         self._ownership = None
         self._stopping = False
-        self._epoch_history = cells.EpochHistory()
         self.accepts_requests = True
+        self._epoch_history = cells.EpochHistory()
         self._peers = _peer_calls.PeerCalls(answer=self._answer)
         self.configuration = _configuration.ConfigurationHolder(
             decode=ports.decoders.configuration,
