--- a/features/run_all.py
+++ b/features/run_all.py
@@ -26,6 +26,7 @@
     "site",
     "fault_matrix",
     "cells",
+    "shutdown",
     "daemon",
     "configuration",
     "edge",
