--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -6,6 +6,7 @@
 
 from samphiregate.core.cells import _account_limits
 from samphiregate.core.cells import _endpoints
+from samphiregate.core.cells import _inheritance
 from samphiregate.core.cells import _messages
 from samphiregate.core.cells import _order
 from samphiregate.core.cells import _run_gaps
@@ -26,9 +27,7 @@
     ----------
     epoch : int
         Fencing token of this ownership.
-    inherited_lease_ms : int
-        How long in milliseconds runs that earlier owners started may go on
-        while their endpoint does not answer.
+    inherited_leases : InheritedLeases
 
     Attributes
     ----------
@@ -52,7 +51,7 @@
     """
 
     epoch: int
-    inherited_lease_ms: int = 0
+    inherited_leases: _inheritance.InheritedLeases
     entry_by_id: dict = attrs.field(factory=dict)
     endpoint_by_id: dict = attrs.field(factory=dict)
     startable_stages: dict = attrs.field(factory=dict)
@@ -111,6 +110,7 @@
             entry.add_occurrence(0)
         if event.record is not None:
             entry.restore(event.record)
+            entry.is_compacted = entry.state.is_final and not job.steps
             self._restore_runs(entry, event.record, now_ms)
         self.log_decision(
             "job queued",
@@ -143,7 +143,9 @@
                     entry.job.queue.service,
                     record.address_by_id.get(endpoint_id, ""),
                 )
-                endpoint.inherit_lease(now_ms + self.inherited_lease_ms)
+                endpoint.inherit_lease(
+                    self.inherited_leases.inherit(endpoint_id, now_ms)
+                )
                 booking = self.reserve(
                     stage.tasks[index], run, endpoint, now_ms
                 )
