Name restored runs in a line of their own

Cause: `job queued` is written for each job at a takeover, and the log takes 100 lines of a kind a second.

Change: `runs restored` is written only for jobs with runs of long-running tasks or runs that are no longer needed, and has its own budget.

The row of long-running jobs fails on the code before, which has no such line. cells, cells_vm, cells_restart, platform_adapter and explain pass (227 scenarios).

--- a/features/cells.feature
+++ b/features/cells.feature
@@ -364,6 +364,20 @@
       | 2         | its endpoint is lost, and the other is full     | room                               |
       | 2         | its endpoint restarts while the store is away   | the store to take the record       |
 
+  Scenario Outline: the log of a takeover names the runs that matter later
+    Given 2 endpoints of 4 cores
+    And an owner of the cell
+    When a <kind> "j" of 2 tasks is submitted
+    And 200 ms pass
+    And the owner is lost for 10 ms
+    And another VM takes over the cell
+    Then the log names <count> restored runs
+
+    Examples:
+      | kind             | count |
+      | long-running job | 2     |
+      | job              | 0     |
+
   Scenario: a backlog of waiting tasks costs few log lines
     Given 1 endpoints of 4 cores
     And an owner of the cell
--- a/features/explain.feature
+++ b/features/explain.feature
@@ -46,7 +46,8 @@
       {"vm":"d","time":138.0,"task":[0,0,0],"run":1,"reason":"room","waited_ms":1000,"request":"r1","event":"task waits"}
       {"vm":"d","time":141.0,"cell":"all","epoch":4,"event":"<last_event>"}
       {"vm":"b","time":142.9,"cell":"all","epoch":5,"waited_ms":1900,"event":"cell taken"}
-      {"vm":"b","time":143.0,"queue":"q","account":"t","state":"running","restored":[["r1",0,0,0,3,"e1"]],"request":"r1","event":"job queued"}
+      {"vm":"b","time":143.0,"queue":"q","account":"t","state":"running","request":"r1","event":"job queued"}
+      {"vm":"b","time":143.0,"state":"running","restored":[["r1",0,0,0,3,"e1"]],"request":"r1","event":"runs restored"}
       {"vm":"b","time":144.0,"task":[0,0,0],"run":3,"endpoint":"e1","left_ms":6400,"reason":"an inherited run","waited_ms":1000,"request":"r1","event":"task waits"}
       {"vm":"b","time":150.4,"step":[0,0],"placed":1,"wanted":1,"waited_ms":7400,"endpoints":["e2"],"runs":[[0,4,"e2"]],"request":"r1","event":"tasks placed"}
       {"vm":"b","time":150.5,"task":[0,0,0],"run":4,"endpoint":"e2","waited_ms":7500,"request":"r1","event":"task runs again"}
@@ -54,7 +55,7 @@
       """
     When request r1 is explained
     Then it is told as cancelled, decided by "task waits" of VM b
-    And the story has 11 lines
+    And the story has 12 lines
     And the story tells these waits
       | task  | vm | from_s | span_s | reason               |
       | 0.0.0 | d  | 137.0  | 4.0    | room                 |
--- a/features/steps/cells_log_steps.py
+++ b/features/steps/cells_log_steps.py
@@ -94,6 +94,17 @@
     assert started <= told, (started, told)
 
 
+@behave.then("the log names {count:d} restored runs")
+def then_restored(context, count):
+    restored = [
+        run
+        for line in context.simulation.log_lines
+        if line.event == "runs restored"
+        for run in line.fields["restored"]
+    ]
+    assert len(restored) == count, restored
+
+
 @behave.then("{count:d} lines tell of waits")
 def then_wait_lines(context, count):
     lines = [
--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -119,13 +119,28 @@
             account=job.account,
             within_share=entry.within_share,
             state=entry.state.value,
-            restored=_describe_runs(entry.bookings()),
         )
+        self._log_restored_runs(entry)
         if job.job_id in self.early_cancelled_ids:
             self.early_cancelled_ids.discard(job.job_id)
             self.cancel(job.job_id, now_ms)
         self.open_ready_stages(entry, now_ms)
 
+    def _log_restored_runs(self, entry):
+        """Logs the runs that are long-running or no longer needed."""
+        told = [
+            booking
+            for booking in entry.bookings()
+            if booking.step.long_running or not booking.task.needs_run
+        ]
+        if told:
+            self.log_decision(
+                "runs restored",
+                entry.job.job_id,
+                state=entry.state.value,
+                restored=_describe_runs(told),
+            )
+
     def _restore_runs(self, entry, record, now_ms):
         """Reserves room for the runs that an earlier owner may have started.
 
