--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -12,6 +12,7 @@
     "decisions": "bench.decisions",
     "capacity": "bench.capacity",
     "burst": "bench.burst",
+    "owner": "bench.owner",
 }
 
 __all__ = ["BENCHES_BY_NAME", "Figure", "Report", "Settings"]
