Consider each endpoint once a plan, not once a waiting stage

Cause: for each stage with waiting tasks, a plan walked through all endpoints several times: for those that accept tasks, those with room, those to hold, the reason of the wait, and the endpoints of a policy query with the run times of all their runs.

Change: the endpoints that accept tasks of a service and label are found once a plan and indexed by their room, and by their expected room where a query needs it.

--- /dev/null
+++ b/features/steps/cells_cost_steps.py
@@ -0,0 +1,113 @@
+"""Steps that count what a plan looks at, and compare it with plain walks."""
+
+import random
+
+import behave
+
+from features.support import cells_work
+from samphiregate.core import cells
+from samphiregate.core.cells import _cell_state
+from samphiregate.core.cells import _endpoints
+from samphiregate.core.cells import _planner
+from samphiregate.core.cells import _policy_queries
+from samphiregate.core.cells import _stragglers
+from samphiregate.core.cells import _usable_endpoints
+
+CORES = 8_000
+MEMORY_MB = 16_000
+
+
+def _add_endpoint(cell_state, endpoint_id, capacity):
+    registration = cells.EndpointRegistered(
+        endpoint_id, cells_work.SERVICE, "", "", capacity
+    )
+    endpoint = _endpoints.Endpoint(registration, has_answered=True)
+    cell_state.endpoint_by_id[endpoint_id] = endpoint
+    return endpoint
+
+
+def _add_job(cell_state, job_id, step):
+    job = cells_work.make_job(job_id, step)
+    cell_state.add_job(cells.JobStored(job), 0)
+    return cell_state.entry_by_id[job_id].stages_by_key[0, 0]
+
+
+@behave.given(
+    "a planner of {endpoints:d} full endpoints and {stages:d} waiting stages"
+)
+def given_planner(context, endpoints, stages):
+    cell_state = _cell_state.CellState(1)
+    for number in range(endpoints):
+        _add_endpoint(cell_state, f"e{number}", cells.Resources(500, 1_000))
+    for number in range(stages):
+        _add_job(cell_state, f"j{number}", cells_work.make_step(3))
+    context.considered = []
+    context.planner = _planner.Planner(
+        cell_state=cell_state,
+        policy_queries=_policy_queries.PolicyQueries(
+            add_action=cell_state.add_action
+        ),
+        is_backing_off=lambda endpoint_id, _now_ms: context.considered.append(
+            endpoint_id
+        ),
+        slowness_estimator=_stragglers.SlownessEstimator(),
+    )
+
+
+@behave.when("a plan is made")
+def when_planned(context):
+    context.planner.plan(0, 1)
+
+
+@behave.then("{count:d} endpoints were considered")
+def then_considered(context, count):
+    assert len(context.considered) == count, len(context.considered)
+
+
+@behave.given("{count:d} endpoints with random runs, from seed {seed:d}")
+def given_random_endpoints(context, count, seed):
+    context.random = random.Random(seed)
+    cell_state = _cell_state.CellState(1)
+    for number in range(count):
+        capacity = cells.Resources(
+            context.random.choice((CORES, 2 * CORES)),
+            MEMORY_MB,
+            context.random.choice((0, 4)),
+        )
+        endpoint = _add_endpoint(cell_state, f"e{number}", capacity)
+        _add_runs(context, cell_state, endpoint)
+    context.endpoints = list(cell_state.endpoint_by_id.values())
+
+
+def _add_runs(context, cell_state, endpoint):
+    for number in range(context.random.randrange(6)):
+        step = cells.Step(
+            1, _random_need(context), context.random.randrange(3_000)
+        )
+        job_id = f"{endpoint.endpoint_id}-{number}"
+        task = _add_job(cell_state, job_id, step).tasks[0]
+        cell_state.reserve(task, 1, endpoint, 0)
+
+
+def _random_need(context):
+    return cells.Resources(
+        context.random.randrange(CORES),
+        context.random.randrange(MEMORY_MB // 2),
+        context.random.choice((0, 0, 0, 1)),
+    )
+
+
+@behave.then("{count:d} random needs fit where a plain walk finds room")
+def then_needs_fit(context, count):
+    usable = _usable_endpoints.UsableEndpoints(context.endpoints)
+    for _each in range(count):
+        need = _random_need(context)
+        at_ms = context.random.choice((0, 1_000, 2_000))
+        assert usable.with_room(need) == [
+            one for one in context.endpoints if need.fits_in(one.free)
+        ]
+        assert usable.with_expected_room(need, at_ms) == [
+            one
+            for one in context.endpoints
+            if need.fits_in(one.expected_room_at(at_ms))
+        ]
--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -6,6 +6,7 @@
 from samphiregate.core.cells import _placement
 from samphiregate.core.cells import _policy_queries
 from samphiregate.core.cells import _stragglers
+from samphiregate.core.cells import _usable_endpoints
 
 MAX_HELD_SHARE = 0.25  # of a service's endpoints
 URGENT_LIMIT_SHARE = 0.2  # of an account's limit
@@ -47,6 +48,7 @@
         self._is_backing_off = is_backing_off
         self._slowness_estimator = slowness_estimator
         self._packing = _placement.Packing()
+        self._usable_by_key = {}
 
     def plan(self, now_ms, query_slots):
         """Places waiting tasks where they fit, the most urgent stages first.
@@ -59,6 +61,7 @@
             query in flight at a time.
         """
         cell_state = self._cell_state
+        self._usable_by_key.clear()
         held_ids = set()
         stages = sorted(
             cell_state.startable_stages.values(),
@@ -82,13 +85,16 @@
             stage.waits_for = WaitReason.ACCOUNT_LIMIT
             return
         usable = self._usable(stage, now_ms)
-        candidates = self._candidates(stage, usable, held_ids, now_ms)
+        with_room = usable.with_room(stage.step.booked)
+        candidates = self._candidates(stage, with_room, held_ids, now_ms)
         chosen = self._packing.choose(stage.step, len(tasks), candidates)
         if chosen:
             self._place(stage, tasks, chosen, now_ms)
         unplaced_count = len(tasks) - len(chosen)
         if unplaced_count:
-            stage.waits_for = _wait_reason(stage, usable, candidates)
+            stage.waits_for = _wait_reason(
+                stage, usable, with_room, candidates
+            )
             if stage.queue.advice:
                 self._policy_queries.request(
                     stage, usable, unplaced_count, now_ms
@@ -97,6 +103,7 @@
 
     def plan_copies(self, now_ms):
         """Places copies of speculative tasks that run longer than expected."""
+        self._usable_by_key.clear()
         for entry in self._cell_state.entry_by_id.values():
             if entry.state.is_final or not entry.has_speculative:
                 continue
@@ -122,7 +129,9 @@
             booking = next(iter(task.bookings_by_run.values()))
             candidates = [
                 one
-                for one in self._candidates(stage, usable, (), now_ms)
+                for one in self._candidates(
+                    stage, usable.with_room(stage.step.booked), (), now_ms
+                )
                 if one.endpoint.endpoint_id != booking.endpoint_id
             ]
             chosen = self._packing.choose(stage.step, 1, candidates)
@@ -158,10 +167,19 @@
     def _usable(self, stage, now_ms):
         """Returns the endpoints that accept tasks of the stage now.
 
-        Free capacity, tickets and held endpoints are not considered.
+        Free capacity, tickets and held endpoints are not considered. The
+        result is the same for all stages of a service and label in one plan.
         """
-        service = stage.queue.service
-        label = stage.step.required_label
+        key = (stage.queue.service, stage.step.required_label)
+        usable = self._usable_by_key.get(key)
+        if usable is None:
+            usable = _usable_endpoints.UsableEndpoints(
+                self._find_usable(*key, now_ms)
+            )
+            self._usable_by_key[key] = usable
+        return usable
+
+    def _find_usable(self, service, label, now_ms):
         return [
             endpoint
             for endpoint in self._cell_state.endpoint_by_id.values()
@@ -172,9 +190,9 @@
             and not self._is_backing_off(endpoint.endpoint_id, now_ms)
         ]
 
-    def _candidates(self, stage, usable, held_ids, now_ms):
+    def _candidates(self, stage, with_room, held_ids, now_ms):
         candidates = []
-        for endpoint in usable:
+        for endpoint in with_room:
             endpoint_id = endpoint.endpoint_id
             if endpoint_id in held_ids:
                 continue
@@ -232,22 +250,30 @@
         While a policy query is in flight, an endpoint with room is held too,
         so that the room is still free when the answer arrives.
         """
+        if not stage.entry.within_share:
+            return
         need = stage.step.booked
-        max_count = max(1, round(len(usable) * MAX_HELD_SHARE))
-        max_count -= sum(one.endpoint_id in held_ids for one in usable)
-        if max_count <= 0 or not stage.entry.within_share:
+        max_count = max(1, round(len(usable.endpoints) * MAX_HELD_SHARE))
+        max_count -= sum(one in usable.position_by_id for one in held_ids)
+        if max_count <= 0:
+            return
+        large_for = {
+            capacity
+            for capacity in usable.capacities
+            if need.fits_in(capacity)
+            and need.dominant_share(capacity) >= LARGE_TASK_MIN_SHARE
+        }
+        if not large_for:
             return
+        considered = usable.endpoints
+        if stage.queue.advice:
+            considered = usable.named(stage.ticket_by_id)
         holdable = [
             one
-            for one in usable
+            for one in considered
             if one.endpoint_id not in held_ids
             and (stage.query_in_flight or not need.fits_in(one.free))
-            and need.fits_in(one.registration.capacity)
-            and need.dominant_share(one.registration.capacity)
-            >= LARGE_TASK_MIN_SHARE
-            and (
-                not stage.queue.advice or one.endpoint_id in stage.ticket_by_id
-            )
+            and one.registration.capacity in large_for
         ]
         holdable.sort(
             key=lambda one: (need - one.free).dominant_share(
@@ -258,14 +284,14 @@
             held_ids.add(endpoint.endpoint_id)
 
 
-def _wait_reason(stage, usable, candidates):
+def _wait_reason(stage, usable, had_room, candidates):
     """Returns the `WaitReason` of a stage with tasks that were not placed."""
-    if not usable:
+    if not usable.endpoints:
         return WaitReason.NO_ENDPOINT
     need = stage.step.booked
-    if not any(need.fits_in(one.registration.capacity) for one in usable):
+    if not any(need.fits_in(capacity) for capacity in usable.capacities):
         return WaitReason.TOO_LARGE
-    with_room = [one for one in usable if need.fits_in(one.free)]
+    with_room = [one for one in had_room if need.fits_in(one.free)]
     if not with_room:
         return WaitReason.ROOM
     allowed = {one.endpoint.endpoint_id for one in candidates}
--- a/samphiregate/core/cells/_policy_queries.py
+++ b/samphiregate/core/cells/_policy_queries.py
@@ -30,7 +30,7 @@
     """A stage that needs tickets, and the endpoints that may run it."""
 
     stage: object
-    usable: list
+    usable: object
     unplaced_count: int
 
 
@@ -76,7 +76,7 @@
         Parameters
         ----------
         stage : Stage
-        usable : list of Endpoint
+        usable : UsableEndpoints
         unplaced_count : int
             Number of tasks that were not placed.
         now_ms : int
@@ -183,21 +183,18 @@
     """
     stage = request.stage
     need = stage.step.booked
-    large_enough = [
-        one
-        for one in request.usable
-        if need.fits_in(one.registration.capacity)
-    ]
     answered_ms = now_ms + stage.queue.advice.decide_ms
     with_room = [
         one
-        for one in large_enough
-        if need.fits_in(one.expected_room_at(answered_ms))
-        and stage.max_more_on(one.endpoint_id) > 0
+        for one in request.usable.with_expected_room(need, answered_ms)
+        if stage.max_more_on(one.endpoint_id) > 0
         and not has_ticket(stage, one.endpoint_id, now_ms)
     ]
+    if not with_room:
+        return []
     if not stage.queried_ids:
-        return _highest_ranked(stage, large_enough, need) if with_room else []
+        large_enough = request.usable.large_enough(need)
+        return _highest_ranked(stage, large_enough, need)
     renewed = [
         one for one in with_room if one.endpoint_id in stage.ticket_by_id
     ]
@@ -206,20 +203,16 @@
     ]
     if new and (stage.step.gang or not renewed):
         return renewed + _highest_ranked(stage, new, need)
-    if stage.step.gang and not _has_room_for_gang(
-        request, large_enough, answered_ms
-    ):
+    if stage.step.gang and not _has_room_for_gang(request, answered_ms):
         return []
     return renewed
 
 
-def _has_room_for_gang(request, large_enough, at_ms):
+def _has_room_for_gang(request, at_ms):
     """Whether allowed endpoints are expected to have room for the gang."""
     stage = request.stage
     free_count = 0
-    for endpoint in large_enough:
-        if endpoint.endpoint_id not in stage.ticket_by_id:
-            continue
+    for endpoint in request.usable.named(stage.ticket_by_id):
         room = endpoint.expected_room_at(at_ms)
         fitting = stage.step.booked.count_fitting_in(room)
         max_count = stage.max_more_on(endpoint.endpoint_id)
