Keep the usable endpoints from plan to plan, and start from tickets

Cause: each plan sorted out the endpoints that accept tasks once for each service and label, and each waiting stage walked through all with room, although a stage under a policy service can only use those with a ticket.

Change: the endpoints that accept tasks are found in one pass a plan; their positions and capacities are kept while they are unchanged; the candidates of a stage under a policy service are looked up by its tickets.

--- a/features/cells_cost.feature
+++ b/features/cells_cost.feature
@@ -15,6 +15,14 @@
       | 40        | 1      |
       | 40        | 30     |
 
+  Scenario: an endpoint that changes between two plans counts as it is now
+    Given a planner of 4 full endpoints and 2 waiting stages
+    When a plan is made
+    Then 0 tasks are placed, and the others wait for larger than any endpoint
+    When endpoint 2 grows to 3 cores
+    And a plan is made
+    Then 3 tasks are placed, and the others wait for room
+
   Scenario Outline: the room index finds what a plain walk finds
     Given <count> endpoints with random runs, from seed <seed>
     Then 40 random needs fit where a plain walk finds room
--- a/features/steps/cells_cost_steps.py
+++ b/features/steps/cells_cost_steps.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import behave
 
 from features.support import cells_work
@@ -42,6 +43,7 @@
         _add_endpoint(cell_state, f"e{number}", cells.Resources(500, 1_000))
     for number in range(stages):
         _add_job(cell_state, f"j{number}", cells_work.make_step(3))
+    context.cell_state = cell_state
     context.considered = []
     context.planner = _planner.Planner(
         cell_state=cell_state,
@@ -65,6 +67,24 @@
     assert len(context.considered) == count, len(context.considered)
 
 
+@behave.when("endpoint {number:d} grows to {cores:d} cores")
+def when_grown(context, number, cores):
+    endpoint = context.cell_state.endpoint_by_id[f"e{number}"]
+    capacity = cells.Resources(cores * 1_000, cores * 1_000)
+    endpoint.update_registration(
+        attrs.evolve(endpoint.registration, capacity=capacity)
+    )
+
+
+@behave.then("{count:d} tasks are placed, and the others wait for {reason}")
+def then_placed(context, count, reason):
+    stages = list(context.cell_state.startable_stages.values())
+    tasks = [task for stage in stages for task in stage.tasks]
+    assert sum(not task.is_waiting for task in tasks) == count
+    reasons = {one.waits_for.value for one in stages if one.startable()}
+    assert reasons == {reason}, reasons
+
+
 @behave.given("{count:d} endpoints with random runs, from seed {seed:d}")
 def given_random_endpoints(context, count, seed):
     context.random = random.Random(seed)
@@ -105,9 +125,15 @@
     for _each in range(count):
         need = _random_need(context)
         at_ms = context.random.choice((0, 1_000, 2_000))
-        assert usable.with_room(need) == [
+        with_room = [
             one for one in context.endpoints if need.fits_in(one.free)
         ]
+        assert usable.with_room(need) == with_room
+        assert usable.has_room(need) == bool(with_room)
+        ids = [one.endpoint_id for one in context.endpoints[::-2]]
+        assert usable.named_with_room(ids, need) == [
+            one for one in with_room if one.endpoint_id in ids
+        ]
         assert usable.with_expected_room(need, at_ms) == [
             one
             for one in context.endpoints
--- a/samphiregate/core/cells/_endpoints.py
+++ b/samphiregate/core/cells/_endpoints.py
@@ -39,6 +39,7 @@
     ----------
     registration : EndpointRegistered
         Its latest entry in the store.
+    endpoint_id : str
     registered : bool
         Whether the entry still exists.
     has_answered : bool
@@ -89,14 +90,11 @@
     backoff_until_ms: int = 0
     leaves_ms: float = math.inf
     overdue_from_ms: float = math.inf
+    endpoint_id: str = attrs.field(init=False)
 
     def __attrs_post_init__(self):
         self.free = self.registration.capacity
-
-    @property
-    def endpoint_id(self):
-        """Unique id of the endpoint."""
-        return self.registration.endpoint_id
+        self.endpoint_id = self.registration.endpoint_id
 
     @property
     def rack(self):
--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -1,5 +1,6 @@
 """Decides where tasks are placed, and which policy queries are needed."""
 
+import collections
 import enum
 
 from samphiregate.core.cells import _order
@@ -49,6 +50,8 @@
         self._slowness_estimator = slowness_estimator
         self._packing = _placement.Packing()
         self._usable_by_key = {}
+        self._last_usable_by_key = {}
+        self._accepting_by_service = None
 
     def plan(self, now_ms, query_slots):
         """Places waiting tasks where they fit, the most urgent stages first.
@@ -61,7 +64,7 @@
             query in flight at a time.
         """
         cell_state = self._cell_state
-        self._usable_by_key.clear()
+        self._forget_usable()
         held_ids = set()
         stages = sorted(
             cell_state.startable_stages.values(),
@@ -85,16 +88,13 @@
             stage.waits_for = WaitReason.ACCOUNT_LIMIT
             return
         usable = self._usable(stage, now_ms)
-        with_room = usable.with_room(stage.step.booked)
-        candidates = self._candidates(stage, with_room, held_ids, now_ms)
+        candidates = self._candidates(stage, usable, held_ids, now_ms)
         chosen = self._packing.choose(stage.step, len(tasks), candidates)
         if chosen:
             self._place(stage, tasks, chosen, now_ms)
         unplaced_count = len(tasks) - len(chosen)
         if unplaced_count:
-            stage.waits_for = _wait_reason(
-                stage, usable, with_room, candidates
-            )
+            stage.waits_for = _wait_reason(stage, usable, candidates)
             if stage.queue.advice:
                 self._policy_queries.request(
                     stage, usable, unplaced_count, now_ms
@@ -103,7 +103,7 @@
 
     def plan_copies(self, now_ms):
         """Places copies of speculative tasks that run longer than expected."""
-        self._usable_by_key.clear()
+        self._forget_usable()
         for entry in self._cell_state.entry_by_id.values():
             if entry.state.is_final or not entry.has_speculative:
                 continue
@@ -129,9 +129,7 @@
             booking = next(iter(task.bookings_by_run.values()))
             candidates = [
                 one
-                for one in self._candidates(
-                    stage, usable.with_room(stage.step.booked), (), now_ms
-                )
+                for one in self._candidates(stage, usable, (), now_ms)
                 if one.endpoint.endpoint_id != booking.endpoint_id
             ]
             chosen = self._packing.choose(stage.step, 1, candidates)
@@ -173,33 +171,57 @@
         key = (stage.queue.service, stage.step.required_label)
         usable = self._usable_by_key.get(key)
         if usable is None:
-            usable = _usable_endpoints.UsableEndpoints(
-                self._find_usable(*key, now_ms)
-            )
+            endpoints = self._accepting(*key, now_ms)
+            usable = self._last_usable_by_key.get(key)
+            if usable is None or not usable.same_endpoints(endpoints):
+                usable = _usable_endpoints.UsableEndpoints(endpoints)
+            usable.renew()
             self._usable_by_key[key] = usable
         return usable
 
-    def _find_usable(self, service, label, now_ms):
+    def _forget_usable(self):
+        """Begins a plan, for which the usable endpoints are found anew."""
+        self._accepting_by_service = None
+        if self._usable_by_key:
+            self._last_usable_by_key = self._usable_by_key
+            self._usable_by_key = {}
+
+    def _accepting(self, service, label, now_ms):
+        if self._accepting_by_service is None:
+            self._accepting_by_service = self._find_accepting(now_ms)
+        endpoints = self._accepting_by_service[service]
+        if not label:
+            return endpoints
         return [
             endpoint
-            for endpoint in self._cell_state.endpoint_by_id.values()
-            if endpoint.registration.service == service
-            and endpoint.may_start
-            and endpoint.backoff_until_ms <= now_ms
-            and (not label or label in endpoint.registration.labels)
-            and not self._is_backing_off(endpoint.endpoint_id, now_ms)
+            for endpoint in endpoints
+            if label in endpoint.registration.labels
         ]
 
-    def _candidates(self, stage, with_room, held_ids, now_ms):
+    def _find_accepting(self, now_ms):
+        by_service = collections.defaultdict(list)
+        for endpoint in self._cell_state.endpoint_by_id.values():
+            if (
+                endpoint.may_start
+                and endpoint.backoff_until_ms <= now_ms
+                and not self._is_backing_off(endpoint.endpoint_id, now_ms)
+            ):
+                by_service[endpoint.registration.service].append(endpoint)
+        return by_service
+
+    def _candidates(self, stage, usable, held_ids, now_ms):
+        """Returns the endpoints with room that may run tasks of the stage."""
+        need = stage.step.booked
+        if stage.queue.advice:
+            ticketed = _policy_queries.ids_with_ticket(stage, now_ms)
+            with_room = usable.named_with_room(ticketed, need)
+        else:
+            with_room = usable.with_room(need)
         candidates = []
         for endpoint in with_room:
             endpoint_id = endpoint.endpoint_id
             if endpoint_id in held_ids:
                 continue
-            if stage.queue.advice and not _policy_queries.has_ticket(
-                stage, endpoint_id, now_ms
-            ):
-                continue
             max_count = stage.max_more_on(endpoint_id)
             if max_count > 0:
                 penalty = self._slowness_estimator.penalty(endpoint_id, now_ms)
@@ -284,23 +306,21 @@
             held_ids.add(endpoint.endpoint_id)
 
 
-def _wait_reason(stage, usable, had_room, candidates):
+def _wait_reason(stage, usable, candidates):
     """Returns the `WaitReason` of a stage with tasks that were not placed."""
     if not usable.endpoints:
         return WaitReason.NO_ENDPOINT
     need = stage.step.booked
     if not any(need.fits_in(capacity) for capacity in usable.capacities):
         return WaitReason.TOO_LARGE
-    with_room = [one for one in had_room if need.fits_in(one.free)]
-    if not with_room:
+    if not usable.has_room(need):
         return WaitReason.ROOM
-    allowed = {one.endpoint.endpoint_id for one in candidates}
-    if any(one.endpoint_id in allowed for one in with_room):
+    if any(need.fits_in(one.endpoint.free) for one in candidates):
         return WaitReason.GANG_ROOM if stage.step.gang else WaitReason.ROOM
     if stage.query_in_flight:
         return WaitReason.POLICY_ANSWER
-    if stage.queue.advice and not any(
-        one.endpoint_id in stage.ticket_by_id for one in with_room
+    if stage.queue.advice and not usable.named_with_room(
+        stage.ticket_by_id, need
     ):
         return WaitReason.ALLOWED_ROOM
     return WaitReason.TICKET_OR_RESERVATION
--- a/samphiregate/core/cells/_policy_queries.py
+++ b/samphiregate/core/cells/_policy_queries.py
@@ -172,6 +172,16 @@
     )
 
 
+def ids_with_ticket(stage, now_ms):
+    """Returns the endpoints for which `has_ticket` holds."""
+    needed_until_ms = now_ms + TICKET_MARGIN_MS
+    return [
+        endpoint_id
+        for endpoint_id, ticket in stage.ticket_by_id.items()
+        if ticket.valid_until_ms > needed_until_ms
+    ]
+
+
 def _endpoints_to_query(request, now_ms):
     """Returns the endpoints that the next query of a stage names.
 
--- a/samphiregate/core/cells/_usable_endpoints.py
+++ b/samphiregate/core/cells/_usable_endpoints.py
@@ -16,25 +16,31 @@
     def __init__(self, endpoints, rooms):
         self._endpoints = endpoints
         self._rooms = rooms
-        self._positions = sorted(
-            range(len(rooms)), key=lambda position: rooms[position].cpu_millis
+        by_cpu = sorted(
+            (room.cpu_millis, position) for position, room in enumerate(rooms)
         )
-        self._cpu_millis = [
-            rooms[position].cpu_millis for position in self._positions
-        ]
+        self._cpu_millis = [cpu_millis for cpu_millis, _position in by_cpu]
+        self._positions = [position for _cpu_millis, position in by_cpu]
 
     def fitting(self, need):
         """Returns the endpoints whose room fits `need`, in their order."""
+        positions = sorted(self._fitting_positions(need))
+        return [self._endpoints[position] for position in positions]
+
+    def most_room_first(self, need):
+        """Yields the endpoints whose room fits, the most processors first."""
+        for position in self._fitting_positions(need)[::-1]:
+            yield self._endpoints[position]
+
+    def _fitting_positions(self, need):
         first = bisect.bisect_left(self._cpu_millis, need.cpu_millis)
         rooms = self._rooms
-        positions = [
+        return [
             position
             for position in self._positions[first:]
             if need.memory_mb <= rooms[position].memory_mb
             and need.gpus <= rooms[position].gpus
         ]
-        positions.sort()
-        return [self._endpoints[position] for position in positions]
 
 
 class UsableEndpoints:
@@ -60,16 +66,41 @@
         self.position_by_id = {
             one.endpoint_id: position for position, one in enumerate(endpoints)
         }
-        self.capacities = {one.registration.capacity for one in endpoints}
-        self._free = RoomIndex(endpoints, [one.free for one in endpoints])
+        self._free_index = None
+        self._expected_by_ms = {}
+        self._capacities = [one.registration.capacity for one in endpoints]
+        self.capacities = set(self._capacities)
+
+    def same_endpoints(self, endpoints):
+        """Whether these are the endpoints, with unchanged capacities."""
+        return endpoints == self.endpoints and self._capacities == [
+            one.registration.capacity for one in endpoints
+        ]
+
+    def renew(self):
+        """Begins another plan on the same endpoints."""
+        self._free_index = None
         self._expected_by_ms = {}
 
     def with_room(self, need):
         """Returns the endpoints with room for a task, in their order."""
         return [
-            one for one in self._free.fitting(need) if need.fits_in(one.free)
+            one for one in self._free().fitting(need) if need.fits_in(one.free)
         ]
 
+    def has_room(self, need):
+        """Whether any endpoint has room for a task."""
+        return any(
+            need.fits_in(one.free)
+            for one in self._free().most_room_first(need)
+        )
+
+    def _free(self):
+        if self._free_index is None:
+            rooms = [one.free for one in self.endpoints]
+            self._free_index = RoomIndex(self.endpoints, rooms)
+        return self._free_index
+
     def with_expected_room(self, need, at_ms):
         """Returns the endpoints that are expected to have room at a time."""
         index = self._expected_by_ms.get(at_ms)
@@ -93,3 +124,9 @@
         chosen = [positions[one] for one in endpoint_ids if one in positions]
         chosen.sort()
         return [self.endpoints[position] for position in chosen]
+
+    def named_with_room(self, endpoint_ids, need):
+        """Returns those with one of the ids and room for a task."""
+        return [
+            one for one in self.named(endpoint_ids) if need.fits_in(one.free)
+        ]
