Pack the tasks of a stage with a heap

Cause: each task of a stage was given the best endpoint by a search through all candidates.

Change: a heap of candidates by cost; at equal cost the one listed first is chosen, as before.

The scenario compares with a plain search; it passes on the code before.

--- a/features/cells_cost.feature
+++ b/features/cells_cost.feature
@@ -43,3 +43,14 @@
       | 11   |
       | 12   |
       | 13   |
+
+  Scenario Outline: tasks are packed where a plain search for the best fit puts them
+    Given <count> endpoints with random runs, from seed <seed>
+    Then 20 random steps of <tasks> tasks are packed as by a plain search
+
+    Examples:
+      | count | tasks | seed |
+      | 1     | 9     | 21   |
+      | 12    | 1     | 22   |
+      | 12    | 40    | 23   |
+      | 60    | 90    | 24   |
--- a/features/steps/cells_cost_steps.py
+++ b/features/steps/cells_cost_steps.py
@@ -9,6 +9,7 @@
 from samphiregate.core import cells
 from samphiregate.core.cells import _cell_state
 from samphiregate.core.cells import _endpoints
+from samphiregate.core.cells import _placement
 from samphiregate.core.cells import _planner
 from samphiregate.core.cells import _policy_queries
 from samphiregate.core.cells import _stragglers
@@ -178,3 +179,43 @@
         rnd.choice(bookings).state = _tasks.RunState.RUNNING
     elif change == "release":
         context.cell_state.release(rnd.choice(bookings))
+
+
+@behave.then(
+    "{count:d} random steps of {tasks:d} tasks are packed as by a plain search"
+)
+def then_packed(context, count, tasks):
+    for _each in range(count):
+        step = cells.Step(tasks, _random_need(context))
+        candidates = [
+            _placement.Candidate(
+                endpoint, endpoint.free, context.random.randrange(1, 4)
+            )
+            for endpoint in context.endpoints
+        ]
+        chosen = _placement.Packing().choose(step, tasks, candidates)
+        assert chosen == _search_plainly(step, tasks, candidates)
+
+
+def _search_plainly(step, count, candidates):
+    chosen = []
+    options = list(candidates)
+    while len(chosen) < count:
+        fitting = [
+            position
+            for position, one in enumerate(options)
+            if one.max_count and step.booked.fits_in(one.free)
+        ]
+        if not fitting:
+            break
+        best = min(
+            fitting, key=lambda position: _left(step, options[position])
+        )
+        chosen.append(options[best].endpoint)
+        options[best] = options[best].after_placing(step.booked)
+    return chosen
+
+
+def _left(step, candidate):
+    capacity = candidate.endpoint.registration.capacity
+    return (candidate.free - step.booked).dominant_share(capacity)
--- a/samphiregate/core/cells/_placement.py
+++ b/samphiregate/core/cells/_placement.py
@@ -6,6 +6,8 @@
 another stage are left out by the planner.
 """
 
+import heapq
+
 import attrs
 
 # Penalties are added to a cost between 0 and 1.
@@ -35,19 +37,14 @@
 
     def after_placing(self, need):
         """Returns the candidate after one more task of this size."""
-        return attrs.evolve(
-            self, free=self.free - need, max_count=self.max_count - 1
+        return Candidate(
+            self.endpoint,
+            self.free - need,
+            self.max_count - 1,
+            self.penalty,
         )
 
 
-@attrs.define(eq=False)
-class _ScoredCandidate:
-    """A candidate in its current state, with its current cost."""
-
-    candidate: Candidate
-    cost: float
-
-
 class Packing:
     """Chooses endpoints by best fit; stateless."""
 
@@ -88,21 +85,23 @@
 
     def _pack(self, step, count, candidates):
         need = step.booked
-        options = [
-            _ScoredCandidate(one, self._cost(step, one))
-            for one in candidates
+        # At equal cost, the candidate that is listed first is chosen.
+        heap = [
+            (self._cost(step, one), position, one)
+            for position, one in enumerate(candidates)
             if one.max_count > 0 and need.fits_in(one.free)
         ]
+        heapq.heapify(heap)
         chosen = []
-        while options and len(chosen) < count:
-            best = min(options, key=lambda option: option.cost)
-            chosen.append(best.candidate.endpoint)
-            remaining = best.candidate.after_placing(need)
+        while heap and len(chosen) < count:
+            _cost, position, best = heap[0]
+            chosen.append(best.endpoint)
+            remaining = best.after_placing(need)
             if remaining.max_count > 0 and need.fits_in(remaining.free):
-                best.candidate = remaining
-                best.cost = self._cost(step, remaining)
+                cost = self._cost(step, remaining)
+                heapq.heapreplace(heap, (cost, position, remaining))
             else:
-                options.remove(best)
+                heapq.heappop(heap)
         return chosen
 
     def _cost(self, step, candidate):
