Decode the records of the VMs only when one has changed

Cause: each plan asks how many VMs can query the policy service, and each query and relayed request asks for the VMs' addresses; each time the records of all VMs were decoded.

Change: the addresses are decoded again after a change under their prefix. An unreadable record is then logged once, not on each plan.

--- a/samphiregate/adapters/cells/_vm.py
+++ b/samphiregate/adapters/cells/_vm.py
@@ -98,6 +98,7 @@
         self._session = None
         self._ownership = None
         self._stopping = False
+        self._known_address_by_vm = None
         self._peers = _peer_calls.PeerCalls(answer=self._answer)
         self.configuration = _configuration.ConfigurationHolder(
             decode=ports.decoders.configuration,
@@ -116,7 +117,7 @@
             _keys.OWNERS_PREFIX, self._owner_changed, OWNERS_WAIT_MS
         )
         self._vms = self._make_watched_prefix(
-            _keys.VMS_PREFIX, lambda _change: None, VMS_WAIT_MS
+            _keys.VMS_PREFIX, self._vm_changed, VMS_WAIT_MS
         )
         self._watched_configuration = self._make_watched_prefix(
             ports.decoders.configuration_key,
@@ -280,7 +281,15 @@
         finally:
             self._session = None
 
+    def _vm_changed(self, _change):
+        self._known_address_by_vm = None
+
     def _address_by_vm(self):
+        if self._known_address_by_vm is None:
+            self._known_address_by_vm = self._decode_addresses()
+        return self._known_address_by_vm
+
+    def _decode_addresses(self):
         address_by_vm = {}
         for key, item in self._vms.item_by_key.items():
             try:
