Place tasks at most once in 10 ms, for all events in between

Cause: each event of a busy cell, such as the answer to a start, was followed by a plan of all waiting stages, so that the owner of a large cell spent its processor on plans that placed little.

Change: within 10 ms of a plan, events are applied and polls are sent, but tasks are placed by the next plan only. The owner's loop wakes for it. This is a change of decisions: a task may be placed up to 10 ms later, together with others. An event after a quiet time is planned at once, as before.

The scenario failed on the code before, with tasks placed in 20 plans.

--- a/bench/owner/_owner.py
+++ b/bench/owner/_owner.py
@@ -96,6 +96,9 @@
     def _deliver(self, event):
         self._events.append(event)
 
+    def _wake(self):
+        """Only lets the loop run."""
+
     def _tick(self):
         self._after(TICK_MS, self._tick)
 
@@ -111,6 +114,8 @@
         now_ms = self._now_ms
         actions = self._measure(self.cell.plan, now_ms, now_ms, QUERY_SLOTS)
         self._perform(actions)
+        if self.cell.plan_due_ms is not None:
+            self._at(self.cell.plan_due_ms, self._wake)
         if now_ms >= self._next_load_ms:
             self._next_load_ms = now_ms + LOAD_LOG_MS
             self._measure(self.cell.load)
--- a/features/cells_cost.feature
+++ b/features/cells_cost.feature
@@ -54,3 +54,9 @@
       | 12    | 1     | 22   |
       | 12    | 40    | 23   |
       | 60    | 90    | 24   |
+
+  Scenario: events that follow each other closely share a plan
+    Given a cell with an endpoint of 40 cores
+    When 20 jobs are read 1 ms apart, with a plan after each
+    Then tasks were placed in 2 plans, 10 ms apart
+    And the rest are placed by the plan that is due
--- a/features/steps/cells_cost_steps.py
+++ b/features/steps/cells_cost_steps.py
@@ -219,3 +219,48 @@
 def _left(step, candidate):
     capacity = candidate.endpoint.registration.capacity
     return (candidate.free - step.booked).dominant_share(capacity)
+
+
+@behave.given("a cell with an endpoint of {cores:d} cores")
+def given_cell(context, cores):
+    context.cell = cells.Cell(
+        epoch=1, lease_ms=5_000, inherited_lease_ms=7_400
+    )
+    capacity = cells.Resources(cores * 1_000, cores * 1_000)
+    endpoint = _add_endpoint(context.cell.cell_state, "e", capacity)
+    endpoint.polls_in_flight = 1
+
+
+def _plan(context, now_ms):
+    """Makes a plan; returns the number of jobs of which tasks were placed."""
+    actions = context.cell.plan(now_ms, now_ms)
+    return sum(
+        isinstance(action, cells.LogDecision)
+        and action.event == "tasks placed"
+        for action in actions
+    )
+
+
+@behave.when("{count:d} jobs are read 1 ms apart, with a plan after each")
+def when_jobs_read(context, count):
+    context.placed_by_ms = {}
+    context.job_count = count
+    for now_ms in range(count):
+        job = cells_work.make_job(f"j{now_ms}", cells_work.make_step())
+        context.cell.handle(cells.JobStored(job), now_ms)
+        if placed := _plan(context, now_ms):
+            context.placed_by_ms[now_ms] = placed
+
+
+@behave.then("tasks were placed in {count:d} plans, {interval_ms:d} ms apart")
+def then_plans(context, count, interval_ms):
+    times_ms = [number * interval_ms for number in range(count)]
+    assert list(context.placed_by_ms) == times_ms, context.placed_by_ms
+
+
+@behave.then("the rest are placed by the plan that is due")
+def then_rest_placed(context):
+    placed = _plan(context, context.cell.plan_due_ms)
+    placed += sum(context.placed_by_ms.values())
+    assert placed == context.job_count, placed
+    assert context.cell.plan_due_ms is None
--- a/samphiregate/adapters/cells/_owner.py
+++ b/samphiregate/adapters/cells/_owner.py
@@ -275,7 +275,7 @@
 
     def _loop(self):
         while not self._session_end.is_set():
-            self._wake.wait(TICK_MS / 1000)
+            self._wake.wait(self._tick_ms() / 1000)
             self._wake.clear()
             self._drain_events()
             if self._lease.is_valid:
@@ -290,6 +290,13 @@
             self._writer.wake()
             self._end_if_lapsed()
 
+    def _tick_ms(self):
+        """Returns the time until the next plan if no event arrives."""
+        due_ms = self.cell.plan_due_ms
+        if due_ms is None or not self._lease.is_valid:
+            return TICK_MS
+        return min(max(due_ms - self._now_ms(), 1), TICK_MS)
+
     def _drain_events(self):
         while self._events:
             event = self._events.popleft()
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -17,6 +17,7 @@
 from samphiregate.core.cells import _tasks
 
 CHECK_INTERVAL_MS = 100
+PLAN_INTERVAL_MS = 10  # one plan for the events in between
 POLL_RETRY_MS = 300  # the first retry is sent at once
 MAX_START_ATTEMPTS = 3
 NO_ROOM_BACKOFF_MS = 300
@@ -55,11 +56,15 @@
     ----------
     cell_state : CellState
     policy_queries : PolicyQueries
+    plan_due_ms : int or None
+        When `plan` is to be called for the events since the last plan; None
+        if there was no event.
 
     Notes
     -----
     `handle` applies one event to the state; `plan` then places the tasks
-    that can start. Several events can be applied before the next plan.
+    that can start, at most once in `PLAN_INTERVAL_MS`, as a burst of events
+    would otherwise cost a plan each. Polls are not delayed.
     """
 
     def __init__(self, *, epoch, lease_ms, inherited_lease_ms):
@@ -69,6 +74,8 @@
             cell_state=self.cell_state, lease_ms=lease_ms
         )
         self._next_check_ms = 0
+        self.plan_due_ms = None
+        self._next_plan_ms = 0
         self._failure_backoff = _backoff.FailureBackoff()
         slowness_estimator = _stragglers.SlownessEstimator()
         self._stragglers = _stragglers.StragglerDetector(
@@ -147,6 +154,7 @@
     def handle(self, event, now_ms):
         """Applies one event; see `StateMachine.handle`."""
         self._apply(event, now_ms)
+        self.plan_due_ms = self._next_plan_ms
         return self._drain()
 
     def plan(self, now_ms, unix_ms, query_slots=1):
@@ -170,7 +178,10 @@
         if now_ms >= self._next_check_ms:
             self._next_check_ms = now_ms + CHECK_INTERVAL_MS
             self._run_periodic_checks(now_ms, unix_ms)
-        self._planner.plan(now_ms, query_slots)
+        if now_ms >= self._next_plan_ms:
+            self.plan_due_ms = None
+            self._next_plan_ms = now_ms + PLAN_INTERVAL_MS
+            self._planner.plan(now_ms, query_slots)
         self._poller.plan(now_ms)
         return self._drain()
 
--- a/samphiregate/core/cells/_polling.py
+++ b/samphiregate/core/cells/_polling.py
@@ -53,7 +53,9 @@
             if endpoint.next_poll_ms > now_ms:
                 continue
             if endpoint.polls_in_flight:
-                if endpoint.has_overdue_end(now_ms):
+                if now_ms >= endpoint.overdue_from_ms and (
+                    endpoint.has_overdue_end(now_ms)
+                ):
                     self.poll(endpoint, now_ms, OVERDUE_POLL_WAIT_MS)
                 continue
             needs_poll = (
