--- a/features/cells_vm.feature
+++ b/features/cells_vm.feature
@@ -92,6 +92,48 @@
     When its session ends while the lease is valid
     Then the cell has no owner
 
+  Scenario Outline: a weak VM does not take a cell before a stronger one
+    Given a VM of <own> cores, and others of <others> cores
+    Then it yields for <yield_ms> ms
+
+    Examples:
+      | own  | others             | yield_ms |
+      | 0.5  | no                 | 0        |
+      | 0.5  | 0.5, 0.5           | 0        |
+      | 2    | 0.5, 1, 2          | 0        |
+      | 1    | 0.5, 1, 2          | 45       |
+      | 0.5  | 0.5, 1, 2          | 67.5     |
+      | 0.5  | unknown            | 0        |
+      | 1    | unknown, 2         | 45       |
+      | 0    | 2                  | 0        |
+      | 0.01 | 1000               | 89.9991  |
+
+  Scenario: a VM that yields leaves the cell to the one that took it meanwhile
+    Given a store in memory
+    When another VM acquires the cell while this one yields
+    Then this VM leaves it to the other
+
+  Scenario Outline: records of VMs of other versions are read
+    When the record <record> of a VM is read
+    Then its capacity is <cores> cores
+
+    Examples:
+      | record                                             | cores |
+      | {"vm_id":"a","address":"a:1"}                      | 0     |
+      | {"vm_id":"a","address":"a:1","capacity":1.5}       | 1.5   |
+      | {"vm_id":"a","address":"a:1","capacity":2,"new":7} | 2     |
+
+  Scenario: the log tells for how long a cell had no owner
+    Given a store in memory
+    When another VM gives up the cell and this one acquires it 150 ms later
+    Then the log tells 150 ms without an owner
+
+  Scenario: a VM that stops while it acquires the cell does not serve it
+    Given a store in memory
+    When a VM acquires the cell and is stopped before the store's answer
+    Then it served no epoch
+    And the cell has no owner
+
   Scenario: an ownership whose answer was lost is resumed
     Given a store in memory that carries out writes but does not answer
     And a VM that acquires the cell
@@ -134,6 +176,7 @@
   Scenario: metrics show requests, store calls and the state of the VM
     Given metrics of a VM whose store answers writes with done, silent
     When two writes are tried and a caller's POST is answered with 503
+    And a caller is answered with 200 after SIGTERM
     Then the metrics show
       | line                                                                    |
       | samphiregate_request_seconds_count{method="POST",status="503"} 1.0      |
@@ -144,6 +187,12 @@
       | samphiregate_tasks_waiting{reason="room"} 7.0                           |
       | samphiregate_endpoints_unreachable{service="svc"} 2.0                   |
       | samphiregate_configuration_version 9.0                                  |
+      | samphiregate_tasks_without_run 2.0                                      |
+      | samphiregate_tasks_without_run_oldest_seconds 14.8                      |
+      | samphiregate_tasks_unconfirmed 1.0                                      |
+      | samphiregate_task_restart_seconds_count 3.0                             |
+      | samphiregate_task_restart_seconds_sum 9.5                               |
+      | samphiregate_stopping_requests_total{status="200"} 1.0                  |
 
   Scenario: clients that are no longer used are dropped
     Given an HTTP server and at most 2 clients
--- a/features/steps/cells_outcome_steps.py
+++ b/features/steps/cells_outcome_steps.py
@@ -57,6 +57,12 @@
     )
 
 
+@behave.then("at most {max_count:d} writes were made in total")
+def then_few_writes(context, max_count):
+    write_count = context.simulation.write_count
+    assert write_count <= max_count, write_count
+
+
 @behave.then("at most {max_count:d} more runs than needed were started")
 def then_few_unneeded_runs(context, max_count):
     simulation = context.simulation
@@ -164,3 +170,14 @@
     assert len(context.simulation.sent_queries) == count, (
         context.simulation.sent_queries
     )
+
+
+@behave.then("no payload, steps or runs are stored for jobs that have ended")
+def then_compacted(context):
+    simulation = context.simulation
+    assert simulation.done_ms_by_job
+    for job_id in simulation.done_ms_by_job:
+        data = simulation.stored_by_id[job_id]
+        record = cells.decode(data, cells.JobRecord)
+        job = simulation.stored_job(job_id)
+        assert (job.payload, job.steps, record.stages) == ("", (), ()), job
--- /dev/null
+++ b/features/steps/cells_restart_steps.py
@@ -0,0 +1,66 @@
+"""Steps about the restart of interrupted long-running tasks."""
+
+import behave
+
+from features.support import cells_restart
+from features.support import cells_work
+
+LOW_PRIORITY = 2
+SETTLE_MS = 1_000
+URGENT_TASKS = 4  # per interval; half as many again as fit
+
+
+@behave.given("long-running tasks are watched")
+def given_watched(context):
+    context.watch = cells_restart.RestartWatch(context.simulation)
+    context.watch.start()
+
+
+@behave.when("a long-running job of {count:d} tasks that {kind} is submitted")
+def when_long_running(context, count, kind):
+    simulation = context.simulation
+    step = cells_work.make_step(count, long_running=True)
+    advice = cells_restart.policy_timings(simulation, kind)
+    simulation.submit(
+        cells_work.make_job(
+            "service", step, priority=LOW_PRIORITY, advice=advice
+        )
+    )
+
+
+@behave.when("urgent tasks that {kind} fill all endpoints from now on")
+def when_urgent(context, kind):
+    simulation = context.simulation
+    advice = cells_restart.policy_timings(simulation, kind)
+    cells_restart.UrgentStream(simulation, advice, URGENT_TASKS).submit()
+
+
+@behave.then(
+    "each long-running task was without a run for at most {max_ms:d} ms"
+)
+def then_gap(context, max_ms):
+    assert context.watch.max_gap_ms <= max_ms, context.watch.max_gap_ms
+
+
+@behave.when("{count:d} long-running jobs are submitted")
+def when_long_running_jobs(context, count):
+    step = cells_work.make_step(1, long_running=True)
+    for number in range(count):
+        context.simulation.submit(
+            cells_work.make_job(f"service-{number}", step)
+        )
+    context.simulation.run_for(SETTLE_MS)
+
+
+@behave.when(
+    "one long-running task after the other fails every {gap_ms:d} ms for "
+    "{span_s:d} s"
+)
+def when_fail_in_turn(context, gap_ms, span_s):
+    simulation = context.simulation
+    for _time in range(span_s * 1_000 // gap_ms):
+        runs = cells_restart.long_running_runs(simulation)
+        if runs:
+            endpoint, run = min(runs, key=lambda row: row[1].started_ms)
+            endpoint.fail(run)
+        simulation.run_for(gap_ms)
--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -12,6 +12,9 @@
 MAX_HELD_SHARE = 0.25  # of a service's endpoints
 URGENT_LIMIT_SHARE = 0.2  # of an account's limit
 LARGE_TASK_MIN_SHARE = 0.3  # of an endpoint's capacity
+MAX_RUNS_TOLD = 20  # in one log line
+# After this wait, interrupted tasks may go to endpoints that are backing off.
+MAX_RESTART_WAIT_MS = 2_000
 
 
 class WaitReason(enum.Enum):
@@ -56,6 +59,8 @@
     def plan(self, now_ms, query_slots):
         """Places waiting tasks where they fit, the most urgent stages first.
 
+        Interrupted long-running tasks go before all others.
+
         Parameters
         ----------
         now_ms : int
@@ -70,6 +75,12 @@
             cell_state.startable_stages.values(),
             key=lambda stage: _order.priority_key(stage, now_ms),
         )
+        for stage in stages:
+            interrupted = stage.interrupted()
+            if interrupted:
+                self._plan_stage(
+                    stage, interrupted, held_ids, now_ms, is_restart=True
+                )
         for stage in stages:
             tasks = stage.startable()
             if not tasks:
@@ -78,16 +89,25 @@
                         stage.entry.job.job_id, stage.key
                     ]
                 continue
-            self._plan_stage(stage, tasks, held_ids, now_ms)
+            interrupted = stage.interrupted()
+            first_starts = [one for one in tasks if one not in interrupted]
+            if first_starts:
+                self._plan_stage(stage, first_starts, held_ids, now_ms)
         self._policy_queries.send_queries(query_slots, now_ms)
 
-    def _plan_stage(self, stage, tasks, held_ids, now_ms):
+    def _plan_stage(self, stage, tasks, held_ids, now_ms, is_restart=False):
         account = stage.entry.job.account
-        tasks = self._within_account_limit(stage, tasks, account)
+        tasks = self._within_account_limit(
+            stage, tasks, account, is_restart=is_restart
+        )
         if not tasks:
             stage.waits_for = WaitReason.ACCOUNT_LIMIT
             return
-        usable = self._usable(stage, now_ms)
+        usable = self._usable(
+            stage,
+            now_ms,
+            ignores_failures=is_restart and _is_overdue(tasks, now_ms),
+        )
         candidates = self._candidates(stage, usable, held_ids, now_ms)
         chosen = self._packing.choose(stage.step, len(tasks), candidates)
         if chosen:
@@ -97,9 +117,16 @@
             stage.waits_for = _wait_reason(stage, usable, candidates)
             if stage.queue.advice:
                 self._policy_queries.request(
-                    stage, usable, unplaced_count, now_ms
+                    stage,
+                    usable,
+                    unplaced_count,
+                    now_ms,
+                    is_restart=is_restart,
                 )
-            self._hold_endpoints(stage, usable, unplaced_count, held_ids)
+            if is_restart:
+                _hold_for_restarts(stage, usable, unplaced_count, held_ids)
+            else:
+                self._hold_endpoints(stage, usable, unplaced_count, held_ids)
 
     def plan_copies(self, now_ms):
         """Places copies of speculative tasks that run longer than expected."""
@@ -136,16 +163,19 @@
             if chosen:
                 self._place(stage, [task], chosen, now_ms)
 
-    def _within_account_limit(self, stage, tasks, account):
+    def _within_account_limit(self, stage, tasks, account, is_restart=False):
         """Returns the leading tasks that fit within the account's limit.
 
         If the account submitted urgent jobs recently, its other jobs leave
-        `URGENT_LIMIT_SHARE` of the limit free for further urgent ones.
+        `URGENT_LIMIT_SHARE` of the limit free for further urgent ones; not
+        so the restarts of interrupted tasks.
         """
         account_limits = self._cell_state.account_limits
         limit_share = 1.0
-        if stage.queue.priority and self._cell_state.has_recent_urgent_work(
-            account
+        if (
+            stage.queue.priority
+            and not is_restart
+            and self._cell_state.has_recent_urgent_work(account)
         ):
             limit_share = 1.0 - URGENT_LIMIT_SHARE
         demand = stage.step.demand
@@ -162,13 +192,18 @@
             allowed += 1
         return tasks[:allowed]
 
-    def _usable(self, stage, now_ms):
+    def _usable(self, stage, now_ms, *, ignores_failures=False):
         """Returns the endpoints that accept tasks of the stage now.
 
-        Free capacity, tickets and held endpoints are not considered. The
-        result is the same for all stages of a service and label in one plan.
+        Free capacity, tickets and held endpoints are not considered; nor is
+        the backoff after failed tasks if `ignores_failures`. The result is
+        the same for all stages of a service and label in one plan.
         """
-        key = (stage.queue.service, stage.step.required_label)
+        key = (
+            stage.queue.service,
+            stage.step.required_label,
+            ignores_failures,
+        )
         usable = self._usable_by_key.get(key)
         if usable is None:
             endpoints = self._accepting(*key, now_ms)
@@ -186,27 +221,24 @@
             self._last_usable_by_key = self._usable_by_key
             self._usable_by_key = {}
 
-    def _accepting(self, service, label, now_ms):
+    def _accepting(self, service, label, ignores_failures, now_ms):
         if self._accepting_by_service is None:
             self._accepting_by_service = self._find_accepting(now_ms)
-        endpoints = self._accepting_by_service[service]
-        if not label:
-            return endpoints
         return [
             endpoint
-            for endpoint in endpoints
-            if label in endpoint.registration.labels
+            for endpoint, backs_off in self._accepting_by_service[service]
+            if (ignores_failures or not backs_off)
+            and (not label or label in endpoint.registration.labels)
         ]
 
     def _find_accepting(self, now_ms):
+        """Returns rows of an endpoint and whether it backs off, by service."""
         by_service = collections.defaultdict(list)
         for endpoint in self._cell_state.endpoint_by_id.values():
-            if (
-                endpoint.may_start
-                and endpoint.backoff_until_ms <= now_ms
-                and not self._is_backing_off(endpoint.endpoint_id, now_ms)
-            ):
-                by_service[endpoint.registration.service].append(endpoint)
+            if endpoint.may_start and endpoint.backoff_until_ms <= now_ms:
+                backs_off = self._is_backing_off(endpoint.endpoint_id, now_ms)
+                row = (endpoint, backs_off)
+                by_service[endpoint.registration.service].append(row)
         return by_service
 
     def _candidates(self, stage, usable, held_ids, now_ms):
@@ -258,6 +290,13 @@
             wanted=len(tasks),
             waited_ms=now_ms - (stage.opened_ms or now_ms),
             endpoints=sorted({one.endpoint_id for one in chosen}),
+            runs=[
+                (one.task.task_id.index, one.run, one.endpoint_id)
+                for one in bookings[:MAX_RUNS_TOLD]
+            ],
+        )
+        cell_state.run_gaps.placed_by_service[stage.queue.service] += len(
+            bookings
         )
 
     def _hold_endpoints(self, stage, usable, unplaced_count, held_ids):
@@ -272,11 +311,10 @@
         While a policy query is in flight, an endpoint with room is held too,
         so that the room is still free when the answer arrives.
         """
+        need = stage.step.booked
         if not stage.entry.within_share:
             return
-        need = stage.step.booked
-        max_count = max(1, round(len(usable.endpoints) * MAX_HELD_SHARE))
-        max_count -= sum(one in usable.position_by_id for one in held_ids)
+        max_count = _max_more_held(usable, held_ids)
         if max_count <= 0:
             return
         large_for = {
@@ -297,15 +335,58 @@
             and (stage.query_in_flight or not need.fits_in(one.free))
             and one.registration.capacity in large_for
         ]
-        holdable.sort(
-            key=lambda one: (need - one.free).dominant_share(
-                one.registration.capacity
-            )
-        )
+        holdable.sort(key=lambda one: _missing_share(need, one))
         for endpoint in holdable[: min(unplaced_count, max_count)]:
             held_ids.add(endpoint.endpoint_id)
 
 
+def _is_overdue(tasks, now_ms):
+    """Whether one of the tasks was interrupted `MAX_RESTART_WAIT_MS` ago."""
+    return any(
+        task.interrupted_ms is not None
+        and now_ms - task.interrupted_ms >= MAX_RESTART_WAIT_MS
+        for task in tasks
+    )
+
+
+def _max_more_held(usable, held_ids):
+    max_count = max(1, round(len(usable.endpoints) * MAX_HELD_SHARE))
+    return max_count - sum(one in usable.position_by_id for one in held_ids)
+
+
+def _missing_share(need, endpoint):
+    """Returns the share of its capacity that an endpoint has too little."""
+    return (need - endpoint.free).dominant_share(
+        endpoint.registration.capacity
+    )
+
+
+def _hold_for_restarts(stage, usable, unplaced_count, held_ids):
+    """Holds endpoints for interrupted tasks, whatever their size.
+
+    Those with the most room, and at most `MAX_HELD_SHARE` of the endpoints,
+    but at least one. So their room is not taken while the stage waits for a
+    ticket.
+    """
+    need = stage.step.booked
+    considered = usable.endpoints
+    if stage.queue.advice:
+        considered = usable.named(stage.ticket_by_id)
+    holdable = [
+        one
+        for one in considered
+        if one.endpoint_id not in held_ids
+        and need.fits_in(one.registration.capacity)
+        and stage.max_more_on(one.endpoint_id) > 0
+    ]
+    holdable.sort(key=lambda one: _missing_share(need, one))
+    for endpoint in holdable[: max(0, _max_more_held(usable, held_ids))]:
+        if unplaced_count <= 0:
+            break
+        held_ids.add(endpoint.endpoint_id)
+        unplaced_count -= max(1, need.count_fitting_in(endpoint.free))
+
+
 def _wait_reason(stage, usable, candidates):
     """Returns the `WaitReason` of a stage with tasks that were not placed."""
     if not usable.endpoints:
--- a/samphiregate/core/cells/_tasks.py
+++ b/samphiregate/core/cells/_tasks.py
@@ -88,6 +88,8 @@
         Highest run number assigned.
     saved : str
         Latest checkpoint; empty for none.
+    interrupted_ms : int or None
+        When its latest run was lost or ended; None before the first run.
     failed_runs : set of int
         Runs that ended as failed.
     ended_runs : set
@@ -101,6 +103,7 @@
     is_done: bool = False
     last_run: int = 0
     saved: str = ""
+    interrupted_ms: int | None = None
     failed_runs: set[int] = attrs.field(factory=set)
     ended_runs: set = attrs.field(factory=set)
     bookings_by_run: dict[int, Booking] = attrs.field(factory=dict)
@@ -182,6 +185,19 @@
             return []
         return waiting
 
+    def interrupted(self):
+        """Returns the startable long-running tasks that ran before.
+
+        All members of a gang if one of them ran.
+        """
+        if not self.step.long_running:
+            return []
+        waiting = self.startable()
+        interrupted = [
+            task for task in waiting if task.interrupted_ms is not None
+        ]
+        return waiting if interrupted and self.step.gang else interrupted
+
     def max_more_on(self, endpoint_id):
         """Returns how many more tasks may run on an endpoint."""
         if not self.step.most_per_endpoint:
@@ -219,6 +235,8 @@
         When it reached a final state; 0 before.
     has_started : bool
         Whether a run of any task was ever reserved.
+    is_compacted : bool
+        Whether the stored job is reduced to what is needed after its end.
     """
 
     job: _work.Job
@@ -232,6 +250,7 @@
     stored_version: int = 0
     ended_unix_ms: int = 0
     has_started: bool = False
+    is_compacted: bool = False
 
     @property
     def has_speculative(self):
@@ -284,6 +303,25 @@
             for task in stage.tasks:
                 yield from task.bookings_by_run.values()
 
+    def to_row(self, address_of):
+        """Returns the `StoredRow` for the store; see `to_record`.
+
+        A job that has ended, and of which no run can exist, loses its steps
+        and its payload: most stored jobs have ended, and a new owner reads
+        them all.
+        """
+        if not self.state.is_final or any(self.bookings()):
+            record = _records.encode(self.to_record(address_of))
+            return _records.StoredRow(self.job.job_id, self.version, record)
+        record = _records.JobRecord(self.state, (), self.ended_unix_ms)
+        job = attrs.evolve(self.job, payload="", steps=(), schedule=None)
+        return _records.StoredRow(
+            self.job.job_id,
+            self.version,
+            _records.encode(record),
+            None if self.is_compacted else _records.encode(job),
+        )
+
     def to_record(self, address_of):
         """Returns the progress as a `JobRecord` for the store.
 
@@ -316,6 +354,17 @@
             _restore_stage(self.stages_by_key[key], stage_record)
 
 
+def describe_run(booking):
+    """Returns job, task, run and endpoint of a run, for the log."""
+    task_id = booking.task.task_id
+    return (
+        task_id.job_id,
+        *task_id.position,
+        booking.run,
+        booking.endpoint_id,
+    )
+
+
 def mark_done(task):
     """Marks a task as done, once."""
     if not task.is_done:
@@ -368,3 +417,5 @@
         task.failed_runs.update(stage_record.failures.get(index, ()))
         task.saved = stage_record.saved.get(index, "")
         task.last_run = stage_record.last_run
+        # The record does not tell which of the tasks ran.
+        task.interrupted_ms = 0
