--- a/bench/owner/_owner.py
+++ b/bench/owner/_owner.py
@@ -131,7 +131,7 @@
 
     def _written(self, rows):
         self._writing = False
-        versions = tuple((row[0], row[1]) for row in rows)
+        versions = tuple((row.job_id, row.version) for row in rows)
         self._events.append(cells.RecordsStored(versions))
 
     # Actions
