Find the endpoints to hold among those a task is large for

Cause: each waiting stage compared the capacities of all endpoints with its task, to hold some of them.

Change: the endpoints of whose capacity a task takes much are kept for each size of task while the endpoints are unchanged.

--- a/features/steps/cells_cost_steps.py
+++ b/features/steps/cells_cost_steps.py
@@ -131,6 +131,12 @@
         ]
         assert usable.with_room(need) == with_room
         assert usable.has_room(need) == bool(with_room)
+        assert usable.ids_large_for(need, 0.3) == {
+            one.endpoint_id
+            for one in context.endpoints
+            if need.fits_in(one.registration.capacity)
+            and need.dominant_share(one.registration.capacity) >= 0.3
+        }
         ids = [one.endpoint_id for one in context.endpoints[::-2]]
         assert usable.named_with_room(ids, need) == [
             one for one in with_room if one.endpoint_id in ids
--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -317,23 +317,14 @@
         max_count = _max_more_held(usable, held_ids)
         if max_count <= 0:
             return
-        large_for = {
-            capacity
-            for capacity in usable.capacities
-            if need.fits_in(capacity)
-            and need.dominant_share(capacity) >= LARGE_TASK_MIN_SHARE
-        }
-        if not large_for:
-            return
-        considered = usable.endpoints
+        large_ids = usable.ids_large_for(need, LARGE_TASK_MIN_SHARE)
         if stage.queue.advice:
-            considered = usable.named(stage.ticket_by_id)
+            large_ids = [one for one in stage.ticket_by_id if one in large_ids]
         holdable = [
             one
-            for one in considered
+            for one in usable.named(large_ids)
             if one.endpoint_id not in held_ids
             and (stage.query_in_flight or not need.fits_in(one.free))
-            and one.registration.capacity in large_for
         ]
         holdable.sort(key=lambda one: _missing_share(need, one))
         for endpoint in holdable[: min(unplaced_count, max_count)]:
--- a/samphiregate/core/cells/_usable_endpoints.py
+++ b/samphiregate/core/cells/_usable_endpoints.py
@@ -2,6 +2,8 @@
 
 import bisect
 
+MAX_CACHED_NEEDS = 500
+
 
 class RoomIndex:
     """Finds the endpoints with room for a task without looking at all.
@@ -68,6 +70,7 @@
         }
         self._free_index = None
         self._expected_by_ms = {}
+        self._ids_large_for = {}
         self._capacities = [one.registration.capacity for one in endpoints]
         self.capacities = set(self._capacities)
 
@@ -81,6 +84,8 @@
         """Begins another plan on the same endpoints."""
         self._free_index = None
         self._expected_by_ms = {}
+        if len(self._ids_large_for) > MAX_CACHED_NEEDS:
+            self._ids_large_for.clear()
 
     def with_room(self, need):
         """Returns the endpoints with room for a task, in their order."""
@@ -127,6 +132,31 @@
 
     def named_with_room(self, endpoint_ids, need):
         """Returns those with one of the ids and room for a task."""
-        return [
-            one for one in self.named(endpoint_ids) if need.fits_in(one.free)
+        positions = self.position_by_id
+        fitting = [
+            positions[one]
+            for one in endpoint_ids
+            if one in positions
+            and need.fits_in(self.endpoints[positions[one]].free)
         ]
+        fitting.sort()
+        return [self.endpoints[position] for position in fitting]
+
+    def ids_large_for(self, need, min_share):
+        """Returns the ids of those of whose capacity a task takes much.
+
+        Parameters
+        ----------
+        need : Resources
+        min_share : float
+            Least share of the capacity.
+        """
+        ids = self._ids_large_for.get((need, min_share))
+        if ids is None:
+            ids = frozenset(
+                one.endpoint_id
+                for one in self.large_enough(need)
+                if need.dominant_share(one.registration.capacity) >= min_share
+            )
+            self._ids_large_for[need, min_share] = ids
+        return ids
