Let an owner short of processor time rest between its plans

Cause: on a small VM, plans that take long follow each other. The greenlets that read answers, poll and renew the VM's lease get their turn once in between; answers are then read after their time-out, and the orders are repeated, which adds to the work.

Change: after a plan, the next one waits three times as long as the plan took, at most 100 ms. Events, polls and the lease go on in between. A plan within the interval is also due when no event, but a periodic check freed room.

A change of decisions only where a plan takes longer than 3 ms.

--- a/features/cells_cost.feature
+++ b/features/cells_cost.feature
@@ -60,3 +60,16 @@
     When 20 jobs are read 1 ms apart, with a plan after each
     Then tasks were placed in 2 plans, 10 ms apart
     And the rest are placed by the plan that is due
+
+  Scenario Outline: an owner short of processor time rests between its plans
+    Given a cell with an endpoint of 40 cores
+    When a plan took <elapsed_ms> ms, and events follow it at once
+    Then the next plan is due <rest_ms> ms after it ended
+    And an endpoint is polled before that
+
+    Examples:
+      | elapsed_ms | rest_ms |
+      | 0          | 10      |
+      | 5          | 15      |
+      | 20         | 60      |
+      | 400        | 100     |
--- a/features/steps/cells_cost_steps.py
+++ b/features/steps/cells_cost_steps.py
@@ -270,3 +270,29 @@
     placed += sum(context.placed_by_ms.values())
     assert placed == context.job_count, placed
     assert context.cell.plan_due_ms is None
+
+
+@behave.when("a plan took {elapsed_ms:d} ms, and events follow it at once")
+def when_plan_took(context, elapsed_ms):
+    _plan(context, 0)
+    context.cell.cell_state.endpoint_by_id["e"].has_answered = False
+    context.cell.note_plan_time(elapsed_ms)
+    context.ended_ms = elapsed_ms
+    job = cells_work.make_job("j", cells_work.make_step())
+    context.cell.handle(cells.JobStored(job), elapsed_ms)
+    context.cell.handle(cells.PollFailed("e"), elapsed_ms)
+    context.actions = context.cell.plan(elapsed_ms, elapsed_ms)
+
+
+@behave.then("the next plan is due {rest_ms:d} ms after it ended")
+def then_plan_due(context, rest_ms):
+    due_ms = context.cell.plan_due_ms
+    assert due_ms == context.ended_ms + rest_ms, due_ms
+    assert not _plan(context, due_ms - 1)
+
+
+@behave.then("an endpoint is polled before that")
+def then_polled(context):
+    assert any(
+        isinstance(action, cells.PollEndpoint) for action in context.actions
+    )
--- a/samphiregate/adapters/cells/_owner.py
+++ b/samphiregate/adapters/cells/_owner.py
@@ -199,17 +199,20 @@
             self._wake.clear()
             self._drain_events()
             if self._lease.is_valid:
-                actions = self.cell.plan(
-                    self._now_ms(),
-                    self._unix_ms(),
-                    self._policy_router.query_slots,
-                )
-                self._performer.perform_all(actions)
+                self._plan()
             self._purger.run(self.cell)
             self._load_logger.run(self.cell)
             self._writer.wake()
             self._end_if_lapsed()
 
+    def _plan(self):
+        started_ms = self._now_ms()
+        actions = self.cell.plan(
+            started_ms, self._unix_ms(), self._policy_router.query_slots
+        )
+        self._performer.perform_all(actions)
+        self.cell.note_plan_time(self._now_ms() - started_ms)
+
     def _tick_ms(self):
         """Returns the time until the next plan if no event arrives."""
         due_ms = self.cell.plan_due_ms
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -18,6 +18,8 @@
 
 CHECK_INTERVAL_MS = 100
 PLAN_INTERVAL_MS = 10  # one plan for the events in between
+MAX_PLAN_INTERVAL_MS = 100
+PLAN_REST_FACTOR = 3  # multiple of a plan's time that other work gets
 POLL_RETRY_MS = 300  # the first retry is sent at once
 MAX_START_ATTEMPTS = 3
 NO_ROOM_BACKOFF_MS = 300
@@ -192,9 +194,27 @@
             self.plan_due_ms = None
             self._next_plan_ms = now_ms + PLAN_INTERVAL_MS
             self._planner.plan(now_ms, query_slots)
+        else:
+            self.plan_due_ms = self._next_plan_ms
         self._poller.plan(now_ms)
         return self._drain()
 
+    def note_plan_time(self, elapsed_ms):
+        """Delays the next plan by the time that the last one took.
+
+        So an owner with too little processor time for its plans still
+        handles answers, polls and the VM's own lease in time.
+
+        Parameters
+        ----------
+        elapsed_ms : int
+        """
+        rest_ms = min(elapsed_ms * PLAN_REST_FACTOR, MAX_PLAN_INTERVAL_MS)
+        earliest_ms = self.cell_state.now_ms + elapsed_ms + rest_ms
+        self._next_plan_ms = max(self._next_plan_ms, earliest_ms)
+        if self.plan_due_ms is not None:
+            self.plan_due_ms = self._next_plan_ms
+
     def _run_periodic_checks(self, now_ms, unix_ms):
         """Runs the checks that are not needed in every plan."""
         self._release_expired(now_ms)
