--- a/samphiregate/adapters/cells/_owner.py
+++ b/samphiregate/adapters/cells/_owner.py
@@ -205,21 +205,31 @@
 
     def _loop(self):
         while not self._session_end.is_set():
-            self._wake.wait(TICK_MS / 1000)
+            self._wake.wait(self._tick_ms() / 1000)
             self._wake.clear()
             self._drain_events()
             if self._lease.is_valid:
-                actions = self.cell.plan(
-                    self._now_ms(),
-                    self._unix_ms(),
-                    self._policy_router.query_slots,
-                )
-                self._performer.perform_all(actions)
+                self._plan()
             self._purger.run(self.cell)
             self._load_logger.run(self.cell)
             self._writer.wake()
             self._end_if_lapsed()
 
+    def _plan(self):
+        started_ms = self._now_ms()
+        actions = self.cell.plan(
+            started_ms, self._unix_ms(), self._policy_router.query_slots
+        )
+        self._performer.perform_all(actions)
+        self.cell.note_plan_time(self._now_ms() - started_ms)
+
+    def _tick_ms(self):
+        """Returns the time until the next plan if no event arrives."""
+        due_ms = self.cell.plan_due_ms
+        if due_ms is None or not self._lease.is_valid:
+            return TICK_MS
+        return min(max(due_ms - self._now_ms(), 1), TICK_MS)
+
     def _drain_events(self):
         while self._events:
             event = self._events.popleft()
--- a/samphiregate/adapters/cells/_vm.py
+++ b/samphiregate/adapters/cells/_vm.py
@@ -110,6 +110,7 @@
         self._session = None
         self._ownership = None
         self._stopping = False
+        self._known_vm_records = None
         self.accepts_requests = True
         self._epoch_history = cells.EpochHistory()
         self._peers = _peer_calls.PeerCalls(answer=self._answer)
@@ -130,7 +131,7 @@
             _keys.OWNERS_PREFIX, self._owner_changed, OWNERS_WAIT_MS
         )
         self._vms = self._make_watched_prefix(
-            _keys.VMS_PREFIX, lambda _change: None, VMS_WAIT_MS
+            _keys.VMS_PREFIX, self._vm_changed, VMS_WAIT_MS
         )
         self._watched_configuration = self._make_watched_prefix(
             ports.decoders.configuration_key,
@@ -329,8 +330,16 @@
     def _address_by_vm(self):
         return {record.vm_id: record.address for record in self._vm_records()}
 
+    def _vm_changed(self, _change):
+        self._known_vm_records = None
+
     def _vm_records(self):
         """Returns the readable records of the VMs with a lease."""
+        if self._known_vm_records is None:
+            self._known_vm_records = self._decode_vm_records()
+        return self._known_vm_records
+
+    def _decode_vm_records(self):
         records = []
         for key, item in self._vms.item_by_key.items():
             try:
