--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -1,11 +1,13 @@
 """Decides where tasks are placed, and which policy queries are needed."""
 
+import collections
 import enum
 
 from samphiregate.core.cells import _order
 from samphiregate.core.cells import _placement
 from samphiregate.core.cells import _policy_queries
 from samphiregate.core.cells import _stragglers
+from samphiregate.core.cells import _usable_endpoints
 
 MAX_HELD_SHARE = 0.25  # of a service's endpoints
 URGENT_LIMIT_SHARE = 0.2  # of an account's limit
@@ -50,6 +52,9 @@
         self._is_backing_off = is_backing_off
         self._slowness_estimator = slowness_estimator
         self._packing = _placement.Packing()
+        self._usable_by_key = {}
+        self._last_usable_by_key = {}
+        self._accepting_by_service = None
 
     def plan(self, now_ms, query_slots):
         """Places waiting tasks where they fit, the most urgent stages first.
@@ -64,6 +69,7 @@
             query in flight at a time.
         """
         cell_state = self._cell_state
+        self._forget_usable()
         held_ids = set()
         stages = sorted(
             cell_state.startable_stages.values(),
@@ -124,6 +130,7 @@
 
     def plan_copies(self, now_ms):
         """Places copies of speculative tasks that run longer than expected."""
+        self._forget_usable()
         for entry in self._cell_state.entry_by_id.values():
             if entry.state.is_final or not entry.has_speculative:
                 continue
@@ -189,33 +196,64 @@
         """Returns the endpoints that accept tasks of the stage now.
 
         Free capacity, tickets and held endpoints are not considered; nor is
-        the backoff after failed tasks if `ignores_failures`.
+        the backoff after failed tasks if `ignores_failures`. The result is
+        the same for all stages of a service and label in one plan.
         """
-        service = stage.queue.service
-        label = stage.step.required_label
+        key = (
+            stage.queue.service,
+            stage.step.required_label,
+            ignores_failures,
+        )
+        usable = self._usable_by_key.get(key)
+        if usable is None:
+            endpoints = self._accepting(*key, now_ms)
+            usable = self._last_usable_by_key.get(key)
+            if usable is None or not usable.same_endpoints(endpoints):
+                usable = _usable_endpoints.UsableEndpoints(endpoints)
+            usable.renew()
+            self._usable_by_key[key] = usable
+        return usable
+
+    def _forget_usable(self):
+        """Begins a plan, for which the usable endpoints are found anew."""
+        self._accepting_by_service = None
+        if self._usable_by_key:
+            self._last_usable_by_key = self._usable_by_key
+            self._usable_by_key = {}
+
+    def _accepting(self, service, label, ignores_failures, now_ms):
+        if self._accepting_by_service is None:
+            self._accepting_by_service = self._find_accepting(now_ms)
         return [
             endpoint
-            for endpoint in self._cell_state.endpoint_by_id.values()
-            if endpoint.registration.service == service
-            and endpoint.may_start
-            and endpoint.backoff_until_ms <= now_ms
+            for endpoint, backs_off in self._accepting_by_service[service]
+            if (ignores_failures or not backs_off)
             and (not label or label in endpoint.registration.labels)
-            and (
-                ignores_failures
-                or not self._is_backing_off(endpoint.endpoint_id, now_ms)
-            )
         ]
 
+    def _find_accepting(self, now_ms):
+        """Returns rows of an endpoint and whether it backs off, by service."""
+        by_service = collections.defaultdict(list)
+        for endpoint in self._cell_state.endpoint_by_id.values():
+            if endpoint.may_start and endpoint.backoff_until_ms <= now_ms:
+                backs_off = self._is_backing_off(endpoint.endpoint_id, now_ms)
+                row = (endpoint, backs_off)
+                by_service[endpoint.registration.service].append(row)
+        return by_service
+
     def _candidates(self, stage, usable, held_ids, now_ms):
+        """Returns the endpoints with room that may run tasks of the stage."""
+        need = stage.step.booked
+        if stage.queue.advice:
+            ticketed = _policy_queries.ids_with_ticket(stage, now_ms)
+            with_room = usable.named_with_room(ticketed, need)
+        else:
+            with_room = usable.with_room(need)
         candidates = []
-        for endpoint in usable:
+        for endpoint in with_room:
             endpoint_id = endpoint.endpoint_id
             if endpoint_id in held_ids:
                 continue
-            if stage.queue.advice and not _policy_queries.has_ticket(
-                stage, endpoint_id, now_ms
-            ):
-                continue
             max_count = stage.max_more_on(endpoint_id)
             if max_count > 0:
                 penalty = self._slowness_estimator.penalty(endpoint_id, now_ms)
@@ -274,20 +312,19 @@
         so that the room is still free when the answer arrives.
         """
         need = stage.step.booked
+        if not stage.entry.within_share:
+            return
         max_count = _max_more_held(usable, held_ids)
-        if max_count <= 0 or not stage.entry.within_share:
+        if max_count <= 0:
             return
+        large_ids = usable.ids_large_for(need, LARGE_TASK_MIN_SHARE)
+        if stage.queue.advice:
+            large_ids = [one for one in stage.ticket_by_id if one in large_ids]
         holdable = [
             one
-            for one in usable
+            for one in usable.named(large_ids)
             if one.endpoint_id not in held_ids
             and (stage.query_in_flight or not need.fits_in(one.free))
-            and need.fits_in(one.registration.capacity)
-            and need.dominant_share(one.registration.capacity)
-            >= LARGE_TASK_MIN_SHARE
-            and (
-                not stage.queue.advice or one.endpoint_id in stage.ticket_by_id
-            )
         ]
         holdable.sort(key=lambda one: _missing_share(need, one))
         for endpoint in holdable[: min(unplaced_count, max_count)]:
@@ -304,8 +341,8 @@
 
 
 def _max_more_held(usable, held_ids):
-    max_count = max(1, round(len(usable) * MAX_HELD_SHARE))
-    return max_count - sum(one.endpoint_id in held_ids for one in usable)
+    max_count = max(1, round(len(usable.endpoints) * MAX_HELD_SHARE))
+    return max_count - sum(one in usable.position_by_id for one in held_ids)
 
 
 def _missing_share(need, endpoint):
@@ -323,13 +360,15 @@
     ticket.
     """
     need = stage.step.booked
+    considered = usable.endpoints
+    if stage.queue.advice:
+        considered = usable.named(stage.ticket_by_id)
     holdable = [
         one
-        for one in usable
+        for one in considered
         if one.endpoint_id not in held_ids
         and need.fits_in(one.registration.capacity)
         and stage.max_more_on(one.endpoint_id) > 0
-        and (not stage.queue.advice or one.endpoint_id in stage.ticket_by_id)
     ]
     holdable.sort(key=lambda one: _missing_share(need, one))
     for endpoint in holdable[: max(0, _max_more_held(usable, held_ids))]:
@@ -341,21 +380,19 @@
 
 def _wait_reason(stage, usable, candidates):
     """Returns the `WaitReason` of a stage with tasks that were not placed."""
-    if not usable:
+    if not usable.endpoints:
         return WaitReason.NO_ENDPOINT
     need = stage.step.booked
-    if not any(need.fits_in(one.registration.capacity) for one in usable):
+    if not any(need.fits_in(capacity) for capacity in usable.capacities):
         return WaitReason.TOO_LARGE
-    with_room = [one for one in usable if need.fits_in(one.free)]
-    if not with_room:
+    if not usable.has_room(need):
         return WaitReason.ROOM
-    allowed = {one.endpoint.endpoint_id for one in candidates}
-    if any(one.endpoint_id in allowed for one in with_room):
+    if any(need.fits_in(one.endpoint.free) for one in candidates):
         return WaitReason.GANG_ROOM if stage.step.gang else WaitReason.ROOM
     if stage.query_in_flight:
         return WaitReason.POLICY_ANSWER
-    if stage.queue.advice and not any(
-        one.endpoint_id in stage.ticket_by_id for one in with_room
+    if stage.queue.advice and not usable.named_with_room(
+        stage.ticket_by_id, need
     ):
         return WaitReason.ALLOWED_ROOM
     return WaitReason.TICKET_OR_RESERVATION
