--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -1,7 +1,5 @@
 """State of a cell: its jobs, endpoints and runs, and the changes to them."""
 
-import itertools
-
 import attrs
 
 from samphiregate.core.cells import _account_limits
@@ -15,7 +13,6 @@
 
 RUN_NUMBER_SKIP = 1_000  # skips numbers that earlier owners may have used
 STOP_RETRY_MS = 400
-MAX_RUNS_TOLD = 20  # in one log line
 RECENT_URGENT_MS = 5_000
 
 
@@ -138,7 +135,7 @@
                 "runs restored",
                 entry.job.job_id,
                 state=entry.state.value,
-                restored=_describe_runs(told),
+                restored=_run_gaps.describe_runs(told),
             )
 
     def _restore_runs(self, entry, record, now_ms):
@@ -401,7 +398,7 @@
             reason=reason,
             runs=len(lost),
             jobs=sorted({booking.task.task_id.job_id for booking in lost}),
-            lost=_describe_runs(
+            lost=_run_gaps.describe_runs(
                 booking for booking in lost if booking.step.long_running
             ),
         )
@@ -534,11 +531,3 @@
         """Returns the stored record version of a job; None if not held."""
         entry = self.entry_by_id.get(job_id)
         return None if entry is None else entry.stored_version
-
-
-def _describe_runs(bookings):
-    """Returns job, task, run and endpoint of some runs, for the log."""
-    return [
-        _tasks.describe_run(booking)
-        for booking in itertools.islice(bookings, MAX_RUNS_TOLD)
-    ]
--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -6,13 +6,13 @@
 from samphiregate.core.cells import _order
 from samphiregate.core.cells import _placement
 from samphiregate.core.cells import _policy_queries
+from samphiregate.core.cells import _run_gaps
 from samphiregate.core.cells import _stragglers
 from samphiregate.core.cells import _usable_endpoints
 
 MAX_HELD_SHARE = 0.25  # of a service's endpoints
 URGENT_LIMIT_SHARE = 0.2  # of an account's limit
 LARGE_TASK_MIN_SHARE = 0.3  # of an endpoint's capacity
-MAX_RUNS_TOLD = 20  # in one log line
 # After this wait, interrupted tasks may go to endpoints that are backing off.
 MAX_RESTART_WAIT_MS = 2_000
 
@@ -292,7 +292,7 @@
             endpoints=sorted({one.endpoint_id for one in chosen}),
             runs=[
                 (one.task.task_id.index, one.run, one.endpoint_id)
-                for one in bookings[:MAX_RUNS_TOLD]
+                for one in bookings[: _run_gaps.MAX_RUNS_TOLD]
             ],
         )
         cell_state.run_gaps.placed_by_service[stage.queue.service] += len(
--- a/samphiregate/core/cells/_run_gaps.py
+++ b/samphiregate/core/cells/_run_gaps.py
@@ -1,9 +1,12 @@
 """Follows long-running tasks that have no run, for logs and metrics."""
 
 import collections
+import itertools
 
 import attrs
 
+MAX_RUNS_TOLD = 20  # in one log line
+
 
 @attrs.define(eq=False)
 class RunGap:
@@ -129,3 +132,16 @@
             inherited=inherited,
             placed_before=self.placed_by_service[task.stage.queue.service],
         )
+
+
+def describe_runs(bookings):
+    """Returns job, task, run and endpoint of some runs, for the log."""
+    return [
+        (
+            booking.task.task_id.job_id,
+            *booking.task.task_id.position,
+            booking.run,
+            booking.endpoint_id,
+        )
+        for booking in itertools.islice(bookings, MAX_RUNS_TOLD)
+    ]
--- a/samphiregate/core/cells/_tasks.py
+++ b/samphiregate/core/cells/_tasks.py
@@ -356,17 +356,6 @@
             _restore_stage(self.stages_by_key[key], stage_record)
 
 
-def describe_run(booking):
-    """Returns job, task, run and endpoint of a run, for the log."""
-    task_id = booking.task.task_id
-    return (
-        task_id.job_id,
-        *task_id.position,
-        booking.run,
-        booking.endpoint_id,
-    )
-
-
 def mark_done(task):
     """Marks a task as done, once."""
     if not task.is_done:
