--- a/features/steps/cells_cost_steps.py
+++ b/features/steps/cells_cost_steps.py
@@ -7,7 +7,6 @@
 
 from features.support import cells_work
 from samphiregate.core import cells
-from samphiregate.core.cells import _cell_state
 from samphiregate.core.cells import _endpoints
 from samphiregate.core.cells import _placement
 from samphiregate.core.cells import _planner
@@ -20,6 +19,10 @@
 MEMORY_MB = 16_000
 
 
+def _make_cell():
+    return cells.Cell(epoch=1, lease_ms=5_000, inherited_lease_ms=7_400)
+
+
 def _add_endpoint(cell_state, endpoint_id, capacity):
     registration = cells.EndpointRegistered(
         endpoint_id, cells_work.SERVICE, "", "", capacity
@@ -39,7 +42,7 @@
     "a planner of {endpoints:d} full endpoints and {stages:d} waiting stages"
 )
 def given_planner(context, endpoints, stages):
-    cell_state = _cell_state.CellState(1)
+    cell_state = _make_cell().cell_state
     for number in range(endpoints):
         _add_endpoint(cell_state, f"e{number}", cells.Resources(500, 1_000))
     for number in range(stages):
@@ -89,7 +92,7 @@
 @behave.given("{count:d} endpoints with random runs, from seed {seed:d}")
 def given_random_endpoints(context, count, seed):
     context.random = random.Random(seed)
-    cell_state = _cell_state.CellState(1)
+    cell_state = _make_cell().cell_state
     for number in range(count):
         capacity = cells.Resources(
             context.random.choice((CORES, 2 * CORES)),
@@ -229,9 +232,7 @@
 
 @behave.given("a cell with an endpoint of {cores:d} cores")
 def given_cell(context, cores):
-    context.cell = cells.Cell(
-        epoch=1, lease_ms=5_000, inherited_lease_ms=7_400
-    )
+    context.cell = _make_cell()
     capacity = cells.Resources(cores * 1_000, cores * 1_000)
     endpoint = _add_endpoint(context.cell.cell_state, "e", capacity)
     endpoint.polls_in_flight = 1
