Skip ended jobs and stored ends early when a cell is read through

Cause: each stored write compared the record versions of all endpoints, and each question for the waiting jobs compared the queues of all jobs, most of which had started.

Change: endpoints without unstored ends and jobs that have started are passed over first.

--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -128,8 +128,8 @@
     def count_waiting(self, queue_name):
         """Returns the number of jobs of a queue that have not started."""
         return sum(
-            entry.job.queue.name == queue_name
-            and not entry.has_started
+            not entry.has_started
+            and entry.job.queue.name == queue_name
             and not entry.state.is_final
             for entry in self.cell_state.entry_by_id.values()
         )
@@ -301,7 +301,9 @@
                     entry, now_ms, self._lease_ms
                 )
         for endpoint in self.cell_state.endpoint_by_id.values():
-            if endpoint.advance_stored(self.cell_state.stored_version):
+            if endpoint.unstored_ends and endpoint.advance_stored(
+                self.cell_state.stored_version
+            ):
                 self._poller.make_due(endpoint, now_ms)
 
     @_apply.register
