Test which VMs an entry VM knows after their records changed

Guards the kept addresses against staleness. The scenario's last step fails if the records are decoded on each call; the others passed before, too.

--- a/features/cells_vm.feature
+++ b/features/cells_vm.feature
@@ -226,3 +226,10 @@
     Given an HTTP server and a client of 1 connection to it
     When a request is sent while another one holds the connection
     Then it fails as not sent, and the server received 1 request
+
+  Scenario: the VMs that queries are relayed to are those with a record now
+    Given an entry VM that has read the records of the VMs a and b
+    Then it knows the addresses of a, b
+    When the record of c is added and that of a is removed
+    Then it knows the addresses of b, c
+    And the records are not decoded again until one changes
--- a/features/steps/cells_vm_steps.py
+++ b/features/steps/cells_vm_steps.py
@@ -1,5 +1,7 @@
 """Steps about an entry VM that serves callers from a store."""
 
+import types
+
 import behave
 import gevent.event
 
@@ -8,10 +10,12 @@
 from samphiregate.adapters.cells import _configuration
 from samphiregate.adapters.cells import _job_service
 from samphiregate.adapters.cells import _keys
+from samphiregate.adapters.cells import _lease
 from samphiregate.adapters.cells import _ownership
 from samphiregate.adapters.cells import _peer_calls
 from samphiregate.adapters.cells import _ports
 from samphiregate.adapters.cells import _relay
+from samphiregate.adapters.cells import _vm
 from samphiregate.adapters.cells import _writer
 from samphiregate.adapters import http
 from samphiregate.core import cells
@@ -302,3 +306,53 @@
 def then_record(context, text):
     item = context.store.get(_keys.record(cells_store.CELL, "j"))
     assert item.value == text.encode(), item
+
+
+def _change_vm(context, vm_id, *, removed=False):
+    context.revision += 1
+    key = _keys.vm(vm_id)
+    item = None
+    if not removed:
+        record = _lease.VmRecord(vm_id, f"{vm_id}:1")
+        item = _ports.StoreItem(
+            key, cells.encode(record), context.revision, context.revision
+        )
+    change = _ports.StoreChange(key, context.revision, item)
+    context.entry_vm._vms._apply(change)
+
+
+@behave.given("an entry VM that has read the records of the VMs a and b")
+def given_entry_vm(context):
+    decoders = types.SimpleNamespace(
+        configuration_key="configuration", configuration=None
+    )
+    ports = types.SimpleNamespace(store=None, decoders=decoders)
+    context.revision = 0
+    context.entry_vm = _vm.EntryVm(
+        vm_id="self",
+        peer_address="self:1",
+        capacity=1.0,
+        ports=ports,
+        random_state=None,
+        log=cells_store.FakeLog(),
+    )
+    _change_vm(context, "a")
+    _change_vm(context, "b")
+
+
+@behave.when("the record of c is added and that of a is removed")
+def when_vms_changed(context):
+    _change_vm(context, "c")
+    _change_vm(context, "a", removed=True)
+
+
+@behave.then("it knows the addresses of {vm_ids}")
+def then_addresses_known(context, vm_ids):
+    expected = {vm_id: f"{vm_id}:1" for vm_id in vm_ids.split(", ")}
+    assert context.entry_vm._address_by_vm() == expected
+
+
+@behave.then("the records are not decoded again until one changes")
+def then_not_decoded_again(context):
+    records = context.entry_vm._vm_records()
+    assert context.entry_vm._vm_records()[0] is records[0]
