Check restarts of long-running tasks under random faults

Change: bursts of overlapping faults (endpoints cut, restarted, gone for good, late, not answering or failing their tasks; series of owners; the store away; the policy service slow or failing) under a backlog of urgent tasks, while long-running tasks fail by themselves all the time. In each calm time a task with room for it twice over must have a run within 3 s; the calm counts as the rule does, 3 s and the 4 s before them.

--- a/features/cells_restart.feature
+++ b/features/cells_restart.feature
@@ -47,3 +47,18 @@
       | gap_ms |
       | 400    |
       | 3000   |
+
+  Scenario Outline: no long-running task waits for a restart after faults have ended
+    Given 7 endpoints of 4 cores
+    And an owner of the cell
+    And long-running tasks are watched
+    When faults come in 2 bursts while urgent tasks fill all endpoints, with seed <seed>
+    Then no long-running task was overdue
+    And no invariant was violated
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
--- a/features/steps/cells_restart_steps.py
+++ b/features/steps/cells_restart_steps.py
@@ -3,10 +3,12 @@
 import behave
 
 from features.support import cells_restart
+from features.support import cells_restart_faults
 from features.support import cells_work
 
 LOW_PRIORITY = 2
 SETTLE_MS = 1_000
+MAX_URGENT_WAITING = 8  # jobs
 URGENT_TASKS = 4  # per interval; half as many again as fit
 
 
@@ -64,3 +66,27 @@
             endpoint, run = min(runs, key=lambda row: row[1].started_ms)
             endpoint.fail(run)
         simulation.run_for(gap_ms)
+
+
+@behave.when(
+    "faults come in {bursts:d} bursts while urgent tasks fill all endpoints, "
+    "with seed {seed:d}"
+)
+def when_bursts(context, bursts, seed):
+    simulation = context.simulation
+    simulation.random.seed(seed)
+    advice = cells_restart_faults.submit_long_running_jobs(simulation)
+    simulation.run_for(SETTLE_MS)
+    for stream_advice in (None, advice):
+        cells_restart.UrgentStream(
+            simulation, stream_advice, URGENT_TASKS, MAX_URGENT_WAITING
+        ).submit()
+    faulty_cell = cells_restart_faults.FaultyCell(
+        simulation, context.watch, seed
+    )
+    faulty_cell.run(bursts)
+
+
+@behave.then("no long-running task was overdue")
+def then_none_overdue(context):
+    assert not context.watch.overdue, context.watch.overdue[:5]
--- a/features/support/cells.py
+++ b/features/support/cells.py
@@ -19,6 +19,7 @@
 TICK_MS = 100
 UNREACHABLE_TIMEOUT_MS = 1_000
 ORDER_TIMEOUT_MS = 400
+FAILED_QUERY_MS = 900
 LEASE_MS = 5_000
 INHERITED_LEASE_MS = 7_400
 
@@ -42,6 +43,8 @@
         Factor by which tasks take longer than their estimates.
     store_write_ms : int
         How long a write takes.
+    failed_query_share : float
+        Share of policy queries that fail.
     poll_count : int
         Number of polls sent to endpoints.
     stored_by_id : dict
@@ -66,6 +69,7 @@
         self.owner_up = True
         self.allowed_by_step = {}
         self.policy_query_ms = 30
+        self.failed_query_share = 0.0
         self.query_slots = 4
         self.max_queries_in_flight = 0
         self.poll_count = 0
@@ -286,6 +290,12 @@
 
     def _send_policy_query(self, action):
         self.sent_queries.append(action)
+        if self.random.random() < self.failed_query_share:
+            failed = cells.PolicyQueryFailed(
+                action.job_id, action.occurrence, action.step
+            )
+            self._answer(FAILED_QUERY_MS, failed, self._generation)
+            return
         open_now = self.cell.policy_queries.in_flight_count
         self.max_queries_in_flight = max(self.max_queries_in_flight, open_now)
         key = (action.job_id, action.step)
--- a/features/support/cells_endpoints.py
+++ b/features/support/cells_endpoints.py
@@ -1,5 +1,7 @@
 """Endpoints for simulations of a cell: they run tasks in virtual time."""
 
+import math
+
 import attrs
 
 from features.support import cells_work
@@ -89,7 +91,13 @@
         """
         self.incarnation += 1
         self._clear()
-        self.restarting_until_ms = self._simulation.now_ms + RESTART_MS
+        until_ms = self._simulation.now_ms + RESTART_MS
+        self.restarting_until_ms = max(self.restarting_until_ms, until_ms)
+
+    def leave(self):
+        """Ends for good: all runs are lost, and no call is answered."""
+        self.restart()
+        self.restarting_until_ms = math.inf
 
     @property
     def registration(self):
@@ -128,8 +136,8 @@
         ):
             reason = cells.EndReason.FAILED
         ends_ms = now_ms + work_ms
-        if step.long_running:
-            ends_ms = float("inf")
+        if step.long_running and not self.fails_all_tasks:
+            ends_ms = math.inf
         self.run_by_key[key] = FakeRun(
             action.task_id,
             action.run,
