Poll unreachable endpoints until they answer or their entry is gone

What callers would see: an endpoint that was cut off from the owner gets no tasks when it is back, until the next change of owner: tasks that are to last wait with room free (LOST), and the service is smaller than it is (SHORT). Cause: no task is placed on an endpoint whose last poll failed, and an endpoint without reserved runs was not polled. Once its lease had expired its runs were released, so that no poll followed. Only its own restart, or the removal of its entry, ended that; with a cut to the owner alone the entry stays. Change: an unreachable endpoint is polled as long as it is registered.

--- a/features/cells_restart.feature
+++ b/features/cells_restart.feature
@@ -62,3 +62,14 @@
       | 2    |
       | 3    |
       | 4    |
+
+  Scenario: an endpoint that was cut off for long gets tasks again
+    Given 1 endpoints of 4 cores
+    And an owner of the cell
+    When a long-running job "s" of 2 tasks is submitted
+    And 1000 ms pass
+    And endpoint "e0" becomes unreachable
+    And 12000 ms pass
+    And endpoint "e0" is reachable again
+    And 3000 ms pass
+    Then 2 tasks of job "s" run
--- a/samphiregate/core/cells/_polling.py
+++ b/samphiregate/core/cells/_polling.py
@@ -48,7 +48,11 @@
         endpoint.next_poll_ms = min(endpoint.next_poll_ms, now_ms)
 
     def plan(self, now_ms):
-        """Polls the endpoints that are due and may have runs or ends."""
+        """Polls the endpoints that are due and may have runs or ends.
+
+        An unreachable endpoint is polled as long as it is registered, as it
+        gets no tasks before it has answered.
+        """
         for endpoint in self._cell_state.endpoint_by_id.values():
             if endpoint.next_poll_ms > now_ms:
                 continue
@@ -61,6 +65,7 @@
                 or endpoint.bookings_by_run
                 or endpoint.unstored_ends
                 or endpoint.handled_upto > endpoint.stored_upto
+                or (endpoint.failed_polls and endpoint.registered)
             )
             if needs_poll:
                 self.poll(endpoint, now_ms, self._wait_ms(endpoint, now_ms))
