Restart tasks only where an endpoint has answered lately

What callers would see: a task that is to last is not started again for 6 s and more, once for each silent endpoint that looks free (LOST). Cause: an idle endpoint is not polled, so one that fell silent still counts as usable, and in a full service it is the only one with room. A start that is ordered there is repeated three times, stopped, and waited for until the lease of the order has ended: 0.4 s x 3 and 5.2 s. Change: a restart of an interrupted long-running task goes to endpoints that answered within 0.5 s; if these have no room, others are polled first, at most 16 at a time. First starts and other tasks are ordered as before. The property test cuts endpoints off for longer, sometimes from the owner alone, waits longer for calm, and has fewer but larger urgent jobs.

--- a/features/steps/cells_restart_steps.py
+++ b/features/steps/cells_restart_steps.py
@@ -5,10 +5,12 @@
 from features.support import cells_restart
 from features.support import cells_restart_faults
 from features.support import cells_work
+from samphiregate.core import cells
 
 LOW_PRIORITY = 2
 SETTLE_MS = 1_000
-MAX_URGENT_WAITING = 8  # jobs
+MAX_URGENT_WAITING = 4  # jobs
+TASKS_OF_WAITING_JOB = 10
 URGENT_TASKS = 4  # per interval; half as many again as fit
 
 
@@ -79,7 +81,7 @@
     simulation.run_for(SETTLE_MS)
     for stream_advice in (None, advice):
         cells_restart.UrgentStream(
-            simulation, stream_advice, URGENT_TASKS, MAX_URGENT_WAITING
+            simulation, stream_advice, TASKS_OF_WAITING_JOB, MAX_URGENT_WAITING
         ).submit()
     faulty_cell = cells_restart_faults.FaultyCell(
         simulation, context.watch, seed
@@ -90,3 +92,20 @@
 @behave.then("no long-running task was overdue")
 def then_none_overdue(context):
     assert not context.watch.overdue, context.watch.overdue[:5]
+
+
+@behave.when('all endpoints without runs but "{endpoint_id}" fall silent')
+def when_idle_silent(context, endpoint_id):
+    for endpoint in context.simulation.endpoint_by_id.values():
+        if not endpoint.run_by_key and endpoint.endpoint_id != endpoint_id:
+            endpoint.is_partitioned = True
+
+
+@behave.when("the endpoint of a long-running task leaves")
+def when_leaves(context):
+    runs = cells_restart.long_running_runs(context.simulation)
+    endpoint, _run = runs[0]
+    endpoint.restart()
+    context.simulation.deliver(
+        cells.EndpointDeregistered(endpoint.endpoint_id)
+    )
--- a/features/support/cells_restart_faults.py
+++ b/features/support/cells_restart_faults.py
@@ -11,9 +11,9 @@
 from samphiregate.core import cells
 
 BURST_MS = 7_000
-CALM_MS = 13_000
+CALM_MS = 18_000
 MAX_FAULT_GAP_MS = 1_500
-MAX_FAULT_MS = 6_000
+MAX_FAULT_MS = 9_000
 MAX_START_DELAY_MS = 3_000
 OWN_FAILURE_GAP_MS = 1_300
 HEARTBEAT_MS = 500
@@ -40,6 +40,7 @@
         self._random = random.Random(seed)
         self._silent_since_ms_by_id = {}
         self._unlisted_ids = set()
+        self._is_listed_by_id = {}  # while cut off
         self._gone_ids = set()
         self._faults = (
             self._cut,
@@ -85,6 +86,10 @@
             if (
                 now_ms - since_ms >= ENTRY_LIFETIME_MS
                 and endpoint_id not in self._unlisted_ids
+                and not (
+                    endpoint.is_partitioned
+                    and self._is_listed_by_id[endpoint_id]
+                )
             ):
                 self._unlisted_ids.add(endpoint_id)
                 self._deliver(cells.EndpointDeregistered(endpoint_id))
@@ -120,9 +125,12 @@
         self._watch.note_fault(span_ms + margin_ms)
 
     def _cut(self):
+        """Cuts an endpoint off, from the owner alone or from the store too."""
         endpoint = self._endpoint()
-        if endpoint.endpoint_id not in self._gone_ids:
+        endpoint_id = endpoint.endpoint_id
+        if endpoint_id not in self._gone_ids:
             self._set_for_a_while(endpoint, "is_partitioned", True, False)
+            self._is_listed_by_id[endpoint_id] = self._random.random() < 0.5
 
     def _restart(self):
         endpoint = self._endpoint()
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -81,6 +81,7 @@
             cell_state=self.cell_state,
             policy_queries=self.policy_queries,
             is_backing_off=self._failure_backoff.is_backing_off,
+            check_endpoint=self._poller.check,
             slowness_estimator=slowness_estimator,
         )
 
--- a/samphiregate/core/cells/_endpoints.py
+++ b/samphiregate/core/cells/_endpoints.py
@@ -61,6 +61,8 @@
     unstored_ends : deque
         Number, job id and record version of ends that are not stored yet.
     polls_in_flight : int
+    next_check_ms : int
+        No further poll before this time to check that it still answers.
     next_poll_ms : int
         No poll before this time.
     backoff_until_ms : int
@@ -83,6 +85,7 @@
     stored_upto: int = 0
     unstored_ends: collections.deque = attrs.field(factory=collections.deque)
     polls_in_flight: int = 0
+    next_check_ms: int = 0
     next_poll_ms: int = 0
     backoff_until_ms: int = 0
     leaves_ms: float = math.inf
--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -12,6 +12,8 @@
 LARGE_TASK_MIN_SHARE = 0.3  # of an endpoint's capacity
 # After this wait, interrupted tasks may go to endpoints that are backing off.
 MAX_RESTART_WAIT_MS = 2_000
+RECENT_ANSWER_MS = 500  # for the choice of an endpoint for a restart
+MAX_CHECKED_ENDPOINTS = 16  # at a time, for one stage
 
 
 class WaitReason(enum.Enum):
@@ -37,16 +39,25 @@
     is_backing_off : callable
         Takes an endpoint id and the time; returns whether the endpoint gets
         no tasks because too many failed there.
+    check_endpoint : callable
+        Takes an endpoint and the time; polls the endpoint.
     slowness_estimator : SlownessEstimator
         Supplies the cost that placement adds for slow endpoints.
     """
 
     def __init__(
-        self, *, cell_state, policy_queries, is_backing_off, slowness_estimator
+        self,
+        *,
+        cell_state,
+        policy_queries,
+        is_backing_off,
+        check_endpoint,
+        slowness_estimator,
     ):
         self._cell_state = cell_state
         self._policy_queries = policy_queries
         self._is_backing_off = is_backing_off
+        self._check_endpoint = check_endpoint
         self._slowness_estimator = slowness_estimator
         self._packing = _placement.Packing()
 
@@ -102,7 +113,7 @@
             ignores_failures=is_restart and _is_overdue(tasks, now_ms),
         )
         candidates = self._candidates(stage, usable, held_ids, now_ms)
-        chosen = self._packing.choose(stage.step, len(tasks), candidates)
+        chosen = self._choose(stage, tasks, candidates, now_ms, is_restart)
         if chosen:
             self._place(stage, tasks, chosen, now_ms)
         unplaced_count = len(tasks) - len(chosen)
@@ -121,6 +132,29 @@
             else:
                 self._hold_endpoints(stage, usable, unplaced_count, held_ids)
 
+    def _choose(self, stage, tasks, candidates, now_ms, is_restart):
+        """Chooses endpoints for tasks.
+
+        A start that is ordered from a silent endpoint costs its whole lease.
+        So a restart goes to endpoints that answered lately; if these do not
+        suffice, others are polled, and chosen once they have answered.
+        """
+        count = len(tasks)
+        if not is_restart:
+            return self._packing.choose(stage.step, count, candidates)
+        answered_since_ms = now_ms - RECENT_ANSWER_MS
+        recent, quiet = [], []
+        for one in candidates:
+            is_recent = one.endpoint.answered_ms >= answered_since_ms
+            (recent if is_recent else quiet).append(one)
+        chosen = self._packing.choose(stage.step, count, recent)
+        if len(chosen) < count:
+            need = stage.step.booked
+            with_room = [one for one in quiet if need.fits_in(one.free)]
+            for one in with_room[:MAX_CHECKED_ENDPOINTS]:
+                self._check_endpoint(one.endpoint, now_ms)
+        return chosen
+
     def plan_copies(self, now_ms):
         """Places copies of speculative tasks that run longer than expected."""
         for entry in self._cell_state.entry_by_id.values():
--- a/samphiregate/core/cells/_polling.py
+++ b/samphiregate/core/cells/_polling.py
@@ -13,6 +13,7 @@
 OVERDUE_POLL_WAIT_MS = 300
 STORE_LAG_POLL_DELAY_MS = 100  # longest delay for ends that are not stored
 MAX_POLLS_IN_FLIGHT = 2
+CHECK_INTERVAL_MS = 500  # between two checks of an endpoint
 
 
 class EndpointPoller:
@@ -70,6 +71,12 @@
             if needs_poll:
                 self.poll(endpoint, now_ms, self._wait_ms(endpoint, now_ms))
 
+    def check(self, endpoint, now_ms):
+        """Polls an endpoint at once, to learn whether it still answers."""
+        if now_ms >= endpoint.next_check_ms:
+            endpoint.next_check_ms = now_ms + CHECK_INTERVAL_MS
+            self.poll(endpoint, now_ms, wait_ms=0)
+
     def poll(self, endpoint, now_ms, wait_ms):
         """Polls an endpoint unless enough polls are in flight.
 
