--- a/features/cells.feature
+++ b/features/cells.feature
@@ -78,6 +78,135 @@
     And 500 ms pass
     Then 0 tasks of job "j" run
 
+  Scenario: a takeover does not wait again for runs that an earlier owner released
+    Given 1 endpoints of 4 cores
+    And account "team" is limited to 4 cores
+    And an owner of the cell
+    When a long-running job "j" of 4 tasks of account "team" is submitted
+    And 300 ms pass
+    And endpoint "e1" of 4 cores is added
+    And a job "k" of 4 tasks of 20000 ms is submitted
+    And 300 ms pass
+    And endpoint "e0" becomes unreachable
+    And 6500 ms pass
+    And the owner is lost for 2000 ms
+    And another VM takes over the cell
+    And job "k" is cancelled
+    And 500 ms pass
+    Then 4 tasks of job "j" run
+    And no invariant was violated
+
+  Scenario Outline: an epoch counts as ended from when the VM has seen its end
+    When a VM has seen <seen>
+    Then epoch <epoch> is known to have ended <ended>
+
+    Examples:
+      | seen                               | epoch | ended       |
+      | none at 5                          | 1     | at no time  |
+      | owner 3 at 10                      | 2     | at 10       |
+      | owner 3 at 10                      | 3     | at no time  |
+      | owner 3 at 10, none at 20          | 3     | at 20       |
+      | owner 3 at 10, none at 20          | 2     | at 10       |
+      | owner 3 at 10, owner 5 at 30       | 3     | at 30       |
+      | owner 3 at 10, none at 20, none at 40 | 3  | at 20       |
+
+  Scenario Outline: a series of takeovers does not prolong the wait for a silent endpoint
+    Given 1 endpoints of 4 cores
+    And an owner of the cell
+    When a long-running job "j" of 4 tasks is submitted
+    And 300 ms pass
+    And endpoint "e1" of 4 cores is added
+    And endpoint "e0" is silent for later owners
+    And <count> owners in turn take over the cell, each for <span_ms> ms
+    And another VM takes over the cell
+    And 2000 ms pass
+    Then 4 tasks of job "j" run
+    And no invariant was violated
+
+    Examples: all start more than 7400 ms after the first owner was lost
+      | count | span_ms |
+      | 6     | 1250    |
+      | 3     | 2500    |
+      | 2     | 4000    |
+
+  Scenario: a silent endpoint is waited for again after an owner has reached it
+    Given 1 endpoints of 4 cores
+    And an owner of the cell
+    When a long-running job "j" of 4 tasks is submitted
+    And 300 ms pass
+    And endpoint "e1" of 4 cores is added
+    And endpoint "e0" is silent for later owners
+    And 2 owners in turn take over the cell, each for 1500 ms
+    And endpoint "e0" is no longer silent
+    And 1500 ms pass
+    And endpoint "e0" is silent for later owners
+    And 3 owners in turn take over the cell, each for 2300 ms
+    Then 4 tasks were started
+    And no invariant was violated
+
+  Scenario: no lease is extended while the store lists the endpoint as silent
+    Given 1 endpoints of 4 cores
+    And an owner of the cell
+    When a long-running job "j" of 4 tasks is submitted
+    And 300 ms pass
+    And endpoint "e1" of 4 cores is added
+    And endpoint "e0" is silent for later owners
+    And 2 owners in turn take over the cell, each for 1500 ms
+    And the store becomes unavailable
+    And endpoint "e0" is no longer silent
+    And 1500 ms pass
+    And endpoint "e0" is silent for later owners
+    And the store is available again
+    And 3 owners in turn take over the cell, each for 2300 ms
+    Then no invariant was violated
+
+  Scenario Outline: no task runs twice while takeovers and silences of endpoints overlap
+    Given 4 endpoints of 4 cores
+    And an owner of the cell
+    When a long-running job "j" of 6 tasks is submitted
+    And owners change 40 times while endpoints fall silent, with seed <seed>
+    And 9000 ms pass
+    Then 6 tasks of job "j" run
+    And no invariant was violated
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+      | 5    |
+      | 6    |
+
+  Scenario: a run that is not in the stored record is adopted, not stopped
+    Given 1 endpoints of 4 cores
+    And an owner of the cell
+    When a long-running job "j" of 1 tasks is submitted
+    And 300 ms pass
+    And the stored record of job "j" is lost
+    And the owner is lost for 2000 ms
+    And another VM takes over the cell
+    And 500 ms pass
+    Then 1 tasks of job "j" run
+    And 1 tasks were started
+
+  Scenario: a run that was found by a poll is not started again after a takeover
+    Given 1 endpoints of 4 cores
+    And an owner of the cell
+    When a long-running job "j" of 1 tasks is submitted
+    And 300 ms pass
+    And the stored record of job "j" is lost
+    And the owner is lost for 2000 ms
+    And another VM takes over the cell
+    And 500 ms pass
+    And endpoint "e1" of 4 cores is added
+    And endpoint "e0" becomes unreachable
+    And the owner is lost for 100 ms
+    And another VM takes over the cell
+    And 2000 ms pass
+    Then 1 tasks were started
+    And no invariant was violated
+
   Scenario: a task that is done gets no copy after a takeover
     Given 2 endpoints of 4 cores
     And an owner of the cell
@@ -93,6 +222,19 @@
     And 2500 ms pass
     Then 9 tasks were started
 
+  Scenario: a takeover does not read the whole of jobs that have ended
+    Given 2 endpoints of 4 cores
+    And an owner of the cell
+    When 20 jobs of 6 tasks are submitted
+    And a long-running job "s" of 1 tasks is submitted
+    And 9000 ms pass
+    And the owner is lost for 300 ms
+    And another VM takes over the cell
+    Then all but 1 jobs are completed within 1000 ms
+    And no payload, steps or runs are stored for jobs that have ended
+    And 1 tasks of job "s" run
+    And no invariant was violated
+
   Scenario: tasks of an unreachable endpoint restart elsewhere after its lease
     Given 2 endpoints of 4 cores
     And an owner of the cell
@@ -184,6 +326,30 @@
     Then 3 tasks of job "s" run
     And no invariant was violated
 
+  Scenario Outline: the log tells what an interrupted long-running task waits for
+    Given <endpoints> endpoints of 4 cores
+    And an owner of the cell
+    When a long-running job "s" of 1 tasks is submitted
+    And 300 ms pass
+    And a fault befalls job "s": <fault>
+    Then the log of 9000 ms tells that job "s" waits for "<reasons>"
+    And the log tells each run of job "s" and who ordered it
+
+    Examples:
+      | endpoints | fault                                           | reasons                            |
+      | 2         | its endpoint and the owner are lost             | an inherited run                   |
+      | 2         | its endpoint and two owners are lost            | an inherited run, then an inherited run |
+      | 1         | its endpoint is lost                            | no usable endpoint                 |
+      | 2         | its endpoint is lost, and the other is full     | room                               |
+      | 2         | its endpoint restarts while the store is away   | the store to take the record       |
+
+  Scenario: a backlog of waiting tasks costs few log lines
+    Given 1 endpoints of 4 cores
+    And an owner of the cell
+    When 60 long-running jobs of 1 tasks are submitted
+    And 20000 ms pass
+    Then 56 lines tell of waits
+
   Scenario Outline: tasks that cannot end before their endpoint leaves are moved
     Given 2 endpoints of 4 cores
     And an owner of the cell
@@ -198,6 +364,17 @@
       | 3000    | 2000    | 6500   |
       | 1500    | 2000    | 1500   |
 
+  Scenario: a new owner moves tasks off an endpoint that drains already
+    Given 2 endpoints of 4 cores
+    And an owner of the cell
+    When a job "j" of 6 tasks of 3000 ms is submitted
+    And 200 ms pass
+    And the owner is lost for 100 ms
+    And endpoint "e0" drains and leaves after 2000 ms
+    And another VM takes over the cell
+    Then job "j" is completed within 6500 ms
+    And no invariant was violated
+
   Scenario: endpoints discard ends only once they are stored
     Given 2 endpoints of 4 cores
     And an owner of the cell
@@ -305,6 +482,13 @@
     Then all jobs are completed within 2000 ms
     And at most 60 polls were sent in total
 
+  Scenario: a job of one task takes two writes, at its start and at its end
+    Given 2 endpoints of 4 cores
+    And an owner of the cell
+    When a job of 1 plain tasks is submitted every 200 ms for 10 s
+    Then all jobs are completed within 2000 ms
+    And at most 100 writes were made in total
+
   Scenario Outline: a series of faults violates no invariant
     Given 6 endpoints of 4 cores
     And an owner of the cell
--- a/features/steps/cells_outcome_steps.py
+++ b/features/steps/cells_outcome_steps.py
@@ -57,6 +57,12 @@
     )
 
 
+@behave.then("at most {max_count:d} writes were made in total")
+def then_few_writes(context, max_count):
+    write_count = context.simulation.write_count
+    assert write_count <= max_count, write_count
+
+
 @behave.then("at most {max_count:d} more runs than needed were started")
 def then_few_unneeded_runs(context, max_count):
     simulation = context.simulation
@@ -76,6 +82,12 @@
     _check_completed(context, count, max_ms)
 
 
+@behave.then("epoch {epoch:d} is known to have ended at {time}")
+def then_epoch_ended(context, epoch, time):
+    ended_ms = context.epoch_history.ended_ms(epoch)
+    assert ended_ms == (None if time == "no time" else int(time)), ended_ms
+
+
 @behave.then("no invariant was violated")
 def then_no_violation(context):
     assert not context.simulation.violations, context.simulation.violations[:5]
@@ -164,3 +176,14 @@
     assert len(context.simulation.sent_queries) == count, (
         context.simulation.sent_queries
     )
+
+
+@behave.then("no payload, steps or runs are stored for jobs that have ended")
+def then_compacted(context):
+    simulation = context.simulation
+    assert simulation.done_ms_by_job
+    for job_id in simulation.done_ms_by_job:
+        data = simulation.stored_by_id[job_id]
+        record = cells.decode(data, cells.JobRecord)
+        job = simulation.stored_job(job_id)
+        assert (job.payload, job.steps, record.stages) == ("", (), ()), job
--- a/samphiregate/adapters/cells/_ownership.py
+++ b/samphiregate/adapters/cells/_ownership.py
@@ -76,7 +76,10 @@
     serve : callable
         Takes a `Tenure` and the `session_end` event; serves until the event
         is set.
+    yield_ms : callable
+        Returns for how long stronger VMs may acquire the cell first.
     random_state : random.Random
+    now_ms : callable
     log : DecisionLog
 
     Attributes
@@ -97,7 +100,9 @@
         owner_item,
         may_own,
         serve,
+        yield_ms,
         random_state,
+        now_ms,
         log,
     ):
         self.session_end = gevent.event.Event()
@@ -109,9 +114,12 @@
         self._owner_item = owner_item
         self._may_own = may_own
         self._serve = serve
+        self._yield_ms = yield_ms
         self._random = random_state
         self._instance = f"{random_state.getrandbits(64):016x}"
+        self._now_ms = now_ms
         self._served_epoch = 0
+        self._without_owner_since_ms = None
         self._log = log
         self._changed = gevent.event.Event()
         self._closing = False
@@ -129,6 +137,8 @@
 
     def owner_changed(self):
         """Wakes the loop after a change of the owner's record."""
+        if self._owner_item() is None:
+            self._without_owner_since_ms = self._now_ms()
         self._changed.set()
 
     def _run(self):
@@ -147,18 +157,33 @@
             if tenure is None:
                 self._changed.wait(RETRY_INTERVAL_MS / 1000)
                 continue
-            self._log.write("cell taken", cell=tenure.cell, epoch=tenure.epoch)
+            if self._closing:
+                self._relinquish(tenure)
+                return
+            self._log.write(
+                "cell taken",
+                cell=tenure.cell,
+                epoch=tenure.epoch,
+                waited_ms=self._without_owner_ms(),
+            )
             self.session_end.clear()
             self._served_epoch = tenure.epoch
             self._serve_and_log_errors(tenure)
             self._relinquish(tenure)
             self._log.write("cell left", cell=tenure.cell, epoch=tenure.epoch)
 
+    def _without_owner_ms(self):
+        """Returns for how long the cell had no owner; None if unknown."""
+        if self._without_owner_since_ms is None:
+            return None
+        return self._now_ms() - self._without_owner_since_ms
+
     def _acquire(self):
         item = self._owner_item()
         if item is not None:
             return self._adopt(item)
-        gevent.sleep(self._random.uniform(0, MAX_JITTER_MS) / 1000)
+        jitter_ms = self._random.uniform(0, MAX_JITTER_MS)
+        gevent.sleep((self._yield_ms() + jitter_ms) / 1000)
         if self._owner_item() is not None:
             return None
         epoch_key = _keys.epoch(self._cell)
--- a/samphiregate/adapters/cells/_vm.py
+++ b/samphiregate/adapters/cells/_vm.py
@@ -14,6 +14,7 @@
 from samphiregate.adapters.cells import _ownership
 from samphiregate.adapters.cells import _peer_calls
 from samphiregate.adapters.cells import _policy_queries
+from samphiregate.adapters.cells import _precedence
 from samphiregate.adapters.cells import _relay
 from samphiregate.adapters.cells import _watched_prefix
 from samphiregate.adapters import http
@@ -57,6 +58,9 @@
         0 without one.
     configuration_age_ms : int
         Time since the last answered request for it was sent to the store.
+    run_gaps : dict
+        Long-running tasks without a run and those restarted, as in
+        `RunGaps.describe`; empty unless it serves the cell.
     """
 
     lease_left_ms: int
@@ -66,6 +70,7 @@
     unreachable_by_service: dict
     configuration_version: int
     configuration_age_ms: int
+    run_gaps: dict = attrs.field(factory=dict)
 
 
 class EntryVm:
@@ -78,6 +83,8 @@
     vm_id : str
     peer_address : str
         ``ip:port`` for requests of other VMs.
+    capacity : float
+        Of the VM's processor, in cores; 0 if unknown.
     ports : Ports
     random_state : random.Random
     log : DecisionLog
@@ -86,10 +93,15 @@
     ----------
     configuration : ConfigurationHolder
     job_service : JobService
+    accepts_requests : bool
+        Whether callers' requests are served; if not, reject them at once.
     """
 
-    def __init__(self, *, vm_id, peer_address, ports, random_state, log):
+    def __init__(
+        self, *, vm_id, peer_address, capacity, ports, random_state, log
+    ):
         self._vm_id = vm_id
+        self._capacity = capacity
         self._peer_address = peer_address
         self._ports = ports
         self._random = random_state
@@ -98,6 +110,8 @@
         self._session = None
         self._ownership = None
         self._stopping = False
+        self.accepts_requests = True
+        self._epoch_history = cells.EpochHistory()
         self._peers = _peer_calls.PeerCalls(answer=self._answer)
         self.configuration = _configuration.ConfigurationHolder(
             decode=ports.decoders.configuration,
@@ -106,7 +120,7 @@
         )
         self._lease = _lease.LeaseRenewer(
             store=ports.store,
-            record=_lease.VmRecord(vm_id, peer_address),
+            record=_lease.VmRecord(vm_id, peer_address, capacity),
             # `_relay` is created below.
             on_renewal=lambda succeeded: self._relay.record_renewal(succeeded),
             now_ms=_clock.steady_ms,
@@ -160,7 +174,9 @@
             owner_item=self._owner_item,
             may_own=self._may_own,
             serve=self._serve,
+            yield_ms=self._yield_ms,
             random_state=self._random,
+            now_ms=_clock.steady_ms,
             log=self._log,
         )
         self._stack.enter_context(self._ownership)
@@ -195,6 +211,7 @@
             else 0,
             configuration_age_ms=now_ms
             - self._watched_configuration.last_sync_ms,
+            run_gaps=load.get("run_gaps", {}),
         )
 
     def hand_over(self):
@@ -206,6 +223,10 @@
         self._ownership.__exit__()
         self._lease.__exit__()
 
+    def stop_accepting(self):
+        """Lets callers' requests be rejected from now on."""
+        self.accepts_requests = False
+
     def _make_watched_prefix(self, prefix, on_change, wait_ms):
         return _watched_prefix.WatchedPrefix(
             store=self._ports.store,
@@ -229,10 +250,24 @@
         return self._owners.item_by_key.get(_keys.owner(CELL))
 
     def _owner_changed(self, change):
-        del change
+        if change.key == _keys.owner(CELL):
+            self._record_owner(change.item)
         if self._ownership is not None:
             self._ownership.owner_changed()
 
+    def _record_owner(self, item):
+        """Records which epochs a change of the owner's record shows ended."""
+        now_ms = _clock.steady_ms()
+        if item is None:
+            self._epoch_history.record_no_owner(now_ms)
+            return
+        try:
+            epoch = _ownership.decode_owner(item.value).epoch
+        except errors.BadInputError as error:
+            self._log.write("owner unreadable", reason=error.detail)
+            return
+        self._epoch_history.record_owner(epoch, now_ms)
+
     def _owner_address(self):
         item = self._owner_item()
         if item is None:
@@ -271,6 +306,7 @@
             lease=self._lease,
             configuration=lambda: self.configuration.current,
             session_end=session_end,
+            epoch_history=self._epoch_history,
             now_ms=_clock.steady_ms,
             unix_ms=_clock.unix_ms,
             log=self._log,
@@ -280,16 +316,28 @@
         finally:
             self._session = None
 
+    def _yield_ms(self):
+        return _precedence.yield_ms(
+            capacity=self._capacity,
+            other_capacities=[
+                record.capacity
+                for record in self._vm_records()
+                if record.vm_id != self._vm_id
+            ],
+        )
+
     def _address_by_vm(self):
-        address_by_vm = {}
+        return {record.vm_id: record.address for record in self._vm_records()}
+
+    def _vm_records(self):
+        """Returns the readable records of the VMs with a lease."""
+        records = []
         for key, item in self._vms.item_by_key.items():
             try:
-                record = cells.decode(item.value, _lease.VmRecord)
+                records.append(cells.decode(item.value, _lease.VmRecord))
             except errors.BadInputError as error:
                 self._log.write("VM unreadable", key=key, reason=error.detail)
-                continue
-            address_by_vm[record.vm_id] = record.address
-        return address_by_vm
+        return records
 
     def _local_cell(self):
         session = self._session
