--- a/features/cells_restart.feature
+++ b/features/cells_restart.feature
@@ -48,6 +48,16 @@
       | 400    |
       | 3000   |
 
+  Scenario: a restart that finds no room does not keep others from their room
+    Given 2 endpoints of 4 cores
+    And an owner of the cell
+    And long-running tasks are watched
+    When a long-running task of 4 cores and then 2 of 1 core are submitted
+    And the endpoint of the first long-running task is gone
+    And 12000 ms pass
+    And one long-running task after the other fails every 3000 ms for 6 s
+    Then 2 tasks of job "small" run
+
   Scenario Outline: no long-running task waits for a restart after faults have ended
     Given 7 endpoints of 4 cores
     And an owner of the cell
--- a/features/steps/cells_restart_steps.py
+++ b/features/steps/cells_restart_steps.py
@@ -104,14 +104,41 @@
             endpoint.is_partitioned = True
 
 
+@behave.when(
+    "a long-running task of {large:d} cores and then {count:d} of {small:d} "
+    "core are submitted"
+)
+def when_two_sizes(context, large, count, small):
+    for job_id, tasks, cores in (("large", 1, large), ("small", count, small)):
+        step = cells_work.make_step(
+            tasks, cpu=cores * 1_000, long_running=True
+        )
+        context.simulation.submit(cells_work.make_job(job_id, step))
+        context.simulation.run_for(SETTLE_MS)
+
+
 @behave.when("the endpoint of a long-running task leaves")
 def when_leaves(context):
-    runs = cells_restart.long_running_runs(context.simulation)
-    endpoint, _run = runs[0]
+    endpoint = _endpoint_of_first_run(context.simulation)
     endpoint.restart()
-    context.simulation.deliver(
-        cells.EndpointDeregistered(endpoint.endpoint_id)
-    )
+    _unlist(context.simulation, endpoint)
+
+
+@behave.when("the endpoint of the first long-running task is gone")
+def when_gone(context):
+    endpoint = _endpoint_of_first_run(context.simulation)
+    endpoint.leave()
+    _unlist(context.simulation, endpoint)
+
+
+def _endpoint_of_first_run(simulation):
+    runs = cells_restart.long_running_runs(simulation)
+    endpoint, _run = min(runs, key=lambda row: row[1].started_ms)
+    return endpoint
+
+
+def _unlist(simulation, endpoint):
+    simulation.deliver(cells.EndpointDeregistered(endpoint.endpoint_id))
 
 
 class _PeersWithPolicy:
--- a/features/support/cells.py
+++ b/features/support/cells.py
@@ -331,7 +331,12 @@
             self._answer(UNREACHABLE_TIMEOUT_MS, unknown, generation)
             return
 
+        incarnation = endpoint.incarnation
+
         def arrive():
+            if endpoint.incarnation != incarnation:
+                self._answer(UNREACHABLE_TIMEOUT_MS, unknown, generation)
+                return
             outcome = endpoint.start(action, epoch, self.now_ms)
             if self.random.random() < endpoint.unanswered_share:
                 self._answer(ORDER_TIMEOUT_MS, unknown, generation)
--- a/features/support/cells_restart_faults.py
+++ b/features/support/cells_restart_faults.py
@@ -134,6 +134,8 @@
 
     def _restart(self):
         endpoint = self._endpoint()
+        if endpoint.endpoint_id in self._gone_ids:
+            return
         endpoint.restart()
         self._watch.note_fault(
             endpoint.restarting_until_ms - self._simulation.now_ms
@@ -141,7 +143,7 @@
 
     def _end_for_good(self):
         endpoint = self._endpoint()
-        if len(self._gone_ids) < MAX_ENDPOINTS_GONE:
+        if len(self._gone_ids) < MAX_ENDPOINTS_GONE and endpoint.reachable:
             self._gone_ids.add(endpoint.endpoint_id)
             endpoint.leave()
             self._watch.note_fault(0)
--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -113,7 +113,9 @@
             now_ms,
             ignores_failures=is_restart and _is_overdue(tasks, now_ms),
         )
-        candidates = self._candidates(stage, usable, held_ids, now_ms)
+        # Endpoints are held for restarts, but not against other restarts.
+        barred_ids = () if is_restart else held_ids
+        candidates = self._candidates(stage, usable, barred_ids, now_ms)
         chosen = self._choose(stage, tasks, candidates, now_ms, is_restart)
         if chosen:
             self._place(stage, tasks, chosen, now_ms)
