--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -19,6 +19,9 @@
 from samphiregate.core.cells import _wait_reports
 
 CHECK_INTERVAL_MS = 100
+PLAN_INTERVAL_MS = 10  # one plan for the events in between
+MAX_PLAN_INTERVAL_MS = 100
+PLAN_REST_FACTOR = 3  # multiple of a plan's time that other work gets
 POLL_RETRY_MS = 300  # the first retry is sent at once
 LISTED_POLL_INTERVAL_MS = 100  # while the store lists it as silent
 MAX_START_ATTEMPTS = 3
@@ -62,11 +65,15 @@
     ----------
     cell_state : CellState
     policy_queries : PolicyQueries
+    plan_due_ms : int or None
+        When `plan` is to be called for the events since the last plan; None
+        if there was no event.
 
     Notes
     -----
     `handle` applies one event to the state; `plan` then places the tasks
-    that can start. Several events can be applied before the next plan.
+    that can start, at most once in `PLAN_INTERVAL_MS`, as a burst of events
+    would otherwise cost a plan each. Polls are not delayed.
     """
 
     def __init__(
@@ -90,6 +97,8 @@
             cell_state=self.cell_state, lease_ms=lease_ms
         )
         self._next_check_ms = 0
+        self.plan_due_ms = None
+        self._next_plan_ms = 0
         self._failure_backoff = _backoff.FailureBackoff()
         slowness_estimator = _stragglers.SlownessEstimator()
         self._stragglers = _stragglers.StragglerDetector(
@@ -187,6 +196,7 @@
         """Applies one event; see `StateMachine.handle`."""
         self.cell_state.now_ms = now_ms
         self._apply(event, now_ms)
+        self.plan_due_ms = self._next_plan_ms
         return self._drain()
 
     def plan(self, now_ms, unix_ms, query_slots=1):
@@ -210,10 +220,31 @@
         if now_ms >= self._next_check_ms:
             self._next_check_ms = now_ms + CHECK_INTERVAL_MS
             self._run_periodic_checks(now_ms, unix_ms)
-        self._planner.plan(now_ms, query_slots)
+        if now_ms >= self._next_plan_ms:
+            self.plan_due_ms = None
+            self._next_plan_ms = now_ms + PLAN_INTERVAL_MS
+            self._planner.plan(now_ms, query_slots)
+        else:
+            self.plan_due_ms = self._next_plan_ms
         self._poller.plan(now_ms)
         return self._drain()
 
+    def note_plan_time(self, elapsed_ms):
+        """Delays the next plan by the time that the last one took.
+
+        So an owner with too little processor time for its plans still
+        handles answers, polls and the VM's own lease in time.
+
+        Parameters
+        ----------
+        elapsed_ms : int
+        """
+        rest_ms = min(elapsed_ms * PLAN_REST_FACTOR, MAX_PLAN_INTERVAL_MS)
+        earliest_ms = self.cell_state.now_ms + elapsed_ms + rest_ms
+        self._next_plan_ms = max(self._next_plan_ms, earliest_ms)
+        if self.plan_due_ms is not None:
+            self.plan_due_ms = self._next_plan_ms
+
     def _run_periodic_checks(self, now_ms, unix_ms):
         """Runs the checks that are not needed in every plan."""
         self._release_expired(now_ms)
