Keep endpoints as listed while an older list may be the stored one

Cause: the writer takes its next record of silent endpoints before the report of the last one is handled. That report was taken for the next record's: an endpoint that the stored list still names then had its lease extended, and a new owner would have counted the lease from an earlier epoch and started its tasks a second time. Change: reports are matched to records in order, and an endpoint counts as listed as long as a record that may be the stored one names it. Result: the new scenario failed on the code before ('may not') and passes.

--- a/features/cells.feature
+++ b/features/cells.feature
@@ -160,6 +160,17 @@
     And 3 owners in turn take over the cell, each for 2300 ms
     Then no invariant was violated
 
+  Scenario: an endpoint counts as listed while a record that does not list it is written
+    Given leases inherited from epoch 2, of which "e0" has runs
+    When endpoint "e0" leaves a poll unanswered
+    And a record of silent endpoints is taken to be written
+    And endpoint "e0" answers
+    And a record of silent endpoints is taken to be written
+    And a record of silent endpoints is reported as stored
+    Then the lease of endpoint "e0" may not be extended
+    When a record of silent endpoints is reported as stored
+    Then the lease of endpoint "e0" may be extended
+
   Scenario Outline: no task runs twice while takeovers and silences of endpoints overlap
     Given 4 endpoints of 4 cores
     And an owner of the cell
--- a/features/steps/cells_fault_steps.py
+++ b/features/steps/cells_fault_steps.py
@@ -6,6 +6,7 @@
 
 from features.support import cells_work
 from samphiregate.core import cells
+from samphiregate.core.cells import _inheritance
 
 FAULT_INTERVAL_MS = 1_500
 
@@ -42,6 +43,44 @@
             context.epoch_history.record_owner(epoch, int(seen_ms))
 
 
+@behave.given(
+    'leases inherited from epoch {epoch:d}, of which "{endpoint_id}" has runs'
+)
+def given_inherited_leases(context, epoch, endpoint_id):
+    context.leases = _inheritance.InheritedLeases(
+        epoch=epoch + 1,
+        lease_ms=1,
+        history=cells.EpochHistory(),
+        record=cells.SilentRecord(),
+    )
+    context.leases.inherit(endpoint_id, 0)
+
+
+@behave.when('endpoint "{endpoint_id}" leaves a poll unanswered')
+def when_poll_unanswered(context, endpoint_id):
+    context.leases.record_silence(endpoint_id)
+
+
+@behave.when('endpoint "{endpoint_id}" answers')
+def when_poll_answered(context, endpoint_id):
+    context.leases.record_answer(endpoint_id)
+
+
+@behave.when("a record of silent endpoints is taken to be written")
+def when_silent_record_popped(context):
+    assert context.leases.pop_record() is not None
+
+
+@behave.when("a record of silent endpoints is reported as stored")
+def when_silent_record_reported(context):
+    context.leases.record_stored()
+
+
+@behave.then('the lease of endpoint "{endpoint_id}" {may} be extended')
+def then_may_extend(context, endpoint_id, may):
+    assert context.leases.may_extend(endpoint_id) == (may == "may"), may
+
+
 @behave.when('endpoint "{endpoint_id}" is silent for later owners')
 def when_silent_for_later(context, endpoint_id):
     simulation = context.simulation
--- a/samphiregate/core/cells/_inheritance.py
+++ b/samphiregate/core/cells/_inheritance.py
@@ -81,7 +81,7 @@
         self._epoch_by_id = record.epoch_by_id
         self._listed_ids = set(record.epoch_by_id)
         self._unanswered_by_id = {}
-        self._written_ids = set()
+        self._ids_of_writes = collections.deque()  # that are not reported
         self._changed = False
 
     def inherit(self, endpoint_id, now_ms):
@@ -115,10 +115,15 @@
         self._changed = False
         rows = list(self._unanswered_by_id.items())[:MAX_LISTED]
         record = SilentRecord(dict(rows))
-        self._written_ids = set(record.epoch_by_id)
-        self._listed_ids |= self._written_ids
+        self._ids_of_writes.append(set(record.epoch_by_id))
+        self._listed_ids |= self._ids_of_writes[-1]
         return record
 
     def record_stored(self):
-        """Records that the record popped last is in the store."""
-        self._listed_ids = set(self._written_ids)
+        """Records that the oldest record not reported yet was stored.
+
+        Later ones may have been popped before this is known, and may be in
+        the store or not.
+        """
+        stored_ids = self._ids_of_writes.popleft()
+        self._listed_ids = stored_ids.union(*self._ids_of_writes)
--- a/samphiregate/core/cells/_messages.py
+++ b/samphiregate/core/cells/_messages.py
@@ -272,7 +272,7 @@
 
 @attrs.frozen
 class SilentRecordStored(base.Event):
-    """The record of silent endpoints that was popped last was stored."""
+    """A record of silent endpoints was stored, in the order of popping."""
 
 
 @attrs.frozen
