Let events between plans not put the next plan off

Cause: the rest after a plan was counted again after each call in which no plan was due. While events follow each other more closely than four times as long as such a call takes, no plan was made at all: an owner short of processor time polled, and started nothing. Change: only a call that made a plan delays the next one.

--- a/features/cells_cost.feature
+++ b/features/cells_cost.feature
@@ -73,3 +73,14 @@
       | 5          | 15      |
       | 20         | 60      |
       | 400        | 100     |
+
+  Scenario Outline: events between plans do not put the next plan off
+    Given a cell with an endpoint of 40 cores
+    When a plan took <elapsed_ms> ms, and an event follows every <gap_ms> ms that takes <event_ms> ms
+    Then a task is placed within <within_ms> ms
+
+    Examples: within the 100 ms of the longest rest and one event
+      | elapsed_ms | gap_ms | event_ms | within_ms |
+      | 5          | 4      | 2        | 106       |
+      | 40         | 20     | 10       | 130       |
+      | 400        | 60     | 30       | 190       |
--- a/features/steps/cells_cost_steps.py
+++ b/features/steps/cells_cost_steps.py
@@ -298,3 +298,27 @@
     assert any(
         isinstance(action, cells.PollEndpoint) for action in context.actions
     )
+
+
+@behave.when(
+    "a plan took {elapsed_ms:d} ms, and an event follows every {gap_ms:d} ms "
+    "that takes {event_ms:d} ms"
+)
+def when_events_follow(context, elapsed_ms, gap_ms, event_ms):
+    _plan(context, 0)
+    context.cell.note_plan_time(elapsed_ms)
+    context.placed_after_ms = None
+    for number in range(50):
+        now_ms = elapsed_ms + number * gap_ms
+        job = cells_work.make_job(f"j{number}", cells_work.make_step())
+        context.cell.handle(cells.JobStored(job), now_ms)
+        if _plan(context, now_ms):
+            context.placed_after_ms = now_ms - elapsed_ms
+            return
+        context.cell.note_plan_time(event_ms)
+
+
+@behave.then("a task is placed within {within_ms:d} ms")
+def then_placed_within(context, within_ms):
+    placed_ms = context.placed_after_ms
+    assert placed_ms is not None and placed_ms <= within_ms, placed_ms
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -99,6 +99,7 @@
         self._next_check_ms = 0
         self.plan_due_ms = None
         self._next_plan_ms = 0
+        self._has_planned = False  # in the latest call of `plan`
         self._failure_backoff = _backoff.FailureBackoff()
         slowness_estimator = _stragglers.SlownessEstimator()
         self._stragglers = _stragglers.StragglerDetector(
@@ -220,7 +221,8 @@
         if now_ms >= self._next_check_ms:
             self._next_check_ms = now_ms + CHECK_INTERVAL_MS
             self._run_periodic_checks(now_ms, unix_ms)
-        if now_ms >= self._next_plan_ms:
+        self._has_planned = now_ms >= self._next_plan_ms
+        if self._has_planned:
             self.plan_due_ms = None
             self._next_plan_ms = now_ms + PLAN_INTERVAL_MS
             self._planner.plan(now_ms, query_slots)
@@ -230,15 +232,19 @@
         return self._drain()
 
     def note_plan_time(self, elapsed_ms):
-        """Delays the next plan by the time that the last one took.
+        """Delays the next plan if the latest call of `plan` placed tasks.
 
         So an owner with too little processor time for its plans still
-        handles answers, polls and the VM's own lease in time.
+        handles answers, polls and the VM's own lease in time. Calls that
+        came before a plan was due do not put it off.
 
         Parameters
         ----------
         elapsed_ms : int
+            How long the latest call of `plan` took.
         """
+        if not self._has_planned:
+            return
         rest_ms = min(elapsed_ms * PLAN_REST_FACTOR, MAX_PLAN_INTERVAL_MS)
         earliest_ms = self.cell_state.now_ms + elapsed_ms + rest_ms
         self._next_plan_ms = max(self._next_plan_ms, earliest_ms)
