Hold no endpoint for a restart that it can never take

Cause: an endpoint was held for an interrupted task without room if its capacity sufficed, even where long-running tasks keep that room for good. The hold never ended, and no new work was placed there: with a single endpoint left, none at all. Change: only endpoints are held whose room will suffice once all that ends has ended; a long-running task ends if it is being stopped.

--- a/features/cells_restart.feature
+++ b/features/cells_restart.feature
@@ -58,6 +58,15 @@
     And one long-running task after the other fails every 3000 ms for 6 s
     Then 2 tasks of job "small" run
 
+  Scenario: a restart that no endpoint can ever take does not keep new work out
+    Given 2 endpoints of 4 cores
+    And an owner of the cell
+    When a long-running task of 4 cores and then 2 of 1 core are submitted
+    And the endpoint of the first long-running task is gone
+    And 12000 ms pass
+    And 4 jobs of 2 tasks are submitted
+    Then all but 2 jobs are completed within 4000 ms
+
   Scenario Outline: no long-running task waits for a restart after faults have ended
     Given 7 endpoints of 4 cores
     And an owner of the cell
--- a/features/steps/cells_vm_steps.py
+++ b/features/steps/cells_vm_steps.py
@@ -125,7 +125,9 @@
         context.store.commit(expected={}, writes=[write])
 
 
-@behave.given('the owner writes job "{job_id}" anew just before the next write')
+@behave.given(
+    'the owner writes job "{job_id}" anew just before the next write'
+)
 def given_rewritten(context, job_id):
     commit = context.store.commit
     job_key = _keys.job(cells_store.CELL, job_id)
--- a/samphiregate/core/cells/_endpoints.py
+++ b/samphiregate/core/cells/_endpoints.py
@@ -240,12 +240,19 @@
         )
 
     def expected_room_at(self, at_ms):
-        """Returns the room expected at a time, by the run time estimates."""
+        """Returns the room expected at a time, by the run time estimates.
+
+        A long-running task ends only if it is being stopped.
+        """
         room = self.free
         for booking in self.bookings_by_run.values():
             step = booking.step
             ends_ms = booking.sent_ms + step.estimate_ms
-            if not step.long_running and ends_ms <= at_ms:
+            will_end = (
+                not step.long_running
+                or booking.state is _tasks.RunState.STOPPING
+            )
+            if will_end and ends_ms <= at_ms:
                 room += step.booked
         return room
 
--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -2,6 +2,7 @@
 
 import collections
 import enum
+import math
 
 from samphiregate.core.cells import _order
 from samphiregate.core.cells import _placement
@@ -393,17 +394,16 @@
 
     Those with the most room, and at most `MAX_HELD_SHARE` of the endpoints,
     but at least one. So their room is not taken while the stage waits for a
-    ticket.
+    ticket. An endpoint whose long-running tasks leave too little room is not
+    held, as it might never be released.
     """
     need = stage.step.booked
-    considered = usable.endpoints
-    if stage.queue.advice:
-        considered = usable.named(stage.ticket_by_id)
+    advice = stage.queue.advice
     holdable = [
         one
-        for one in considered
+        for one in usable.with_expected_room(need, math.inf)
         if one.endpoint_id not in held_ids
-        and need.fits_in(one.registration.capacity)
+        and (not advice or one.endpoint_id in stage.ticket_by_id)
         and stage.max_more_on(one.endpoint_id) > 0
     ]
     holdable.sort(key=lambda one: _missing_share(need, one))
