List only endpoints as silent that left a poll unanswered

Cause: the first failed poll after a takeover stored all endpoints that had not answered yet, most of which answer a moment later. No lease of those was extended until the next record was stored: a store that was slow or away just then cost all their tasks. Change: the stored list names the endpoints that left a poll unanswered, and those that it named before; for the others a new owner counts from this epoch, as for any endpoint that is not listed.

--- a/features/cells.feature
+++ b/features/cells.feature
@@ -160,6 +160,19 @@
     And 3 owners in turn take over the cell, each for 2300 ms
     Then no invariant was violated
 
+  Scenario: a silent endpoint does not cost others their leases while the store is away
+    Given 3 endpoints of 4 cores
+    And an owner of the cell
+    When a long-running job "j" of 12 tasks is submitted
+    And 1000 ms pass
+    And the owner is lost for 200 ms
+    And endpoint "e0" becomes unreachable
+    And another VM takes over the cell
+    And endpoint "e0" refuses the first poll before any other answers
+    And the store becomes unavailable
+    And 8000 ms pass
+    Then 8 tasks of job "j" run
+
   Scenario: an endpoint counts as listed while a record that does not list it is written
     Given leases inherited from epoch 2, of which "e0" has runs
     When endpoint "e0" leaves a poll unanswered
--- a/features/steps/cells_fault_steps.py
+++ b/features/steps/cells_fault_steps.py
@@ -143,6 +143,14 @@
     context.simulation.endpoint_by_id[endpoint_id].is_partitioned = True
 
 
+@behave.when(
+    'endpoint "{endpoint_id}" refuses the first poll before any other answers'
+)
+def when_refused(context, endpoint_id):
+    simulation = context.simulation
+    simulation.deliver(cells.PollFailed(endpoint_id))
+
+
 @behave.when('endpoint "{endpoint_id}" is reachable again')
 def when_reachable_again(context, endpoint_id):
     context.simulation.endpoint_by_id[endpoint_id].is_partitioned = False
--- a/samphiregate/core/cells/_inheritance.py
+++ b/samphiregate/core/cells/_inheritance.py
@@ -81,6 +81,7 @@
         self._epoch_by_id = record.epoch_by_id
         self._listed_ids = set(record.epoch_by_id)
         self._unanswered_by_id = {}
+        self._silent_ids = set()
         self._ids_of_writes = collections.deque()  # that are not reported
         self._changed = False
 
@@ -106,6 +107,7 @@
     def record_silence(self, endpoint_id):
         """Records that an endpoint has left a poll unanswered."""
         if endpoint_id in self._unanswered_by_id:
+            self._silent_ids.add(endpoint_id)
             self._changed |= endpoint_id not in self._listed_ids
 
     def pop_record(self):
@@ -113,8 +115,15 @@
         if not self._changed:
             return None
         self._changed = False
-        rows = list(self._unanswered_by_id.items())[:MAX_LISTED]
-        record = SilentRecord(dict(rows))
+        # Others may be about to answer, and would be barred until the next
+        # record is stored.
+        to_list = self._silent_ids | self._listed_ids
+        rows = [
+            (endpoint_id, epoch)
+            for endpoint_id, epoch in self._unanswered_by_id.items()
+            if endpoint_id in to_list
+        ]
+        record = SilentRecord(dict(rows[:MAX_LISTED]))
         self._ids_of_writes.append(set(record.epoch_by_id))
         self._listed_ids |= self._ids_of_writes[-1]
         return record
