Check further endpoints for a restart while others are silent

Cause: a restart polled the first 16 quiet endpoints with room, and the same ones again in the next plan, until their polls had failed. With 78 idle endpoints silent it took 5330 ms to reach the one that answers; 3000 ms are the target. Change: a plan polls 16 that were not polled in the last 500 ms. Result: the scenario has a second row, of 80 endpoints, that failed on the code before (5330 ms) and passes; its first row is unchanged. Features cells and cells_restart pass.

--- a/features/cells_restart.feature
+++ b/features/cells_restart.feature
@@ -93,17 +93,22 @@
     And 3000 ms pass
     Then 2 tasks of job "s" run
 
-  Scenario: a restart does not wait for an idle endpoint that has fallen silent
-    Given 6 endpoints of 4 cores
+  Scenario Outline: a restart does not wait for idle endpoints that have fallen silent
+    Given <count> endpoints of 4 cores
     And an owner of the cell
     And long-running tasks are watched
     When a long-running job "s" of 1 tasks is submitted
     And 3000 ms pass
-    And all endpoints without runs but "e5" fall silent
+    And all endpoints without runs but "<last>" fall silent
     And the endpoint of a long-running task leaves
     And 12000 ms pass
     Then each long-running task was without a run for at most 3000 ms
 
+    Examples:
+      | count | last |
+      | 6     | e5   |
+      | 80    | e79  |
+
   Scenario: policy queries do not fail again and again at one VM
     Given VMs "a", "b" and "c", of which "a" does not reach the policy service
     When "c" sends 10 policy queries, one every 2000 ms
--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -17,7 +17,7 @@
 # After this wait, interrupted tasks may go to endpoints that are backing off.
 MAX_RESTART_WAIT_MS = 2_000
 RECENT_ANSWER_MS = 500  # for the choice of an endpoint for a restart
-MAX_CHECKED_ENDPOINTS = 16  # at a time, for one stage
+MAX_CHECKED_ENDPOINTS = 16  # in one plan, for one stage
 
 
 class WaitReason(enum.Enum):
@@ -147,7 +147,8 @@
 
         A start that is ordered from a silent endpoint costs its whole lease.
         So a restart goes to endpoints that answered lately; if these do not
-        suffice, others are polled, and chosen once they have answered.
+        suffice, others are polled, and chosen once they have answered. Each
+        plan polls further ones, without waiting for those that are silent.
         """
         count = len(tasks)
         if not is_restart:
@@ -160,8 +161,13 @@
         chosen = self._packing.choose(stage.step, count, recent)
         if len(chosen) < count:
             need = stage.step.booked
-            with_room = [one for one in quiet if need.fits_in(one.free)]
-            for one in with_room[:MAX_CHECKED_ENDPOINTS]:
+            unchecked = [
+                one
+                for one in quiet
+                if need.fits_in(one.free)
+                and one.endpoint.next_check_ms <= now_ms
+            ]
+            for one in unchecked[:MAX_CHECKED_ENDPOINTS]:
                 self._check_endpoint(one.endpoint, now_ms)
         return chosen
 
