--- a/features/cells_restart.feature
+++ b/features/cells_restart.feature
@@ -73,6 +73,10 @@
       | 3    |
       | 4    |
 
+    Examples: a silent endpoint is waited for after three changes of owner
+      | seed |
+      | 55   |
+
   Scenario: an endpoint that was cut off for long gets tasks again
     Given 1 endpoints of 4 cores
     And an owner of the cell
