--- a/features/cells_restart.feature
+++ b/features/cells_restart.feature
@@ -47,3 +47,55 @@
       | gap_ms |
       | 400    |
       | 3000   |
+
+  Scenario: a restart that finds no room does not keep others from their room
+    Given 2 endpoints of 4 cores
+    And an owner of the cell
+    And long-running tasks are watched
+    When a long-running task of 4 cores and then 2 of 1 core are submitted
+    And the endpoint of the first long-running task is gone
+    And 12000 ms pass
+    And one long-running task after the other fails every 3000 ms for 6 s
+    Then 2 tasks of job "small" run
+
+  Scenario Outline: no long-running task waits for a restart after faults have ended
+    Given 7 endpoints of 4 cores
+    And an owner of the cell
+    And long-running tasks are watched
+    When faults come in 2 bursts while urgent tasks fill all endpoints, with seed <seed>
+    Then no long-running task was overdue
+    And no invariant was violated
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+
+  Scenario: an endpoint that was cut off for long gets tasks again
+    Given 1 endpoints of 4 cores
+    And an owner of the cell
+    When a long-running job "s" of 2 tasks is submitted
+    And 1000 ms pass
+    And endpoint "e0" becomes unreachable
+    And 12000 ms pass
+    And endpoint "e0" is reachable again
+    And 3000 ms pass
+    Then 2 tasks of job "s" run
+
+  Scenario: a restart does not wait for an idle endpoint that has fallen silent
+    Given 6 endpoints of 4 cores
+    And an owner of the cell
+    And long-running tasks are watched
+    When a long-running job "s" of 1 tasks is submitted
+    And 3000 ms pass
+    And all endpoints without runs but "e5" fall silent
+    And the endpoint of a long-running task leaves
+    And 12000 ms pass
+    Then each long-running task was without a run for at most 3000 ms
+
+  Scenario: policy queries do not fail again and again at one VM
+    Given VMs "a", "b" and "c", of which "a" does not reach the policy service
+    When "c" sends 10 policy queries, one every 2000 ms
+    Then at most 1 policy queries failed
