--- a/features/steps/cells_cost_steps.py
+++ b/features/steps/cells_cost_steps.py
@@ -57,6 +57,7 @@
         is_backing_off=lambda endpoint_id, _now_ms: context.considered.append(
             endpoint_id
         ),
+        check_endpoint=lambda _endpoint, _now_ms: None,
         slowness_estimator=_stragglers.SlownessEstimator(),
     )
 
