Count the validity of tickets from when they were issued

Cause: tickets of the policy service are valid for 2 s. The owner counted this from when it read the answer, which waits in the socket while the owner has much to do, and did not look at it again when the record was stored and when the start went out. So starts went out with expired tickets, were refused, released and planned anew with new queries: each costs two writes, a query and an order, which keeps the owner as busy as before. The state holds itself. Change: the validity counts from the time at which the answer was expected at the earliest; a start is given up without a call if its ticket has expired when the record is stored, or when the order would be sent. Result: the scenarios fail with each of the checks taken out (starts with expired tickets; until 3,500 + 2,000 ms instead of 2,800 ms).

--- a/features/cells.feature
+++ b/features/cells.feature
@@ -485,6 +485,17 @@
     And 2000 ms pass
     Then the policy service was queried 0 times
 
+  Scenario: no start is ordered whose ticket expired before it was stored
+    Given 2 endpoints of 4 cores
+    And an owner of the cell
+    When a write to the store takes 2500 ms
+    And 2 jobs of 2 tasks that need tickets are submitted
+    And 9000 ms pass
+    Then 0 tasks were started
+    When a write to the store takes 6 ms
+    Then all jobs are completed within 6000 ms
+    And no invariant was violated
+
   Scenario Outline: no more policy queries are in flight than VMs can send
     Given 6 endpoints of 4 cores
     And an owner of the cell
--- a/features/cells_vm.feature
+++ b/features/cells_vm.feature
@@ -40,6 +40,24 @@
     When a caller submits a job with a time-out of 1000 ms
     Then the caller gets the result accepted
 
+  Scenario Outline: an answer of the policy service that is read late extends no ticket
+    Given a VM that reads an answer of the policy service after <read_ms> ms
+    When it sends a policy query that is expected to take <query_ms> ms
+    Then a ticket that is valid for 2000 ms is used until <until_ms> ms
+
+    Examples:
+      | query_ms | read_ms | until_ms |
+      | 30       | 20      | 2020     |
+      | 30       | 40      | 2030     |
+      | 800      | 810     | 2800     |
+      | 800      | 3500    | 2800     |
+
+  Scenario: a start whose ticket has expired is not sent to the endpoint
+    Given a VM that performs the orders of a cell
+    When it is to start a task whose ticket expired 1 ms ago
+    Then no call reaches the endpoint
+    And the start counts as refused for want of a ticket
+
   Scenario: most submissions fail without a call to the store while it is unavailable
     Given a store that answers writes with refused
     When 40 callers submit jobs one after the other
--- a/features/support/cells.py
+++ b/features/support/cells.py
@@ -319,6 +319,8 @@
             action.endpoint_id,
         )
         unknown = answered(cells.StartOutcome.UNKNOWN)
+        if (action.ticket_until_ms or self.now_ms) < self.now_ms:
+            self._add_violation(f"{action.task_id} has an expired ticket")
         if endpoint is None or not endpoint.reachable:
             self._answer(UNREACHABLE_TIMEOUT_MS, unknown, generation)
             return
--- a/samphiregate/adapters/cells/_actions.py
+++ b/samphiregate/adapters/cells/_actions.py
@@ -59,6 +59,10 @@
         for action in actions:
             self._perform(action)
 
+    def join(self):
+        """Waits for the calls in progress."""
+        self._calls.join()
+
     @functools.singledispatchmethod
     def _perform(self, action):
         raise TypeError(f"expected an action of core.cells, not {action!r}")
@@ -111,6 +115,10 @@
         if not self._tenure_lease.is_valid:
             self._deliver(answered(cells.StartOutcome.NOT_STARTED))
             return
+        until_ms = action.ticket_until_ms
+        if until_ms is not None and self._now_ms() >= until_ms:
+            self._deliver(answered(cells.StartOutcome.NO_TICKET))
+            return
         self._deliver_result(
             lambda: answered(self._endpoints.start(action, self._epoch)),
             answered(cells.StartOutcome.UNKNOWN),
--- a/samphiregate/adapters/cells/_policy_queries.py
+++ b/samphiregate/adapters/cells/_policy_queries.py
@@ -66,6 +66,7 @@
             action.expected_ms * TIMEOUT_FACTOR + ANSWER_MARGIN_MS
         )
         self._querying_vms.add(vm_id)
+        sent_ms = self._now_ms()
         try:
             tickets, valid_ms = self._query_from(vm_id, action, timeout_ms)
         except errors.SamphiregateError as error:
@@ -88,9 +89,17 @@
             action.step,
             action.endpoint_ids,
             tickets,
-            self._now_ms() + valid_ms,
+            self._issued_ms(action, sent_ms) + valid_ms,
         )
 
+    def _issued_ms(self, action, sent_ms):
+        """Returns a time at which the tickets were not issued yet.
+
+        The answer may have waited to be read for longer than the tickets are
+        valid, if this VM has much to do.
+        """
+        return min(sent_ms + round(action.expected_ms), self._now_ms())
+
     def _free_vms(self):
         """Returns the VMs without a query or backoff.
 
--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -7,6 +7,7 @@
 from samphiregate.core.cells import _inheritance
 from samphiregate.core.cells import _messages
 from samphiregate.core.cells import _order
+from samphiregate.core.cells import _policy_queries
 from samphiregate.core.cells import _run_gaps
 from samphiregate.core.cells import _tasks
 from samphiregate.core.cells import _work
@@ -278,7 +279,13 @@
             if not planned or booking.version > entry.stored_version:
                 continue
             endpoint = self.endpoint_by_id[booking.endpoint_id]
-            if entry.state.is_final or not endpoint.may_start:
+            if (
+                entry.state.is_final
+                or not endpoint.may_start
+                or not _policy_queries.may_order(
+                    booking.task.stage, booking.endpoint_id, now_ms
+                )
+            ):
                 self.stop(booking, now_ms)
                 continue
             self.send_start(booking, endpoint, now_ms, lease_ms)
@@ -301,6 +308,7 @@
                 endpoint.extend_lease(now_ms, lease_ms),
                 booking.task.saved,
                 ticket.text if ticket else "",
+                ticket.valid_until_ms if ticket else None,
             )
         )
 
--- a/samphiregate/core/cells/_messages.py
+++ b/samphiregate/core/cells/_messages.py
@@ -289,6 +289,9 @@
         End of the lease on the endpoint's clock.
     saved, ticket : str
         Checkpoint to resume from and policy ticket; empty for none.
+    ticket_until_ms : int or None
+        Until when the ticket is accepted, on the owner's clock; None if the
+        start needs none.
     """
 
     endpoint_id: str
@@ -299,6 +302,7 @@
     deadline_ms: int
     saved: str = ""
     ticket: str = ""
+    ticket_until_ms: int | None = None
 
 
 @attrs.frozen
--- a/samphiregate/core/cells/_policy_queries.py
+++ b/samphiregate/core/cells/_policy_queries.py
@@ -202,6 +202,11 @@
     )
 
 
+def may_order(stage, endpoint_id, now_ms):
+    """Whether a start of a stage needs no ticket, or there is a valid one."""
+    return not stage.queue.advice or has_ticket(stage, endpoint_id, now_ms)
+
+
 def ids_with_ticket(stage, now_ms):
     """Returns the endpoints for which `has_ticket` holds."""
     needed_until_ms = now_ms + TICKET_MARGIN_MS
