--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -1,7 +1,5 @@
 """State of a cell: its jobs, endpoints and runs, and the changes to them."""
 
-import itertools
-
 import attrs
 
 from samphiregate.core.cells import _account_limits
@@ -9,13 +7,13 @@
 from samphiregate.core.cells import _inheritance
 from samphiregate.core.cells import _messages
 from samphiregate.core.cells import _order
+from samphiregate.core.cells import _policy_queries
 from samphiregate.core.cells import _run_gaps
 from samphiregate.core.cells import _tasks
 from samphiregate.core.cells import _work
 
 RUN_NUMBER_SKIP = 1_000  # skips numbers that earlier owners may have used
 STOP_RETRY_MS = 400
-MAX_RUNS_TOLD = 20  # in one log line
 RECENT_URGENT_MS = 5_000
 
 
@@ -119,13 +117,28 @@
             account=job.account,
             within_share=entry.within_share,
             state=entry.state.value,
-            restored=_describe_runs(entry.bookings()),
         )
+        self._log_restored_runs(entry)
         if job.job_id in self.early_cancelled_ids:
             self.early_cancelled_ids.discard(job.job_id)
             self.cancel(job.job_id, now_ms)
         self.open_ready_stages(entry, now_ms)
 
+    def _log_restored_runs(self, entry):
+        """Logs the runs that are long-running or no longer needed."""
+        told = [
+            booking
+            for booking in entry.bookings()
+            if booking.step.long_running or not booking.task.needs_run
+        ]
+        if told:
+            self.log_decision(
+                "runs restored",
+                entry.job.job_id,
+                state=entry.state.value,
+                restored=_run_gaps.describe_runs(told),
+            )
+
     def _restore_runs(self, entry, record, now_ms):
         """Reserves room for the runs that an earlier owner may have started.
 
@@ -266,7 +279,13 @@
             if not planned or booking.version > entry.stored_version:
                 continue
             endpoint = self.endpoint_by_id[booking.endpoint_id]
-            if entry.state.is_final or not endpoint.may_start:
+            if (
+                entry.state.is_final
+                or not endpoint.may_start
+                or not _policy_queries.may_order(
+                    booking.task.stage, booking.endpoint_id, now_ms
+                )
+            ):
                 self.stop(booking, now_ms)
                 continue
             self.send_start(booking, endpoint, now_ms, lease_ms)
@@ -289,6 +308,7 @@
                 endpoint.extend_lease(now_ms, lease_ms),
                 booking.task.saved,
                 ticket.text if ticket else "",
+                ticket.valid_until_ms if ticket else None,
             )
         )
 
@@ -386,7 +406,7 @@
             reason=reason,
             runs=len(lost),
             jobs=sorted({booking.task.task_id.job_id for booking in lost}),
-            lost=_describe_runs(
+            lost=_run_gaps.describe_runs(
                 booking for booking in lost if booking.step.long_running
             ),
         )
@@ -519,11 +539,3 @@
         """Returns the stored record version of a job; None if not held."""
         entry = self.entry_by_id.get(job_id)
         return None if entry is None else entry.stored_version
-
-
-def _describe_runs(bookings):
-    """Returns job, task, run and endpoint of some runs, for the log."""
-    return [
-        _tasks.describe_run(booking)
-        for booking in itertools.islice(bookings, MAX_RUNS_TOLD)
-    ]
