Split the scheduler of a cell by what it applies

Change: ends of runs, answers to orders, registrations and the checks made at intervals have modules of their own. No change of behaviour.

--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -1,19 +1,19 @@
 """Scheduler of one cell, run by the VM that owns the cell."""
 
-import attrs
-
 from samphiregate.core import base
 from samphiregate.core.cells import _backoff
 from samphiregate.core.cells import _cell_state
-from samphiregate.core.cells import _endpoints
 from samphiregate.core.cells import _inheritance
 from samphiregate.core.cells import _load
 from samphiregate.core.cells import _messages
+from samphiregate.core.cells import _order_answers
+from samphiregate.core.cells import _periodic_checks
 from samphiregate.core.cells import _planner
 from samphiregate.core.cells import _policy_queries
 from samphiregate.core.cells import _polling
 from samphiregate.core.cells import _reconciliation
 from samphiregate.core.cells import _records
+from samphiregate.core.cells import _registrations
 from samphiregate.core.cells import _stragglers
 from samphiregate.core.cells import _tasks
 from samphiregate.core.cells import _wait_reports
@@ -24,24 +24,9 @@
 PLAN_REST_FACTOR = 3  # multiple of a plan's time that other work gets
 POLL_RETRY_MS = 300  # the first retry is sent at once
 LISTED_POLL_INTERVAL_MS = 100  # while the store lists it as silent
-MAX_START_ATTEMPTS = 3
-NO_ROOM_BACKOFF_MS = 300
-NOT_STARTED_BACKOFF_MS = 500
 QUERY_INTERVAL_MS = 150  # from an answer to the next query of the stage
 QUERY_RETRY_MS = 200  # after a failed query
 
-# Refusals of a repeated start order that do not show whether an earlier copy
-# of the order started the run.
-INCONCLUSIVE_OUTCOMES = frozenset(
-    (
-        _messages.StartOutcome.NO_ROOM,
-        _messages.StartOutcome.SUPERSEDED,
-        _messages.StartOutcome.TOO_LATE,
-        _messages.StartOutcome.NO_TICKET,
-        _messages.StartOutcome.NOT_STARTED,
-    )
-)
-
 
 class Cell(base.StateMachine):
     """Schedules the jobs of one cell on its endpoints.
@@ -96,6 +81,9 @@
         self._poller = _polling.EndpointPoller(
             cell_state=self.cell_state, lease_ms=lease_ms
         )
+        self._order_answers = _order_answers.OrderAnswers(
+            cell_state=self.cell_state, poller=self._poller, lease_ms=lease_ms
+        )
         self._next_check_ms = 0
         self.plan_due_ms = None
         self._next_plan_ms = 0
@@ -247,10 +235,10 @@
 
     def _run_periodic_checks(self, now_ms, unix_ms):
         """Runs the checks that are not needed in every plan."""
-        self._release_expired(now_ms)
+        _periodic_checks.release_expired(self.cell_state, now_ms)
         self.cell_state.store_moved()
-        self._add_occurrences(now_ms, unix_ms)
-        self._move_off_draining(now_ms)
+        _periodic_checks.add_occurrences(self.cell_state, now_ms, unix_ms)
+        _periodic_checks.move_off_draining(self.cell_state, now_ms)
         self.cell_state.retry_stops(now_ms)
         self._stragglers.stop_slow_runs(now_ms)
         self._planner.plan_copies(now_ms)
@@ -316,60 +304,12 @@
 
     @_apply.register
     def _(self, event: _messages.EndpointRegistered, now_ms):
-        endpoint = self.cell_state.endpoint_by_id.get(event.endpoint_id)
-        if endpoint is None:
-            endpoint = _endpoints.Endpoint(event)
-            endpoint.update_leave_time(now_ms)
-            self.cell_state.endpoint_by_id[event.endpoint_id] = endpoint
-            self.cell_state.log_decision(
-                "endpoint listed",
-                endpoint=event.endpoint_id,
-                service=event.service,
-                draining=event.draining,
-            )
-            return
-        if event.draining != endpoint.registration.draining:
-            self.cell_state.log_decision(
-                "endpoint draining" if event.draining else "endpoint ready",
-                endpoint=event.endpoint_id,
-                remaining_ms=event.remaining_ms,
-            )
-        previous = endpoint.registration
-        if (
-            event.started_unix_ms
-            and event.started_unix_ms < previous.started_unix_ms
-        ):
-            # The registration was written before a restart that is already
-            # known.
-            event = attrs.evolve(
-                event, started_unix_ms=previous.started_unix_ms
-            )
-        restarted = (
-            previous.started_unix_ms
-            and event.started_unix_ms > previous.started_unix_ms
-        )
-        if restarted:
-            self.cell_state.release_lost_runs(
-                endpoint, "it was registered again after a restart", now_ms
-            )
-            endpoint.reset_incarnation()
-        endpoint.update_registration(event)
-        endpoint.registered = True
-        endpoint.update_leave_time(now_ms)
+        _registrations.apply_registered(self.cell_state, event, now_ms)
 
     @_apply.register
     def _(self, event: _messages.EndpointDeregistered, now_ms):
         del now_ms
-        endpoint = self.cell_state.endpoint_by_id.get(event.endpoint_id)
-        if endpoint is None:
-            return
-        endpoint.registered = False
-        self.cell_state.log_decision(
-            "endpoint unlisted",
-            endpoint=event.endpoint_id,
-            runs=len(endpoint.bookings_by_run),
-        )
-        self.cell_state.remove_if_idle(endpoint)
+        _registrations.apply_deregistered(self.cell_state, event)
 
     @_apply.register
     def _(self, event: _messages.EndpointPolled, now_ms):
@@ -433,109 +373,11 @@
 
     @_apply.register
     def _(self, event: _messages.StartAnswered, now_ms):
-        endpoint = self.cell_state.endpoint_by_id.get(event.endpoint_id)
-        if endpoint is None:
-            return
-        key = (event.task_id, event.run)
-        booking = endpoint.bookings_by_run.get(key)
-        if booking is None:
-            return
-        outcome = event.outcome
-        if outcome is _messages.StartOutcome.STARTED:
-            booking.confirmed_ms = now_ms
-            if booking.state is _tasks.RunState.STARTING:
-                self.cell_state.confirm_start(booking, now_ms)
-            return
-        self.cell_state.log_decision(
-            "start failed",
-            event.task_id.job_id,
-            task=event.task_id.position,
-            run=event.run,
-            endpoint=event.endpoint_id,
-            outcome=outcome.value,
-        )
-        if outcome is _messages.StartOutcome.UNKNOWN:
-            if booking.state is _tasks.RunState.STARTING:
-                self._on_start_unanswered(endpoint, booking, now_ms)
-            return
-        if booking.start_attempts > 1 and outcome in INCONCLUSIVE_OUTCOMES:
-            self._on_repeated_start_refused(endpoint, booking, outcome, now_ms)
-        else:
-            self._on_start_refused(endpoint, booking, outcome, now_ms)
-
-    def _on_repeated_start_refused(self, endpoint, booking, outcome, now_ms):
-        """Handles the refusal of a repeated order to start a run.
-
-        An earlier copy of the order may have started the run. A superseded
-        run has either ended there or will never start, which the next poll
-        shows. In all other cases the run is stopped first.
-        """
-        if outcome is not _messages.StartOutcome.SUPERSEDED:
-            self.cell_state.stop(booking, now_ms)
-            return
-        # Counts as confirmed, so that a later poll releases the run if the
-        # endpoint does not list it.
-        booking.state = _tasks.RunState.RUNNING
-        booking.confirmed_ms = now_ms
-        self._poller.poll(endpoint, now_ms, wait_ms=0)
-
-    def _on_start_unanswered(self, endpoint, booking, now_ms):
-        """Repeats an unanswered order to start; stops the run at the limit.
-
-        An endpoint starts a run once, however often it is ordered.
-        """
-        self._poller.record_unanswered(now_ms)
-        if booking.start_attempts < MAX_START_ATTEMPTS and endpoint.may_start:
-            self.cell_state.send_start(
-                booking, endpoint, now_ms, self._lease_ms
-            )
-        else:
-            self.cell_state.stop(booking, now_ms)
-
-    def _on_start_refused(self, endpoint, booking, outcome, now_ms):
-        outcomes = _messages.StartOutcome
-        self.cell_state.release(booking, has_begun=False)
-        if booking.step.gang:
-            self.cell_state.stop_gang(booking.task.stage, booking.run, now_ms)
-        if outcome is outcomes.NO_ROOM:
-            endpoint.backoff_until_ms = now_ms + NO_ROOM_BACKOFF_MS
-        elif outcome is outcomes.FENCED:
-            self.cell_state.add_action(
-                _messages.StepDown(endpoint.endpoint_id)
-            )
-        elif outcome is outcomes.SUPERSEDED:
-            # The endpoint has seen run numbers that the record of this owner
-            # does not contain.
-            booking.task.last_run += _cell_state.RUN_NUMBER_SKIP
-        elif outcome is outcomes.TOO_LATE:
-            # The estimate of the endpoint's clock may be wrong; the answer to
-            # the next poll corrects it.
-            endpoint.has_answered = False
-        elif outcome is outcomes.NO_TICKET:
-            stage = booking.task.stage
-            ticket = stage.ticket_by_id.get(endpoint.endpoint_id)
-            if ticket is not None:
-                ticket.valid_until_ms = 0
-        elif outcome is outcomes.NOT_STARTED:
-            endpoint.backoff_until_ms = now_ms + NOT_STARTED_BACKOFF_MS
-        elif outcome is outcomes.WRONG_ENDPOINT:
-            self.cell_state.release_lost_runs(
-                endpoint, "another endpoint answers at its address", now_ms
-            )
-            endpoint.reset_incarnation()
+        self._order_answers.apply_start(event, now_ms)
 
     @_apply.register
     def _(self, event: _messages.StopAnswered, now_ms):
-        endpoint = self.cell_state.endpoint_by_id.get(event.endpoint_id)
-        if endpoint is None:
-            return
-        booking = endpoint.bookings_by_run.get((event.task_id, event.run))
-        if booking is None or not event.confirmed:
-            return
-        if booking.stop_confirmed_ms is None:
-            booking.stop_confirmed_ms = now_ms
-            self._poller.make_due(endpoint, now_ms)
-            self._poller.poll(endpoint, now_ms, wait_ms=0)
+        self._order_answers.apply_stop(event, now_ms)
 
     # Answers of the policy service
 
@@ -569,55 +411,3 @@
         if entry is None:
             return None
         return entry.stages_by_key.get((event.occurrence, event.step))
-
-    # Periodic checks
-
-    def _release_expired(self, now_ms):
-        """Releases the runs of unreachable endpoints after lease expiry."""
-        for endpoint in list(self.cell_state.endpoint_by_id.values()):
-            lease_expired = (
-                endpoint.failed_polls
-                and endpoint.bookings_by_run
-                and endpoint.lease_until_ms <= now_ms
-            )
-            if lease_expired:
-                self.cell_state.release_lost_runs(
-                    endpoint, "its lease has expired", now_ms
-                )
-            self.cell_state.remove_if_idle(endpoint)
-
-    def _add_occurrences(self, now_ms, unix_ms):
-        for entry in self.cell_state.entry_by_id.values():
-            schedule = entry.job.schedule
-            if schedule is None or entry.state.is_final:
-                continue
-            for occurrence in range(schedule.count):
-                due_unix_ms = schedule.due_unix_ms(occurrence)
-                present = (occurrence, 0) in entry.stages_by_key
-                if due_unix_ms <= unix_ms and not present:
-                    entry.add_occurrence(occurrence)
-                    self.cell_state.open_ready_stages(entry, now_ms)
-
-    def _move_off_draining(self, now_ms):
-        """Stops runs on draining endpoints that would not end in time."""
-        for endpoint in self.cell_state.endpoint_by_id.values():
-            if not endpoint.registration.draining:
-                continue
-            for booking in endpoint.bookings_in(_tasks.RunState.RUNNING):
-                if _outlasts_endpoint(booking, endpoint, now_ms):
-                    self.cell_state.log_decision(
-                        "run moved off",
-                        booking.task.task_id.job_id,
-                        task=booking.task.task_id.position,
-                        run=booking.run,
-                        endpoint=endpoint.endpoint_id,
-                    )
-                    self.cell_state.stop(booking, now_ms)
-
-
-def _outlasts_endpoint(booking, endpoint, now_ms):
-    """Whether a run will probably not end before its endpoint leaves."""
-    if booking.step.long_running:
-        return True
-    ends_ms = booking.sent_ms + booking.step.estimate_ms
-    return max(ends_ms, now_ms) > endpoint.leaves_ms
--- /dev/null
+++ b/samphiregate/core/cells/_periodic_checks.py
@@ -0,0 +1,57 @@
+"""Checks of a cell that are made at intervals, not after each event."""
+
+from samphiregate.core.cells import _tasks
+
+
+def release_expired(cell_state, now_ms):
+    """Releases the runs of unreachable endpoints after lease expiry."""
+    for endpoint in list(cell_state.endpoint_by_id.values()):
+        lease_expired = (
+            endpoint.failed_polls
+            and endpoint.bookings_by_run
+            and endpoint.lease_until_ms <= now_ms
+        )
+        if lease_expired:
+            cell_state.release_lost_runs(
+                endpoint, "its lease has expired", now_ms
+            )
+        cell_state.remove_if_idle(endpoint)
+
+
+def add_occurrences(cell_state, now_ms, unix_ms):
+    """Adds the occurrences of recurring jobs that are due."""
+    for entry in cell_state.entry_by_id.values():
+        schedule = entry.job.schedule
+        if schedule is None or entry.state.is_final:
+            continue
+        for occurrence in range(schedule.count):
+            due_unix_ms = schedule.due_unix_ms(occurrence)
+            present = (occurrence, 0) in entry.stages_by_key
+            if due_unix_ms <= unix_ms and not present:
+                entry.add_occurrence(occurrence)
+                cell_state.open_ready_stages(entry, now_ms)
+
+
+def move_off_draining(cell_state, now_ms):
+    """Stops runs on draining endpoints that would not end in time."""
+    for endpoint in cell_state.endpoint_by_id.values():
+        if not endpoint.registration.draining:
+            continue
+        for booking in endpoint.bookings_in(_tasks.RunState.RUNNING):
+            if _outlasts_endpoint(booking, endpoint, now_ms):
+                cell_state.log_decision(
+                    "run moved off",
+                    booking.task.task_id.job_id,
+                    task=booking.task.task_id.position,
+                    run=booking.run,
+                    endpoint=endpoint.endpoint_id,
+                )
+                cell_state.stop(booking, now_ms)
+
+
+def _outlasts_endpoint(booking, endpoint, now_ms):
+    """Whether a run will probably not end before its endpoint leaves."""
+    if booking.step.long_running:
+        return True
+    ends_ms = booking.sent_ms + booking.step.estimate_ms
+    return max(ends_ms, now_ms) > endpoint.leaves_ms
--- a/samphiregate/core/cells/_reconciliation.py
+++ b/samphiregate/core/cells/_reconciliation.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from samphiregate.core.cells import _ends
 from samphiregate.core.cells import _tasks
 
 MAX_ENDS_LISTED = 500  # an answer with this many ends may omit others
@@ -43,7 +44,7 @@
     endpoint.answered_ms = now_ms
     for row in event.ended:
         if row.number > endpoint.handled_upto:
-            cell_state.apply_end(endpoint, row, now_ms)
+            _ends.apply_end(cell_state, endpoint, row, now_ms)
     for row in event.running:
         _apply_running(cell_state, endpoint, row, now_ms)
     if len(event.ended) < MAX_ENDS_LISTED:
--- /dev/null
+++ b/samphiregate/core/cells/_registrations.py
@@ -0,0 +1,61 @@
+"""Applies changes of the endpoints' registrations to a cell."""
+
+import attrs
+
+from samphiregate.core.cells import _endpoints
+
+
+def apply_registered(cell_state, event, now_ms):
+    """Applies an `EndpointRegistered` event, new or changed."""
+    endpoint = cell_state.endpoint_by_id.get(event.endpoint_id)
+    if endpoint is None:
+        endpoint = _endpoints.Endpoint(event)
+        endpoint.update_leave_time(now_ms)
+        cell_state.endpoint_by_id[event.endpoint_id] = endpoint
+        cell_state.log_decision(
+            "endpoint listed",
+            endpoint=event.endpoint_id,
+            service=event.service,
+            draining=event.draining,
+        )
+        return
+    if event.draining != endpoint.registration.draining:
+        cell_state.log_decision(
+            "endpoint draining" if event.draining else "endpoint ready",
+            endpoint=event.endpoint_id,
+            remaining_ms=event.remaining_ms,
+        )
+    previous = endpoint.registration
+    if (
+        event.started_unix_ms
+        and event.started_unix_ms < previous.started_unix_ms
+    ):
+        # The registration was written before a restart that is already
+        # known.
+        event = attrs.evolve(event, started_unix_ms=previous.started_unix_ms)
+    restarted = (
+        previous.started_unix_ms
+        and event.started_unix_ms > previous.started_unix_ms
+    )
+    if restarted:
+        cell_state.release_lost_runs(
+            endpoint, "it was registered again after a restart", now_ms
+        )
+        endpoint.reset_incarnation()
+    endpoint.update_registration(event)
+    endpoint.registered = True
+    endpoint.update_leave_time(now_ms)
+
+
+def apply_deregistered(cell_state, event):
+    """Applies an `EndpointDeregistered` event."""
+    endpoint = cell_state.endpoint_by_id.get(event.endpoint_id)
+    if endpoint is None:
+        return
+    endpoint.registered = False
+    cell_state.log_decision(
+        "endpoint unlisted",
+        endpoint=event.endpoint_id,
+        runs=len(endpoint.bookings_by_run),
+    )
+    cell_state.remove_if_idle(endpoint)
