--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -7,6 +7,7 @@
 from samphiregate.core.cells import _inheritance
 from samphiregate.core.cells import _messages
 from samphiregate.core.cells import _order
+from samphiregate.core.cells import _policy_queries
 from samphiregate.core.cells import _run_gaps
 from samphiregate.core.cells import _tasks
 from samphiregate.core.cells import _work
@@ -278,7 +279,13 @@
             if not planned or booking.version > entry.stored_version:
                 continue
             endpoint = self.endpoint_by_id[booking.endpoint_id]
-            if entry.state.is_final or not endpoint.may_start:
+            if (
+                entry.state.is_final
+                or not endpoint.may_start
+                or not _policy_queries.may_order(
+                    booking.task.stage, booking.endpoint_id, now_ms
+                )
+            ):
                 self.stop(booking, now_ms)
                 continue
             self.send_start(booking, endpoint, now_ms, lease_ms)
@@ -301,6 +308,7 @@
                 endpoint.extend_lease(now_ms, lease_ms),
                 booking.task.saved,
                 ticket.text if ticket else "",
+                ticket.valid_until_ms if ticket else None,
             )
         )
 
@@ -408,124 +416,7 @@
         if not endpoint.registered and not endpoint.bookings_by_run:
             self.endpoint_by_id.pop(endpoint.endpoint_id, None)
 
-    # Ends that endpoints list
-
-    def apply_end(self, endpoint, row, now_ms):
-        """Applies the end of a run that an endpoint lists.
-
-        Parameters
-        ----------
-        endpoint : Endpoint
-        row : EndedRow
-        now_ms : int
-        """
-        booking = endpoint.bookings_by_run.get((row.task_id, row.run))
-        if booking is not None:
-            self.release(booking)
-        entry = self.entry_by_id.get(row.task_id.job_id)
-        task = entry.task(row.task_id) if entry else None
-        version = 0
-        if task is not None:
-            self._apply_outcome(task, endpoint, row, now_ms)
-            version = entry.version
-        endpoint.handled_upto = row.number
-        endpoint.unstored_ends.append(
-            (row.number, row.task_id.job_id, version)
-        )
-
-    def _apply_outcome(self, task, endpoint, row, now_ms):
-        entry = task.stage.entry
-        if (endpoint.endpoint_id, row.run) in task.ended_runs:
-            return
-        task.ended_runs.add((endpoint.endpoint_id, row.run))
-        task.last_run = max(task.last_run, row.run)
-        if row.saved:
-            task.saved = row.saved
-        if entry.state.is_final or task.is_done:
-            return
-        if row.reason is _messages.EndReason.DONE:
-            self._apply_success(task, endpoint, row.run, now_ms)
-        elif row.reason is _messages.EndReason.FAILED:
-            self._apply_failure(task, endpoint, row.run, now_ms)
-        else:
-            self.log_decision(
-                "run ended",
-                entry.job.job_id,
-                task=task.task_id.position,
-                run=row.run,
-                reason=row.reason.value,
-                endpoint=endpoint.endpoint_id,
-            )
-        if not task.is_done and task.stage.step.gang:
-            self.stop_gang(task.stage, row.run, now_ms)
-        if task.saved and task.stage.step.checkpoints:
-            self._copy_checkpoint(task)
-            self.mark_dirty(entry)
-        if task.is_waiting:
-            self.mark_startable(task.stage)
-
-    def _apply_success(self, task, endpoint, run, now_ms):
-        stage = task.stage
-        entry = stage.entry
-        if stage.step.long_running:
-            self.log_decision(
-                "long-running task ended",
-                entry.job.job_id,
-                task=task.task_id.position,
-                run=run,
-                endpoint=endpoint.endpoint_id,
-            )
-            return
-        # The end of one member of a gang as done stands for all members.
-        members = stage.tasks if stage.step.gang else [task]
-        for member in members:
-            _tasks.mark_done(member)
-        if not stage.step.gang:
-            for booking in list(task.bookings_by_run.values()):
-                self.stop(booking, now_ms)
-        self.mark_dirty(entry)
-        if not stage.is_done:
-            return
-        self.startable_stages.pop((entry.job.job_id, stage.key), None)
-        if entry.is_done:
-            self.finish(entry, _work.JobState.COMPLETED, now_ms)
-        else:
-            self.open_ready_stages(entry, now_ms)
-
-    def _apply_failure(self, task, endpoint, run, now_ms):
-        stage = task.stage
-        entry = stage.entry
-        # A gang fails as one: its failed runs are counted once, on its first
-        # task.
-        counted_task = stage.tasks[0] if stage.step.gang else task
-        counted_task.failed_runs.add(run)
-        queue = self.queue_by_name.get(entry.job.queue.name, entry.job.queue)
-        failures = len(counted_task.failed_runs)
-        self.log_decision(
-            "run failed",
-            entry.job.job_id,
-            task=task.task_id.position,
-            run=run,
-            failures=failures,
-            most=queue.max_attempts,
-            endpoint=endpoint.endpoint_id,
-        )
-        if stage.step.long_running:
-            return
-        self.mark_dirty(entry)
-        if failures >= queue.max_attempts:
-            self.finish(
-                entry,
-                _work.JobState.FAILED,
-                now_ms,
-                task=task.task_id.position,
-                failures=failures,
-            )
-
-    def _copy_checkpoint(self, task):
-        if task.stage.step.gang:
-            for member in task.stage.tasks:
-                member.saved = task.saved
+    # Records
 
     def stored_version(self, job_id):
         """Returns the stored record version of a job; None if not held."""
