--- a/features/cells.feature
+++ b/features/cells.feature
@@ -173,6 +173,27 @@
     And 8000 ms pass
     Then 8 tasks of job "j" run
 
+  Scenario: no task runs twice after an answer whose record was not stored in time
+    Given 1 endpoints of 4 cores
+    And an owner of the cell
+    When a long-running job "j" of 4 tasks is submitted
+    And 300 ms pass
+    And endpoint "e1" of 4 cores is added
+    And 500 ms pass
+    And endpoint "e0" is silent for later owners
+    And a write to the store takes 1500 ms
+    And another VM takes over the cell
+    And 1200 ms pass
+    And endpoint "e0" is no longer silent
+    And 2000 ms pass
+    And endpoint "e0" is silent for later owners
+    And the owner is lost for 100 ms
+    And a write to the store takes 6 ms
+    And another VM takes over the cell
+    And 9000 ms pass
+    Then 4 tasks of job "j" run
+    And no invariant was violated
+
   Scenario: an endpoint counts as listed while a record that does not list it is written
     Given leases inherited from epoch 2, of which "e0" has runs
     When endpoint "e0" leaves a poll unanswered
--- a/features/support/cells.py
+++ b/features/support/cells.py
@@ -263,11 +263,14 @@
         self._writing = False
         if silent_record is not None:
             self.stored_silent_record = silent_record
-            self.deliver(cells.SilentRecordStored())
         for row in rows:
             self.stored_by_id[row.job_id] = row.record
             if row.job is not None:
                 self.stored_job_by_id[row.job_id] = row.job
+        # The writer goes on before the owner handles its report.
+        self._write()
+        if silent_record is not None:
+            self.deliver(cells.SilentRecordStored())
         versions = tuple((row.job_id, row.version) for row in rows)
         self.deliver(cells.RecordsStored(versions))
         for row in rows:
