--- a/samphiregate/core/cells/_inheritance.py
+++ b/samphiregate/core/cells/_inheritance.py
@@ -3,8 +3,8 @@
 Only an owner that an endpoint has answered extends the lease of its runs. So
 the lease is counted from the end of the last epoch in which the endpoint
 answered, not from the latest takeover. The store holds this epoch for the
-endpoints that have not answered the owner; for all others it is taken to be
-the epoch before the present one.
+endpoints that left the owner's polls unanswered; for all others it is taken
+to be the epoch before the present one.
 """
 
 import collections
@@ -17,7 +17,7 @@
 
 @attrs.frozen
 class SilentRecord:
-    """The endpoints that have not answered their owner, as stored.
+    """The endpoints that left polls of their owner unanswered, as stored.
 
     Parameters
     ----------
