Poll endpoints while the VM's lease is in its grace period

What callers would see: tasks lapse while the store is away for more than 5 s, though no other VM can own the cell. Cause: the loop of the session plans only while the VM's lease is valid, and polls were part of a plan. So the grace of 2 s, which each new owner waits for, was never used; found by reading in the review. Change: in the grace period the owner polls, and does nothing else. Result: 4 of 4 runs go on 5.8 s after the lease was last renewed; with the loop as before, none.

--- a/features/cells.feature
+++ b/features/cells.feature
@@ -464,6 +464,17 @@
     Then all jobs are completed within 6000 ms
     And no invariant was violated
 
+  Scenario: runs go on while the owner may only poll
+    Given 2 endpoints of 4 cores
+    And an owner of the cell
+    When a long-running job "s" of 4 tasks is submitted
+    And 300 ms pass
+    And the lease of the owner's VM is not renewed for 2000 ms
+    And a job "j" of 1 tasks is submitted
+    And the owner is lost for 3500 ms
+    Then 4 tasks of job "s" run
+    And 0 tasks of job "j" run
+
   Scenario: no task starts before its placement is stored
     Given 2 endpoints of 4 cores
     And an owner of the cell
--- a/features/steps/cells_fault_steps.py
+++ b/features/steps/cells_fault_steps.py
@@ -126,6 +126,12 @@
         _end_silence(simulation, endpoint.endpoint_id)
 
 
+@behave.when("the lease of the owner's VM is not renewed for {span_ms:d} ms")
+def when_not_renewed(context, span_ms):
+    context.simulation.owner_may_start = False
+    context.simulation.run_for(span_ms)
+
+
 @behave.when("another VM takes over the cell")
 def when_taken_over(context):
     context.simulation.take_over()
--- a/features/support/cells.py
+++ b/features/support/cells.py
@@ -81,6 +81,7 @@
         self.store_up = True
         self.store_write_ms = STORE_WRITE_MS
         self.owner_up = True
+        self.owner_may_start = True
         self.allowed_by_step = {}
         self.policy_query_ms = 30
         self.failed_query_share = 0.0
@@ -209,10 +210,7 @@
             endpoint.advance(self.now_ms)
             self._extend_by_lapsed_owners(endpoint)
         if self.owner_up and self.cell is not None:
-            actions = self.cell.plan(
-                self.now_ms, self.now_ms, self.query_slots
-            )
-            self._perform(actions)
+            self._perform(self._planned_actions())
             self._write()
 
     def _extend_by_lapsed_owners(self, endpoint):
@@ -233,6 +231,11 @@
                 endpoint.epoch = epoch
                 endpoint.extend_lease(self.now_ms + LEASE_MS)
 
+    def _planned_actions(self):
+        if self.owner_may_start:
+            return self.cell.plan(self.now_ms, self.now_ms, self.query_slots)
+        return self.cell.poll(self.now_ms)
+
     def deliver(self, event):
         """Delivers an event to the current owner."""
         self._perform(self.cell.handle(event, self.now_ms))
--- a/samphiregate/adapters/cells/_owner.py
+++ b/samphiregate/adapters/cells/_owner.py
@@ -210,6 +210,8 @@
             self._drain_events()
             if self._lease.is_valid:
                 self._plan()
+            elif self._tenure_lease.is_valid_or_in_grace:
+                self._performer.perform_all(self.cell.poll(self._now_ms()))
             self._purger.run(self.cell)
             self._load_logger.run(self.cell)
             self._writer.wake()
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -219,6 +219,19 @@
         self._poller.plan(now_ms)
         return self._drain()
 
+    def poll(self, now_ms):
+        """Polls endpoints, and so extends the leases of their runs.
+
+        For an owner that may not start tasks now.
+
+        Returns
+        -------
+        list of Action
+        """
+        self.cell_state.now_ms = now_ms
+        self._poller.plan(now_ms)
+        return self._drain()
+
     def note_plan_time(self, elapsed_ms):
         """Delays the next plan if the latest call of `plan` placed tasks.
 
