--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -2,8 +2,8 @@
 
 import collections
 import enum
-import math
 
+from samphiregate.core.cells import _holds
 from samphiregate.core.cells import _order
 from samphiregate.core.cells import _placement
 from samphiregate.core.cells import _policy_queries
@@ -11,9 +11,7 @@
 from samphiregate.core.cells import _stragglers
 from samphiregate.core.cells import _usable_endpoints
 
-MAX_HELD_SHARE = 0.25  # of a service's endpoints
 URGENT_LIMIT_SHARE = 0.2  # of an account's limit
-LARGE_TASK_MIN_SHARE = 0.3  # of an endpoint's capacity
 # After this wait, interrupted tasks may go to endpoints that are backing off.
 MAX_RESTART_WAIT_MS = 2_000
 RECENT_ANSWER_MS = 500  # for the choice of an endpoint for a restart
@@ -101,7 +99,7 @@
                         stage.entry.job.job_id, stage.key
                     ]
                 continue
-            interrupted = stage.interrupted()
+            interrupted = set(stage.interrupted())
             first_starts = [one for one in tasks if one not in interrupted]
             if first_starts:
                 self._plan_stage(stage, first_starts, held_ids, now_ms)
@@ -138,9 +136,13 @@
                     is_restart=is_restart,
                 )
             if is_restart:
-                _hold_for_restarts(stage, usable, unplaced_count, held_ids)
+                _holds.hold_for_restarts(
+                    stage, usable, unplaced_count, held_ids
+                )
             else:
-                self._hold_endpoints(stage, usable, unplaced_count, held_ids)
+                _holds.hold_for_large_tasks(
+                    stage, usable, unplaced_count, held_ids
+                )
 
     def _choose(self, stage, tasks, candidates, now_ms, is_restart):
         """Chooses endpoints for tasks.
@@ -342,37 +344,6 @@
             bookings
         )
 
-    def _hold_endpoints(self, stage, usable, unplaced_count, held_ids):
-        """Holds endpoints for this stage.
-
-        Less urgent stages cannot use them in this plan. Endpoints are held
-        for large tasks only: small tasks would otherwise take the capacity
-        bit by bit as it becomes free. At most `MAX_HELD_SHARE` of the
-        endpoints, but at least one, can be held at a time. Stages of
-        accounts above their share hold none.
-
-        While a policy query is in flight, an endpoint with room is held too,
-        so that the room is still free when the answer arrives.
-        """
-        need = stage.step.booked
-        if not stage.entry.within_share:
-            return
-        max_count = _max_more_held(usable, held_ids)
-        if max_count <= 0:
-            return
-        large_ids = usable.ids_large_for(need, LARGE_TASK_MIN_SHARE)
-        if stage.queue.advice:
-            large_ids = [one for one in stage.ticket_by_id if one in large_ids]
-        holdable = [
-            one
-            for one in usable.named(large_ids)
-            if one.endpoint_id not in held_ids
-            and (stage.query_in_flight or not need.fits_in(one.free))
-        ]
-        holdable.sort(key=lambda one: _missing_share(need, one))
-        for endpoint in holdable[: min(unplaced_count, max_count)]:
-            held_ids.add(endpoint.endpoint_id)
-
 
 def _is_overdue(tasks, now_ms):
     """Whether one of the tasks was interrupted `MAX_RESTART_WAIT_MS` ago."""
@@ -383,43 +354,6 @@
     )
 
 
-def _max_more_held(usable, held_ids):
-    max_count = max(1, round(len(usable.endpoints) * MAX_HELD_SHARE))
-    return max_count - sum(one in usable.position_by_id for one in held_ids)
-
-
-def _missing_share(need, endpoint):
-    """Returns the share of its capacity that an endpoint has too little."""
-    return (need - endpoint.free).dominant_share(
-        endpoint.registration.capacity
-    )
-
-
-def _hold_for_restarts(stage, usable, unplaced_count, held_ids):
-    """Holds endpoints for interrupted tasks, whatever their size.
-
-    Those with the most room, and at most `MAX_HELD_SHARE` of the endpoints,
-    but at least one. So their room is not taken while the stage waits for a
-    ticket. An endpoint whose long-running tasks leave too little room is not
-    held, as it might never be released.
-    """
-    need = stage.step.booked
-    advice = stage.queue.advice
-    holdable = [
-        one
-        for one in usable.with_expected_room(need, math.inf)
-        if one.endpoint_id not in held_ids
-        and (not advice or one.endpoint_id in stage.ticket_by_id)
-        and stage.max_more_on(one.endpoint_id) > 0
-    ]
-    holdable.sort(key=lambda one: _missing_share(need, one))
-    for endpoint in holdable[: max(0, _max_more_held(usable, held_ids))]:
-        if unplaced_count <= 0:
-            break
-        held_ids.add(endpoint.endpoint_id)
-        unplaced_count -= max(1, need.count_fitting_in(endpoint.free))
-
-
 def _wait_reason(stage, usable, candidates):
     """Returns the `WaitReason` of a stage with tasks that were not placed."""
     if not usable.endpoints:
