Start no member of a gang if another one can't be

The other members of the gang were started all the same. Change: all starts are looked at first; if one is given up, the whole run of the gang is. Result: the scenario failed on the code before (12 starts of 8 tasks).

--- a/features/cells.feature
+++ b/features/cells.feature
@@ -381,6 +381,16 @@
     Then job "g" is completed within 3000 ms
     And no invariant was violated
 
+  Scenario: no member of a gang is started if another one can't be
+    Given 3 endpoints of 4 cores
+    And an owner of the cell
+    When a write to the store takes 300 ms
+    And a gang "g" of 8 tasks is submitted
+    And 100 ms pass
+    And endpoint "e1" drains and leaves after 9000 ms
+    Then job "g" is completed within 3000 ms
+    And 8 tasks were started
+
   Scenario: a long-running task is restarted however it ends
     Given 3 endpoints of 4 cores
     And an owner of the cell
--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -274,21 +274,31 @@
 
     def send_planned_starts(self, entry, now_ms, lease_ms):
         """Sends the start orders of runs that the stored record contains."""
-        for booking in list(entry.bookings()):
-            planned = booking.state is _tasks.RunState.PLANNED
-            if not planned or booking.version > entry.stored_version:
-                continue
-            endpoint = self.endpoint_by_id[booking.endpoint_id]
-            if (
-                entry.state.is_final
-                or not endpoint.may_start
-                or not _policy_queries.may_order(
-                    booking.task.stage, booking.endpoint_id, now_ms
-                )
-            ):
+        planned = [
+            booking
+            for booking in entry.bookings()
+            if booking.state is _tasks.RunState.PLANNED
+            and booking.version <= entry.stored_version
+        ]
+        for booking in planned:
+            if not self._may_send_start(booking, now_ms):
                 self.stop(booking, now_ms)
-                continue
-            self.send_start(booking, endpoint, now_ms, lease_ms)
+                if booking.step.gang:
+                    self.stop_gang(booking.task.stage, booking.run, now_ms)
+        for booking in planned:
+            endpoint = self.endpoint_by_id[booking.endpoint_id]
+            if booking.key in endpoint.bookings_by_run:
+                self.send_start(booking, endpoint, now_ms, lease_ms)
+
+    def _may_send_start(self, booking, now_ms):
+        endpoint = self.endpoint_by_id[booking.endpoint_id]
+        return (
+            not booking.task.stage.entry.state.is_final
+            and endpoint.may_start
+            and _policy_queries.may_order(
+                booking.task.stage, booking.endpoint_id, now_ms
+            )
+        )
 
     def send_start(self, booking, endpoint, now_ms, lease_ms):
         """Orders an endpoint to start a run, under an extended lease."""
