Repeat no order to start with an expired ticket

Cause: an order that was not answered was repeated if the endpoint could start tasks; that its ticket was still valid was checked for the first order only. Callers saw starts refused for want of a ticket, which are paid for and put the task off. Change: the repetition asks what the first order asks (may_send_start); if it may not be sent, the run is stopped, as at the limit of repetitions.

--- a/features/cells_restart.feature
+++ b/features/cells_restart.feature
@@ -82,6 +82,12 @@
       | 3    |
       | 4    |
 
+    Examples: no order to start is repeated with an expired ticket
+      | seed |
+      | 50   |
+      | 51   |
+      | 58   |
+
     Examples: a silent endpoint is waited for after three changes of owner
       | seed |
       | 55   |
--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -281,7 +281,7 @@
             and booking.version <= entry.stored_version
         ]
         for booking in planned:
-            if not self._may_send_start(booking, now_ms):
+            if not self.may_send_start(booking, now_ms):
                 self.stop(booking, now_ms)
                 if booking.step.gang:
                     self.stop_gang(booking.task.stage, booking.run, now_ms)
@@ -290,7 +290,8 @@
             if booking.key in endpoint.bookings_by_run:
                 self.send_start(booking, endpoint, now_ms, lease_ms)
 
-    def _may_send_start(self, booking, now_ms):
+    def may_send_start(self, booking, now_ms):
+        """Whether a run is still wanted and its endpoint may start it."""
         endpoint = self.endpoint_by_id[booking.endpoint_id]
         return (
             not booking.task.stage.entry.state.is_final
--- a/samphiregate/core/cells/_order_answers.py
+++ b/samphiregate/core/cells/_order_answers.py
@@ -91,7 +91,10 @@
         An endpoint starts a run once, however often it is ordered.
         """
         self._poller.record_unanswered(now_ms)
-        if booking.start_attempts < MAX_START_ATTEMPTS and endpoint.may_start:
+        if (
+            booking.start_attempts < MAX_START_ATTEMPTS
+            and self._cell_state.may_send_start(booking, now_ms)
+        ):
             self._cell_state.send_start(
                 booking, endpoint, now_ms, self._lease_ms
             )
