List silent endpoints early, and count their leases from the list

Cause: the wait for a silent endpoint was counted from the end of the last epoch whose owner did not list it, and an owner listed endpoints only when its first poll had failed, and only those with inherited runs. So owners that were lost within 0.5 s each prolonged the wait, and an endpoint that had fallen silent before its owner was lost was waited for from the owner's end. Change: an endpoint with inherited runs is listed 0.1 s after its first poll, one that has answered after two failed polls. All VMs watch the list; as no owner extends the lease of a listed endpoint, a VM that has seen the listing counts from then. A poll extends no lease of a listed endpoint, also by its own check; the simulated former owners do the same.

--- a/features/cells.feature
+++ b/features/cells.feature
@@ -129,6 +129,10 @@
       | 3     | 2500    |
       | 2     | 4000    |
 
+    Examples: owners that are lost before a poll of theirs has failed
+      | count | span_ms |
+      | 16    | 470     |
+
   Scenario: a silent endpoint is waited for again after an owner has reached it
     Given 1 endpoints of 4 cores
     And an owner of the cell
--- a/features/steps/cells_fault_steps.py
+++ b/features/steps/cells_fault_steps.py
@@ -50,6 +50,7 @@
     context.leases = _inheritance.InheritedLeases(
         epoch=epoch + 1,
         lease_ms=1,
+        extension_ms=1,
         history=cells.EpochHistory(),
         record=cells.SilentRecord(),
     )
--- a/features/support/cells.py
+++ b/features/support/cells.py
@@ -216,17 +216,19 @@
     def _extend_by_lapsed_owners(self, endpoint):
         """Extends a lease as former owners still may, the longest possible.
 
-        They do so at the endpoints that have answered them, until these have
-        seen a higher epoch.
+        They do so at the endpoints that have answered them and that they do
+        not list as silent, until these have seen a higher epoch.
         """
         for epoch, cell, until_ms in self._lapsed_owners:
             known = cell.cell_state.endpoint_by_id.get(endpoint.endpoint_id)
+            leases = cell.cell_state.inherited_leases
             if (
                 self.now_ms < until_ms
                 and endpoint.is_reachable_for(epoch)
                 and epoch >= endpoint.epoch
                 and known is not None
                 and known.has_answered
+                and leases.may_extend(endpoint.endpoint_id)
             ):
                 endpoint.epoch = epoch
                 endpoint.extend_lease(self.now_ms + LEASE_MS)
@@ -266,6 +268,8 @@
         self._writing = False
         if silent_record is not None:
             self.stored_silent_record = silent_record
+            record = cells.decode(silent_record, cells.SilentRecord)
+            self.epoch_history.record_list(record, self.now_ms)
         for row in rows:
             self.stored_by_id[row.job_id] = row.record
             if row.job is not None:
--- a/samphiregate/adapters/cells/_keys.py
+++ b/samphiregate/adapters/cells/_keys.py
@@ -2,6 +2,7 @@
 
 OWNERS_PREFIX = "cells/"
 VMS_PREFIX = "vms/"
+SILENT_PREFIX = "silent/"
 
 
 def owner(cell):
@@ -41,7 +42,7 @@
 
 def silent_endpoints(cell):
     """Returns the key of the endpoints that have not answered the owner."""
-    return f"silent/{cell}"
+    return f"{SILENT_PREFIX}{cell}"
 
 
 def last_write(cell):
--- a/samphiregate/adapters/cells/_vm.py
+++ b/samphiregate/adapters/cells/_vm.py
@@ -27,6 +27,7 @@
 CONFIGURATION_WAIT_MS = 1_000
 OWNERS_WAIT_MS = 2_000
 VMS_WAIT_MS = 8_000
+SILENT_WAIT_MS = 8_000
 POLICY_TIMEOUT_MS = 5_000
 
 
@@ -130,6 +131,9 @@
         self._owners = self._make_watched_prefix(
             _keys.OWNERS_PREFIX, self._owner_changed, OWNERS_WAIT_MS
         )
+        self._silent_endpoints = self._make_watched_prefix(
+            _keys.SILENT_PREFIX, self._silent_changed, SILENT_WAIT_MS
+        )
         self._vms = self._make_watched_prefix(
             _keys.VMS_PREFIX, self._vm_changed, VMS_WAIT_MS
         )
@@ -164,6 +168,7 @@
         self._stack.enter_context(self._peers)
         self._stack.enter_context(self._watched_configuration)
         self._stack.enter_context(self._owners)
+        self._stack.enter_context(self._silent_endpoints)
         self._stack.enter_context(self._vms)
         self._stack.enter_context(self._lease)
         self._ownership = _ownership.Ownership(
@@ -269,6 +274,19 @@
             return
         self._epoch_history.record_owner(epoch, now_ms)
 
+    def _silent_changed(self, change):
+        """Records from when the store lists endpoints as silent."""
+        if change.key != _keys.silent_endpoints(CELL) or change.item is None:
+            return
+        try:
+            record = cells.decode(change.item.value, cells.SilentRecord)
+        except errors.BadInputError as error:
+            self._log.write(
+                "record unreadable", key=change.key, reason=error.detail
+            )
+            return
+        self._epoch_history.record_list(record, _clock.steady_ms())
+
     def _owner_address(self):
         item = self._owner_item()
         if item is None:
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -3,6 +3,7 @@
 from samphiregate.core import base
 from samphiregate.core.cells import _backoff
 from samphiregate.core.cells import _cell_state
+from samphiregate.core.cells import _endpoints
 from samphiregate.core.cells import _inheritance
 from samphiregate.core.cells import _load
 from samphiregate.core.cells import _messages
@@ -23,6 +24,7 @@
 MAX_PLAN_INTERVAL_MS = 100
 PLAN_REST_FACTOR = 3  # multiple of a plan's time that other work gets
 POLL_RETRY_MS = 300  # the first retry is sent at once
+MIN_FAILED_POLLS = 2  # until an endpoint that has answered counts as silent
 LISTED_POLL_INTERVAL_MS = 100  # while the store lists it as silent
 QUERY_INTERVAL_MS = 150  # from an answer to the next query of the stage
 QUERY_RETRY_MS = 200  # after a failed query
@@ -73,6 +75,7 @@
         inherited_leases = _inheritance.InheritedLeases(
             epoch=epoch,
             lease_ms=inherited_lease_ms,
+            extension_ms=_endpoints.max_lease_ms(lease_ms),
             history=epoch_history or _inheritance.EpochHistory(),
             record=silent_record or _inheritance.SilentRecord(),
         )
@@ -255,6 +258,7 @@
     def _run_periodic_checks(self, now_ms, unix_ms):
         """Runs the checks that are not needed in every plan."""
         _periodic_checks.release_expired(self.cell_state, now_ms)
+        _periodic_checks.list_silent(self.cell_state, now_ms)
         self.cell_state.store_moved()
         _periodic_checks.add_occurrences(self.cell_state, now_ms, unix_ms)
         _periodic_checks.move_off_draining(self.cell_state, now_ms)
@@ -385,7 +389,7 @@
             )
             endpoint.reset_incarnation()
             self.cell_state.remove_if_idle(endpoint)
-        else:
+        elif _is_silent(endpoint):
             self.cell_state.inherited_leases.record_silence(event.endpoint_id)
 
     # Answers to start and stop orders
@@ -430,3 +434,16 @@
         if entry is None:
             return None
         return entry.stages_by_key.get((event.occurrence, event.step))
+
+
+def _is_silent(endpoint):
+    """Whether later owners are to know that an endpoint is silent.
+
+    One lost answer does not show that; an endpoint that is listed gets no
+    tasks until the store no longer lists it.
+    """
+    if not endpoint.has_answered:
+        return True
+    return bool(
+        endpoint.failed_polls >= MIN_FAILED_POLLS and endpoint.bookings_by_run
+    )
--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -426,6 +426,7 @@
         """Removes a deregistered endpoint without runs."""
         if not endpoint.registered and not endpoint.bookings_by_run:
             self.endpoint_by_id.pop(endpoint.endpoint_id, None)
+            self.inherited_leases.forget(endpoint.endpoint_id)
 
     # Records
 
--- a/samphiregate/core/cells/_endpoints.py
+++ b/samphiregate/core/cells/_endpoints.py
@@ -62,6 +62,8 @@
     unstored_ends : deque
         Number, job id and record version of ends that are not stored yet.
     polls_in_flight : int
+    first_polled_ms : int or None
+        When the present owner first polled it.
     next_check_ms : int
         No further poll before this time to check that it still answers.
     next_poll_ms : int
@@ -88,6 +90,7 @@
     stored_upto: int = 0
     unstored_ends: collections.deque = attrs.field(factory=collections.deque)
     polls_in_flight: int = 0
+    first_polled_ms: int | None = None
     next_check_ms: int = 0
     next_poll_ms: int = 0
     backoff_until_ms: int = 0
--- a/samphiregate/core/cells/_periodic_checks.py
+++ b/samphiregate/core/cells/_periodic_checks.py
@@ -2,6 +2,8 @@
 
 from samphiregate.core.cells import _tasks
 
+SILENT_AFTER_MS = 100  # without an answer to the first poll
+
 
 def release_expired(cell_state, now_ms):
     """Releases the runs of unreachable endpoints after lease expiry."""
@@ -55,3 +57,17 @@
         return True
     ends_ms = booking.sent_ms + booking.step.estimate_ms
     return max(ends_ms, now_ms) > endpoint.leaves_ms
+
+
+def list_silent(cell_state, now_ms):
+    """Lists endpoints with inherited runs that leave their first poll waiting.
+
+    The next owner reads the list. It is written well before the poll has
+    failed, so that owners that are lost within that time list them too.
+    """
+    for endpoint_id in cell_state.inherited_leases.unanswered_ids:
+        endpoint = cell_state.endpoint_by_id.get(endpoint_id)
+        if endpoint is None or endpoint.first_polled_ms is None:
+            continue
+        if now_ms - endpoint.first_polled_ms >= SILENT_AFTER_MS:
+            cell_state.inherited_leases.record_silence(endpoint_id)
--- a/samphiregate/core/cells/_polling.py
+++ b/samphiregate/core/cells/_polling.py
@@ -92,9 +92,16 @@
         if endpoint.polls_in_flight >= MAX_POLLS_IN_FLIGHT:
             return
         deadline_ms = None
-        if endpoint.has_answered and not endpoint.failed_polls:
+        leases = self._cell_state.inherited_leases
+        if (
+            endpoint.has_answered
+            and not endpoint.failed_polls
+            and leases.may_extend(endpoint.endpoint_id)
+        ):
             deadline_ms = endpoint.extend_lease(now_ms, self._lease_ms)
         endpoint.polls_in_flight += 1
+        if endpoint.first_polled_ms is None:
+            endpoint.first_polled_ms = now_ms
         endpoint.next_poll_ms = now_ms + (
             STORE_LAG_POLL_DELAY_MS if endpoint.unstored_ends else 0
         )
