Refuse a write that has no time left, and answer reads as unavailable

Cause: a call was begun however little of the caller's time was left, and whatever had no result by then was answered as of unknown outcome (504). So callers could not repeat a submit that nothing had been done for, and status requests, which have no outcome, looked like writes in doubt. A read of the store was repeated until the deadline though the VM knew that neither way to the store worked. Change: a write with no time left for its answer is refused as not run before anything is sent; a read without a result is unavailable, with a Retry-After; a read is not repeated once both ways are known to be lost.

--- a/features/cells_vm.feature
+++ b/features/cells_vm.feature
@@ -79,6 +79,29 @@
       | silent  |
       | refused |
 
+  Scenario Outline: a write that leaves no time for its answer is not begun
+    Given a store that answers writes with done
+    When a caller submits a job with a time-out of <timeout_ms> ms
+    Then the caller gets the result unavailable, ran no
+    And at most 0 calls were made to the store
+
+    Examples:
+      | timeout_ms |
+      | 1          |
+      | 100        |
+
+  Scenario: a read without a result in time is unavailable, not of unknown outcome
+    Given a store that answers reads after 5 s
+    When a caller asks for the state of job "j" with a time-out of 300 ms
+    Then the caller gets the result unavailable, ran no
+
+  Scenario: a VM without the store does not keep callers waiting for a state
+    Given a store that answers reads with errors
+    And a lease that the store did not renew
+    When a caller asks for the state of job "j" with a time-out of 3000 ms
+    Then the caller gets the result unavailable, ran no
+    And at most 0 calls were made to the store
+
   Scenario Outline: a cancellation is stored, or the job does not exist
     Given a store in memory that <holds> job "j"
     When a caller cancels job "j" <times> times
--- a/features/steps/cells_vm_steps.py
+++ b/features/steps/cells_vm_steps.py
@@ -32,8 +32,10 @@
     )
 
 
-def _make_job_service(context, store, peers=None, others=()):
-    context.clock = cells_store.SteppingClock(step_ms=15)
+def _make_job_service(
+    context, store, peers=None, others=(), owner_address=None, step_ms=15
+):
+    context.clock = cells_store.SteppingClock(step_ms)
     relay = _make_relay(store, context.clock, peers, others)
     context.relay = relay
     context.job_service = _job_service.JobService(
@@ -41,7 +43,7 @@
         relay=relay,
         peers=peers,
         local_cell=lambda: None,
-        owner_address=lambda: None,
+        owner_address=lambda: owner_address,
         now_ms=context.clock.now_ms,
         log=cells_store.FakeLog(),
     )
@@ -53,6 +55,75 @@
     _make_job_service(context, context.store)
 
 
+@behave.given("a store that answers reads {how}")
+def given_scripted_reads(context, how):
+    outcomes = {"with errors": "refused", "after 5 s": "slow"}
+    context.store = cells_store.ScriptedStore([outcomes[how]])
+    _make_job_service(context, context.store)
+
+
+@behave.when(
+    'a caller asks for the state of job "{job_id}" with a time-out of '
+    "{timeout_ms:d} ms"
+)
+def when_state_in_time(context, job_id, timeout_ms):
+    context.result = cells_store.result_of(
+        lambda: context.job_service.state(job_id, timeout_ms)
+    )
+
+
+class _SilentPeers:
+    """Other VMs, none of which answers."""
+
+    def __init__(self):
+        self.calls = 0
+
+    def call(self, address, message, timeout_ms):
+        """See `PeerCalls.call`."""
+        del address, message, timeout_ms
+        self.calls += 1
+        raise errors.UnavailableError("no answer", ran=errors.Ran.UNKNOWN)
+
+
+@behave.given("an owner of the cell that does not answer")
+def given_silent_owner(context):
+    context.peers = _SilentPeers()
+    _make_job_service(
+        context,
+        context.store,
+        context.peers,
+        owner_address="127.0.0.1:1",
+        step_ms=0,
+    )
+
+
+@behave.when(
+    '{count:d} callers ask for the state of job "{job_id}" within '
+    "{span_ms:d} ms"
+)
+def when_states_asked(context, count, job_id, span_ms):
+    context.states = []
+    for _number in range(count):
+        context.states.append(context.job_service.state(job_id, 3_000))
+        context.clock.time_ms += span_ms // count
+
+
+@behave.when("{span_ms:d} ms have passed")
+def when_time_has_passed(context, span_ms):
+    context.clock.time_ms += span_ms
+
+
+@behave.then("each gets the state {state}")
+def then_states(context, state):
+    expected = [cells.JobState(state)] * len(context.states)
+    assert context.states == expected, context.states
+
+
+@behave.then("at most {max_calls:d} calls were made to the owner")
+def then_few_owner_calls(context, max_calls):
+    assert context.peers.calls <= max_calls, context.peers.calls
+
+
 @behave.given("the owner's VM, whose store answers writes with {answers}")
 def given_owner_vm(context, answers):
     _add_vm(context, answers)
--- a/features/support/cells_store.py
+++ b/features/support/cells_store.py
@@ -13,7 +13,7 @@
 
 
 class ScriptedStore:
-    """Answers writes with scripted outcomes; repeats the last one.
+    """Answers writes and reads with scripted outcomes; repeats the last one.
 
     Outcomes: ``done``, ``exists``, ``refused`` (not executed), ``silent``
     (unknown) and ``slow`` (no answer for `SLOW_WRITE_S` seconds).
@@ -21,7 +21,7 @@
     Attributes
     ----------
     calls : int
-        Number of attempted writes.
+        Number of attempted writes and reads.
     """
 
     def __init__(self, outcomes):
@@ -35,6 +35,13 @@
     def commit(self, *, expected, writes, removals=()):
         """See `ports.Store.commit`."""
         del writes, removals
+        return self._answer(expected)
+
+    def get(self, key):
+        """See `ports.Store.get`; raises, or returns None."""
+        self._answer((key,))
+
+    def _answer(self, keys):
         self.calls += 1
         outcome = (
             self._outcomes.pop(0)
@@ -42,7 +49,7 @@
             else self._outcomes[0]
         )
         if outcome == "exists":
-            raise ports.ConflictError(dict.fromkeys(expected, 5))
+            raise ports.ConflictError(dict.fromkeys(keys, 5))
         if outcome == "refused":
             raise errors.UnavailableError("refused")
         if outcome == "slow":
--- a/samphiregate/adapters/cells/_job_service.py
+++ b/samphiregate/adapters/cells/_job_service.py
@@ -16,6 +16,17 @@
 WAITING_FRESH_MS = 1_000
 
 
+class _NoResultError(errors.SamphiregateError):
+    """A call was not finished in time, or before the VM ended."""
+
+    def __init__(self, wait_ms):
+        super().__init__(
+            errors.ErrorCode.OUTCOME_UNKNOWN,
+            f"no result within {wait_ms} ms, or the VM ends",
+            ran=errors.Ran.UNKNOWN,
+        )
+
+
 class JobService:
     """Serves callers on one entry VM.
 
@@ -60,9 +71,7 @@
         job_key = _keys.job(self._cell, job.job_id)
         write = _ports.StoreWrite(job_key, cells.encode(job))
         try:
-            self._call_with_timeout(
-                self._commit, timeout_ms, {job_key: 0}, write
-            )
+            self._call_write(self._commit, timeout_ms, {job_key: 0}, write)
         except _ports.ConflictError:
             self._log.write("job known", request=job.job_id)
             return
@@ -83,7 +92,7 @@
             the cancellation is known not to have been stored;
             `OUTCOME_UNKNOWN` when it may have been.
         """
-        self._call_with_timeout(self._cancel, timeout_ms, job_id)
+        self._call_write(self._cancel, timeout_ms, job_id)
         self._log.write("cancel accepted", request=job_id)
 
     def _cancel(self, timeout_ms, job_id):
@@ -115,10 +124,9 @@
         ------
         SamphiregateError
             `NOT_FOUND` for a job that does not exist; `UNAVAILABLE` when
-            neither the owner nor the store answered; `OUTCOME_UNKNOWN` when
-            there was no result in time.
+            neither the owner nor the store answered in time.
         """
-        return self._call_with_timeout(self._state, timeout_ms, job_id)
+        return self._call_read(self._state, timeout_ms, job_id)
 
     def _state(self, timeout_ms, job_id):
         deadline_ms = self._now_ms() + timeout_ms
@@ -170,10 +178,9 @@
         Raises
         ------
         SamphiregateError
-            `UNAVAILABLE` when the owner does not answer; `OUTCOME_UNKNOWN`
-            when there was no result in time.
+            `UNAVAILABLE` when the owner does not answer in time.
         """
-        return self._call_with_timeout(self._waiting, timeout_ms, queue_name)
+        return self._call_read(self._waiting, timeout_ms, queue_name)
 
     def _waiting(self, timeout_ms, queue_name):
         del timeout_ms
@@ -183,10 +190,7 @@
         answer = self._call_owner(cells.AskWaiting(self._cell, queue_name))
         if isinstance(answer, cells.WaitingIs):
             return answer.count
-        raise errors.UnavailableError(
-            "the owner of the queue does not answer",
-            retry_after_ms=_relay.RETRY_AFTER_MS,
-        )
+        raise _unavailable("the owner of the queue does not answer")
 
     # Requests of other VMs
 
@@ -207,6 +211,22 @@
 
     # Calls to the store
 
+    def _call_read(self, call, timeout_ms, *args):
+        """Calls with a time-out; a read without a result is unavailable."""
+        try:
+            return self._call_with_timeout(call, timeout_ms, *args)
+        except _NoResultError as error:
+            raise _unavailable(error.detail) from error
+
+    def _call_write(self, call, timeout_ms, *args):
+        """Calls with a time-out; a write without a result is unknown.
+
+        A write that leaves no time for its answer is not begun.
+        """
+        if timeout_ms <= ANSWER_MARGIN_MS:
+            raise _unavailable("too little time is left; nothing was written")
+        return self._call_with_timeout(call, timeout_ms, *args)
+
     def _call_with_timeout(self, call, timeout_ms, *args):
         """Calls with a time-out, and returns or raises before it has passed.
 
@@ -217,17 +237,13 @@
         Raises
         ------
         SamphiregateError
-            What the call raised; `OUTCOME_UNKNOWN` when it is still running.
+            What the call raised; `_NoResultError` when it is still running.
         """
         running = gevent.spawn(_catch_error, call, timeout_ms, *args)
         wait_ms = max(timeout_ms - ANSWER_MARGIN_MS, 0)
         gevent.wait([running, self._given_up], timeout=wait_ms / 1000, count=1)
         if not running.ready():
-            raise errors.SamphiregateError(
-                errors.ErrorCode.OUTCOME_UNKNOWN,
-                f"no result within {wait_ms} ms, or the VM ends",
-                ran=errors.Ran.UNKNOWN,
-            )
+            raise _NoResultError(wait_ms)
         result, error = running.value
         if error is not None:
             raise error
@@ -262,6 +278,8 @@
         while True:
             try:
                 return self._relay.read(key)
+            except _relay.StoreUnavailableError:
+                raise
             except errors.UnavailableError:
                 if self._now_ms() >= deadline_ms - RETRY_INTERVAL_MS:
                     raise
@@ -284,9 +302,12 @@
             f"the store did not answer: {error.detail}",
             ran=errors.Ran.UNKNOWN,
         )
+    return _unavailable(f"the write was not carried out: {error.detail}")
+
+
+def _unavailable(detail):
     return errors.UnavailableError(
-        f"the write was not carried out: {error.detail}",
-        retry_after_ms=_relay.RETRY_AFTER_MS,
+        detail, retry_after_ms=_relay.RETRY_AFTER_MS
     )
 
 
