Let few callers wait for an owner that does not answer

Cause: each request for a state called the owner and waited up to 1 s, also while the calls before it had got no answer, before it went to the store. Result: 20 callers within 160 ms made 20 calls to a silent owner before, and make one now (features/cells_vm.feature).

--- a/features/cells_vm.feature
+++ b/features/cells_vm.feature
@@ -133,6 +133,16 @@
       | a failed record        | failed    |
       | a cancellation         | cancelled |
 
+  Scenario: few callers wait for an owner that does not answer
+    Given a store in memory that holds job "j"
+    And an owner of the cell that does not answer
+    When 20 callers ask for the state of job "j" within 160 ms
+    Then each gets the state queued
+    And at most 1 calls were made to the owner
+    When 400 ms have passed
+    And 20 callers ask for the state of job "j" within 160 ms
+    Then at most 2 calls were made to the owner
+
   Scenario: a VM gives up its cell when the session ends before the lease
     Given a store in memory
     And a VM that acquires the cell only once
--- a/samphiregate/adapters/cells/_job_service.py
+++ b/samphiregate/adapters/cells/_job_service.py
@@ -13,6 +13,7 @@
 MAX_REFUSED_WAIT_MS = 250  # while each failed try is known not to have written
 ANSWER_MARGIN_MS = 100  # for sending the answer to the caller
 STATE_TIMEOUT_MS = 1_000
+OWNER_PROBE_INTERVAL_MS = 200  # while the owner does not answer
 WAITING_FRESH_MS = 1_000
 
 
@@ -54,6 +55,8 @@
         self._now_ms = now_ms
         self._log = log
         self._given_up = gevent.event.Event()
+        self._unreachable_address = None
+        self._next_probe_ms = 0
 
     def give_up(self):
         """Ends the waiting calls, whose outcomes stay unknown."""
@@ -145,16 +148,35 @@
         return None
 
     def _call_owner(self, message):
+        """Returns the owner's answer, or None if it does not answer.
+
+        While it does not, few of the calls are sent: each would keep its
+        caller waiting.
+        """
         address = self._owner_address()
-        if address is None:
+        if address is None or not self._may_call(address):
             return None
         try:
-            return self._peers.call(address, message, STATE_TIMEOUT_MS)
+            answer = self._peers.call(address, message, STATE_TIMEOUT_MS)
         except errors.SamphiregateError as error:
+            self._unreachable_address = address
+            self._next_probe_ms = self._now_ms() + OWNER_PROBE_INTERVAL_MS
             self._log.write(
                 "owner not reached", owner=address, reason=error.detail
             )
             return None
+        self._unreachable_address = None
+        return answer
+
+    def _may_call(self, address):
+        """Whether the owner answered last time, or a probe is due."""
+        if address != self._unreachable_address:
+            return True
+        now_ms = self._now_ms()
+        if now_ms < self._next_probe_ms:
+            return False
+        self._next_probe_ms = now_ms + OWNER_PROBE_INTERVAL_MS
+        return True
 
     def _state_from_store(self, job_id, deadline_ms):
         record = self._read(_keys.record(self._cell, job_id), deadline_ms)
