Revoke the ownership of a process that has ended

Cause: after the owner of the cell was killed, the others waited for its lease to lapse (up to 2 s) although a process that has ended refuses connections at once, and one that has started again knows that its predecessor has ended. Change: four of the strongest VMs hold a request at the owner; when it breaks and new connections are refused, or another instance answers, one of them removes the owner's record under the condition that it has not changed, and ends its VM's lease. A silent owner keeps its lease. If the process was alive after all, the store refuses its writes, endpoints its orders, and it stops when it sees its record changed or its renewal refused; a new owner waits 2 s longer for the endpoints that it does not reach, as after a lease's end. What a VM sees of owners moves from _vm.py to _owner_record.py.

--- a/features/cells.feature
+++ b/features/cells.feature
@@ -213,19 +213,25 @@
     Given 4 endpoints of 4 cores
     And an owner of the cell
     When a long-running job "j" of 6 tasks is submitted
-    And owners change 40 times while endpoints fall silent, with seed <seed>
-    And 9000 ms pass
+    And owners <how> 40 times while endpoints fall silent, with seed <seed>
+    And <wait_ms> ms pass
     Then 6 tasks of job "j" run
     And no invariant was violated
 
     Examples:
-      | seed |
-      | 1    |
-      | 2    |
-      | 3    |
-      | 4    |
-      | 5    |
-      | 6    |
+      | how         | seed | wait_ms |
+      | change      | 1    | 9000    |
+      | change      | 2    | 9000    |
+      | change      | 3    | 9000    |
+      | change      | 4    | 9000    |
+      | change      | 5    | 9000    |
+      | change      | 6    | 9000    |
+      | are revoked | 1    | 11000   |
+      | are revoked | 2    | 11000   |
+      | are revoked | 3    | 11000   |
+      | are revoked | 4    | 11000   |
+      | are revoked | 5    | 11000   |
+      | are revoked | 6    | 11000   |
 
   Scenario: a run that is not in the stored record is adopted, not stopped
     Given 1 endpoints of 4 cores
--- a/features/cells_vm.feature
+++ b/features/cells_vm.feature
@@ -180,6 +180,55 @@
       | {"vm_id":"a","address":"a:1","capacity":1.5}       | 1.5   |
       | {"vm_id":"a","address":"a:1","capacity":2,"new":7} | 2     |
 
+  Scenario Outline: the ownership of a process that has ended is revoked
+    Given a store in memory
+    And an owner whose process <what>
+    When a VM monitors it for 400 ms
+    Then the ownership <revoked> revoked
+
+    Examples:
+      | what                                        | revoked |
+      | answers                                     | is not  |
+      | does not answer yet                         | is not  |
+      | refuses connections                         | is      |
+      | breaks its connections and accepts new ones | is not  |
+      | has started again                           | is      |
+      | ran on the VM that monitors it              | is      |
+      | refuses connections and gave no lease       | is not  |
+
+  Scenario: an ownership is not revoked if the owner's record has changed
+    Given a store in memory
+    And an owner whose process refuses connections
+    When a VM monitors it and another one acquires the cell meanwhile
+    Then the ownership is not revoked
+
+  Scenario: the next owner knows that the one before was revoked
+    Given a store in memory
+    And an owner whose process refuses connections
+    When a VM monitors it for 400 ms
+    And a VM acquires the cell after it
+    Then its epoch follows a revoked one
+    When the VM gives the cell up and acquires it again
+    Then its epoch does not follow a revoked one
+
+  Scenario: an owner that sees its record changed ends its session
+    Given a store in memory
+    And a VM that serves the cell
+    When the store shows an earlier change of the owner's record
+    Then the session goes on
+    When the store shows a later change of the owner's record
+    Then the session ends
+
+  Scenario Outline: strong VMs monitor the owner, not always the same
+    When the VMs that monitor are chosen among <cores>
+    Then the owner of epoch 1 is monitored by <count> VMs of 2 cores
+    And different VMs monitor the owners of epochs 1 to 20
+
+    Examples:
+      | cores                      | count |
+      | 8 of 2 cores, 20 of 1 core | 4     |
+      | 2 of 2 cores, 20 of 1 core | 2     |
+
   Scenario: the log tells for how long a cell had no owner
     Given a store in memory
     When another VM gives up the cell and this one acquires it 150 ms later
--- a/features/steps/cells_fault_steps.py
+++ b/features/steps/cells_fault_steps.py
@@ -101,10 +101,10 @@
 
 
 @behave.when(
-    "owners change {count:d} times while endpoints fall silent, with seed "
+    "owners {how} {count:d} times while endpoints fall silent, with seed "
     "{seed:d}"
 )
-def when_owners_change(context, count, seed):
+def when_owners_change(context, how, count, seed):
     simulation = context.simulation
     simulation.random.seed(seed)
     endpoints = list(simulation.endpoint_by_id.values())
@@ -120,7 +120,8 @@
             simulation.run_for(simulation.random.randint(20, 2_000))
         has_just_started = simulation.random.random() < 0.2
         simulation.take_over(
-            cells.EpochHistory() if has_just_started else None
+            cells.EpochHistory() if has_just_started else None,
+            revoked=how == "are revoked",
         )
     simulation.store_up = True
     for endpoint in endpoints:
--- a/features/steps/cells_ownership_steps.py
+++ b/features/steps/cells_ownership_steps.py
@@ -10,12 +10,18 @@
 from features.support import cells_store
 from samphiregate.adapters.cells import _keys
 from samphiregate.adapters.cells import _lease
+from samphiregate.adapters.cells import _owner_record
 from samphiregate.adapters.cells import _ownership
 from samphiregate.adapters.cells import _ports
 from samphiregate.adapters.cells import _precedence
 from samphiregate.core import cells
 
 
+def _change_of_owner(revision, item):
+    key = _keys.owner(cells_store.CELL)
+    return _ports.StoreChange(key, revision, item)
+
+
 def _make_ownership(context, serve, yield_ms=lambda: 0):
     store = context.store
     context.lease = cells_store.FakeLease()
@@ -31,6 +37,7 @@
         may_own=lambda: not getattr(context, "has_acquired", False),
         serve=serve,
         yield_ms=yield_ms,
+        instance="instance",
         random_state=random.Random(1),
         now_ms=lambda: context.ownership_now_ms,
         log=context.ownership_log,
@@ -77,7 +84,7 @@
 
 @behave.when("another VM acquires the cell while this one yields")
 def when_other_acquires(context):
-    record = _ownership.OwnerRecord("other", "b:1", 7)
+    record = _owner_record.OwnerRecord("other", "b:1", 7)
     write = _ports.StoreWrite(
         _keys.owner(cells_store.CELL), cells.encode(record)
     )
@@ -94,7 +101,7 @@
 def then_left_to_other(context):
     assert context.tenure is None, context.tenure
     item = context.store.get(_keys.owner(cells_store.CELL))
-    assert _ownership.decode_owner(item.value).vm_id == "other", item
+    assert _owner_record.decode_owner(item.value).vm_id == "other", item
 
 
 @behave.when(
@@ -109,7 +116,7 @@
         session_end.wait()
 
     ownership = _make_ownership(context, serve)
-    ownership.owner_changed()
+    ownership.owner_changed(_change_of_owner(revision=2, item=None))
     context.ownership_now_ms += later_ms
     with ownership:
         assert serving.wait(cells_store.SETTLE_S)
@@ -198,3 +205,59 @@
 @behave.then("the VM serves the cell with epoch {epoch:d}")
 def then_serves(context, epoch):
     assert context.epochs == [epoch], context.epochs
+
+
+def _acquire(context):
+    ownership = _make_ownership(context, serve=None)
+    context.tenure = ownership._acquire()
+    return ownership
+
+
+@behave.when("a VM acquires the cell after it")
+def when_acquires_after(context):
+    context.ownership = _acquire(context)
+
+
+@behave.when("the VM gives the cell up and acquires it again")
+def when_acquires_again(context):
+    context.ownership._relinquish(context.tenure)
+    _acquire(context)
+
+
+@behave.then("its epoch {whether} a revoked one")
+def then_after_revoked(context, whether):
+    follows = whether == "follows"
+    assert context.tenure.after_revoked == follows, context.tenure
+
+
+@behave.given("a VM that serves the cell")
+def given_serving(context):
+    context.serving = gevent.event.Event()
+
+    def serve(tenure, session_end):
+        context.tenure = tenure
+        context.serving.set()
+        session_end.wait()
+        context.has_acquired = True
+
+    context.ownership = _make_ownership(context, serve)
+    context.ownership.__enter__()
+    context.add_cleanup(context.ownership.__exit__)
+    assert context.serving.wait(cells_store.SETTLE_S)
+
+
+@behave.when("the store shows {which} change of the owner's record")
+def when_owner_record_changes(context, which):
+    (own_revision,) = context.tenure.guard.values()
+    revision = own_revision + (1 if which == "a later" else -1)
+    context.ownership.owner_changed(_change_of_owner(revision, item=None))
+
+
+@behave.then("the session goes on")
+def then_session_goes_on(context):
+    assert not context.ownership.session_end.is_set()
+
+
+@behave.then("the session ends")
+def then_session_ends(context):
+    assert context.ownership.session_end.is_set()
--- a/features/steps/cells_vm_steps.py
+++ b/features/steps/cells_vm_steps.py
@@ -1,5 +1,6 @@
 """Steps about an entry VM that serves callers from a store."""
 
+import random
 import types
 
 import behave
@@ -420,7 +421,7 @@
         peer_address="self:1",
         capacity=1.0,
         ports=ports,
-        random_state=None,
+        random_state=random.Random(1),
         log=cells_store.FakeLog(),
     )
     _change_vm(context, "a")
--- a/features/support/cells.py
+++ b/features/support/cells.py
@@ -23,6 +23,7 @@
 FAILED_QUERY_MS = 900
 LEASE_MS = 5_000
 LAPSED_GRACE_MS = 2_000  # for which an owner polls after its lease's end
+VM_LEASE_MS = 2_000  # until an owner that was revoked knows at the latest
 INHERITED_LEASE_MS = 7_400
 
 
@@ -128,21 +129,25 @@
         if self.owner_up and self.cell is not None:
             self.deliver(cells.JobCancelled(job_id))
 
-    def take_over(self, epoch_history=None):
+    def take_over(self, epoch_history=None, revoked=False):
         """Starts a new owner, which loads the cell from the store.
 
         Parameters
         ----------
         epoch_history : EpochHistory or None
             That of the VM; `self.epoch_history` by default.
+        revoked : bool
+            Whether the ownership before was revoked, not lapsed.
         """
         self._generation += 1
+        extra_ms = VM_LEASE_MS if revoked else 0
         if self.cell is not None:
-            until_ms = self.now_ms + LAPSED_GRACE_MS
+            until_ms = self.now_ms + LAPSED_GRACE_MS + extra_ms
             self._lapsed_owners.append((self.epoch, self.cell, until_ms))
         self.epoch_history.record_no_owner(self.now_ms)
         self.epoch += 1
-        self.epoch_history.record_owner(self.epoch, self.now_ms)
+        for history in {self.epoch_history, epoch_history} - {None}:
+            history.record_owner(self.epoch, self.now_ms, extra_ms)
         self.owner_up = True
         self._writing = False
         self.cell = cells.Cell(
--- a/features/support/cells_store.py
+++ b/features/support/cells_store.py
@@ -64,6 +64,7 @@
 
     def __init__(self, loses_answers=False):
         self.item_by_key = {}
+        self.ended_leases = []
         self.revision = 1
         self._loses_answers = loses_answers
 
@@ -71,6 +72,10 @@
         """See `ports.Store.get`."""
         return self.item_by_key.get(key)
 
+    def end_lease(self, lease_id):
+        """See `ports.Store.end_lease`."""
+        self.ended_leases.append(lease_id)
+
     def commit(self, *, expected, writes, removals=()):
         """See `ports.Store.commit`."""
         present = {
--- a/samphiregate/adapters/cells/_keys.py
+++ b/samphiregate/adapters/cells/_keys.py
@@ -15,6 +15,11 @@
     return f"epochs/{cell}"
 
 
+def revoked(cell):
+    """Returns the key of the last epoch that was revoked."""
+    return f"revoked/{cell}"
+
+
 def work_prefix(cell):
     """Returns the prefix of accepted jobs and cancellations."""
     return f"work/{cell}/"
--- a/samphiregate/adapters/cells/_ownership.py
+++ b/samphiregate/adapters/cells/_ownership.py
@@ -5,8 +5,10 @@
 import attrs
 import gevent
 import gevent.event
+from gevent import pool
 
 from samphiregate.adapters.cells import _keys
+from samphiregate.adapters.cells import _owner_record
 from samphiregate.adapters.cells import _ports
 from samphiregate.core import cells
 from samphiregate import errors
@@ -15,30 +17,6 @@
 MAX_JITTER_MS = 60  # random delay before acquiring
 
 
-@attrs.frozen
-class OwnerRecord:
-    """The owner of a cell, as stored under the lease of its VM.
-
-    Parameters
-    ----------
-    vm_id, address : str
-    epoch : int
-    instance : str
-        Random id of the process; a restarted VM has the same `vm_id` and
-        another instance.
-    """
-
-    vm_id: str
-    address: str
-    epoch: int
-    instance: str = ""
-
-
-def decode_owner(value):
-    """Decodes an `OwnerRecord`; raises `BadInputError`."""
-    return cells.decode(value, OwnerRecord)
-
-
 @attrs.frozen
 class Tenure:
     """One ownership of a cell by this VM.
@@ -51,12 +29,15 @@
         Condition of each write of the owner: revision by key of its owner
         record, which must be unchanged.
     lease_id : int
+    after_revoked : bool
+        Whether the ownership before this one was revoked.
     """
 
     cell: str
     epoch: int
     guard: dict
     lease_id: int
+    after_revoked: bool = False
 
 
 class Ownership:
@@ -78,6 +59,8 @@
         is set.
     yield_ms : callable
         Returns for how long stronger VMs may acquire the cell first.
+    instance : str
+        Random id of this process.
     random_state : random.Random
     now_ms : callable
     log : DecisionLog
@@ -101,6 +84,7 @@
         may_own,
         serve,
         yield_ms,
+        instance,
         random_state,
         now_ms,
         log,
@@ -116,9 +100,10 @@
         self._serve = serve
         self._yield_ms = yield_ms
         self._random = random_state
-        self._instance = f"{random_state.getrandbits(64):016x}"
+        self._instance = instance
         self._now_ms = now_ms
         self._served_epoch = 0
+        self._tenure = None  # while it is served
         self._without_owner_since_ms = None
         self._log = log
         self._changed = gevent.event.Event()
@@ -135,10 +120,16 @@
         self._greenlet.join(timeout=1)
         self._greenlet.kill()
 
-    def owner_changed(self):
-        """Wakes the loop after a change of the owner's record."""
-        if self._owner_item() is None:
+    def owner_changed(self, change):
+        """Applies a `StoreChange` of the owner's record.
+
+        Ends the session if this VM no longer owns the cell.
+        """
+        if change.item is None:
             self._without_owner_since_ms = self._now_ms()
+        tenure = self._tenure
+        if tenure is not None and change.revision > tenure.guard[change.key]:
+            self.session_end.set()
         self._changed.set()
 
     def _run(self):
@@ -168,7 +159,9 @@
             )
             self.session_end.clear()
             self._served_epoch = tenure.epoch
+            self._tenure = tenure
             self._serve_and_log_errors(tenure)
+            self._tenure = None
             self._relinquish(tenure)
             self._log.write("cell left", cell=tenure.cell, epoch=tenure.epoch)
 
@@ -187,11 +180,22 @@
         if self._owner_item() is not None:
             return None
         epoch_key = _keys.epoch(self._cell)
-        epoch_item = self._store.get(epoch_key)
-        epoch = int(epoch_item.value) + 1 if epoch_item else 1
+        epoch_item, revoked_item = pool.Pool().map(
+            self._store.get, (epoch_key, _keys.revoked(self._cell))
+        )
+        last_epoch = int(epoch_item.value) if epoch_item else 0
+        revoked_epoch = int(revoked_item.value) if revoked_item else -1
+        epoch = last_epoch + 1
         owner_key = _keys.owner(self._cell)
-        record = OwnerRecord(self._vm_id, self._address, epoch, self._instance)
         lease_id = self._lease.lease_id
+        record = _owner_record.OwnerRecord(
+            self._vm_id,
+            self._address,
+            epoch,
+            self._instance,
+            lease_id,
+            after_revoked=revoked_epoch == last_epoch,
+        )
         try:
             revision = self._store.commit(
                 expected={
@@ -213,7 +217,16 @@
             revision = self._find_own_record(owner_key, record)
             if revision is None:
                 return None
-        return Tenure(self._cell, epoch, {owner_key: revision}, lease_id)
+        return self._make_tenure(record, owner_key, revision)
+
+    def _make_tenure(self, record, key, revision):
+        return Tenure(
+            self._cell,
+            record.epoch,
+            {key: revision},
+            record.lease_id,
+            record.after_revoked,
+        )
 
     def _serve_and_log_errors(self, tenure):
         """Serves, and logs exceptions.
@@ -257,18 +270,19 @@
         Returns None for a record of another process, or of an epoch that
         this process has already served.
         """
-        record = decode_owner(item.value)
+        record = _owner_record.decode_owner(item.value)
         if (
             record.instance != self._instance
             or record.epoch <= self._served_epoch
         ):
             return None
-        guard = {item.key: item.revision}
-        return Tenure(self._cell, record.epoch, guard, self._lease.lease_id)
+        return self._make_tenure(record, item.key, item.revision)
 
     def _find_own_record(self, owner_key, record):
         """Returns the revision of the record if it was written, else None."""
         item = self._store.get(owner_key)
-        if item is None or decode_owner(item.value) != record:
+        if item is None:
+            return None
+        if _owner_record.decode_owner(item.value) != record:
             return None
         return item.revision
--- a/samphiregate/adapters/cells/_peer_calls.py
+++ b/samphiregate/adapters/cells/_peer_calls.py
@@ -1,5 +1,7 @@
 """Requests between entry VMs, over HTTP."""
 
+from gevent import socket
+
 from samphiregate.adapters import http
 from samphiregate.adapters import peers
 from samphiregate import errors
@@ -71,6 +73,20 @@
             )
         return peers.decode_message(answer.body)
 
+    def refuses_connections(self, address):
+        """Whether a connection to an address is refused at once."""
+        host, _colon, port = address.rpartition(":")
+        try:
+            connection = socket.create_connection(
+                (host, int(port)), timeout=CONNECT_TIMEOUT_MS / 1000
+            )
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+        connection.close()
+        return False
+
     def application(self, environ, start_response):
         """Serves requests of other VMs, as a WSGI application."""
         body = environ["wsgi.input"].read()
--- a/samphiregate/adapters/cells/_precedence.py
+++ b/samphiregate/adapters/cells/_precedence.py
@@ -1,9 +1,12 @@
-"""How long a VM lets stronger ones acquire a cell first.
+"""Which VMs are to acquire a cell first, and which monitor its owner.
 
 The owner of a cell decides for all of its endpoints and jobs, so that a VM
 with little processor capacity is a worse owner than one with more.
 """
 
+import zlib
+
+MONITOR_COUNT = 4  # of each owner
 MAX_YIELD_MS = 90  # of a VM with next to no capacity
 
 
@@ -27,3 +30,29 @@
     if capacity <= 0 or capacity >= strongest:
         return 0
     return MAX_YIELD_MS * (1 - capacity / strongest)
+
+
+def monitor_ids(records, epoch):
+    """Returns the ids of the VMs that monitor an owner.
+
+    These are some of the strongest, as they may acquire the cell first; which
+    of them, differs from owner to owner.
+
+    Parameters
+    ----------
+    records : iterable of VmRecord
+        Of the VMs with a lease but the owner.
+    epoch : int
+        Of the owner.
+
+    Returns
+    -------
+    list of str
+    """
+
+    def rank(record):
+        spread = zlib.crc32(f"{record.vm_id}/{epoch}".encode())
+        return (-record.capacity, spread)
+
+    ranked = sorted(records, key=rank)
+    return [record.vm_id for record in ranked[:MONITOR_COUNT]]
--- a/samphiregate/adapters/cells/_vm.py
+++ b/samphiregate/adapters/cells/_vm.py
@@ -11,6 +11,8 @@
 from samphiregate.adapters.cells import _keys
 from samphiregate.adapters.cells import _lease
 from samphiregate.adapters.cells import _owner
+from samphiregate.adapters.cells import _owner_monitor
+from samphiregate.adapters.cells import _owner_record
 from samphiregate.adapters.cells import _ownership
 from samphiregate.adapters.cells import _peer_calls
 from samphiregate.adapters.cells import _policy_queries
@@ -25,9 +27,7 @@
 # How long one watch call waits, and so how long a dead connection goes
 # undetected.
 CONFIGURATION_WAIT_MS = 1_000
-OWNERS_WAIT_MS = 2_000
 VMS_WAIT_MS = 8_000
-SILENT_WAIT_MS = 8_000
 POLICY_TIMEOUT_MS = 5_000
 
 
@@ -113,7 +113,7 @@
         self._stopping = False
         self._known_vm_records = None
         self.accepts_requests = True
-        self._epoch_history = cells.EpochHistory()
+        self._instance = f"{random_state.getrandbits(64):016x}"
         self._peers = _peer_calls.PeerCalls(answer=self._answer)
         self.configuration = _configuration.ConfigurationHolder(
             decode=ports.decoders.configuration,
@@ -128,11 +128,23 @@
             now_ms=_clock.steady_ms,
             log=log,
         )
-        self._owners = self._make_watched_prefix(
-            _keys.OWNERS_PREFIX, self._owner_changed, OWNERS_WAIT_MS
+        self._owner_view = _owner_record.OwnerView(
+            cell=CELL,
+            watch_prefix=self._make_watched_prefix,
+            on_change=self._owner_changed,
+            now_ms=_clock.steady_ms,
+            log=log,
         )
-        self._silent_endpoints = self._make_watched_prefix(
-            _keys.SILENT_PREFIX, self._silent_changed, SILENT_WAIT_MS
+        self._owner_monitor = _owner_monitor.OwnerMonitor(
+            cell=CELL,
+            vm_id=vm_id,
+            address=peer_address,
+            instance=self._instance,
+            store=ports.store,
+            peers=self._peers,
+            view=self._owner_view,
+            is_monitor=self._is_monitor,
+            log=log,
         )
         self._vms = self._make_watched_prefix(
             _keys.VMS_PREFIX, self._vm_changed, VMS_WAIT_MS
@@ -154,7 +166,7 @@
             relay=self._relay,
             peers=self._peers,
             local_cell=self._local_cell,
-            owner_address=self._owner_address,
+            owner_address=lambda: self._owner_view.address,
             now_ms=_clock.steady_ms,
             log=log,
         )
@@ -167,8 +179,7 @@
         self._stack.callback(server.stop, timeout=0)
         self._stack.enter_context(self._peers)
         self._stack.enter_context(self._watched_configuration)
-        self._stack.enter_context(self._owners)
-        self._stack.enter_context(self._silent_endpoints)
+        self._stack.enter_context(self._owner_view)
         self._stack.enter_context(self._vms)
         self._stack.enter_context(self._lease)
         self._ownership = _ownership.Ownership(
@@ -177,15 +188,17 @@
             address=self._peer_address,
             store=self._ports.store,
             lease=self._lease,
-            owner_item=self._owner_item,
+            owner_item=lambda: self._owner_view.item,
             may_own=self._may_own,
             serve=self._serve,
             yield_ms=self._yield_ms,
+            instance=self._instance,
             random_state=self._random,
             now_ms=_clock.steady_ms,
             log=self._log,
         )
         self._stack.enter_context(self._ownership)
+        self._stack.enter_context(self._owner_monitor)
         return self
 
     def __exit__(self, *exc_info):
@@ -248,58 +261,18 @@
     def _may_own(self):
         return (
             not self._stopping
-            and self._owners.synced
+            and self._owner_view.is_synced
             and self.configuration.current is not None
         )
 
-    def _owner_item(self):
-        return self._owners.item_by_key.get(_keys.owner(CELL))
-
     def _owner_changed(self, change):
-        if change.key == _keys.owner(CELL):
-            self._record_owner(change.item)
         if self._ownership is not None:
-            self._ownership.owner_changed()
-
-    def _record_owner(self, item):
-        """Records which epochs a change of the owner's record shows ended."""
-        now_ms = _clock.steady_ms()
-        if item is None:
-            self._epoch_history.record_no_owner(now_ms)
-            return
-        try:
-            epoch = _ownership.decode_owner(item.value).epoch
-        except errors.BadInputError as error:
-            self._log.write("owner unreadable", reason=error.detail)
-            return
-        self._epoch_history.record_owner(epoch, now_ms)
-
-    def _silent_changed(self, change):
-        """Records from when the store lists endpoints as silent."""
-        if change.key != _keys.silent_endpoints(CELL) or change.item is None:
-            return
-        try:
-            record = cells.decode(change.item.value, cells.SilentRecord)
-        except errors.BadInputError as error:
-            self._log.write(
-                "record unreadable", key=change.key, reason=error.detail
-            )
-            return
-        self._epoch_history.record_list(record, _clock.steady_ms())
-
-    def _owner_address(self):
-        item = self._owner_item()
-        if item is None:
-            return None
-        try:
-            return _ownership.decode_owner(item.value).address
-        except errors.BadInputError as error:
-            self._log.write("owner unreadable", reason=error.detail)
-            return None
+            self._ownership.owner_changed(change)
+        self._owner_monitor.owner_changed()
 
     def _other_addresses(self):
         """Returns the addresses of the other VMs, the owner's first."""
-        owner = self._owner_address()
+        owner = self._owner_view.address
         others = sorted(
             set(self._address_by_vm().values()) - {self._peer_address, owner}
         )
@@ -308,6 +281,12 @@
         return [owner, *others]
 
     def _serve(self, tenure, session_end):
+        _owner_record.record_epoch(
+            self._owner_view.epoch_history,
+            epoch=tenure.epoch,
+            after_revoked=tenure.after_revoked,
+            now_ms=_clock.steady_ms(),
+        )
         policy_router = _policy_queries.PolicyQueryRouter(
             vm_id=self._vm_id,
             policy=self._ports.policy,
@@ -325,7 +304,7 @@
             lease=self._lease,
             configuration=lambda: self.configuration.current,
             session_end=session_end,
-            epoch_history=self._epoch_history,
+            epoch_history=self._owner_view.epoch_history,
             now_ms=_clock.steady_ms,
             unix_ms=_clock.unix_ms,
             log=self._log,
@@ -335,6 +314,17 @@
         finally:
             self._session = None
 
+    def _is_monitor(self, owner):
+        """Whether this VM monitors the process of an owner."""
+        records = [
+            record
+            for record in self._vm_records()
+            if record.vm_id != owner.vm_id
+        ]
+        return not self._stopping and self._vm_id in _precedence.monitor_ids(
+            records, owner.epoch
+        )
+
     def _yield_ms(self):
         return _precedence.yield_ms(
             capacity=self._capacity,
@@ -400,6 +390,10 @@
     def _(self, message: cells.RelayRead):
         return self._relay.answer_read(message)
 
+    @_answer.register
+    def _(self, message: cells.AskInstance):
+        return self._owner_monitor.answer(message)
+
     @_answer.register
     def _(self, message: cells.RelayAdvice):
         tickets, valid_ms = self._ports.policy.request_tickets(
--- a/samphiregate/core/cells/__init__.py
+++ b/samphiregate/core/cells/__init__.py
@@ -29,8 +29,10 @@
 from samphiregate.core.cells._messages import StopAnswered
 from samphiregate.core.cells._messages import StopTask
 from samphiregate.core.cells._peer_messages import AdviceIs
+from samphiregate.core.cells._peer_messages import AskInstance
 from samphiregate.core.cells._peer_messages import AskJobState
 from samphiregate.core.cells._peer_messages import AskWaiting
+from samphiregate.core.cells._peer_messages import InstanceIs
 from samphiregate.core.cells._peer_messages import ItemIs
 from samphiregate.core.cells._peer_messages import JobStateIs
 from samphiregate.core.cells._peer_messages import NotMine
@@ -59,6 +61,7 @@
     "Account",
     "AccountsChanged",
     "AdviceIs",
+    "AskInstance",
     "AskJobState",
     "AskWaiting",
     "Cell",
@@ -70,6 +73,7 @@
     "EndpointRegistered",
     "EndReason",
     "EpochHistory",
+    "InstanceIs",
     "ItemIs",
     "Job",
     "JobCancelled",
--- a/samphiregate/core/cells/_inheritance.py
+++ b/samphiregate/core/cells/_inheritance.py
@@ -60,10 +60,24 @@
         self._ends = collections.deque(maxlen=MAX_ENDS)
         self._listed_ms_by_listing = {}
 
-    def record_owner(self, epoch, now_ms):
-        """Records that an owner of an epoch is seen: earlier ones ended."""
+    def record_owner(self, epoch, now_ms, extra_ms=0):
+        """Records that an owner of an epoch is seen: earlier ones ended.
+
+        Parameters
+        ----------
+        epoch : int
+        now_ms : int
+        extra_ms : int
+            How much longer the owner before may act than one whose lease
+            has ended, as its ownership was revoked.
+        """
         self._owner_epoch = epoch
-        self._record_end(epoch - 1, now_ms)
+        if extra_ms:
+            self._ends = collections.deque(
+                (row for row in self._ends if row[0] != epoch - 1),
+                maxlen=MAX_ENDS,
+            )
+        self._record_end(epoch - 1, now_ms + extra_ms)
 
     def record_no_owner(self, now_ms):
         """Records that the record of the last owner seen was removed."""
@@ -82,11 +96,15 @@
 
     def ended_ms(self, epoch):
         """Returns a time at which an epoch had ended; None if unknown."""
-        times = (ms for ended, ms in self._ends if ended >= epoch)
+        for ended, ms in self._ends:
+            if ended == epoch:
+                return ms
+        times = (ms for ended, ms in self._ends if ended > epoch)
         return min(times, default=None)
 
     def _record_end(self, epoch, now_ms):
-        if epoch > 0 and self.ended_ms(epoch) is None:
+        known = any(ended == epoch for ended, _ms in self._ends)
+        if epoch > 0 and not known:
             self._ends.append((epoch, now_ms))
 
 
--- a/samphiregate/core/cells/_peer_messages.py
+++ b/samphiregate/core/cells/_peer_messages.py
@@ -111,6 +111,23 @@
     created_revision: int
 
 
+@attrs.frozen
+class AskInstance(base.PeerMessage):
+    """Request for the instance of a process, to be answered after a time.
+
+    Until then the open request shows that the process is there.
+    """
+
+    hold_ms: int
+
+
+@attrs.frozen
+class InstanceIs(base.PeerMessage):
+    """Random id of the process that answers."""
+
+    instance: str
+
+
 @attrs.frozen
 class NotMine(base.PeerMessage):
     """Answer of a VM that cannot serve the request; another VM may."""
