Tell the owner of accepted jobs and cancellations at once

Cause: an owner learned of a job only from its watch of the store. Change: the VM whose write created a job sends it to the owner, in the background; so does the one that stored a cancellation. An owner that is still reading the cell takes no notice, as it has not read the jobs' records; a job that was there before is not told of. The watch goes on as before.

--- a/features/cells_vm.feature
+++ b/features/cells_vm.feature
@@ -20,6 +20,34 @@
       | silent, refused         | outcome-unknown      |
       | slow                    | outcome-unknown      |
 
+  Scenario Outline: the owner is told of a job only by the VM whose write created it
+    Given a store that answers writes with <answers>
+    When a caller submits a job with a time-out of 1000 ms
+    Then the owner is told of <count> jobs
+
+    Examples:
+      | answers       | count |
+      | done          | 1     |
+      | refused, done | 1     |
+      | exists        | 0     |
+      | silent        | 0     |
+
+  Scenario Outline: an owner takes notices once it has read the cell
+    Given a VM that <state>
+    When another VM tells it of a job and of a cancellation
+    Then it has taken <count> notices
+
+    Examples:
+      | state                      | count |
+      | serves the cell alone      | 2     |
+      | is still reading the cell  | 0     |
+
+  Scenario: a caller does not wait until the owner has taken a notice
+    Given an owner that takes no notices for 5 s
+    When 200 jobs are accepted one after the other
+    Then no caller has waited for the owner
+    And some notices were dropped and logged
+
   Scenario Outline: a VM that the store refuses writes through the owner's VM
     Given a store that answers writes with refused
     And the owner's VM, whose store answers writes with <answers>
--- a/features/steps/cells_vm_steps.py
+++ b/features/steps/cells_vm_steps.py
@@ -39,12 +39,14 @@
     context.clock = cells_store.SteppingClock(step_ms)
     relay = _make_relay(store, context.clock, peers, others)
     context.relay = relay
+    context.notices = cells_store.RecordedNotices()
     context.job_service = _job_service.JobService(
         cell=cells_store.CELL,
         relay=relay,
         peers=peers,
         local_cell=lambda: None,
         owner_address=lambda: owner_address,
+        notices=context.notices,
         now_ms=context.clock.now_ms,
         log=cells_store.FakeLog(),
     )
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -190,6 +190,7 @@
             peers=None,
             local_cell=lambda: None,
             owner_address=lambda: None,
+            notices=cells_store.RecordedNotices(),
             now_ms=cells_store.SteppingClock().now_ms,
             log=log,
         )
--- a/features/support/cells_store.py
+++ b/features/support/cells_store.py
@@ -141,6 +141,22 @@
         self.lines.append((what, fields))
 
 
+class RecordedNotices:
+    """Records the notices that an owner would get."""
+
+    def __init__(self):
+        self.stored_ids = []
+        self.cancelled_ids = []
+
+    def tell_stored(self, job):
+        """See `OwnerNotices.tell_stored`."""
+        self.stored_ids.append(job.job_id)
+
+    def tell_cancelled(self, job_id):
+        """See `OwnerNotices.tell_cancelled`."""
+        self.cancelled_ids.append(job_id)
+
+
 class FakeLease:
     """A lease that is valid as long as `lease_id` is not 0."""
 
--- a/samphiregate/adapters/cells/_job_service.py
+++ b/samphiregate/adapters/cells/_job_service.py
@@ -40,18 +40,29 @@
         Returns the `Cell` if this VM owns and serves it, else None.
     owner_address : callable
         Returns the peer address of the cell's owner, or None.
+    notices : OwnerNotices
     now_ms : callable
     log : DecisionLog
     """
 
     def __init__(
-        self, *, cell, relay, peers, local_cell, owner_address, now_ms, log
+        self,
+        *,
+        cell,
+        relay,
+        peers,
+        local_cell,
+        owner_address,
+        notices,
+        now_ms,
+        log,
     ):
         self._cell = cell
         self._relay = relay
         self._peers = peers
         self._local_cell = local_cell
         self._owner_address = owner_address
+        self._notices = notices
         self._now_ms = now_ms
         self._log = log
         self._given_up = gevent.event.Event()
@@ -78,6 +89,7 @@
         except _ports.ConflictError:
             self._log.write("job known", request=job.job_id)
             return
+        self._notices.tell_stored(job)
         self._log.write(
             "job accepted",
             request=job.job_id,
@@ -96,6 +108,7 @@
             `OUTCOME_UNKNOWN` when it may have been.
         """
         self._call_write(self._cancel, timeout_ms, job_id)
+        self._notices.tell_cancelled(job_id)
         self._log.write("cancel accepted", request=job_id)
 
     def _cancel(self, timeout_ms, job_id):
--- a/samphiregate/adapters/cells/_vm.py
+++ b/samphiregate/adapters/cells/_vm.py
@@ -12,6 +12,7 @@
 from samphiregate.adapters.cells import _lease
 from samphiregate.adapters.cells import _owner
 from samphiregate.adapters.cells import _owner_monitor
+from samphiregate.adapters.cells import _owner_notices
 from samphiregate.adapters.cells import _owner_record
 from samphiregate.adapters.cells import _ownership
 from samphiregate.adapters.cells import _peer_calls
@@ -161,12 +162,20 @@
             now_ms=_clock.steady_ms,
             log=log,
         )
+        self._notices = _owner_notices.OwnerNotices(
+            cell=CELL,
+            peers=self._peers,
+            owner_address=lambda: self._owner_view.address,
+            deliver=self._deliver_local,
+            log=log,
+        )
         self.job_service = _job_service.JobService(
             cell=CELL,
             relay=self._relay,
             peers=self._peers,
             local_cell=self._local_cell,
             owner_address=lambda: self._owner_view.address,
+            notices=self._notices,
             now_ms=_clock.steady_ms,
             log=log,
         )
@@ -362,6 +371,13 @@
             return None
         return session.cell
 
+    def _deliver_local(self, event):
+        """Delivers an event if this VM serves the cell; returns whether."""
+        if self._local_cell() is None:
+            return False
+        self._session.deliver(event)
+        return True
+
     def _configuration_changed(self):
         if self._session is not None:
             self._session.configuration_changed()
@@ -390,6 +406,14 @@
     def _(self, message: cells.RelayRead):
         return self._relay.answer_read(message)
 
+    @_answer.register
+    def _(self, message: cells.JobWasStored):
+        return self._notices.answer_stored(message)
+
+    @_answer.register
+    def _(self, message: cells.JobWasCancelled):
+        return self._notices.answer_cancelled(message)
+
     @_answer.register
     def _(self, message: cells.AskInstance):
         return self._owner_monitor.answer(message)
--- a/samphiregate/core/cells/__init__.py
+++ b/samphiregate/core/cells/__init__.py
@@ -35,6 +35,9 @@
 from samphiregate.core.cells._peer_messages import InstanceIs
 from samphiregate.core.cells._peer_messages import ItemIs
 from samphiregate.core.cells._peer_messages import JobStateIs
+from samphiregate.core.cells._peer_messages import JobWasCancelled
+from samphiregate.core.cells._peer_messages import JobWasStored
+from samphiregate.core.cells._peer_messages import NoticeTaken
 from samphiregate.core.cells._peer_messages import NotMine
 from samphiregate.core.cells._peer_messages import RelayAdvice
 from samphiregate.core.cells._peer_messages import RelayRead
@@ -82,8 +85,11 @@
     "JobState",
     "JobStateIs",
     "JobStored",
+    "JobWasCancelled",
+    "JobWasStored",
     "LogDecision",
     "max_lease_ms",
+    "NoticeTaken",
     "NotMine",
     "PolicyAnswered",
     "PolicyQueryFailed",
--- a/samphiregate/core/cells/_peer_messages.py
+++ b/samphiregate/core/cells/_peer_messages.py
@@ -20,6 +20,27 @@
     state: str
 
 
+@attrs.frozen
+class JobWasStored(base.PeerMessage):
+    """Notice to a cell's owner that a job was accepted; holds it encoded."""
+
+    cell: str
+    job: bytes
+
+
+@attrs.frozen
+class JobWasCancelled(base.PeerMessage):
+    """Notice to a cell's owner that a job's cancellation was stored."""
+
+    cell: str
+    job_id: str
+
+
+@attrs.frozen
+class NoticeTaken(base.PeerMessage):
+    """Answer of the owner to a notice."""
+
+
 @attrs.frozen
 class AskWaiting(base.PeerMessage):
     """Request to a cell's owner for the number of a queue's waiting jobs."""
