Send a task that has failed to an endpoint without failures

Cause: an endpoint that fails all it starts is always free, so it was chosen by best fit for the next attempt of the task that had just failed on it. Change: an endpoint with a failure and no success since is suspect and chosen last; a task that has failed waits up to 5 s for one that is not, and for one on which no task of its step has failed. It is placed apart from the others.

--- a/features/cells.feature
+++ b/features/cells.feature
@@ -369,6 +369,20 @@
     Then all jobs are completed within 8000 ms
     And no invariant was violated
 
+  Scenario Outline: a task that has failed does not fail again on the same endpoint
+    Given <endpoints> endpoints of 4 cores
+    And an owner of the cell
+    When endpoint "e0" fails every task at once
+    And <jobs> jobs of 3 tasks with 2 attempts are submitted
+    Then all jobs are completed within 8000 ms
+    And no invariant was violated
+
+    Examples:
+      | endpoints | jobs |
+      | 4         | 1    |
+      | 4         | 12   |
+      | 8         | 40   |
+
   Scenario Outline: no account exceeds its limit
     Given 8 endpoints of 4 cores
     And account "team" is limited to <cap> cores
--- a/features/steps/cells_cost_steps.py
+++ b/features/steps/cells_cost_steps.py
@@ -7,6 +7,7 @@
 
 from features.support import cells_work
 from samphiregate.core import cells
+from samphiregate.core.cells import _backoff
 from samphiregate.core.cells import _endpoints
 from samphiregate.core.cells import _placement
 from samphiregate.core.cells import _planner
@@ -19,6 +20,20 @@
 MEMORY_MB = 16_000
 
 
+class _RecordingBackoff(_backoff.FailureBackoff):
+    """Records the endpoints that a plan considers; none backs off."""
+
+    def __init__(self, considered):
+        super().__init__()
+        self._considered = considered
+
+    def is_backing_off(self, endpoint_id, now_ms):
+        """See `FailureBackoff.is_backing_off`."""
+        del now_ms
+        self._considered.append(endpoint_id)
+        return False
+
+
 def _make_cell():
     return cells.Cell(epoch=1, lease_ms=5_000, inherited_lease_ms=7_400)
 
@@ -54,9 +69,7 @@
         policy_queries=_policy_queries.PolicyQueries(
             add_action=cell_state.add_action
         ),
-        is_backing_off=lambda endpoint_id, _now_ms: context.considered.append(
-            endpoint_id
-        ),
+        failure_backoff=_RecordingBackoff(context.considered),
         check_endpoint=lambda _endpoint, _now_ms: None,
         slowness_estimator=_stragglers.SlownessEstimator(),
     )
--- a/features/steps/cells_fault_steps.py
+++ b/features/steps/cells_fault_steps.py
@@ -190,6 +190,13 @@
     context.simulation.endpoint_by_id[endpoint_id].fails_all_tasks = True
 
 
+@behave.when('endpoint "{endpoint_id}" fails every task at once')
+def when_fails_at_once(context, endpoint_id):
+    endpoint = context.simulation.endpoint_by_id[endpoint_id]
+    endpoint.fails_all_tasks = True
+    endpoint.failing_ms = 10
+
+
 @behave.when("all endpoints leave {tenths:d} of 10 calls unanswered")
 def when_unanswered(context, tenths):
     for endpoint in context.simulation.endpoint_by_id.values():
--- a/features/support/cells_endpoints.py
+++ b/features/support/cells_endpoints.py
@@ -39,6 +39,8 @@
         Owners of this and later epochs do not reach it.
     start_delay_ms : int
         If above 0, starts are not answered and are executed after this delay.
+    failing_ms : int or None
+        After which a task fails that is to fail; None for its usual time.
     fails_all_tasks : bool
         Whether every task ends as failed.
     unanswered_share : float
@@ -63,6 +65,7 @@
         self.silent_from_epoch = math.inf
         self.start_delay_ms = 0
         self.fails_all_tasks = False
+        self.failing_ms = None
         self.unanswered_share = 0.0
         self.slowness = 1.0
         self.draining = False
@@ -150,6 +153,8 @@
             action.task_id
         ):
             reason = cells.EndReason.FAILED
+            if self.failing_ms is not None:
+                work_ms = self.failing_ms
         ends_ms = now_ms + work_ms
         if step.long_running and not self.fails_all_tasks:
             ends_ms = math.inf
--- a/samphiregate/core/cells/_backoff.py
+++ b/samphiregate/core/cells/_backoff.py
@@ -5,6 +5,10 @@
 success in between, it gets no tasks for a while, each time for longer. A
 long-running task never ends as done; if it worked for long before it failed,
 that counts as a success.
+
+An endpoint with a failure and no success since then is suspect: other
+endpoints are preferred, and a task that has failed waits for one of these
+rather than lose its next attempt in the same way.
 """
 
 import attrs
@@ -35,6 +39,10 @@
         record = self._record_by_id.get(endpoint_id)
         return record is not None and record.backoff_until_ms > now_ms
 
+    def is_suspect(self, endpoint_id):
+        """Whether a task failed on an endpoint, and none succeeded since."""
+        return endpoint_id in self._record_by_id
+
     def record_ends(self, event, expected_runs, now_ms):
         """Records the ends that a poll returned.
 
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -102,7 +102,7 @@
         self._planner = _planner.Planner(
             cell_state=self.cell_state,
             policy_queries=self.policy_queries,
-            is_backing_off=self._failure_backoff.is_backing_off,
+            failure_backoff=self._failure_backoff,
             check_endpoint=self._poller.check,
             slowness_estimator=slowness_estimator,
         )
--- a/samphiregate/core/cells/_ends.py
+++ b/samphiregate/core/cells/_ends.py
@@ -96,6 +96,7 @@
     # task.
     counted_task = stage.tasks[0] if stage.step.gang else task
     counted_task.failed_runs.add(run)
+    stage.failed_ids.add(endpoint.endpoint_id)
     queue = cell_state.queue_by_name.get(entry.job.queue.name, entry.job.queue)
     failures = len(counted_task.failed_runs)
     cell_state.log_decision(
--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -14,6 +14,9 @@
 URGENT_LIMIT_SHARE = 0.2  # of an account's limit
 # After this wait, interrupted tasks may go to endpoints that are backing off.
 MAX_RESTART_WAIT_MS = 2_000
+# For which a task that failed waits for an endpoint without failures.
+MAX_RETRY_WAIT_MS = 5_000
+SUSPECT_PENALTY = 2.0  # on a cost between 0 and 1
 RECENT_ANSWER_MS = 500  # for the choice of an endpoint for a restart
 MAX_CHECKED_ENDPOINTS = 16  # in one plan, for one stage
 
@@ -38,9 +41,8 @@
     ----------
     cell_state : CellState
     policy_queries : PolicyQueries
-    is_backing_off : callable
-        Takes an endpoint id and the time; returns whether the endpoint gets
-        no tasks because too many failed there.
+    failure_backoff : FailureBackoff
+        Tells on which endpoints tasks failed lately.
     check_endpoint : callable
         Takes an endpoint and the time; polls the endpoint.
     slowness_estimator : SlownessEstimator
@@ -52,13 +54,13 @@
         *,
         cell_state,
         policy_queries,
-        is_backing_off,
+        failure_backoff,
         check_endpoint,
         slowness_estimator,
     ):
         self._cell_state = cell_state
         self._policy_queries = policy_queries
-        self._is_backing_off = is_backing_off
+        self._failure_backoff = failure_backoff
         self._check_endpoint = check_endpoint
         self._slowness_estimator = slowness_estimator
         self._packing = _placement.Packing()
@@ -101,8 +103,8 @@
                 continue
             interrupted = set(stage.interrupted())
             first_starts = [one for one in tasks if one not in interrupted]
-            if first_starts:
-                self._plan_stage(stage, first_starts, held_ids, now_ms)
+            for group in _by_failure(stage, first_starts):
+                self._plan_stage(stage, group, held_ids, now_ms)
         self._policy_queries.send_queries(query_slots, now_ms)
 
     def _plan_stage(self, stage, tasks, held_ids, now_ms, is_restart=False):
@@ -121,6 +123,8 @@
         # Endpoints are held for restarts, but not against other restarts.
         barred_ids = () if is_restart else held_ids
         candidates = self._candidates(stage, usable, barred_ids, now_ms)
+        if not is_restart and _is_recent_failure(stage, tasks, now_ms):
+            candidates = self._without_suspects(stage, candidates)
         chosen = self._choose(stage, tasks, candidates, now_ms, is_restart)
         if chosen:
             self._place(stage, tasks, chosen, now_ms)
@@ -281,7 +285,9 @@
         by_service = collections.defaultdict(list)
         for endpoint in self._cell_state.endpoint_by_id.values():
             if endpoint.may_start and endpoint.backoff_until_ms <= now_ms:
-                backs_off = self._is_backing_off(endpoint.endpoint_id, now_ms)
+                backs_off = self._failure_backoff.is_backing_off(
+                    endpoint.endpoint_id, now_ms
+                )
                 row = (endpoint, backs_off)
                 by_service[endpoint.registration.service].append(row)
         return by_service
@@ -302,6 +308,8 @@
             max_count = stage.max_more_on(endpoint_id)
             if max_count > 0:
                 penalty = self._slowness_estimator.penalty(endpoint_id, now_ms)
+                if self._failure_backoff.is_suspect(endpoint_id):
+                    penalty += SUSPECT_PENALTY
                 candidates.append(
                     _placement.Candidate(
                         endpoint, endpoint.free, max_count, penalty
@@ -309,6 +317,15 @@
                 )
         return candidates
 
+    def _without_suspects(self, stage, candidates):
+        """Returns the candidates on which nothing speaks of a failure."""
+        return [
+            one
+            for one in candidates
+            if one.endpoint.endpoint_id not in stage.failed_ids
+            and not self._failure_backoff.is_suspect(one.endpoint.endpoint_id)
+        ]
+
     def _place(self, stage, tasks, chosen, now_ms):
         """Reserves room for tasks on the chosen endpoints.
 
@@ -345,6 +362,26 @@
         )
 
 
+def _by_failure(stage, tasks):
+    """Returns the tasks without a failure, and those with one; none empty.
+
+    A task that has failed has few attempts left. It goes to an endpoint on
+    which nothing has failed lately, and is not held up by the others' choice.
+    """
+    failed = [task for task in tasks if stage.has_failed(task)]
+    others = [task for task in tasks if not stage.has_failed(task)]
+    return [group for group in (others, failed) if group]
+
+
+def _is_recent_failure(stage, tasks, now_ms):
+    """Whether tasks that failed are to wait for an endpoint that is sound."""
+    return any(
+        stage.has_failed(task)
+        and now_ms - (task.interrupted_ms or 0) < MAX_RETRY_WAIT_MS
+        for task in tasks
+    )
+
+
 def _is_overdue(tasks, now_ms):
     """Whether one of the tasks was interrupted `MAX_RESTART_WAIT_MS` ago."""
     return any(
--- a/samphiregate/core/cells/_tasks.py
+++ b/samphiregate/core/cells/_tasks.py
@@ -144,6 +144,8 @@
         No query before this time.
     waits_for : WaitReason or None
         Why tasks were not placed at the last attempt.
+    failed_ids : set
+        Endpoints on which tasks of it failed.
     min_run_ms_by_endpoint : dict
         Shortest time of a complete run on each endpoint, in milliseconds:
         measured, or projected from the progress of a run.
@@ -161,6 +163,7 @@
     query_in_flight: bool = False
     next_query_ms: int = 0
     waits_for: object = None
+    failed_ids: set[str] = attrs.field(factory=set)
     min_run_ms_by_endpoint: dict[str, float] = attrs.field(factory=dict)
 
     @property
@@ -185,6 +188,11 @@
             return []
         return waiting
 
+    def has_failed(self, task):
+        """Whether a run of a task failed, or of any member of its gang."""
+        counted = self.tasks[0] if self.step.gang else task
+        return bool(counted.failed_runs)
+
     def interrupted(self):
         """Returns the startable long-running tasks that ran before.
 
