Give the cell up for a stronger VM when all VMs started at once

Cause: VMs leave a cell to stronger ones only if they know of them. A session that is to end went on until its next tick. Change: after 1 s an owner ends its session if another VM has 1.5 times its capacity, at most once in 30 s. The end of a session wakes its loop.

--- a/features/cells_vm.feature
+++ b/features/cells_vm.feature
@@ -193,6 +193,20 @@
       | 0    | 2                  | 0        |
       | 0.01 | 1000               | 89.9991  |
 
+  Scenario Outline: a weak VM gives the cell up for a much stronger one
+    Given a VM of <own> cores that has owned the cell for <span_ms> ms, and others of <others> cores
+    When it checks 3 times, 300 ms apart, whether to give the cell up
+    Then it has given the cell up <count> times
+
+    Examples:
+      | own | others    | span_ms | count |
+      | 0.5 | 0.5, 2    | 900     | 1     |
+      | 0.5 | 0.5, 2    | 100     | 0     |
+      | 0.5 | 0.5, 0.7  | 5000    | 0     |
+      | 1.5 | 2, 2.2    | 5000    | 0     |
+      | 0.5 | unknown   | 5000    | 0     |
+      | 0   | 2         | 5000    | 0     |
+
   Scenario: a VM that yields leaves the cell to the one that took it meanwhile
     Given a store in memory
     When another VM acquires the cell while this one yields
--- a/features/steps/cells_ownership_steps.py
+++ b/features/steps/cells_ownership_steps.py
@@ -2,12 +2,14 @@
 
 import math
 import random
+import types
 
 import behave
 import gevent
 import gevent.event
 
 from features.support import cells_store
+from samphiregate.adapters.cells import _giving_way
 from samphiregate.adapters.cells import _keys
 from samphiregate.adapters.cells import _lease
 from samphiregate.adapters.cells import _owner_record
@@ -57,8 +59,8 @@
     context.ownership = _make_ownership(context, serve)
 
 
-@behave.given("a VM of {own:g} cores, and others of {others} cores")
-def given_capacities(context, own, others):
+def _capacities(others):
+    """Returns the capacities of VMs as their records tell them."""
     values = [] if others == "no" else others.split(", ")
     records = [
         cells.encode(
@@ -68,15 +70,57 @@
         )
         for value in values
     ]
+    return [
+        cells.decode(record, _lease.VmRecord).capacity for record in records
+    ]
+
+
+@behave.given("a VM of {own:g} cores, and others of {others} cores")
+def given_capacities(context, own, others):
     context.yield_ms = _precedence.yield_ms(
-        capacity=own,
-        other_capacities=[
-            cells.decode(record, _lease.VmRecord).capacity
-            for record in records
-        ],
+        capacity=own, other_capacities=_capacities(others)
     )
 
 
+@behave.given(
+    "a VM of {own:g} cores that has owned the cell for {span_ms:d} ms, and "
+    "others of {others} cores"
+)
+def given_owner_of_capacity(context, own, span_ms, others):
+    context.now_ms = span_ms
+    context.ended_count = 0
+
+    def end_session():
+        context.ended_count += 1
+
+    context.giving_way = _giving_way.GivingWay(
+        ownership=types.SimpleNamespace(
+            serving_since_ms=0,
+            session_end=types.SimpleNamespace(set=end_session),
+        ),
+        is_weak=lambda: _precedence.is_weak(
+            capacity=own, other_capacities=_capacities(others)
+        ),
+        now_ms=lambda: context.now_ms,
+        log=cells_store.FakeLog(),
+    )
+
+
+@behave.when(
+    "it checks {count:d} times, {gap_ms:d} ms apart, whether to give the cell "
+    "up"
+)
+def when_checked(context, count, gap_ms):
+    for _number in range(count):
+        context.giving_way.check()
+        context.now_ms += gap_ms
+
+
+@behave.then("it has given the cell up {count:d} times")
+def then_given_up(context, count):
+    assert context.ended_count == count, context.ended_count
+
+
 @behave.then("it yields for {yield_ms:g} ms")
 def then_yields(context, yield_ms):
     assert math.isclose(context.yield_ms, yield_ms), context.yield_ms
--- a/samphiregate/adapters/cells/_owner.py
+++ b/samphiregate/adapters/cells/_owner.py
@@ -124,6 +124,8 @@
     def serve(self):
         """Loads and runs the cell until the session ends."""
         with contextlib.ExitStack() as stack:
+            self._session_end.rawlink(self._wake_loop)
+            stack.callback(self._session_end.unlink, self._wake_loop)
             stack.enter_context(self._performer)
             stack.enter_context(self._purger)
             while not self._session_end.is_set() and not self.is_serving:
@@ -143,6 +145,9 @@
         self._events.append(event)
         self._wake.set()
 
+    def _wake_loop(self, _session_end):
+        self._wake.set()
+
     def configuration_changed(self):
         """Applies a new configuration."""
         if self.is_serving:
--- a/samphiregate/adapters/cells/_ownership.py
+++ b/samphiregate/adapters/cells/_ownership.py
@@ -68,8 +68,10 @@
     Attributes
     ----------
     session_end : gevent.event.Event
-        Set when the session must end: the ownership was lost, or the VM
-        stops.
+        Set when the session must end: the ownership was lost or is given
+        up, or the VM stops.
+    serving_since_ms : int or None
+        Since when the cell has been owned; None if it is not.
     """
 
     def __init__(
@@ -104,6 +106,7 @@
         self._now_ms = now_ms
         self._served_epoch = 0
         self._tenure = None  # while it is served
+        self.serving_since_ms = None
         self._without_owner_since_ms = None
         self._log = log
         self._changed = gevent.event.Event()
@@ -160,8 +163,10 @@
             self.session_end.clear()
             self._served_epoch = tenure.epoch
             self._tenure = tenure
+            self.serving_since_ms = self._now_ms()
             self._serve_and_log_errors(tenure)
             self._tenure = None
+            self.serving_since_ms = None
             self._relinquish(tenure)
             self._log.write("cell left", cell=tenure.cell, epoch=tenure.epoch)
 
--- a/samphiregate/adapters/cells/_precedence.py
+++ b/samphiregate/adapters/cells/_precedence.py
@@ -7,6 +7,7 @@
 import zlib
 
 MONITOR_COUNT = 4  # of each owner
+WEAK_FACTOR = 1.5  # by which another VM is to be stronger
 MAX_YIELD_MS = 90  # of a VM with next to no capacity
 
 
@@ -32,6 +33,20 @@
     return MAX_YIELD_MS * (1 - capacity / strongest)
 
 
+def is_weak(*, capacity, other_capacities):
+    """Whether a VM is to leave a cell to one with much more capacity.
+
+    Parameters
+    ----------
+    capacity : float
+        Processor capacity of the VM, in cores; 0 if unknown.
+    other_capacities : iterable of float
+        Of the other VMs with a lease.
+    """
+    strongest = max(other_capacities, default=0)
+    return 0 < capacity * WEAK_FACTOR < strongest
+
+
 def monitor_ids(records, epoch):
     """Returns the ids of the VMs that monitor an owner.
 
--- a/samphiregate/adapters/cells/_vm.py
+++ b/samphiregate/adapters/cells/_vm.py
@@ -7,6 +7,7 @@
 
 from samphiregate.adapters.cells import _clock
 from samphiregate.adapters.cells import _configuration
+from samphiregate.adapters.cells import _giving_way
 from samphiregate.adapters.cells import _job_service
 from samphiregate.adapters.cells import _keys
 from samphiregate.adapters.cells import _lease
@@ -208,6 +209,14 @@
         )
         self._stack.enter_context(self._ownership)
         self._stack.enter_context(self._owner_monitor)
+        self._stack.enter_context(
+            _giving_way.GivingWay(
+                ownership=self._ownership,
+                is_weak=self._is_weak,
+                now_ms=_clock.steady_ms,
+                log=self._log,
+            )
+        )
         return self
 
     def __exit__(self, *exc_info):
@@ -337,13 +346,22 @@
     def _yield_ms(self):
         return _precedence.yield_ms(
             capacity=self._capacity,
-            other_capacities=[
-                record.capacity
-                for record in self._vm_records()
-                if record.vm_id != self._vm_id
-            ],
+            other_capacities=self._other_capacities(),
+        )
+
+    def _is_weak(self):
+        return _precedence.is_weak(
+            capacity=self._capacity,
+            other_capacities=self._other_capacities(),
         )
 
+    def _other_capacities(self):
+        return [
+            record.capacity
+            for record in self._vm_records()
+            if record.vm_id != self._vm_id
+        ]
+
     def _address_by_vm(self):
         return {record.vm_id: record.address for record in self._vm_records()}
 
