Read the parts of a cell side by side at a takeover

Cause: a new owner read endpoints, jobs, records and the list of silent endpoints one after the other, pages of each included. Change: they are read at once; only the owner itself writes records, so their order does not matter. Result: one round of calls instead of four in a row; no test of its own.

--- a/samphiregate/adapters/cells/_loader.py
+++ b/samphiregate/adapters/cells/_loader.py
@@ -3,6 +3,7 @@
 import contextlib
 
 import attrs
+from gevent import pool
 
 from samphiregate.adapters.cells import _keys
 from samphiregate.adapters.cells import _ports
@@ -56,24 +57,20 @@
         self._log = log
 
     def read(self):
-        """Returns the `CellContent`; raises `UnavailableError`."""
-        endpoint_items, endpoints_revision = self._store.list(
-            self._decoders.endpoints_prefix
-        )
-        work_items, work_revision = self._store.list(
-            _keys.work_prefix(self._cell_name)
-        )
-        record_items, _revision = self._store.list(
-            _keys.records_prefix(self._cell_name)
-        )
-        return CellContent(
-            endpoint_items,
-            endpoints_revision,
-            work_items,
-            work_revision,
-            record_items,
-            self._read_silent_record(),
+        """Returns the `CellContent`; raises `UnavailableError`.
+
+        The parts are read side by side. Only this owner writes records, so
+        those are the same whenever they are read.
+        """
+        prefixes = (
+            self._decoders.endpoints_prefix,
+            _keys.work_prefix(self._cell_name),
+            _keys.records_prefix(self._cell_name),
         )
+        group = pool.Pool()
+        silent_record = group.spawn(self._read_silent_record)
+        endpoints, work, records = group.map(self._store.list, prefixes)
+        return CellContent(*endpoints, *work, records[0], silent_record.get())
 
     def _read_silent_record(self):
         item = self._store.get(_keys.silent_endpoints(self._cell_name))
