Use a connection again whose descriptor is above 1,023

Cause: before a pooled connection is used, the library asks select() whether it is still open. select() fails for descriptors of 1,024 and more, which counted as closed: a process with that many open made a new connection for each poll, order and call to a peer. Change: the pool asks poll(), which has no such limit and does not switch greenlets. Result: five requests over descriptors above 1,100 made five connections before and make one now (features/cells_vm.feature).

--- a/features/cells_vm.feature
+++ b/features/cells_vm.feature
@@ -311,6 +311,16 @@
     When a request fails while another waits for the connection
     Then the other request is answered
 
+  Scenario Outline: a connection is used again, whatever its descriptor's number
+    Given an HTTP server and a client of 1 connection to it
+    When <count> requests are sent over a connection with descriptor <number> or more
+    Then the server has accepted <connections> connections
+
+    Examples:
+      | count | number | connections |
+      | 5     | 3      | 1           |
+      | 5     | 1100   | 1           |
+
   Scenario Outline: a request is resent at most once
     Given a server that ends each connection after the request
     When a client of 24 connections sends a <method> request
--- a/features/steps/http_client_steps.py
+++ b/features/steps/http_client_steps.py
@@ -1,5 +1,8 @@
 """Steps about the HTTP client of an entry VM."""
 
+import contextlib
+import os
+
 import behave
 import gevent
 import gevent.event
@@ -15,9 +18,11 @@
     context.release = gevent.event.Event()
 
     context.requests = 0
+    context.client_ports = set()
 
     def application(environ, start_response):
         context.requests += 1
+        context.client_ports.add(environ["REMOTE_PORT"])
         if environ["PATH_INFO"] == "/hangs":
             context.release.wait()
         start_response("200 OK", [("Content-Length", "2")])
@@ -36,6 +41,25 @@
     context.add_cleanup(context.client.close)
 
 
+@behave.when(
+    "{count:d} requests are sent over a connection with descriptor "
+    "{number:d} or more"
+)
+def when_sent_over(context, count, number):
+    with contextlib.ExitStack() as stack:
+        taken = 0
+        while taken < number:
+            taken = os.open(os.devnull, os.O_RDONLY)
+            stack.callback(os.close, taken)
+        for _number in range(count):
+            assert context.client.request("POST", "/").status == 200
+
+
+@behave.then("the server has accepted {count:d} connections")
+def then_accepted(context, count):
+    assert len(context.client_ports) == count, context.client_ports
+
+
 @behave.when("a request fails while another waits for the connection")
 def when_one_fails(context):
     def send(path):
--- a/samphiregate/adapters/http/_client.py
+++ b/samphiregate/adapters/http/_client.py
@@ -1,8 +1,10 @@
 """A pooled HTTP client for one endpoint."""
 
+import select
 import socket
 
 import attrs
+from gevent import monkey
 from gevent import queue
 from gevent import socket as gevent_socket
 import geventhttpclient
@@ -13,6 +15,7 @@
 from samphiregate import errors
 
 MOST_RESENDS = 1
+_poll = monkey.get_original("select", "poll")  # does not switch greenlets
 READ_BYTES = 65_536
 
 
@@ -180,6 +183,17 @@
             self._semaphore.release()
         return super().get_socket()
 
+    def _is_socket_alive(self, sock):
+        """Whether an idle connection is open and has nothing to read.
+
+        The library asks select(), which fails above 1,023 descriptors.
+        """
+        if sock is None or sock.fileno() < 0:
+            return False
+        poller = _poll()
+        poller.register(sock.fileno(), select.POLLIN)
+        return not poller.poll(0)
+
     def close_idle(self):
         """Closes the connections that no request uses now."""
         while True:
