Split the VMs' records and the choice for retries from where they grew

The records of the VMs, and what this VM is to the others by its capacity, are in _vm_records.py; where tasks that have failed are tried again is in core/cells/_retries.py, with the load that it answers.

--- a/features/steps/cells_monitor_steps.py
+++ b/features/steps/cells_monitor_steps.py
@@ -8,15 +8,14 @@
 from gevent import server as gevent_server
 from gevent import socket
 
+from features.support import cells_peers
 from features.support import cells_store
 from samphiregate.adapters.cells import _keys
 from samphiregate.adapters.cells import _lease
 from samphiregate.adapters.cells import _owner_monitor
 from samphiregate.adapters.cells import _owner_record
-from samphiregate.adapters.cells import _peer_calls
 from samphiregate.adapters.cells import _ports
 from samphiregate.adapters.cells import _precedence
-from samphiregate.adapters import http
 from samphiregate.core import cells
 
 OWN_ADDRESS = "127.0.0.1:9"
@@ -30,14 +29,6 @@
         return f"127.0.0.1:{unused.getsockname()[1]}"
 
 
-def _serve(context, answer):
-    peers = _peer_calls.PeerCalls(answer=answer)
-    server = http.NoDelayServer("127.0.0.1:0", peers.application)
-    server.start()
-    context.add_cleanup(server.stop, timeout=0)
-    return f"127.0.0.1:{server.server_port}"
-
-
 def _serve_broken(context):
     """Serves connections that are closed without an answer."""
     server = gevent_server.StreamServer(
@@ -54,11 +45,15 @@
 
 def _address_of(context, what):
     if what == "answers":
-        return _serve(context, lambda _message: cells.InstanceIs("owner"))
+        return cells_peers.serve(
+            context, lambda _message: cells.InstanceIs("owner")
+        )
     if what == "does not answer yet":
-        return _serve(context, _hold)
+        return cells_peers.serve(context, _hold)
     if what == "has started again":
-        return _serve(context, lambda _message: cells.InstanceIs("other"))
+        return cells_peers.serve(
+            context, lambda _message: cells.InstanceIs("other")
+        )
     if what == "breaks its connections and accepts new ones":
         return _serve_broken(context)
     if what == "ran on the VM that monitors it":
@@ -90,8 +85,7 @@
 
 
 def _make_monitor(context, view):
-    peers = _peer_calls.PeerCalls(answer=None)
-    context.add_cleanup(peers.__exit__)
+    peers = cells_peers.make_calls(context)
     return _owner_monitor.OwnerMonitor(
         cell=cells_store.CELL,
         vm_id="vm",
--- a/features/steps/cells_notice_steps.py
+++ b/features/steps/cells_notice_steps.py
@@ -3,11 +3,10 @@
 import behave
 import gevent
 
+from features.support import cells_peers
 from features.support import cells_store
 from features.support import cells_work
 from samphiregate.adapters.cells import _owner_notices
-from samphiregate.adapters.cells import _peer_calls
-from samphiregate.adapters import http
 from samphiregate.core import cells
 
 
@@ -22,17 +21,8 @@
     )
 
 
-def _serve(context, answer):
-    peers = _peer_calls.PeerCalls(answer=answer)
-    server = http.NoDelayServer("127.0.0.1:0", peers.application)
-    server.start()
-    context.add_cleanup(server.stop, timeout=0)
-    return f"127.0.0.1:{server.server_port}"
-
-
 def _make_sender(context, address):
-    peers = _peer_calls.PeerCalls(answer=None)
-    context.add_cleanup(peers.__exit__)
+    peers = cells_peers.make_calls(context)
     return _make_notices(context, peers, address, lambda _event: False)
 
 
@@ -70,7 +60,7 @@
             return owner.answer_stored(message)
         return owner.answer_cancelled(message)
 
-    context.address = _serve(context, answer)
+    context.address = cells_peers.serve(context, answer)
 
 
 @behave.when("another VM tells it of a job and of a cancellation")
@@ -91,7 +81,9 @@
 
 @behave.given("an owner that takes no notices for {seconds:d} s")
 def given_slow_owner(context, seconds):
-    context.address = _serve(context, lambda _message: gevent.sleep(seconds))
+    context.address = cells_peers.serve(
+        context, lambda _message: gevent.sleep(seconds)
+    )
 
 
 @behave.when("{count:d} jobs are accepted one after the other")
--- a/features/steps/cells_vm_steps.py
+++ b/features/steps/cells_vm_steps.py
@@ -6,6 +6,7 @@
 import behave
 import gevent.event
 
+from features.support import cells_peers
 from features.support import cells_store
 from features.support import cells_work
 from samphiregate.adapters.cells import _configuration
@@ -13,12 +14,10 @@
 from samphiregate.adapters.cells import _keys
 from samphiregate.adapters.cells import _lease
 from samphiregate.adapters.cells import _ownership
-from samphiregate.adapters.cells import _peer_calls
 from samphiregate.adapters.cells import _ports
 from samphiregate.adapters.cells import _relay
 from samphiregate.adapters.cells import _vm
 from samphiregate.adapters.cells import _writer
-from samphiregate.adapters import http
 from samphiregate.core import cells
 from samphiregate import errors
 
@@ -140,16 +139,11 @@
 def _add_vm(context, answers):
     store = cells_store.ScriptedStore(answers.split(", "))
     relay = _make_relay(store, cells_store.SteppingClock())
-    vm_peers = _peer_calls.PeerCalls(answer=relay.answer_write)
-    server = http.NoDelayServer("127.0.0.1:0", vm_peers.application)
-    server.start()
-    context.add_cleanup(server.stop, timeout=0)
     context.vm_addresses = [
         *getattr(context, "vm_addresses", ()),
-        f"127.0.0.1:{server.server_port}",
+        cells_peers.serve(context, relay.answer_write),
     ]
-    peers = _peer_calls.PeerCalls(answer=None)
-    context.add_cleanup(peers.__exit__)
+    peers = cells_peers.make_calls(context)
     _make_job_service(context, context.store, peers, context.vm_addresses)
 
 
@@ -408,7 +402,7 @@
             key, cells.encode(record), context.revision, context.revision
         )
     change = _ports.StoreChange(key, context.revision, item)
-    context.entry_vm._vms._apply(change)
+    context.entry_vm._vm_records._watched._apply(change)
 
 
 @behave.given("an entry VM that has read the records of the VMs a and b")
@@ -439,10 +433,10 @@
 @behave.then("it knows the addresses of {vm_ids}")
 def then_addresses_known(context, vm_ids):
     expected = {vm_id: f"{vm_id}:1" for vm_id in vm_ids.split(", ")}
-    assert context.entry_vm._address_by_vm() == expected
+    assert context.entry_vm._vm_records.address_by_vm == expected
 
 
 @behave.then("the records are not decoded again until one changes")
 def then_not_decoded_again(context):
-    records = context.entry_vm._vm_records()
-    assert context.entry_vm._vm_records()[0] is records[0]
+    records = context.entry_vm._vm_records.records
+    assert context.entry_vm._vm_records.records[0] is records[0]
--- a/samphiregate/adapters/cells/_vm.py
+++ b/samphiregate/adapters/cells/_vm.py
@@ -9,7 +9,6 @@
 from samphiregate.adapters.cells import _configuration
 from samphiregate.adapters.cells import _giving_way
 from samphiregate.adapters.cells import _job_service
-from samphiregate.adapters.cells import _keys
 from samphiregate.adapters.cells import _lease
 from samphiregate.adapters.cells import _owner
 from samphiregate.adapters.cells import _owner_monitor
@@ -18,8 +17,8 @@
 from samphiregate.adapters.cells import _ownership
 from samphiregate.adapters.cells import _peer_calls
 from samphiregate.adapters.cells import _policy_queries
-from samphiregate.adapters.cells import _precedence
 from samphiregate.adapters.cells import _relay
+from samphiregate.adapters.cells import _vm_records
 from samphiregate.adapters.cells import _watched_prefix
 from samphiregate.adapters import http
 from samphiregate.core import cells
@@ -29,9 +28,6 @@
 # How long one watch call waits, and so how long a dead connection goes
 # undetected.
 CONFIGURATION_WAIT_MS = 1_000
-VMS_WAIT_MS = 8_000
-# Every VM watches the records of all, so each change costs a call of each.
-VMS_PAUSE_MS = 500
 POLICY_TIMEOUT_MS = 5_000
 
 
@@ -106,7 +102,6 @@
         self, *, vm_id, peer_address, capacity, ports, random_state, log
     ):
         self._vm_id = vm_id
-        self._capacity = capacity
         self._peer_address = peer_address
         self._ports = ports
         self._random = random_state
@@ -115,7 +110,6 @@
         self._session = None
         self._ownership = None
         self._stopping = False
-        self._known_vm_records = None
         self.accepts_requests = True
         self._instance = f"{random_state.getrandbits(64):016x}"
         self._peers = _peer_calls.PeerCalls(answer=self._answer)
@@ -150,8 +144,11 @@
             is_monitor=self._is_monitor,
             log=log,
         )
-        self._vms = self._make_watched_prefix(
-            _keys.VMS_PREFIX, self._vm_changed, VMS_WAIT_MS, VMS_PAUSE_MS
+        self._vm_records = _vm_records.VmRecords(
+            vm_id=vm_id,
+            capacity=capacity,
+            watch_prefix=self._make_watched_prefix,
+            log=log,
         )
         self._watched_configuration = self._make_watched_prefix(
             ports.decoders.configuration_key,
@@ -192,7 +189,7 @@
         self._stack.enter_context(self._peers)
         self._stack.enter_context(self._watched_configuration)
         self._stack.enter_context(self._owner_view)
-        self._stack.enter_context(self._vms)
+        self._stack.enter_context(self._vm_records)
         self._stack.enter_context(self._lease)
         self._ownership = _ownership.Ownership(
             cell=CELL,
@@ -203,7 +200,7 @@
             owner_item=lambda: self._owner_view.item,
             may_own=self._may_own,
             serve=self._serve,
-            yield_ms=self._yield_ms,
+            yield_ms=lambda: self._vm_records.yield_ms,
             instance=self._instance,
             random_state=self._random,
             now_ms=_clock.steady_ms,
@@ -214,7 +211,7 @@
         self._stack.enter_context(
             _giving_way.GivingWay(
                 ownership=self._ownership,
-                is_weak=self._is_weak,
+                is_weak=lambda: self._vm_records.is_weak,
                 now_ms=_clock.steady_ms,
                 log=self._log,
             )
@@ -295,7 +292,8 @@
         """Returns the addresses of the other VMs, the owner's first."""
         owner = self._owner_view.address
         others = sorted(
-            set(self._address_by_vm().values()) - {self._peer_address, owner}
+            set(self._vm_records.address_by_vm.values())
+            - {self._peer_address, owner}
         )
         if owner is None or owner == self._peer_address:
             return others
@@ -312,7 +310,7 @@
             vm_id=self._vm_id,
             policy=self._ports.policy,
             peers=self._peers,
-            address_by_vm=self._address_by_vm,
+            address_by_vm=lambda: self._vm_records.address_by_vm,
             now_ms=_clock.steady_ms,
             log=self._log,
         )
@@ -336,55 +334,7 @@
             self._session = None
 
     def _is_monitor(self, owner):
-        """Whether this VM monitors the process of an owner."""
-        records = [
-            record
-            for record in self._vm_records()
-            if record.vm_id != owner.vm_id
-        ]
-        return not self._stopping and self._vm_id in _precedence.monitor_ids(
-            records, owner.epoch
-        )
-
-    def _yield_ms(self):
-        return _precedence.yield_ms(
-            capacity=self._capacity,
-            other_capacities=self._other_capacities(),
-        )
-
-    def _is_weak(self):
-        return _precedence.is_weak(
-            capacity=self._capacity,
-            other_capacities=self._other_capacities(),
-        )
-
-    def _other_capacities(self):
-        return [
-            record.capacity
-            for record in self._vm_records()
-            if record.vm_id != self._vm_id
-        ]
-
-    def _address_by_vm(self):
-        return {record.vm_id: record.address for record in self._vm_records()}
-
-    def _vm_changed(self, _change):
-        self._known_vm_records = None
-
-    def _vm_records(self):
-        """Returns the readable records of the VMs with a lease."""
-        if self._known_vm_records is None:
-            self._known_vm_records = self._decode_vm_records()
-        return self._known_vm_records
-
-    def _decode_vm_records(self):
-        records = []
-        for key, item in self._vms.item_by_key.items():
-            try:
-                records.append(cells.decode(item.value, _lease.VmRecord))
-            except errors.BadInputError as error:
-                self._log.write("VM unreadable", key=key, reason=error.detail)
-        return records
+        return not self._stopping and self._vm_records.is_monitor(owner)
 
     def _local_cell(self):
         session = self._session
--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -7,6 +7,7 @@
 from samphiregate.core.cells import _order
 from samphiregate.core.cells import _placement
 from samphiregate.core.cells import _policy_queries
+from samphiregate.core.cells import _retries
 from samphiregate.core.cells import _run_gaps
 from samphiregate.core.cells import _stragglers
 from samphiregate.core.cells import _usable_endpoints
@@ -14,8 +15,6 @@
 URGENT_LIMIT_SHARE = 0.2  # of an account's limit
 # After this wait, interrupted tasks may go to endpoints that are backing off.
 MAX_RESTART_WAIT_MS = 2_000
-# For which a task that failed waits for an endpoint without failures.
-MAX_RETRY_WAIT_MS = 5_000
 SUSPECT_PENALTY = 2.0  # on a cost between 0 and 1
 RECENT_ANSWER_MS = 500  # for the choice of an endpoint for a restart
 MAX_CHECKED_ENDPOINTS = 16  # in one plan, for one stage
@@ -103,7 +102,7 @@
                 continue
             interrupted = set(stage.interrupted())
             first_starts = [one for one in tasks if one not in interrupted]
-            for group in _by_failure(stage, first_starts):
+            for group in _retries.by_failure(stage, first_starts):
                 self._plan_stage(stage, group, held_ids, now_ms)
         self._policy_queries.send_queries(query_slots, now_ms)
 
@@ -123,8 +122,10 @@
         # Endpoints are held for restarts, but not against other restarts.
         barred_ids = () if is_restart else held_ids
         candidates = self._candidates(stage, usable, barred_ids, now_ms)
-        if not is_restart and _is_recent_failure(stage, tasks, now_ms):
-            candidates = self._without_suspects(stage, candidates)
+        if not is_restart and _retries.is_recent_failure(stage, tasks, now_ms):
+            candidates = _retries.without_suspects(
+                stage, candidates, self._failure_backoff
+            )
         chosen = self._choose(stage, tasks, candidates, now_ms, is_restart)
         if chosen:
             self._place(stage, tasks, chosen, now_ms)
@@ -317,15 +318,6 @@
                 )
         return candidates
 
-    def _without_suspects(self, stage, candidates):
-        """Returns the candidates on which nothing speaks of a failure."""
-        return [
-            one
-            for one in candidates
-            if one.endpoint.endpoint_id not in stage.failed_ids
-            and not self._failure_backoff.is_suspect(one.endpoint.endpoint_id)
-        ]
-
     def _place(self, stage, tasks, chosen, now_ms):
         """Reserves room for tasks on the chosen endpoints.
 
@@ -362,26 +354,6 @@
         )
 
 
-def _by_failure(stage, tasks):
-    """Returns the tasks without a failure, and those with one; none empty.
-
-    A task that has failed has few attempts left. It goes to an endpoint on
-    which nothing has failed lately, and is not held up by the others' choice.
-    """
-    failed = [task for task in tasks if stage.has_failed(task)]
-    others = [task for task in tasks if not stage.has_failed(task)]
-    return [group for group in (others, failed) if group]
-
-
-def _is_recent_failure(stage, tasks, now_ms):
-    """Whether tasks that failed are to wait for an endpoint that is sound."""
-    return any(
-        stage.has_failed(task)
-        and now_ms - (task.interrupted_ms or 0) < MAX_RETRY_WAIT_MS
-        for task in tasks
-    )
-
-
 def _is_overdue(tasks, now_ms):
     """Whether one of the tasks was interrupted `MAX_RESTART_WAIT_MS` ago."""
     return any(
--- /dev/null
+++ b/samphiregate/core/cells/_retries.py
@@ -0,0 +1,45 @@
+"""Chooses where tasks that have failed are tried again.
+
+The load that this answers: endpoints that pass their health check and fail
+all they start at once. They always have room, so that best fit would choose
+them for each next attempt, and a job would lose all attempts on one endpoint.
+"""
+
+# For which a task that failed waits for an endpoint without failures.
+MAX_WAIT_MS = 5_000
+
+
+def by_failure(stage, tasks):
+    """Returns the tasks without a failure, and those with one; none empty.
+
+    They are placed apart, as the others may go to any endpoint.
+    """
+    failed = [task for task in tasks if stage.has_failed(task)]
+    others = [task for task in tasks if not stage.has_failed(task)]
+    return [group for group in (others, failed) if group]
+
+
+def is_recent_failure(stage, tasks, now_ms):
+    """Whether tasks that failed are to wait for an endpoint that is sound."""
+    return any(
+        stage.has_failed(task)
+        and now_ms - (task.interrupted_ms or 0) < MAX_WAIT_MS
+        for task in tasks
+    )
+
+
+def without_suspects(stage, candidates, failure_backoff):
+    """Returns the candidates on which no task failed lately.
+
+    Parameters
+    ----------
+    stage : Stage
+    candidates : list of Candidate
+    failure_backoff : FailureBackoff
+    """
+    return [
+        one
+        for one in candidates
+        if one.endpoint.endpoint_id not in stage.failed_ids
+        and not failure_backoff.is_suspect(one.endpoint.endpoint_id)
+    ]
