Revoke an owner that the store turns away while it serves others

Cause: an owner that could not renew its lease kept the cell until the lease had lapsed, though it could store nothing and so start nothing, and other VMs had the store. Change: an owner whose renewals have failed for 0.9 s tells the VMs that hold a request at it; one whose own last renewal succeeded revokes it. While the store is away for all, none does.

--- a/features/cells_vm.feature
+++ b/features/cells_vm.feature
@@ -237,6 +237,20 @@
       | has started again                           | is      |
       | ran on the VM that monitors it              | is      |
       | refuses connections and gave no lease       | is not  |
+      | has lost the store                          | is      |
+      | has lost the store too                      | is not  |
+
+  Scenario Outline: an owner tells its monitors that it has lost the store
+    Given a VM whose lease is <lease>
+    When it is asked for its instance, to be answered after 300 ms
+    Then it answers that it <has_lost> lost the store
+
+    Examples:
+      | lease                             | has_lost |
+      | renewed                           | has not  |
+      | refused a renewal after 500 ms    | has not  |
+      | refused renewals for 1000 ms      | has      |
+      | refused renewals until it lapsed  | has not  |
 
   Scenario: an ownership is not revoked if the owner's record has changed
     Given a store in memory
--- a/features/steps/cells_monitor_steps.py
+++ b/features/steps/cells_monitor_steps.py
@@ -50,6 +50,9 @@
         )
     if what == "does not answer yet":
         return cells_peers.serve(context, _hold)
+    if what == "has lost the store":
+        answer = cells.InstanceIs("owner", has_lost_store=True)
+        return cells_peers.serve(context, lambda _message: answer)
     if what == "has started again":
         return cells_peers.serve(
             context, lambda _message: cells.InstanceIs("other")
@@ -73,6 +76,10 @@
 
 @behave.given("an owner whose process {what}")
 def given_owner(context, what):
+    context.monitor_lease = types.SimpleNamespace(
+        is_renewed=not what.endswith("too")
+    )
+    what = what.removesuffix(" too")
     is_predecessor = what == "ran on the VM that monitors it"
     record = _owner_record.OwnerRecord(
         vm_id="vm" if is_predecessor else "other",
@@ -94,6 +101,7 @@
         store=context.store,
         peers=peers,
         view=view,
+        lease=context.monitor_lease,
         is_monitor=lambda _record: True,
         log=cells_store.FakeLog(),
     )
@@ -171,3 +179,44 @@
         for epoch in range(1, last + 1)
     }
     assert len(chosen) > 1, chosen
+
+
+RENEWED_MS = 10_000
+
+
+@behave.given("a VM whose lease is {state}")
+def given_lease(context, state):
+    since_ms = {
+        "renewed": 100,
+        "refused a renewal after 500 ms": 500,
+        "refused renewals for 1000 ms": 1_000,
+        "refused renewals until it lapsed": 2_500,
+    }[state]
+    context.lease = _lease.LeaseRenewer(
+        store=None,
+        record=None,
+        on_renewal=None,
+        now_ms=lambda: RENEWED_MS + since_ms,
+        log=None,
+    )
+    context.lease.lease_id = LEASE_ID
+    context.lease.valid_until_ms = (
+        RENEWED_MS + _lease.TTL_MS - _lease.EXPIRY_MARGIN_MS
+    )
+    context.lease._last_failed = state != "renewed"
+
+
+@behave.when(
+    "it is asked for its instance, to be answered after {hold_ms:d} ms"
+)
+def when_asked(context, hold_ms):
+    context.monitor_lease = context.lease
+    context.store = None
+    monitor = _make_monitor(context, view=None)
+    context.answer = monitor.answer(cells.AskInstance(hold_ms))
+
+
+@behave.then("it answers that it {has_lost} lost the store")
+def then_answer(context, has_lost):
+    expected = cells.InstanceIs("own", has_lost_store=has_lost == "has")
+    assert context.answer == expected, context.answer
--- a/samphiregate/adapters/cells/_lease.py
+++ b/samphiregate/adapters/cells/_lease.py
@@ -14,6 +14,8 @@
 RETRY_INTERVAL_MS = 200
 # The VM treats its lease as ended this long before the store may end it.
 EXPIRY_MARGIN_MS = 200
+# Without a renewal, until the store counts as lost to this VM.
+LOST_AFTER_MS = 900
 
 
 @attrs.frozen
@@ -63,7 +65,7 @@
         self._now_ms = now_ms
         self._log = log
         self._greenlet = None
-        self._renewed = gevent.event.Event()
+        self._last_failed = False
 
     def __enter__(self):
         self._greenlet = gevent.spawn(self._run)
@@ -83,6 +85,21 @@
         """Whether the lease is known to be valid."""
         return self.lease_id != 0 and self._now_ms() < self.valid_until_ms
 
+    @property
+    def is_renewed(self):
+        """Whether the lease is valid and the last renewal succeeded."""
+        return self.is_valid and not self._last_failed
+
+    @property
+    def is_lost(self):
+        """Whether renewals of a valid lease have failed for a while."""
+        renewed_ms = self.valid_until_ms - TTL_MS + EXPIRY_MARGIN_MS
+        return (
+            self.is_valid
+            and self._last_failed
+            and self._now_ms() - renewed_ms >= LOST_AFTER_MS
+        )
+
     def _run(self):
         while True:
             pause_ms = RENEW_INTERVAL_MS
@@ -91,6 +108,7 @@
                     self._renew()
                 else:
                     self._grant()
+                self._last_failed = False
                 self._on_renewal(True)
             except _ports.LeaseEndedError:
                 self._log.write("lease ended", lease=self.lease_id)
@@ -104,6 +122,7 @@
                     left_ms=self.valid_until_ms - self._now_ms(),
                     reason=error.detail,
                 )
+                self._last_failed = True
                 self._on_renewal(False)
                 pause_ms = RETRY_INTERVAL_MS
             gevent.sleep(pause_ms / 1000)
--- a/samphiregate/adapters/cells/_owner_monitor.py
+++ b/samphiregate/adapters/cells/_owner_monitor.py
@@ -1,11 +1,12 @@
-"""Takes a cell from an owner whose process has ended, before its lease ends.
-
-A process that ended refuses connections, or another instance answers at its
-address. Both can also be seen of a process that is alive, when the network
-refuses connections on its behalf. So the owner's record is removed under a
-condition, after which the store refuses what that process writes, endpoints
-refuse its orders once they have seen the next epoch, and its lease is ended,
-so that it learns of it at its next renewal.
+"""Takes a cell from an owner that can't serve it, before its lease ends.
+
+An owner that the store turns away says so itself. A process that ended
+refuses connections, or another instance answers at its address; both can also
+be seen of a process that is alive, when the network refuses connections on
+its behalf. So the owner's record is removed under a condition, after which
+the store refuses what that process writes, endpoints refuse its orders once
+they have seen the next epoch, and its lease is ended, so that it learns of it
+at its next renewal.
 """
 
 import gevent
@@ -19,6 +20,7 @@
 HOLD_MS = 1_000  # for which the owner holds a request
 ANSWER_MARGIN_MS = 500
 RETRY_INTERVAL_MS = 100
+CHECK_INTERVAL_MS = 100  # of the lease, while a request is held
 IDLE_INTERVAL_MS = 1_000
 
 
@@ -33,6 +35,7 @@
     store : Store
     peers : PeerCalls
     view : OwnerView
+    lease : LeaseRenewer
     is_monitor : callable
         Takes the `OwnerRecord`; returns whether this VM is one of those that
         monitor that owner.
@@ -49,6 +52,7 @@
         store,
         peers,
         view,
+        lease,
         is_monitor,
         log,
     ):
@@ -59,6 +63,7 @@
         self._store = store
         self._peers = peers
         self._view = view
+        self._lease = lease
         self._is_monitor = is_monitor
         self._log = log
         self._changed = gevent.event.Event()
@@ -77,8 +82,13 @@
 
     def answer(self, message):
         """Answers `AskInstance` of another VM."""
-        gevent.sleep(min(message.hold_ms, HOLD_MS) / 1000)
-        return cells.InstanceIs(self._instance)
+        for _number in range(
+            min(message.hold_ms, HOLD_MS) // CHECK_INTERVAL_MS
+        ):
+            if self._lease.is_lost:
+                break
+            gevent.sleep(CHECK_INTERVAL_MS / 1000)
+        return cells.InstanceIs(self._instance, self._lease.is_lost)
 
     def _run(self):
         while True:
@@ -127,10 +137,14 @@
                 return "it refuses connections"
             self._changed.wait(RETRY_INTERVAL_MS / 1000)
             return None
-        if isinstance(answer, cells.InstanceIs) and (
-            answer.instance != record.instance
-        ):
+        if not isinstance(answer, cells.InstanceIs):
+            return None
+        if answer.instance != record.instance:
             return "it has started again"
+        if answer.has_lost_store:
+            if self._lease.is_renewed:
+                return "it has lost the store"
+            self._changed.wait(RETRY_INTERVAL_MS / 1000)
         return None
 
     def _revoke(self, item, record, reason):
--- a/samphiregate/adapters/cells/_vm.py
+++ b/samphiregate/adapters/cells/_vm.py
@@ -141,6 +141,7 @@
             store=ports.store,
             peers=self._peers,
             view=self._owner_view,
+            lease=self._lease,
             is_monitor=self._is_monitor,
             log=log,
         )
--- a/samphiregate/core/cells/_peer_messages.py
+++ b/samphiregate/core/cells/_peer_messages.py
@@ -144,9 +144,18 @@
 
 @attrs.frozen
 class InstanceIs(base.PeerMessage):
-    """Random id of the process that answers."""
+    """Answer of a process that is asked for its instance.
+
+    Parameters
+    ----------
+    instance : str
+        Random id of the process.
+    has_lost_store : bool
+        Whether the store has not renewed its VM's lease for a while.
+    """
 
     instance: str
+    has_lost_store: bool = False
 
 
 @attrs.frozen
