--- a/samphiregate/adapters/cells/_owner_monitor.py
+++ b/samphiregate/adapters/cells/_owner_monitor.py
@@ -137,14 +137,14 @@
                 return "it refuses connections"
             self._changed.wait(RETRY_INTERVAL_MS / 1000)
             return None
-        if not isinstance(answer, cells.InstanceIs):
-            return None
-        if answer.instance != record.instance:
-            return "it has started again"
-        if answer.has_lost_store:
+        if isinstance(answer, cells.InstanceIs):
+            if answer.instance != record.instance:
+                return "it has started again"
+            if not answer.has_lost_store:
+                return None
             if self._lease.is_renewed:
                 return "it has lost the store"
-            self._changed.wait(RETRY_INTERVAL_MS / 1000)
+        self._changed.wait(RETRY_INTERVAL_MS / 1000)
         return None
 
     def _revoke(self, item, record, reason):
--- a/samphiregate/adapters/cells/_owner_record.py
+++ b/samphiregate/adapters/cells/_owner_record.py
@@ -7,6 +7,13 @@
 from samphiregate.core import cells
 from samphiregate import errors
 
+# How long one watch call waits, and so how long a dead connection goes
+# undetected.
+OWNERS_WAIT_MS = 2_000
+SILENT_WAIT_MS = 8_000
+# Every VM watches the list, which changes often while a part is cut off.
+SILENT_PAUSE_MS = 1_000
+
 
 @attrs.frozen
 class OwnerRecord:
@@ -68,13 +75,6 @@
     epoch_history : EpochHistory
     """
 
-    # How long one watch call waits, and so how long a dead connection goes
-    # undetected.
-    OWNERS_WAIT_MS = 2_000
-    SILENT_WAIT_MS = 8_000
-    # Every VM watches the list, which changes often while a part is cut off.
-    SILENT_PAUSE_MS = 1_000
-
     def __init__(self, *, cell, watch_prefix, on_change, now_ms, log):
         self.epoch_history = cells.EpochHistory()
         self._cell = cell
@@ -82,13 +82,13 @@
         self._now_ms = now_ms
         self._log = log
         self._owners = watch_prefix(
-            _keys.OWNERS_PREFIX, self._owner_changed, self.OWNERS_WAIT_MS, 0
+            _keys.OWNERS_PREFIX, self._owner_changed, OWNERS_WAIT_MS, 0
         )
         self._silent_endpoints = watch_prefix(
             _keys.SILENT_PREFIX,
             self._silent_changed,
-            self.SILENT_WAIT_MS,
-            self.SILENT_PAUSE_MS,
+            SILENT_WAIT_MS,
+            SILENT_PAUSE_MS,
         )
 
     def __enter__(self):
