--- a/samphiregate/adapters/cells/_precedence.py
+++ b/samphiregate/adapters/cells/_precedence.py
@@ -50,8 +50,8 @@
 def monitor_ids(records, epoch):
     """Returns the ids of the VMs that monitor an owner.
 
-    These are some of the strongest, as they may acquire the cell first; which
-    of them, differs from owner to owner.
+    These are some of the strongest, as they may acquire the cell first. Each
+    owner has others, so that no VM monitors all.
 
     Parameters
     ----------
