Wait for a revocation in tests, not for a time

Rows that expect a revocation gave the monitor 400 ms of real time; a machine that stalls would fail them.

--- a/features/cells_vm.feature
+++ b/features/cells_vm.feature
@@ -225,20 +225,20 @@
   Scenario Outline: the ownership of a process that has ended is revoked
     Given a store in memory
     And an owner whose process <what>
-    When a VM monitors it for 400 ms
+    When a VM monitors it <until>
     Then the ownership <revoked> revoked
 
     Examples:
-      | what                                        | revoked |
-      | answers                                     | is not  |
-      | does not answer yet                         | is not  |
-      | refuses connections                         | is      |
-      | breaks its connections and accepts new ones | is not  |
-      | has started again                           | is      |
-      | ran on the VM that monitors it              | is      |
-      | refuses connections and gave no lease       | is not  |
-      | has lost the store                          | is      |
-      | has lost the store too                      | is not  |
+      | what                                        | until            | revoked |
+      | answers                                     | for 400 ms       | is not  |
+      | does not answer yet                         | for 400 ms       | is not  |
+      | refuses connections                         | until it revokes | is      |
+      | breaks its connections and accepts new ones | for 400 ms       | is not  |
+      | has started again                           | until it revokes | is      |
+      | ran on the VM that monitors it              | until it revokes | is      |
+      | refuses connections and gave no lease       | for 400 ms       | is not  |
+      | has lost the store                          | until it revokes | is      |
+      | has lost the store too                      | for 400 ms       | is not  |
 
   Scenario Outline: an owner tells its monitors that it has lost the store
     Given a VM whose lease is <lease>
@@ -261,7 +261,7 @@
   Scenario: the next owner knows that the one before was revoked
     Given a store in memory
     And an owner whose process refuses connections
-    When a VM monitors it for 400 ms
+    When a VM monitors it until it revokes
     And a VM acquires the cell after it
     Then its epoch follows a revoked one
     When the VM gives the cell up and acquires it again
--- a/features/steps/cells_monitor_steps.py
+++ b/features/steps/cells_monitor_steps.py
@@ -128,6 +128,16 @@
         return _read_view(self._store).record
 
 
+@behave.when("a VM monitors it until it revokes")
+def when_monitored_until_revoked(context):
+    with (
+        _make_monitor(context, _StoreView(context.store)),
+        gevent.Timeout(cells_store.SETTLE_S),
+    ):
+        while not context.store.ended_leases:
+            gevent.sleep(0.01)
+
+
 @behave.when("a VM monitors it for {span_ms:d} ms")
 def when_monitored(context, span_ms):
     with _make_monitor(context, _StoreView(context.store)):
