--- a/samphiregate/core/cells/_retries.py
+++ b/samphiregate/core/cells/_retries.py
@@ -15,6 +15,8 @@
     They are placed apart, as the others may go to any endpoint.
     """
     failed = [task for task in tasks if stage.has_failed(task)]
+    if not failed:
+        return [tasks] if tasks else []
     others = [task for task in tasks if not stage.has_failed(task)]
     return [group for group in (others, failed) if group]
 
