Tell of each run that is lost with its endpoint

Cause: 'runs lost' named an endpoint, its jobs and a number.

Change: a line 'run lost' for each run that may have begun: task, run, reason, how long the endpoint showed it at work, and how many were lost beside it; 'samphiregate explain' shows it, as it names the job. A metric counts lost runs by reason. The reasons are typed (LossReason). No decision changes.

--- a/features/steps/cells_metrics_steps.py
+++ b/features/steps/cells_metrics_steps.py
@@ -58,8 +58,9 @@
             "restarted": 3,
             "restart_ms": 9_500,
         }
+        lost = {"its process has ended": 4}
         return _vm.VmState(
-            1_500, True, 3, {"room": 7}, {"svc": 2}, 9, 100, gaps
+            1_500, True, 3, {"room": 7}, {"svc": 2}, 9, 100, gaps, lost
         )
 
 
--- a/samphiregate/adapters/cells/_vm.py
+++ b/samphiregate/adapters/cells/_vm.py
@@ -62,6 +62,8 @@
     run_gaps : dict
         Long-running tasks without a run and those restarted, as in
         `RunGaps.describe`; empty unless it serves the cell.
+    runs_lost_by_reason : dict
+        Runs that were lost with their endpoint since it owns the cell.
     """
 
     lease_left_ms: int
@@ -72,6 +74,7 @@
     configuration_version: int
     configuration_age_ms: int
     run_gaps: dict = attrs.field(factory=dict)
+    runs_lost_by_reason: dict = attrs.field(factory=dict)
 
 
 class EntryVm:
@@ -249,6 +252,7 @@
             configuration_age_ms=now_ms
             - self._watched_configuration.last_sync_ms,
             run_gaps=load.get("run_gaps", {}),
+            runs_lost_by_reason=load.get("runs_lost", {}),
         )
 
     def hand_over(self):
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -6,6 +6,7 @@
 from samphiregate.core.cells import _endpoints
 from samphiregate.core.cells import _inheritance
 from samphiregate.core.cells import _load
+from samphiregate.core.cells import _losses
 from samphiregate.core.cells import _messages
 from samphiregate.core.cells import _order_answers
 from samphiregate.core.cells import _periodic_checks
@@ -384,8 +385,11 @@
                 inherited=not endpoint.has_answered,
             )
         if event.process_gone:
-            self.cell_state.release_lost_runs(
-                endpoint, "its process has ended", now_ms
+            _losses.release_lost_runs(
+                self.cell_state,
+                endpoint,
+                _losses.LossReason.PROCESS_ENDED,
+                now_ms,
             )
             endpoint.reset_incarnation()
             self.cell_state.remove_if_idle(endpoint)
--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -1,5 +1,7 @@
 """State of a cell: its jobs, endpoints and runs, and the changes to them."""
 
+import collections
+
 import attrs
 
 from samphiregate.core.cells import _account_limits
@@ -46,6 +48,8 @@
         Actions that `Cell` has not returned yet.
     run_gaps : RunGaps
         Long-running tasks without a run.
+    runs_lost_by_reason : collections.Counter
+        Number of runs that were lost with their endpoint.
     """
 
     epoch: int
@@ -66,6 +70,9 @@
         factory=_order.ShareLimiter
     )
     run_gaps: _run_gaps.RunGaps = attrs.field(factory=_run_gaps.RunGaps)
+    runs_lost_by_reason: collections.Counter = attrs.field(
+        factory=collections.Counter
+    )
     unix_ms: int = 0
     now_ms: int = 0
     _last_urgent_ms_by_account: dict = attrs.field(factory=dict)
@@ -401,27 +408,6 @@
             if booking is not None and booking.state is not stopping:
                 self.stop(booking, now_ms)
 
-    def release_lost_runs(self, endpoint, reason, now_ms):
-        """Releases all runs of an endpoint as ended without a result."""
-        lost = list(endpoint.bookings_by_run.values())
-        if not lost:
-            return
-        for booking in lost:
-            planned = booking.state is _tasks.RunState.PLANNED
-            self.release(booking, has_begun=not planned)
-            if booking.step.gang:
-                self.stop_gang(booking.task.stage, booking.run, now_ms)
-        self.log_decision(
-            "runs lost",
-            endpoint=endpoint.endpoint_id,
-            reason=reason,
-            runs=len(lost),
-            jobs=sorted({booking.task.task_id.job_id for booking in lost}),
-            lost=_run_gaps.describe_runs(
-                booking for booking in lost if booking.step.long_running
-            ),
-        )
-
     def remove_if_idle(self, endpoint):
         """Removes a deregistered endpoint without runs."""
         if not endpoint.registered and not endpoint.bookings_by_run:
--- a/samphiregate/core/cells/_order_answers.py
+++ b/samphiregate/core/cells/_order_answers.py
@@ -1,6 +1,7 @@
 """Applies the answers of endpoints to orders to start and to stop runs."""
 
 from samphiregate.core.cells import _cell_state
+from samphiregate.core.cells import _losses
 from samphiregate.core.cells import _messages
 from samphiregate.core.cells import _tasks
 
@@ -128,8 +129,11 @@
         elif outcome is outcomes.NOT_STARTED:
             endpoint.backoff_until_ms = now_ms + NOT_STARTED_BACKOFF_MS
         elif outcome is outcomes.WRONG_ENDPOINT:
-            self._cell_state.release_lost_runs(
-                endpoint, "another endpoint answers at its address", now_ms
+            _losses.release_lost_runs(
+                self._cell_state,
+                endpoint,
+                _losses.LossReason.REPLACED,
+                now_ms,
             )
             endpoint.reset_incarnation()
 
--- a/samphiregate/core/cells/_periodic_checks.py
+++ b/samphiregate/core/cells/_periodic_checks.py
@@ -1,5 +1,6 @@
 """Checks of a cell that are made at intervals, not after each event."""
 
+from samphiregate.core.cells import _losses
 from samphiregate.core.cells import _tasks
 
 SILENT_AFTER_MS = 100  # without an answer to the first poll
@@ -14,8 +15,8 @@
             and endpoint.lease_until_ms <= now_ms
         )
         if lease_expired:
-            cell_state.release_lost_runs(
-                endpoint, "its lease has expired", now_ms
+            _losses.release_lost_runs(
+                cell_state, endpoint, _losses.LossReason.LEASE_EXPIRED, now_ms
             )
         cell_state.remove_if_idle(endpoint)
 
--- a/samphiregate/core/cells/_reconciliation.py
+++ b/samphiregate/core/cells/_reconciliation.py
@@ -3,6 +3,7 @@
 import attrs
 
 from samphiregate.core.cells import _ends
+from samphiregate.core.cells import _losses
 from samphiregate.core.cells import _tasks
 
 MAX_ENDS_LISTED = 500  # an answer with this many ends may omit others
@@ -53,8 +54,8 @@
 
 def _apply_restart(cell_state, endpoint, started_unix_ms, now_ms):
     if endpoint.registration.started_unix_ms:
-        cell_state.release_lost_runs(
-            endpoint, "the endpoint has restarted", now_ms
+        _losses.release_lost_runs(
+            cell_state, endpoint, _losses.LossReason.RESTARTED, now_ms
         )
         endpoint.reset_incarnation()
     endpoint.update_registration(
--- a/samphiregate/core/cells/_registrations.py
+++ b/samphiregate/core/cells/_registrations.py
@@ -3,6 +3,7 @@
 import attrs
 
 from samphiregate.core.cells import _endpoints
+from samphiregate.core.cells import _losses
 
 
 def apply_registered(cell_state, event, now_ms):
@@ -38,8 +39,8 @@
         and event.started_unix_ms > previous.started_unix_ms
     )
     if restarted:
-        cell_state.release_lost_runs(
-            endpoint, "it was registered again after a restart", now_ms
+        _losses.release_lost_runs(
+            cell_state, endpoint, _losses.LossReason.REGISTERED_AGAIN, now_ms
         )
         endpoint.reset_incarnation()
     endpoint.update_registration(event)
--- a/samphiregate/core/cells/_tasks.py
+++ b/samphiregate/core/cells/_tasks.py
@@ -71,6 +71,17 @@
         """The step that the task belongs to."""
         return self.task.stage.step
 
+    @property
+    def survived_ms(self):
+        """How long after its order the endpoint last confirmed the run.
+
+        None if no order was confirmed. For an inherited run, counted from
+        when it was read from the record.
+        """
+        if self.confirmed_ms is None:
+            return None
+        return max(self.confirmed_ms - self.sent_ms, 0)
+
     @property
     def overdue_ms(self):
         """When the end of the run should have been reported at the latest."""
--- a/samphiregate/metrics/_vm.py
+++ b/samphiregate/metrics/_vm.py
@@ -137,6 +137,12 @@
             "samphiregate_endpoints_unreachable",
             "Endpoints that do not answer; told by the owner.",
         )
+        yield _family_by(
+            "reason",
+            state.runs_lost_by_reason,
+            "samphiregate_runs_lost",
+            "Runs lost with their endpoint, by reason; told by the owner.",
+        )
         yield from _gap_families(state.run_gaps)
 
 
