Show the task that is started without end, in virtual time

A simulated task ends the process of each endpoint that starts it; the endpoint comes back under the same id or another one, soon or after the lease of its runs, and the owner may be lost at each crash. The rows about endpoints that crash by themselves pass before, and guard the mend.

--- /dev/null
+++ b/features/cells_crashes.feature
@@ -0,0 +1,69 @@
+Feature: a task that ends the processes of its endpoints is given up
+
+  Such a task comes from a caller and harms all others: each endpoint that
+  starts it loses its runs. It must be started a few times only, whatever
+  becomes of the owner, and tasks that merely ran beside it must complete.
+  Endpoints also fail by themselves, which no task is to be blamed for.
+
+  Scenario Outline: a task that crashes each endpoint is given up after a few starts
+    Given 8 endpoints of 4 cores
+    And endpoints whose process ends are back after <away_ms> ms under <id> id
+    And an owner of the cell
+    When a <kind> "bad" of 3 tasks is submitted whose first task ends its endpoint's process after <crash_ms> ms
+    And 12 jobs of 6 tasks are submitted
+    And the owner <owner>
+    Then job "bad" is failed within 40000 ms
+    And each task that ends processes was started at most 5 times
+    And all but 1 jobs are completed within 20000 ms
+    And no invariant was violated
+
+    Examples: the owner stays
+      | kind             | away_ms | id       | crash_ms | owner |
+      | job              | 3000    | another  | 10       | stays |
+      | job              | 3000    | the same | 10       | stays |
+      | job              | 9000    | the same | 10       | stays |
+      | job              | 9000    | another  | 10       | stays |
+      | job              | 3000    | another  | 300      | stays |
+      | job              | 3000    | the same | 490      | stays |
+      | gang             | 3000    | another  | 10       | stays |
+      | gang             | 3000    | the same | 10       | stays |
+      | speculative job  | 3000    | another  | 10       | stays |
+      | long-running job | 3000    | another  | 10       | stays |
+      | long-running job | 3000    | the same | 10       | stays |
+
+    Examples: the owner is lost at each crash
+      | kind             | away_ms | id       | crash_ms | owner                            |
+      | job              | 3000    | another  | 10       | is lost 1 ms after each crash    |
+      | job              | 3000    | the same | 10       | is lost 1 ms after each crash    |
+      | job              | 3000    | another  | 10       | is lost 3010 ms after each crash |
+      | job              | 3000    | the same | 10       | is lost 3010 ms after each crash |
+      | job              | 500     | the same | 10       | is lost 600 ms after each crash  |
+      | job              | 9000    | the same | 10       | is lost 20 ms after each crash   |
+      | gang             | 3000    | the same | 10       | is lost 1 ms after each crash    |
+      | long-running job | 3000    | the same | 10       | is lost 1 ms after each crash    |
+
+  Scenario Outline: tasks on endpoints that crash by themselves complete
+    Given 8 endpoints of 4 cores
+    And endpoints whose process ends are back after 1000 ms under <id> id
+    And an owner of the cell
+    When jobs of 4 tasks of <task_ms> ms come for 40 s while a process ends every <gap_ms> ms, with seed <seed>
+    Then all jobs are completed within 60000 ms
+    And no invariant was violated
+
+    Examples:
+      | task_ms | gap_ms | id       | seed |
+      | 500     | 300    | the same | 1    |
+      | 500     | 300    | another  | 2    |
+      | 2000    | 600    | the same | 3    |
+      | 2000    | 600    | another  | 4    |
+      | 2000    | 600    | the same | 5    |
+      | 4000    | 1000   | another  | 6    |
+
+  Scenario: the log names each run that was lost with its endpoint, and how long it had worked
+    Given 1 endpoints of 4 cores
+    And an owner of the cell
+    When a long-running job "j" of 2 tasks is submitted
+    And 4000 ms pass
+    And endpoint "e0" restarts
+    And 2000 ms pass
+    Then the log tells that 2 runs of job "j" were lost after 1500 to 4000 ms of work, as "the endpoint has restarted"
--- a/features/support/cells.py
+++ b/features/support/cells.py
@@ -11,6 +11,7 @@
 import itertools
 import random
 
+from features.support import cells_crashes
 from features.support import cells_endpoints
 from samphiregate.core import cells
 from samphiregate import logs
@@ -59,6 +60,8 @@
     stored_silent_record : bytes or None
     epoch_history : EpochHistory
         Of a VM that sees the end of each ownership at the next takeover.
+    crashes : Crashes
+        Tasks that end the processes of endpoints.
     log_lines : list of logs.Line
         Decisions that owners logged; a VM is named by its epoch.
     """
@@ -77,6 +80,7 @@
         self.job_by_id = {}
         self.cancelled_ids = set()
         self.endpoint_by_id = {}
+        self.crashes = cells_crashes.Crashes(self)
         self.always_failing_ids = set()
         self.accounts = ()
         self.store_up = True
@@ -113,10 +117,14 @@
             endpoint_id, capacity, self, **kwargs
         )
         self.endpoint_by_id[endpoint_id] = endpoint
-        if self.cell is not None:
-            self.deliver(endpoint.registration)
+        self.announce(endpoint.registration)
         return endpoint
 
+    def announce(self, event):
+        """Delivers an event to the owner if there is one."""
+        if self.owner_up and self.cell is not None:
+            self.deliver(event)
+
     def submit(self, job):
         """Stores a job and notifies the owner."""
         self.job_by_id[job.job_id] = job
@@ -383,6 +391,10 @@
         generation = self._generation
         endpoint = self.endpoint_by_id.get(action.endpoint_id)
         failed = cells.PollFailed(action.endpoint_id)
+        if endpoint is not None and endpoint.is_replaced:
+            gone = cells.PollFailed(action.endpoint_id, process_gone=True)
+            self._answer(LINK_DELAY_MS, gone, generation)
+            return
         if endpoint is None or not endpoint.reachable:
             self._answer(UNREACHABLE_TIMEOUT_MS, failed, generation)
             return
--- a/features/support/cells_endpoints.py
+++ b/features/support/cells_endpoints.py
@@ -47,6 +47,8 @@
         Share of starts and polls that are executed but not answered.
     slowness : float
         Factor by which tasks take longer; infinite if they stall.
+    is_replaced : bool
+        Whether another endpoint answers at its address.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         self.slowness = 1.0
         self.draining = False
         self.remaining_ms = None
+        self.is_replaced = False
         self.restarting_until_ms = 0
         self._simulation = simulation
         self.incarnation = 1
@@ -102,14 +105,14 @@
         self.ended = []
         self.ended_count = 0
 
-    def restart(self):
+    def restart(self, away_ms=RESTART_MS):
         """Starts a new incarnation; all runs are lost.
 
-        Open connections end at once; new ones fail for `RESTART_MS`.
+        Open connections end at once; new ones fail for `away_ms`.
         """
         self.incarnation += 1
         self._clear()
-        until_ms = self._simulation.now_ms + RESTART_MS
+        until_ms = self._simulation.now_ms + away_ms
         self.restarting_until_ms = max(self.restarting_until_ms, until_ms)
 
     def leave(self):
@@ -168,6 +171,7 @@
             reason,
         )
         self._simulation.check_start(self, action)
+        self._simulation.crashes.note_start(self, key)
         return outcomes.STARTED
 
     def start_delayed(self, action, epoch, incarnation):
