Give up a task under which endpoint after endpoint crashes

Cause: a run that is lost with its endpoint was not counted. Only ends that endpoints list as failed were; a lost task was startable at once, on any endpoint, beside any other run.

Change: - core/cells/_crash_counts.py, _blame.py: a crash counts for all tasks on the endpoint; it is blamed on the runs that had just started. A task is given up, and its job has failed, after three crashes in a row right at its start, or four crashes in a row at any time. _endpoint_failures.py: the more often endpoints fail by themselves, the shorter 'at its start' is, and crashes at other times count no more. - _trials.py: a task under suspicion is tried alone, where no other runs. - Records keep the counts, the incarnation of the endpoint of each run, and runs whose lease expired; so a new owner counts a crash that the last one did not see or store. Earlier builds read these records and write none of it. - The planned end of a draining endpoint counts nowhere; an expired lease counts once the endpoint's process is known to have ended.

--- a/features/cells_crashes.feature
+++ b/features/cells_crashes.feature
@@ -42,6 +42,24 @@
       | gang             | 3000    | the same | 10       | is lost 1 ms after each crash    |
       | long-running job | 3000    | the same | 10       | is lost 1 ms after each crash    |
 
+  Scenario Outline: a task under suspicion is tried where it harms no other
+    Given 8 endpoints of 4 cores
+    And endpoints whose process ends are back after 3000 ms under another id
+    And an owner of the cell
+    When a <kind> "bad" of 3 tasks is submitted whose first task ends its endpoint's process after 10 ms
+    And 3 jobs of 4 tasks are submitted
+    And a job of 1 plain tasks is submitted every 100 ms for 15 s
+    Then job "bad" is failed within 20000 ms
+    And its endpoint crashed 3 times, and other runs were lost in the first crash only
+    And all but 1 jobs are completed within 5000 ms
+    And no invariant was violated
+
+    Examples:
+      | kind             |
+      | job              |
+      | speculative job  |
+      | long-running job |
+
   Scenario Outline: tasks on endpoints that crash by themselves complete
     Given 8 endpoints of 4 cores
     And endpoints whose process ends are back after 1000 ms under <id> id
--- a/features/run_all.py
+++ b/features/run_all.py
@@ -26,6 +26,7 @@
     "site",
     "fault_matrix",
     "cells",
+    "cells_crashes",
     "shutdown",
     "daemon",
     "configuration",
--- a/features/steps/cells_crash_steps.py
+++ b/features/steps/cells_crash_steps.py
@@ -81,6 +81,16 @@
         assert len(starts) <= count, starts
 
 
+@behave.then(
+    "its endpoint crashed {count:d} times, and other runs were lost in the "
+    "first crash only"
+)
+def then_harmless(context, count):
+    lost_counts = context.simulation.crashes.lost_counts
+    assert len(lost_counts) == count, lost_counts
+    assert not any(lost_counts[1:]), lost_counts
+
+
 @behave.when(
     "jobs of {count:d} tasks of {task_ms:d} ms come for {span_s:d} s while a "
     "process ends every {gap_ms:d} ms, with seed {seed:d}"
--- a/features/support/cells_crashes.py
+++ b/features/support/cells_crashes.py
@@ -26,8 +26,8 @@
         Called without arguments at each crash.
     count_by_task : collections.Counter
         Crashes under each of these tasks.
-    lost_count : int
-        Runs of other tasks that were lost in crashes.
+    lost_counts : list of int
+        Runs of other tasks that were lost in each crash.
     """
 
     def __init__(self, simulation):
@@ -36,7 +36,7 @@
         self.changes_id = False
         self.listeners = []
         self.count_by_task = {}
-        self.lost_count = 0
+        self.lost_counts = []
         self._simulation = simulation
         self._replaced_count = 0
 
@@ -56,7 +56,7 @@
             return
         task_id = key[0]
         self.count_by_task[task_id] = self.count_by_task.get(task_id, 0) + 1
-        self.lost_count += len(endpoint.run_by_key) - 1
+        self.lost_counts.append(len(endpoint.run_by_key) - 1)
         self.end_process(endpoint)
         for listener in list(self.listeners):
             listener()
@@ -66,6 +66,10 @@
         simulation = self._simulation
         if not self.changes_id:
             endpoint.restart(self.away_ms)
+            simulation.at(
+                self.away_ms,
+                lambda: simulation.announce(endpoint.registration),
+            )
             return
         endpoint.leave()
         simulation.at(self.away_ms, functools.partial(self._replace, endpoint))
@@ -81,4 +85,5 @@
             f"{endpoint.endpoint_id}-{self._replaced_count}",
             cpu=endpoint.capacity.cpu_millis,
             labels=endpoint.labels,
+            address=endpoint.address,
         )
--- a/features/support/cells_endpoints.py
+++ b/features/support/cells_endpoints.py
@@ -47,6 +47,7 @@
         Share of starts and polls that are executed but not answered.
     slowness : float
         Factor by which tasks take longer; infinite if they stall.
+    address : str
     is_replaced : bool
         Whether another endpoint answers at its address.
     """
@@ -58,6 +59,7 @@
         simulation,
         labels=("a", "r1"),
         service=cells_work.SERVICE,
+        address=None,
     ):
         self.endpoint_id = endpoint_id
         self.capacity = capacity
@@ -73,6 +75,7 @@
         self.draining = False
         self.remaining_ms = None
         self.is_replaced = False
+        self.address = address or endpoint_id
         self.restarting_until_ms = 0
         self._simulation = simulation
         self.incarnation = 1
@@ -126,7 +129,7 @@
         return cells.EndpointRegistered(
             self.endpoint_id,
             self.service,
-            self.endpoint_id,
+            self.address,
             "north",
             self.capacity,
             self.labels,
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -146,7 +146,7 @@
         for job_id in list(self.cell_state.dirty_ids):
             entry = self.cell_state.entry_by_id.get(job_id)
             if entry is not None:
-                row = entry.to_row(self._address_of)
+                row = entry.to_row(self._registration_of)
                 item_count += row.item_count
                 if item_count > max_items:
                     break
@@ -164,8 +164,8 @@
         record = self.cell_state.inherited_leases.pop_record()
         return None if record is None else _records.encode(record)
 
-    def _address_of(self, endpoint_id):
-        return self.cell_state.endpoint_by_id[endpoint_id].registration.address
+    def _registration_of(self, endpoint_id):
+        return self.cell_state.endpoint_by_id[endpoint_id].registration
 
     def expired_jobs(self, unix_ms, retention_ms):
         """Returns the ids of jobs that ended more than `retention_ms` ago.
@@ -375,6 +375,7 @@
             return
         endpoint.failed_polls += 1
         if endpoint.failed_polls == 1:
+            endpoint.unreachable_since_ms = now_ms
             self.cell_state.log_decision(
                 "endpoint unreachable",
                 endpoint=event.endpoint_id,
@@ -385,7 +386,7 @@
                 inherited=not endpoint.has_answered,
             )
         if event.process_gone:
-            _losses.release_lost_runs(
+            _losses.release_crashed_runs(
                 self.cell_state,
                 endpoint,
                 _losses.LossReason.PROCESS_ENDED,
--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -5,13 +5,15 @@
 import attrs
 
 from samphiregate.core.cells import _account_limits
-from samphiregate.core.cells import _endpoints
+from samphiregate.core.cells import _endpoint_failures
 from samphiregate.core.cells import _inheritance
 from samphiregate.core.cells import _messages
 from samphiregate.core.cells import _order
 from samphiregate.core.cells import _policy_queries
+from samphiregate.core.cells import _restored_runs
 from samphiregate.core.cells import _run_gaps
 from samphiregate.core.cells import _tasks
+from samphiregate.core.cells import _trials
 from samphiregate.core.cells import _work
 
 RUN_NUMBER_SKIP = 1_000  # skips numbers that earlier owners may have used
@@ -50,6 +52,8 @@
         Long-running tasks without a run.
     runs_lost_by_reason : collections.Counter
         Number of runs that were lost with their endpoint.
+    endpoint_failures : EndpointFailures
+    trials : Trials
     """
 
     epoch: int
@@ -73,6 +77,10 @@
     runs_lost_by_reason: collections.Counter = attrs.field(
         factory=collections.Counter
     )
+    endpoint_failures: _endpoint_failures.EndpointFailures = attrs.field(
+        factory=_endpoint_failures.EndpointFailures
+    )
+    trials: _trials.Trials = attrs.field(factory=_trials.Trials)
     unix_ms: int = 0
     now_ms: int = 0
     _last_urgent_ms_by_account: dict = attrs.field(factory=dict)
@@ -116,7 +124,7 @@
         if event.record is not None:
             entry.restore(event.record)
             entry.is_compacted = entry.state.is_final and not job.steps
-            self._restore_runs(entry, event.record, now_ms)
+            _restored_runs.restore(self, entry, event.record, now_ms)
         self.log_decision(
             "job queued",
             job.job_id,
@@ -125,67 +133,12 @@
             within_share=entry.within_share,
             state=entry.state.value,
         )
-        self._log_restored_runs(entry)
+        _restored_runs.log(self, entry)
         if job.job_id in self.early_cancelled_ids:
             self.early_cancelled_ids.discard(job.job_id)
             self.cancel(job.job_id, now_ms)
         self.open_ready_stages(entry, now_ms)
 
-    def _log_restored_runs(self, entry):
-        """Logs the runs that are long-running or no longer needed."""
-        told = [
-            booking
-            for booking in entry.bookings()
-            if booking.step.long_running or not booking.task.needs_run
-        ]
-        if told:
-            self.log_decision(
-                "runs restored",
-                entry.job.job_id,
-                state=entry.state.value,
-                restored=_run_gaps.describe_runs(told),
-            )
-
-    def _restore_runs(self, entry, record, now_ms):
-        """Reserves room for the runs that an earlier owner may have started.
-
-        The first poll shows which of them exist: from then on the endpoint
-        has seen the new epoch and refuses late start orders of earlier
-        owners. A run that is no longer needed is stopped, as the stop that
-        an earlier owner ordered may not have reached the endpoint.
-        """
-        for stage_record in record.stages:
-            key = (stage_record.occurrence, stage_record.step)
-            stage = entry.stages_by_key[key]
-            for index, run, endpoint_id in stage_record.placed:
-                endpoint = self._inherited_endpoint(
-                    endpoint_id,
-                    entry.job.queue.service,
-                    record.address_by_id.get(endpoint_id, ""),
-                )
-                endpoint.inherit_lease(
-                    self.inherited_leases.inherit(endpoint_id, now_ms)
-                )
-                booking = self.reserve(
-                    stage.tasks[index], run, endpoint, now_ms
-                )
-                # Counts as confirmed, so that the first poll releases the
-                # run if the endpoint does not list it.
-                booking.state = _tasks.RunState.RUNNING
-                booking.confirmed_ms = now_ms
-                if not booking.task.needs_run:
-                    self.stop(booking, now_ms)
-
-    def _inherited_endpoint(self, endpoint_id, service, address):
-        endpoint = self.endpoint_by_id.get(endpoint_id)
-        if endpoint is None:
-            registration = _messages.EndpointRegistered(
-                endpoint_id, service, address, "", _work.ZERO_RESOURCES
-            )
-            endpoint = _endpoints.Endpoint(registration, registered=False)
-            self.endpoint_by_id[endpoint_id] = endpoint
-        return endpoint
-
     def cancel(self, job_id, now_ms):
         """Ends a job as cancelled at once, or when it is read if later."""
         entry = self.entry_by_id.get(job_id)
@@ -263,6 +216,15 @@
         if entry is not None and entry.state.is_final:
             del self.entry_by_id[job_id]
 
+    def count_answering(self, service):
+        """Returns the number of endpoints of a service that answer."""
+        return sum(
+            endpoint.has_answered
+            and not endpoint.failed_polls
+            and endpoint.registration.service == service
+            for endpoint in self.endpoint_by_id.values()
+        )
+
     # Runs and their bookings
 
     def reserve(self, task, run, endpoint, now_ms):
@@ -271,6 +233,8 @@
             task, run, endpoint.endpoint_id, now_ms, progressed_ms=now_ms
         )
         task.last_run = max(task.last_run, run)
+        if _trials.needs_trial(self, task):
+            self.trials.begin(booking)
         endpoint.reserve(booking)
         entry = task.stage.entry
         entry.has_started = True
@@ -343,6 +307,7 @@
         if booking.key not in endpoint.bookings_by_run:
             return
         endpoint.release(booking)
+        self.trials.end(booking)
         entry = booking.task.stage.entry
         self.account_limits.remove(entry.job.account, booking.step.demand)
         self.mark_moved(entry)
@@ -410,7 +375,8 @@
 
     def remove_if_idle(self, endpoint):
         """Removes a deregistered endpoint without runs."""
-        if not endpoint.registered and not endpoint.bookings_by_run:
+        is_needed = endpoint.bookings_by_run or endpoint.lapsed_bookings
+        if not endpoint.registered and not is_needed:
             self.endpoint_by_id.pop(endpoint.endpoint_id, None)
             self.inherited_leases.forget(endpoint.endpoint_id)
 
--- a/samphiregate/core/cells/_endpoints.py
+++ b/samphiregate/core/cells/_endpoints.py
@@ -46,6 +46,8 @@
         Whether it has answered a poll under the current epoch.
     failed_polls : int
         Polls that failed since the last answer.
+    unreachable_since_ms : int
+        When the first of these failed.
     clock_ms : int
         Its steady clock in the last answer.
     answered_ms : int
@@ -75,12 +77,18 @@
         Earliest time at which it leaves; infinite while it does not drain.
     overdue_from_ms : float
         No end of a run is overdue before this time.
+    lapsed_bookings : list of Booking
+        Runs that were released as their lease had expired, while it is not
+        known whether its process has ended.
+    lapsed_ms : int
+        When they were released.
     """
 
     registration: _messages.EndpointRegistered
     registered: bool = True
     has_answered: bool = False
     failed_polls: int = 0
+    unreachable_since_ms: int = 0
     clock_ms: int = 0
     answered_ms: int = 0
     lease_until_ms: int = 0
@@ -96,6 +104,8 @@
     backoff_until_ms: int = 0
     leaves_ms: float = math.inf
     overdue_from_ms: float = math.inf
+    lapsed_bookings: list = attrs.field(factory=list)
+    lapsed_ms: int = 0
     endpoint_id: str = attrs.field(init=False)
 
     def __attrs_post_init__(self):
@@ -120,6 +130,15 @@
             and not self.registration.draining
         )
 
+    @property
+    def is_only_remembered(self):
+        """Whether nothing of it is left but runs whose lease had expired."""
+        return (
+            not self.registered
+            and not self.bookings_by_run
+            and bool(self.lapsed_bookings)
+        )
+
     def acknowledged_upto(self, now_ms):
         """Returns the number up to which the endpoint may discard ends.
 
--- a/samphiregate/core/cells/_ends.py
+++ b/samphiregate/core/cells/_ends.py
@@ -1,5 +1,6 @@
 """Applies the ends of runs that endpoints list to tasks and jobs."""
 
+from samphiregate.core.cells import _crash_counts
 from samphiregate.core.cells import _messages
 from samphiregate.core.cells import _tasks
 from samphiregate.core.cells import _work
@@ -97,6 +98,8 @@
     counted_task = stage.tasks[0] if stage.step.gang else task
     counted_task.failed_runs.add(run)
     stage.failed_ids.add(endpoint.endpoint_id)
+    # The endpoint has outlasted the run.
+    task.crash_count = _crash_counts.NO_CRASHES
     queue = cell_state.queue_by_name.get(entry.job.queue.name, entry.job.queue)
     failures = len(counted_task.failed_runs)
     cell_state.log_decision(
--- a/samphiregate/core/cells/_order_answers.py
+++ b/samphiregate/core/cells/_order_answers.py
@@ -104,6 +104,11 @@
 
     def _on_start_refused(self, endpoint, booking, outcome, now_ms):
         outcomes = _messages.StartOutcome
+        if outcome is outcomes.WRONG_ENDPOINT and booking.start_attempts > 1:
+            # An earlier copy of the order may have reached the endpoint
+            # before its process ended.
+            self._release_replaced(endpoint, now_ms)
+            return
         self._cell_state.release(booking, has_begun=False)
         if booking.step.gang:
             self._cell_state.stop_gang(booking.task.stage, booking.run, now_ms)
@@ -129,13 +134,13 @@
         elif outcome is outcomes.NOT_STARTED:
             endpoint.backoff_until_ms = now_ms + NOT_STARTED_BACKOFF_MS
         elif outcome is outcomes.WRONG_ENDPOINT:
-            _losses.release_lost_runs(
-                self._cell_state,
-                endpoint,
-                _losses.LossReason.REPLACED,
-                now_ms,
-            )
-            endpoint.reset_incarnation()
+            self._release_replaced(endpoint, now_ms)
+
+    def _release_replaced(self, endpoint, now_ms):
+        _losses.release_crashed_runs(
+            self._cell_state, endpoint, _losses.LossReason.REPLACED, now_ms
+        )
+        endpoint.reset_incarnation()
 
     def apply_stop(self, event, now_ms):
         """Applies a `StopAnswered` event."""
--- a/samphiregate/core/cells/_periodic_checks.py
+++ b/samphiregate/core/cells/_periodic_checks.py
@@ -15,9 +15,8 @@
             and endpoint.lease_until_ms <= now_ms
         )
         if lease_expired:
-            _losses.release_lost_runs(
-                cell_state, endpoint, _losses.LossReason.LEASE_EXPIRED, now_ms
-            )
+            _losses.release_lapsed_runs(cell_state, endpoint, now_ms)
+        _losses.forget_old_lapsed(endpoint, now_ms)
         cell_state.remove_if_idle(endpoint)
 
 
--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -10,6 +10,7 @@
 from samphiregate.core.cells import _retries
 from samphiregate.core.cells import _run_gaps
 from samphiregate.core.cells import _stragglers
+from samphiregate.core.cells import _trials
 from samphiregate.core.cells import _usable_endpoints
 
 URGENT_LIMIT_SHARE = 0.2  # of an account's limit
@@ -87,10 +88,9 @@
             key=lambda stage: _order.priority_key(stage, now_ms),
         )
         for stage in stages:
-            interrupted = stage.interrupted()
-            if interrupted:
+            for group in _retries.by_failure(stage, stage.interrupted()):
                 self._plan_stage(
-                    stage, interrupted, held_ids, now_ms, is_restart=True
+                    stage, group, held_ids, now_ms, is_restart=True
                 )
         for stage in stages:
             tasks = stage.startable()
@@ -126,6 +126,8 @@
             candidates = _retries.without_suspects(
                 stage, candidates, self._failure_backoff
             )
+        if _trials.is_suspect(stage, tasks[0]):
+            candidates = _trials.candidates_for(stage.step, candidates)
         chosen = self._choose(stage, tasks, candidates, now_ms, is_restart)
         if chosen:
             self._place(stage, tasks, chosen, now_ms)
@@ -209,6 +211,8 @@
                 for one in self._candidates(stage, usable, (), now_ms)
                 if one.endpoint.endpoint_id != booking.endpoint_id
             ]
+            if _trials.needs_trial(self._cell_state, task):
+                candidates = _trials.candidates_for(stage.step, candidates)
             chosen = self._packing.choose(stage.step, 1, candidates)
             if chosen:
                 self._place(stage, [task], chosen, now_ms)
@@ -302,9 +306,10 @@
         else:
             with_room = usable.with_room(need)
         candidates = []
+        trial_ids = self._cell_state.trials.endpoint_ids()
         for endpoint in with_room:
             endpoint_id = endpoint.endpoint_id
-            if endpoint_id in held_ids:
+            if endpoint_id in held_ids or endpoint_id in trial_ids:
                 continue
             max_count = stage.max_more_on(endpoint_id)
             if max_count > 0:
--- a/samphiregate/core/cells/_polling.py
+++ b/samphiregate/core/cells/_polling.py
@@ -6,6 +6,7 @@
 """
 
 from samphiregate.core.cells import _messages
+from samphiregate.core.cells import _trials
 
 POLL_WAIT_MS = 1_500
 LOSSY_POLL_WAIT_MS = 300  # while answers of endpoints get lost
@@ -54,6 +55,7 @@
         An unreachable endpoint is polled as long as it is registered, as it
         gets no tasks before it has answered.
         """
+        trial_ids = self._cell_state.trials.endpoint_ids()
         for endpoint in self._cell_state.endpoint_by_id.values():
             if endpoint.next_poll_ms > now_ms:
                 continue
@@ -63,7 +65,7 @@
                 ):
                     self.poll(endpoint, now_ms, OVERDUE_POLL_WAIT_MS)
                 continue
-            needs_poll = (
+            needs_poll = not endpoint.is_only_remembered and (
                 not endpoint.has_answered
                 or endpoint.bookings_by_run
                 or endpoint.unstored_ends
@@ -71,7 +73,10 @@
                 or (endpoint.failed_polls and endpoint.registered)
             )
             if needs_poll:
-                self.poll(endpoint, now_ms, self._wait_ms(endpoint, now_ms))
+                wait_ms = self._wait_ms(endpoint, now_ms)
+                if endpoint.endpoint_id in trial_ids:
+                    wait_ms = min(wait_ms, _trials.TRIAL_POLL_WAIT_MS)
+                self.poll(endpoint, now_ms, wait_ms)
 
     def check(self, endpoint, now_ms):
         """Polls an endpoint at once, to learn whether it still answers."""
--- a/samphiregate/core/cells/_reconciliation.py
+++ b/samphiregate/core/cells/_reconciliation.py
@@ -5,6 +5,7 @@
 from samphiregate.core.cells import _ends
 from samphiregate.core.cells import _losses
 from samphiregate.core.cells import _tasks
+from samphiregate.core.cells import _trials
 
 MAX_ENDS_LISTED = 500  # an answer with this many ends may omit others
 
@@ -39,6 +40,7 @@
         and endpoint.registration.started_unix_ms != started_unix_ms
     ):
         _apply_restart(cell_state, endpoint, started_unix_ms, now_ms)
+    _losses.clear_lapsed(endpoint)
     endpoint.failed_polls = 0
     endpoint.has_answered = True
     endpoint.clock_ms = event.clock_ms
@@ -54,7 +56,7 @@
 
 def _apply_restart(cell_state, endpoint, started_unix_ms, now_ms):
     if endpoint.registration.started_unix_ms:
-        _losses.release_lost_runs(
+        _losses.release_crashed_runs(
             cell_state, endpoint, _losses.LossReason.RESTARTED, now_ms
         )
         endpoint.reset_incarnation()
@@ -69,7 +71,7 @@
     if booking is not None:
         if booking.state is STARTING:
             cell_state.confirm_start(booking, now_ms)
-        _update_booking(booking, row, now_ms)
+        _update_booking(cell_state, booking, row, now_ms)
         return
     entry = cell_state.entry_by_id.get(row.task_id.job_id)
     task = entry.task(row.task_id) if entry else None
@@ -84,8 +86,9 @@
         cell_state.run_gaps.drop(task)
     booking = cell_state.reserve(task, row.run, endpoint, now_ms)
     booking.state = RUNNING
+    booking.is_inherited = True
     cell_state.mark_moved(entry)
-    _update_booking(booking, row, now_ms)
+    _update_booking(cell_state, booking, row, now_ms)
     cell_state.log_decision(
         "run adopted",
         row.task_id.job_id,
@@ -110,8 +113,9 @@
     cell_state.send_stop(endpoint, row.task_id, row.run)
 
 
-def _update_booking(booking, row, now_ms):
+def _update_booking(cell_state, booking, row, now_ms):
     booking.confirmed_ms = now_ms
+    _trials.note_work(cell_state, booking)
     if row.percent > booking.percent:
         booking.progressed_ms = now_ms
     booking.percent = row.percent
--- a/samphiregate/core/cells/_records.py
+++ b/samphiregate/core/cells/_records.py
@@ -4,6 +4,7 @@
 import cattrs
 from cattrs.preconf import orjson as cattrs_orjson
 
+from samphiregate.core.cells import _crash_counts
 from samphiregate.core.cells import _work
 from samphiregate import errors
 
@@ -31,6 +32,12 @@
         Highest run number assigned to any of the tasks.
     placed : tuple
         Task index, run number and endpoint id of each run that may exist.
+    crashes : dict
+        `CrashCount` of tasks that were lost with their endpoint, keyed by
+        task index; earlier builds write none.
+    lapsed : tuple
+        As `placed`, for runs that were released as their lease had expired;
+        earlier builds write none.
     """
 
     occurrence: int
@@ -41,6 +48,8 @@
     saved: dict[int, str] = attrs.field(factory=dict)
     last_run: int = 0
     placed: tuple[tuple[int, int, str], ...] = ()
+    crashes: dict[int, _crash_counts.CrashCount] = attrs.field(factory=dict)
+    lapsed: tuple[tuple[int, int, str], ...] = ()
 
 
 @attrs.frozen
@@ -56,12 +65,16 @@
         When a final state was reached; 0 before.
     address_by_id : dict
         Addresses of the endpoints on which runs may exist, by endpoint id.
+    started_unix_ms_by_id : dict
+        When the incarnation of each began on which the runs were placed;
+        earlier builds write none.
     """
 
     state: _work.JobState
     stages: tuple[StageRecord, ...] = ()
     ended_unix_ms: int = 0
     address_by_id: dict[str, str] = attrs.field(factory=dict)
+    started_unix_ms_by_id: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/samphiregate/core/cells/_registrations.py
+++ b/samphiregate/core/cells/_registrations.py
@@ -10,6 +10,7 @@
     """Applies an `EndpointRegistered` event, new or changed."""
     endpoint = cell_state.endpoint_by_id.get(event.endpoint_id)
     if endpoint is None:
+        _release_replaced(cell_state, event.address, now_ms)
         endpoint = _endpoints.Endpoint(event)
         endpoint.update_leave_time(now_ms)
         cell_state.endpoint_by_id[event.endpoint_id] = endpoint
@@ -39,7 +40,7 @@
         and event.started_unix_ms > previous.started_unix_ms
     )
     if restarted:
-        _losses.release_lost_runs(
+        _losses.release_crashed_runs(
             cell_state, endpoint, _losses.LossReason.REGISTERED_AGAIN, now_ms
         )
         endpoint.reset_incarnation()
@@ -48,6 +49,17 @@
     endpoint.update_leave_time(now_ms)
 
 
+def _release_replaced(cell_state, address, now_ms):
+    """Counts the ends of endpoints at whose address another one begins."""
+    for endpoint in list(cell_state.endpoint_by_id.values()):
+        replaced = endpoint.registration.address == address
+        if replaced and endpoint.lapsed_bookings:
+            _losses.release_crashed_runs(
+                cell_state, endpoint, _losses.LossReason.REPLACED, now_ms
+            )
+            cell_state.remove_if_idle(endpoint)
+
+
 def apply_deregistered(cell_state, event):
     """Applies an `EndpointDeregistered` event."""
     endpoint = cell_state.endpoint_by_id.get(event.endpoint_id)
--- a/samphiregate/core/cells/_retries.py
+++ b/samphiregate/core/cells/_retries.py
@@ -5,20 +5,23 @@
 them for each next attempt, and a job would lose all attempts on one endpoint.
 """
 
+from samphiregate.core.cells import _trials
+
 # For which a task that failed waits for an endpoint without failures.
 MAX_WAIT_MS = 5_000
 
 
 def by_failure(stage, tasks):
-    """Returns the tasks without a failure, and those with one; none empty.
+    """Returns the tasks that are placed in the same way; no group is empty.
 
-    They are placed apart, as the others may go to any endpoint.
+    Those without a failure, as they may go to any endpoint; those with one;
+    and those under suspicion of ending their endpoint's process.
     """
-    failed = [task for task in tasks if stage.has_failed(task)]
-    if not failed:
-        return [tasks] if tasks else []
-    others = [task for task in tasks if not stage.has_failed(task)]
-    return [group for group in (others, failed) if group]
+    suspects = [task for task in tasks if _trials.is_suspect(stage, task)]
+    sound = [task for task in tasks if task not in suspects]
+    failed = [task for task in sound if stage.has_failed(task)]
+    others = [task for task in sound if task not in failed]
+    return [group for group in (others, failed, suspects) if group]
 
 
 def is_recent_failure(stage, tasks, now_ms):
--- a/samphiregate/core/cells/_tasks.py
+++ b/samphiregate/core/cells/_tasks.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from samphiregate.core.cells import _crash_counts
 from samphiregate.core.cells import _records
 from samphiregate.core.cells import _work
 
@@ -46,6 +47,8 @@
         When `percent` last rose; at first, when the room was reserved.
     start_attempts : int
         Number of start orders sent.
+    is_inherited : bool
+        Whether an earlier owner ordered it, or an endpoint listed it.
     """
 
     task: "Task"
@@ -60,6 +63,7 @@
     percent: float = 0.0
     progressed_ms: int = 0
     start_attempts: int = 0
+    is_inherited: bool = False
 
     @property
     def key(self):
@@ -107,6 +111,10 @@
         Endpoint id and run number of each end that was applied.
     bookings_by_run : dict
         `Booking` of each run that may exist, keyed by run number.
+    crash_count : CrashCount
+    lapsed_by_run : dict
+        Endpoint id of each run that was released as its lease had expired,
+        while it is not known whether the endpoint's process has ended.
     """
 
     task_id: _work.TaskId
@@ -118,6 +126,8 @@
     failed_runs: set[int] = attrs.field(factory=set)
     ended_runs: set = attrs.field(factory=set)
     bookings_by_run: dict[int, Booking] = attrs.field(factory=dict)
+    crash_count: _crash_counts.CrashCount = _crash_counts.NO_CRASHES
+    lapsed_by_run: dict[int, str] = attrs.field(factory=dict)
 
     @property
     def is_waiting(self):
@@ -322,7 +332,7 @@
             for task in stage.tasks:
                 yield from task.bookings_by_run.values()
 
-    def to_row(self, address_of):
+    def to_row(self, registration_of):
         """Returns the `StoredRow` for the store; see `to_record`.
 
         A job that has ended, and of which no run can exist, loses its steps
@@ -332,7 +342,7 @@
         """
         has_ended = self.state.is_final and not any(self.bookings())
         if not self.is_compacted and not has_ended:
-            record = _records.encode(self.to_record(address_of))
+            record = _records.encode(self.to_record(registration_of))
             return _records.StoredRow(self.job.job_id, self.version, record)
         record = _records.JobRecord(self.state, (), self.ended_unix_ms)
         job = attrs.evolve(self.job, payload="", steps=(), schedule=None)
@@ -343,25 +353,37 @@
             None if self.is_compacted else _records.encode(job),
         )
 
-    def to_record(self, address_of):
+    def to_record(self, registration_of):
         """Returns the progress as a `JobRecord` for the store.
 
         Parameters
         ----------
-        address_of : callable
-            Takes an endpoint id; returns its address.
+        registration_of : callable
+            Takes an endpoint id; returns its `EndpointRegistered`.
         """
         stages = tuple(
             record
             for stage in self.stages_by_key.values()
             if (record := _stage_record(stage))
         )
-        addresses = {
-            booking.endpoint_id: address_of(booking.endpoint_id)
-            for booking in self.bookings()
+        registration_by_id = {
+            endpoint_id: registration_of(endpoint_id)
+            for stage_record in stages
+            for _index, _run, endpoint_id in (
+                *stage_record.placed,
+                *stage_record.lapsed,
+            )
         }
         return _records.JobRecord(
-            self.state, stages, self.ended_unix_ms, addresses
+            self.state,
+            stages,
+            self.ended_unix_ms,
+            {key: one.address for key, one in registration_by_id.items()},
+            {
+                key: one.started_unix_ms
+                for key, one in registration_by_id.items()
+                if one.started_unix_ms
+            },
         )
 
     def restore(self, record):
@@ -405,6 +427,17 @@
         for index, task in enumerate(stage.tasks)
         for booking in task.bookings_by_run.values()
     )
+    crashes = {
+        index: task.crash_count
+        for index, task in enumerate(stage.tasks)
+        if task.crash_count != _crash_counts.NO_CRASHES and not task.is_done
+    }
+    lapsed = tuple(
+        (index, run, endpoint_id)
+        for index, task in enumerate(stage.tasks)
+        for run, endpoint_id in task.lapsed_by_run.items()
+        if not task.is_done
+    )
     last_run = max(task.last_run for task in stage.tasks)
     if not last_run:
         return None
@@ -417,6 +450,8 @@
         saved,
         last_run,
         placed,
+        crashes,
+        lapsed,
     )
 
 
@@ -427,5 +462,8 @@
         task.failed_runs.update(stage_record.failures.get(index, ()))
         task.saved = stage_record.saved.get(index, "")
         task.last_run = stage_record.last_run
+        task.crash_count = stage_record.crashes.get(
+            index, _crash_counts.NO_CRASHES
+        )
         # The record does not tell which of the tasks ran.
         task.interrupted_ms = 0
