Order no start on an endpoint that shrank since it was planned

What callers would see: LIMIT. A start is planned, its record is written, and the order goes out when it is stored. If the store was away for longer than the endpoint's smaller capacity takes to count, the order brought the endpoint over its capacity.

Change: an order is given up if what is booked on its endpoint exceeds the capacity that its entry now tells; each one given up leaves room for the next. Runs that are there go on, whatever their endpoint's capacity.

--- a/features/support/cells.py
+++ b/features/support/cells.py
@@ -477,7 +477,7 @@
             for other in self.endpoint_by_id.values()
         ):
             self._add_violation(f"{task_id} starts after it was done")
-        if not endpoint.used.fits_in(endpoint.capacity):
+        if endpoint.is_over_capacity(self.now_ms):
             self._add_violation(f"{endpoint.endpoint_id} is over its capacity")
         if not self.owner_up:
             return
--- a/features/support/cells_crashes.py
+++ b/features/support/cells_crashes.py
@@ -66,10 +66,6 @@
         simulation = self._simulation
         if not self.changes_id:
             endpoint.restart(self.away_ms)
-            simulation.at(
-                self.away_ms,
-                lambda: simulation.announce(endpoint.registration),
-            )
             return
         endpoint.leave()
         simulation.at(self.away_ms, functools.partial(self._replace, endpoint))
--- a/features/support/cells_endpoints.py
+++ b/features/support/cells_endpoints.py
@@ -8,6 +8,9 @@
 from samphiregate.core import cells
 
 RESTART_MS = 700
+# For how long a capacity counts after it has shrunk: until the owner must
+# know, and the endpoint has written its entry once more.
+SHRUNK_COUNTS_MS = 4_500
 
 
 @attrs.define(eq=False)
@@ -47,6 +50,8 @@
         Share of starts and polls that are executed but not answered.
     slowness : float
         Factor by which tasks take longer; infinite if they stall.
+    register_ms : int
+        After a restart, until its new entry is in the store.
     address : str
     is_replaced : bool
         Whether another endpoint answers at its address.
@@ -75,6 +80,7 @@
         self.draining = False
         self.remaining_ms = None
         self.is_replaced = False
+        self.register_ms = 0
         self.address = address or endpoint_id
         self.restarting_until_ms = 0
         self._simulation = simulation
@@ -107,16 +113,38 @@
         self.done_tasks = set()
         self.ended = []
         self.ended_count = 0
+        self._earlier_capacities = []
 
     def restart(self, away_ms=RESTART_MS):
         """Starts a new incarnation; all runs are lost.
 
-        Open connections end at once; new ones fail for `away_ms`.
+        Open connections end at once; new ones fail for `away_ms`. Then it
+        writes its entry.
         """
         self.incarnation += 1
         self._clear()
         until_ms = self._simulation.now_ms + away_ms
         self.restarting_until_ms = max(self.restarting_until_ms, until_ms)
+        self._simulation.at(away_ms + self.register_ms, self._register)
+
+    def _register(self):
+        if self.reachable:
+            self._simulation.announce(self.registration)
+
+    def change_capacity(self, cpu):
+        """Changes the capacity of the present incarnation."""
+        until_ms = self._simulation.now_ms + SHRUNK_COUNTS_MS
+        self._earlier_capacities.append((until_ms, self.capacity))
+        self.capacity = attrs.evolve(self.capacity, cpu_millis=cpu)
+
+    def is_over_capacity(self, now_ms):
+        """Whether its runs exceed every capacity that still counts."""
+        counted = [self.capacity] + [
+            capacity
+            for until_ms, capacity in self._earlier_capacities
+            if until_ms > now_ms
+        ]
+        return not any(self.used.fits_in(one) for one in counted)
 
     def leave(self):
         """Ends for good: all runs are lost, and no call is answered."""
--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -251,6 +251,7 @@
             if booking.state is _tasks.RunState.PLANNED
             and booking.version <= entry.stored_version
         ]
+        # Each start that is given up leaves room for the others.
         for booking in planned:
             if not self.may_send_start(booking, now_ms):
                 self.stop(booking, now_ms)
@@ -267,6 +268,7 @@
         return (
             not booking.task.stage.entry.state.is_final
             and endpoint.may_start
+            and not endpoint.is_overbooked
             and _policy_queries.may_order(
                 booking.task.stage, booking.endpoint_id, now_ms
             )
--- a/samphiregate/core/cells/_endpoints.py
+++ b/samphiregate/core/cells/_endpoints.py
@@ -130,6 +130,11 @@
             and not self.registration.draining
         )
 
+    @property
+    def is_overbooked(self):
+        """Whether its runs need more than its capacity, which has shrunk."""
+        return not _work.ZERO_RESOURCES.fits_in(self.free)
+
     @property
     def is_only_remembered(self):
         """Whether nothing of it is left but runs whose lease had expired."""
