Start nothing on an endpoint that began anew until its entry tells of it

What callers would see: LIMIT or ROUTE. An endpoint that has begun anew may be of another kind and capacity. The owner learned of the new incarnation from the answer to a poll, which names neither, and placed by the old entry.

Change: the endpoint gets no task until its entry is of the incarnation that answers.

--- a/features/cells_capacity.feature
+++ b/features/cells_capacity.feature
@@ -34,6 +34,15 @@
     And job "j" is completed within 4000 ms
     And no invariant was violated
 
+  Scenario: no task starts on an endpoint that has begun anew before its capacity is known
+    Given 1 endpoints of 8 cores
+    And an owner of the cell
+    When a job "j" of 6 tasks of 3000 ms is submitted
+    And 2000 ms pass
+    And endpoint "e0" restarts with 2 cores and registers 1500 ms later
+    Then job "j" is completed within 15000 ms
+    And no invariant was violated
+
   Scenario: runs go on when their endpoint shrinks, and room that comes back is used at once
     Given 1 endpoints of 8 cores
     And an owner of the cell
--- a/features/cells_crashes.feature
+++ b/features/cells_crashes.feature
@@ -84,4 +84,4 @@
     And 4000 ms pass
     And endpoint "e0" restarts
     And 2000 ms pass
-    Then the log tells that 2 runs of job "j" were lost after 1500 to 4000 ms of work, as "the endpoint has restarted"
+    Then the log tells that 2 runs of job "j" were lost after 1500 to 4000 ms of work, as "it was registered again after a restart"
--- a/samphiregate/core/cells/_endpoints.py
+++ b/samphiregate/core/cells/_endpoints.py
@@ -42,6 +42,9 @@
     endpoint_id : str
     registered : bool
         Whether the entry still exists.
+    described_unix_ms : int
+        Start of the incarnation that the entry describes; 0 if it does not
+        say.
     has_answered : bool
         Whether it has answered a poll under the current epoch.
     failed_polls : int
@@ -86,6 +89,7 @@
 
     registration: _messages.EndpointRegistered
     registered: bool = True
+    described_unix_ms: int = 0
     has_answered: bool = False
     failed_polls: int = 0
     unreachable_since_ms: int = 0
@@ -111,6 +115,7 @@
     def __attrs_post_init__(self):
         self.free = self.registration.capacity
         self.endpoint_id = self.registration.endpoint_id
+        self.described_unix_ms = self.registration.started_unix_ms
 
     @property
     def rack(self):
@@ -128,8 +133,17 @@
             and self.has_answered
             and not self.failed_polls
             and not self.registration.draining
+            and self.is_described
         )
 
+    @property
+    def is_described(self):
+        """Whether its entry tells of the present incarnation.
+
+        The next one may be of another kind and capacity.
+        """
+        return self.described_unix_ms in (0, self.registration.started_unix_ms)
+
     @property
     def is_overbooked(self):
         """Whether its runs need more than its capacity, which has shrunk."""
--- a/samphiregate/core/cells/_registrations.py
+++ b/samphiregate/core/cells/_registrations.py
@@ -27,6 +27,7 @@
             endpoint=event.endpoint_id,
             remaining_ms=event.remaining_ms,
         )
+    endpoint.described_unix_ms = event.started_unix_ms
     previous = endpoint.registration
     if (
         event.started_unix_ms
