--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -99,6 +99,17 @@
       | GET    | /q/                    | secret | 503    |
       | PUT    | /q/5c0e7a21d94b36f8    | secret | 405    |
 
+  Scenario Outline: a body without a declared length is read within bounds
+    Given an entry VM with queue "/q/" that requires a key and queue "/open/" that does not
+    When a caller sends a body of <bytes> bytes in chunks
+    Then the answer is <status>
+    And at most 1000001 bytes of it were read
+
+    Examples:
+      | bytes    | status |
+      | 60       | 200    |
+      | 30000000 | 413    |
+
   Scenario: without a configuration requests are refused with a retry time
     Given an entry VM without a configuration
     When a caller sends POST "/q/5c0e7a21d94b36f8" with key "secret"
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -1,5 +1,6 @@
 """Steps for the adapter to the users' platform."""
 
+import functools
 import io
 import pathlib
 import sys
@@ -259,6 +260,29 @@
     context.api(environ, start_response)
 
 
+@behave.when("a caller sends a body of {size:d} bytes in chunks")
+def when_chunked(context, size):
+    context.source = io.BytesIO(JOB.ljust(size))
+    environ = {
+        "REQUEST_METHOD": "POST",
+        "PATH_INFO": "/q/5c0e7a21d94b36f8",
+        "HTTP_HOST": "h:80",
+        "HTTP_X_KEY": "secret",
+        "HTTP_TRANSFER_ENCODING": "chunked",
+        "wsgi.input": context.source,
+    }
+    context.api(environ, functools.partial(_note_status, context))
+
+
+def _note_status(context, status, _headers):
+    context.status = status
+
+
+@behave.then("at most {count:d} bytes of it were read")
+def then_bytes_read(context, count):
+    assert context.source.tell() <= count, context.source.tell()
+
+
 @behave.then("the answer is {status:d}")
 def then_answer(context, status):
     assert context.status.startswith(str(status)), context.status
