--- a/features/cells.feature
+++ b/features/cells.feature
@@ -21,6 +21,22 @@
       | 4         | 6     | 3      | 1200   |
       | 2         | 16    | 8      | 1900   |
 
+  Scenario Outline: a recurring job runs each occurrence once, when it is due
+    Given 2 endpoints of 4 cores
+    And an owner of the cell
+    When a job "j" of 2 tasks is submitted that recurs <count> times every <gap_ms> ms
+    And <before_ms> ms pass
+    And the owner is lost for 50 ms
+    And another VM takes over the cell
+    Then job "j" is completed within <max_ms> ms
+    And each occurrence of job "j" started once, within 150 ms of its time
+    And no invariant was violated
+
+    Examples:
+      | count | gap_ms | before_ms | max_ms |
+      | 3     | 1000   | 1900      | 2000   |
+      | 2     | 0      | 20        | 1200   |
+
   Scenario Outline: a cancellation that is read before its job is not lost
     Given 2 endpoints of 4 cores
     And job "j" was <order> before the owner read the store
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -50,6 +50,12 @@
       | {"spec":"x","steps":[{"count":"many"}]}                          | refused |
       | {"spec":5,"steps":[{"count":1}]}                                 | refused |
       | {"spec":"x"}                                                     | refused |
+      | {"spec":"x","steps":[{"count":1,"cpu":-500}]}                    | refused |
+      | {"spec":"x","steps":[{"count":1,"gpu":-1}]}                      | refused |
+      | {"spec":"x","steps":[{"count":1,"anti_affinity":-1}]}            | refused |
+      | {"spec":"x","steps":[{"count":9}],"repeat_count":30,"interval_ms":5} | taken |
+      | {"spec":"x","steps":[{"count":9}],"repeat_count":1000000000}     | refused |
+      | {"spec":"x","steps":[{"count":1}],"repeat_count":3,"interval_ms":-5} | refused |
       | {"spec":                                                         | refused |
 
   Scenario Outline: a parsed task name is formatted as the same name
--- a/features/steps/cells_outcome_steps.py
+++ b/features/steps/cells_outcome_steps.py
@@ -50,6 +50,26 @@
     )
 
 
+@behave.then(
+    'each occurrence of job "{job_id}" started once, within {max_ms:d} ms of '
+    "its time"
+)
+def then_occurrences(context, job_id, max_ms):
+    simulation = context.simulation
+    job = simulation.job_by_id[job_id]
+    started = [row[0] for row in simulation.starts if row[0].job_id == job_id]
+    assert len(started) == len(set(started)), started
+    tasks = sum(step.count for step in job.steps)
+    assert len(started) == tasks * job.occurrence_count, started
+    for task_id in started:
+        due_ms = (
+            job.schedule.first_unix_ms
+            + task_id.occurrence * job.schedule.interval_ms
+        )
+        late_ms = simulation.start_ms_by_task[task_id] - due_ms
+        assert 0 <= late_ms <= max_ms, (task_id, late_ms)
+
+
 @behave.then("at most {max_count:d} polls were sent in total")
 def then_few_polls(context, max_count):
     assert context.simulation.poll_count <= max_count, (
--- a/features/steps/cells_steps.py
+++ b/features/steps/cells_steps.py
@@ -1,5 +1,6 @@
 """Steps that set up a simulated cell and submit jobs to it."""
 
+import attrs
 import behave
 
 from features.support import cells as cells_support
@@ -80,6 +81,17 @@
     context.simulation.submit(job)
 
 
+@behave.when(
+    'a job "{job_id}" of {tasks:d} tasks is submitted that recurs {count:d} '
+    "times every {gap_ms:d} ms"
+)
+def when_recurring(context, job_id, tasks, count, gap_ms):
+    simulation = context.simulation
+    job = cells_work.make_job(job_id, cells_work.make_step(tasks))
+    schedule = cells.Schedule(simulation.now_ms, gap_ms, count)
+    simulation.submit(attrs.evolve(job, schedule=schedule))
+
+
 @behave.when('a job "{job_id}" of {count:d} tasks is submitted')
 def when_job(context, job_id, count):
     step = cells_work.make_step(count)
--- a/samphiregate/core/cells/_periodic_checks.py
+++ b/samphiregate/core/cells/_periodic_checks.py
@@ -26,12 +26,15 @@
         schedule = entry.job.schedule
         if schedule is None or entry.state.is_final:
             continue
-        for occurrence in range(schedule.count):
-            due_unix_ms = schedule.due_unix_ms(occurrence)
-            present = (occurrence, 0) in entry.stages_by_key
-            if due_unix_ms <= unix_ms and not present:
+        due_count = schedule.due_count(unix_ms)
+        if due_count <= entry.due_count:
+            continue
+        for occurrence in range(entry.due_count, due_count):
+            # The record may have named it.
+            if (occurrence, 0) not in entry.stages_by_key:
                 entry.add_occurrence(occurrence)
-                cell_state.open_ready_stages(entry, now_ms)
+        entry.due_count = due_count
+        cell_state.open_ready_stages(entry, now_ms)
 
 
 def move_off_draining(cell_state, now_ms):
--- a/samphiregate/core/cells/_tasks.py
+++ b/samphiregate/core/cells/_tasks.py
@@ -264,6 +264,8 @@
         When it reached a final state; 0 before.
     has_started : bool
         Whether a run of any task was ever reserved.
+    due_count : int
+        Number of occurrences that were due at the last look.
     is_compacted : bool
         Whether the stored job is reduced to what is needed after its end.
     """
@@ -279,6 +281,7 @@
     stored_version: int = 0
     ended_unix_ms: int = 0
     has_started: bool = False
+    due_count: int = 0
     is_compacted: bool = False
 
     @property
--- a/samphiregate/core/cells/_work.py
+++ b/samphiregate/core/cells/_work.py
@@ -214,9 +214,14 @@
     interval_ms: int
     count: int
 
-    def due_unix_ms(self, occurrence):
-        """Returns the time at which an occurrence, counted from 0, is due."""
-        return self.first_unix_ms + occurrence * self.interval_ms
+    def due_count(self, unix_ms):
+        """Returns how many occurrences are due at a time."""
+        if unix_ms < self.first_unix_ms:
+            return 0
+        if not self.interval_ms:
+            return self.count
+        elapsed_ms = unix_ms - self.first_unix_ms
+        return min(self.count, elapsed_ms // self.interval_ms + 1)
 
 
 @attrs.frozen
