Serve on when a record names steps or tasks that its job lacks

What callers would see: no owner.

Change: rows that the job lacks are left out, with a line 'record unreadable'.

Result: both rows of 'a record that names ... does not keep the owner from serving' failed before with a KeyError and an IndexError, and pass now.

--- a/features/cells.feature
+++ b/features/cells.feature
@@ -37,6 +37,23 @@
       | 3     | 1000   | 1900      | 2000   |
       | 2     | 0      | 20        | 1200   |
 
+  Scenario Outline: a record that names <what> does not keep the owner from serving
+    Given 2 endpoints of 4 cores
+    And an owner of the cell
+    When a job "j" of 2 tasks of 900 ms is submitted
+    And 100 ms pass
+    And the owner is lost for 50 ms
+    And the stored record of job "j" names also <what>
+    And another VM takes over the cell
+    And 3 jobs of 2 tasks are submitted
+    Then all jobs are completed within 4000 ms
+    And no invariant was violated
+
+    Examples:
+      | what                     |
+      | a step that it lacks     |
+      | a task that a step lacks |
+
   Scenario Outline: a cancellation that is read before its job is not lost
     Given 2 endpoints of 4 cores
     And job "j" was <order> before the owner read the store
--- a/features/steps/cells_fault_steps.py
+++ b/features/steps/cells_fault_steps.py
@@ -2,6 +2,7 @@
 
 import math
 
+import attrs
 import behave
 
 from features.support import cells_work
@@ -144,6 +145,23 @@
     del context.simulation.stored_by_id[job_id]
 
 
+@behave.when('the stored record of job "{job_id}" names also {what}')
+def when_record_changed(context, job_id, what):
+    simulation = context.simulation
+    record = cells.decode(simulation.stored_by_id[job_id], cells.JobRecord)
+    first = record.stages[0]
+    rows = {
+        "a step that it lacks": attrs.evolve(first, step=7),
+        "a task that a step lacks": attrs.evolve(
+            first, placed=(*first.placed, (99, 1, "e0"))
+        ),
+    }
+    changed = attrs.evolve(record, stages=(*record.stages, rows[what]))
+    if rows[what].step == first.step:
+        changed = attrs.evolve(record, stages=(rows[what],))
+    simulation.stored_by_id[job_id] = cells.encode(changed)
+
+
 @behave.when('endpoint "{endpoint_id}" becomes unreachable')
 def when_unreachable(context, endpoint_id):
     context.unreachable_ms = context.simulation.now_ms
--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -122,9 +122,10 @@
         if job.schedule is None:
             entry.add_occurrence(0)
         if event.record is not None:
-            entry.restore(event.record)
+            record = self._fitting_record(event)
+            entry.restore(record)
             entry.is_compacted = entry.state.is_final and not job.steps
-            _restored_runs.restore(self, entry, event.record, now_ms)
+            _restored_runs.restore(self, entry, record, now_ms)
         self.log_decision(
             "job queued",
             job.job_id,
@@ -139,6 +140,16 @@
             self.cancel(job.job_id, now_ms)
         self.open_ready_stages(entry, now_ms)
 
+    def _fitting_record(self, event):
+        record = event.record.fitting(event.job)
+        if record != event.record:
+            self.log_decision(
+                "record unreadable",
+                event.job.job_id,
+                reason="it names steps or tasks that the job lacks",
+            )
+        return record
+
     def cancel(self, job_id, now_ms):
         """Ends a job as cancelled at once, or when it is read if later."""
         entry = self.entry_by_id.get(job_id)
--- a/samphiregate/core/cells/_records.py
+++ b/samphiregate/core/cells/_records.py
@@ -51,6 +51,14 @@
     crashes: dict[int, _crash_counts.CrashCount] = attrs.field(factory=dict)
     lapsed: tuple[tuple[int, int, str], ...] = ()
 
+    def fitting(self, step):
+        """Returns the record without runs of tasks that a step lacks."""
+        return attrs.evolve(
+            self,
+            placed=tuple(row for row in self.placed if row[0] < step.count),
+            lapsed=tuple(row for row in self.lapsed if row[0] < step.count),
+        )
+
 
 @attrs.frozen
 class JobRecord:
@@ -76,6 +84,19 @@
     address_by_id: dict[str, str] = attrs.field(factory=dict)
     started_unix_ms_by_id: dict[str, int] = attrs.field(factory=dict)
 
+    def fitting(self, job):
+        """Returns the record without what the job lacks.
+
+        Such a record would end the process of each owner that reads it.
+        """
+        stages = tuple(
+            row.fitting(job.steps[row.step])
+            for row in self.stages
+            if 0 <= row.step < len(job.steps)
+            and 0 <= row.occurrence < job.occurrence_count
+        )
+        return attrs.evolve(self, stages=stages)
+
 
 @attrs.frozen
 class StoredRow:
