Judge crashes by how likely they are by chance; try suspects on idle endpoints

Cause: the first mend counted crashes 'at the start' within a fixed time and any others up to four. A task blamed for two crashes was tried beside other runs where no endpoint was idle; 'late' jobs could not hold one.

Change: the record keeps for how long each crashed run had worked at most. The evidence against a task is the negative logarithm of the probability that endpoints fail by themselves within these times, at the rate that is seen in the service (_crash_history.py, _endpoint_failures.py). Three crashes right at the start, or four, and evidence of 18 (1.5e-8 by chance) end it. If a task under suspicion is tried on the endpoint, the crash counts for it alone. Under grave suspicion it waits up to 2 s for an endpoint without runs; one is held for it, and its stage is placed first.

--- a/features/cells_crashes.feature
+++ b/features/cells_crashes.feature
@@ -50,7 +50,7 @@
     And 3 jobs of 4 tasks are submitted
     And a job of 1 plain tasks is submitted every 100 ms for 15 s
     Then job "bad" is failed within 20000 ms
-    And its endpoint crashed 3 times, and other runs were lost in the first crash only
+    And its endpoint crashed 3 times, and other runs were lost in the first 1 crashes only
     And all but 1 jobs are completed within 5000 ms
     And no invariant was violated
 
@@ -60,6 +60,18 @@
       | speculative job  |
       | long-running job |
 
+  Scenario: a task blamed for two crashes waits until an endpoint has no other runs
+    Given 4 endpoints of 4 cores
+    And endpoints whose process ends are back after 3000 ms under another id
+    And an owner of the cell
+    When 14 streams of tasks of 700 ms fill the endpoints for 20 s
+    And 1000 ms pass
+    And a job "bad" of 1 tasks is submitted whose first task ends its endpoint's process after 10 ms
+    Then job "bad" is failed within 20000 ms
+    And its endpoint crashed 3 times, and other runs were lost in the first 2 crashes only
+    And all but 1 jobs are completed within 30000 ms
+    And no invariant was violated
+
   Scenario Outline: tasks on endpoints that crash by themselves complete
     Given 8 endpoints of 4 cores
     And endpoints whose process ends are back after 1000 ms under <id> id
--- a/features/steps/cells_crash_steps.py
+++ b/features/steps/cells_crash_steps.py
@@ -83,12 +83,41 @@
 
 @behave.then(
     "its endpoint crashed {count:d} times, and other runs were lost in the "
-    "first crash only"
+    "first {harmful:d} crashes only"
 )
-def then_harmless(context, count):
+def then_harmless(context, count, harmful):
     lost_counts = context.simulation.crashes.lost_counts
     assert len(lost_counts) == count, lost_counts
-    assert not any(lost_counts[1:]), lost_counts
+    assert not any(lost_counts[harmful:]), lost_counts
+
+
+@behave.when(
+    "{count:d} streams of tasks of {task_ms:d} ms fill the endpoints for "
+    "{span_s:d} s"
+)
+def when_streams(context, count, task_ms, span_s):
+    """Submits the next task of each stream when the last one is done."""
+    simulation = context.simulation
+    step = cells_work.make_step(1, estimate_ms=task_ms)
+    end_ms = simulation.now_ms + span_s * 1_000
+
+    def submit(stream, number):
+        job_id = f"stream-{stream}-{number}"
+        simulation.submit(cells_work.make_job(job_id, step))
+        wait(stream, number, job_id)
+
+    def wait(stream, number, job_id):
+        if simulation.now_ms >= end_ms:
+            return
+        if job_id in simulation.done_ms_by_job:
+            submit(stream, number + 1)
+        else:
+            simulation.at(10, functools.partial(wait, stream, number, job_id))
+
+    for stream in range(count):
+        simulation.at(
+            stream * task_ms // count, functools.partial(submit, stream, 0)
+        )
 
 
 @behave.when(
--- a/samphiregate/core/cells/_blame.py
+++ b/samphiregate/core/cells/_blame.py
@@ -1,14 +1,15 @@
-"""Blames the end of an endpoint's process on the runs that may be its cause.
+"""Counts the end of an endpoint's process for the tasks that ran there.
 
-These are the runs that had just started. If tasks under suspicion are among
-them, it is only these: nothing else is started beside them. Runs whose
-starts are not known, as an earlier owner ordered them, are not blamed.
+If tasks under suspicion are tried there, it is counted for these only: nothing
+else was started beside them.
 """
 
-from samphiregate.core.cells import _crash_counts
+from samphiregate.core.cells import _crash_history
 from samphiregate.core.cells import _work
 
 GIVEN_UP_REASON = "endpoints crashed under one of its tasks"
+# Assumed of a run that an earlier owner ordered at a time that is not known.
+INHERITED_RUN_MS = 3_000
 
 
 def count_crash(cell_state, endpoint, bookings, now_ms):
@@ -21,66 +22,61 @@
     bookings : list of Booking
         Runs that had begun when it ended.
     now_ms : int
+
+    Returns
+    -------
+    list of Booking
+        Those for which it is counted.
     """
+    on_trial = list(filter(cell_state.trials.is_on_trial, bookings))
+    counted = on_trial or bookings
+    if not any(map(_is_of_unknown_age, bookings)):
+        cell_state.endpoint_failures.record_crash(
+            endpoint.registration.service,
+            [booking.task for booking in counted],
+            now_ms,
+        )
     ended_ms = (
         endpoint.unreachable_since_ms if endpoint.failed_polls else now_ms
     )
-    service = endpoint.registration.service
-    failures = cell_state.endpoint_failures
-    window_ms = failures.start_window_ms(
-        service, cell_state.count_answering(service), now_ms
-    )
-    blamed = _blamed(cell_state, bookings, ended_ms, window_ms)
-    if not any(map(_is_of_unknown_age, bookings)):
-        tasks = [booking.task for booking in blamed]
-        failures.record_crash(service, tasks, now_ms)
-    for booking in bookings:
+    for booking in counted:
         task = booking.task
-        task.crash_count = task.crash_count.after_crash(
-            _run_ms(booking, ended_ms), at_start=booking in blamed
+        task.crash_history = task.crash_history.after_crash(
+            _run_ms(booking, ended_ms)
         )
+        cell_state.trials.note_crash(cell_state, task)
+    return counted
 
 
-def give_up_exhausted(cell_state, endpoint, bookings, now_ms):
-    """Fails the jobs of tasks under which too many endpoints crashed."""
-    service = endpoint.registration.service
-    service_fails = cell_state.endpoint_failures.is_failing(
-        service, cell_state.count_answering(service), now_ms
-    )
+def give_up_conclusive(cell_state, endpoint, bookings):
+    """Fails the jobs of tasks that end their endpoints' processes."""
+    rate = cell_state.failures_per_s(endpoint.registration.service)
     for booking in bookings:
-        count = booking.task.crash_count
-        exhausted = count.is_exhausted(service_fails=service_fails)
-        if not exhausted or not booking.task.needs_run:
+        task = booking.task
+        if not task.needs_run or not task.crash_history.is_conclusive(rate):
             continue
         cell_state.finish(
-            booking.task.stage.entry,
+            task.stage.entry,
             _work.JobState.FAILED,
-            now_ms,
-            task=booking.task.task_id.position,
+            cell_state.now_ms,
+            task=task.task_id.position,
             reason=GIVEN_UP_REASON,
-            crashes=count.crashes,
-            crashes_at_start=count.at_start,
+            crashes=len(task.crash_history.run_ms),
+            crashed_after_ms=task.crash_history.run_ms,
         )
 
 
-def _blamed(cell_state, bookings, ended_ms, window_ms):
-    young = [
-        one
-        for one in bookings
-        if not one.is_inherited and _run_ms(one, ended_ms) < window_ms
-    ]
-    suspects = [one for one in young if cell_state.trials.is_on_trial(one)]
-    return suspects or young
+def _run_ms(booking, ended_ms):
+    """Returns how long a run may have worked at most."""
+    run_ms = max(ended_ms - booking.sent_ms, 0)
+    if booking.is_inherited:
+        return max(run_ms, INHERITED_RUN_MS)
+    return run_ms
 
 
 def _is_of_unknown_age(booking):
     """Whether a run may have been started just before the takeover."""
     return (
         booking.is_inherited
-        and booking.survived_ms < _crash_counts.SETTLED_RUN_MS
+        and booking.survived_ms < _crash_history.SETTLED_RUN_MS
     )
-
-
-def _run_ms(booking, ended_ms):
-    """Returns how long a run may have worked at most."""
-    return max(ended_ms - booking.sent_ms, 0)
--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -227,13 +227,10 @@
         if entry is not None and entry.state.is_final:
             del self.entry_by_id[job_id]
 
-    def count_answering(self, service):
-        """Returns the number of endpoints of a service that answer."""
-        return sum(
-            endpoint.has_answered
-            and not endpoint.failed_polls
-            and endpoint.registration.service == service
-            for endpoint in self.endpoint_by_id.values()
+    def failures_per_s(self, service):
+        """Returns how often an endpoint of a service fails by itself."""
+        return self.endpoint_failures.failures_per_s(
+            service, self.endpoint_by_id.values(), self.now_ms
         )
 
     # Runs and their bookings
--- a/samphiregate/core/cells/_endpoint_failures.py
+++ b/samphiregate/core/cells/_endpoint_failures.py
@@ -1,88 +1,106 @@
 """Tells how often the endpoints of a service fail by themselves.
 
 The load that this answers: endpoints whose processes end again and again, by
-no fault of the tasks that they run. A crash counts as the endpoint's own if
-no run had just started there, or if all tasks that had were sound when they
-were tried again.
+no fault of the tasks that they run. A crash counts as the endpoint's own
+unless a task that it interrupted is under grave suspicion.
 """
 
 import collections
 
 import attrs
 
-from samphiregate.core.cells import _crash_counts
-
 PERIOD_MS = 30_000
-MIN_SPAN_S = 1.0
-MAX_START_CHANCE = 0.02  # that an endpoint fails by itself right at a start
-MIN_START_WINDOW_MS = 50
-SOUND_FAILURES_PER_S = 1 / 30  # of one endpoint of a service that is sound
+# Assumed before anything is seen: one failure in this time.
+PRIOR_EXPOSURE_S = 20
+RATE_INTERVAL_MS = 100  # for which a rate that was found is used
+MIN_FAILURES_PER_S = 1 / 300  # assumed of one endpoint of any service
 
 
 @attrs.frozen
 class _Crash:
-    """An end of an endpoint's process, and the tasks that may be the cause."""
+    """An end of an endpoint's process, and the tasks that ran there."""
 
     at_ms: int
-    blamed_tasks: tuple
+    tasks: tuple
 
     @property
     def is_own(self):
-        """Whether none of the tasks is under suspicion any more."""
+        """Whether none of the tasks is under grave suspicion."""
         return all(
-            task.is_done or not task.crash_count.at_start
-            for task in self.blamed_tasks
+            task.is_done or not task.crash_history.is_grave(MIN_FAILURES_PER_S)
+            for task in self.tasks
         )
 
 
+@attrs.frozen
+class _Rate:
+    """Failures of one endpoint in a second, and when that was found."""
+
+    at_ms: int
+    per_s: float
+
+
 class EndpointFailures:
     """The crashes of endpoints in the last `PERIOD_MS`, by service."""
 
     def __init__(self):
         self._crashes_by_service = collections.defaultdict(collections.deque)
+        self._rate_by_service = {}
 
-    def record_crash(self, service, blamed_tasks, now_ms):
+    def record_crash(self, service, tasks, now_ms):
         """Records that a process has ended.
 
         Parameters
         ----------
         service : str
-        blamed_tasks : iterable of Task
-            Tasks that may have ended it.
+        tasks : iterable of Task
+            Tasks that ran there.
         now_ms : int
         """
         crashes = self._crashes_by_service[service]
-        crashes.append(_Crash(now_ms, tuple(blamed_tasks)))
-        _forget_old(crashes, now_ms)
+        crashes.append(_Crash(now_ms, tuple(tasks)))
+        self._rate_by_service.pop(service, None)
 
-    def start_window_ms(self, service, endpoint_count, now_ms):
-        """Returns for how long after its start a run may be to blame.
+    def failures_per_s(self, service, endpoints, now_ms):
+        """Returns how often one endpoint fails by itself, in the mean.
 
-        The more often endpoints fail by themselves, the shorter, so that
-        chance alone rarely ends one in that time.
+        Parameters
+        ----------
+        service : str
+        endpoints : collection of Endpoint
+            Those of all services.
+        now_ms : int
         """
-        rate = self._failures_per_s(service, endpoint_count, now_ms)
-        if not rate:
-            return _crash_counts.SETTLED_RUN_MS
-        window_ms = max(MAX_START_CHANCE / rate * 1000, MIN_START_WINDOW_MS)
-        return min(window_ms, _crash_counts.SETTLED_RUN_MS)
-
-    def is_failing(self, service, endpoint_count, now_ms):
-        """Whether the endpoints of a service keep failing by themselves."""
-        rate = self._failures_per_s(service, endpoint_count, now_ms)
-        return rate >= SOUND_FAILURES_PER_S
-
-    def _failures_per_s(self, service, endpoint_count, now_ms):
-        """Returns how often one endpoint fails by itself, in the mean."""
-        crashes = self._crashes_by_service.get(service)
-        if not crashes or not endpoint_count:
-            return 0.0
+        if service not in self._crashes_by_service:
+            return MIN_FAILURES_PER_S
+        rate = self._rate_by_service.get(service)
+        if rate is None or now_ms - rate.at_ms >= RATE_INTERVAL_MS:
+            exposure_s = _exposure_s(service, endpoints, now_ms)
+            per_s = self._find_rate(service, exposure_s, now_ms)
+            rate = _Rate(now_ms, per_s)
+            self._rate_by_service[service] = rate
+        return rate.per_s
+
+    def _find_rate(self, service, exposure_s, now_ms):
+        crashes = self._crashes_by_service[service]
         _forget_old(crashes, now_ms)
-        own = [crash.at_ms for crash in crashes if crash.is_own]
-        if not own:
-            return 0.0
-        span_s = max((now_ms - own[0]) / 1000, MIN_SPAN_S)
-        return len(own) / endpoint_count / span_s
+        own_count = sum(crash.is_own for crash in crashes)
+        rate = (1 + own_count) / (PRIOR_EXPOSURE_S + exposure_s)
+        return max(rate, MIN_FAILURES_PER_S)
+
+
+def _exposure_s(service, endpoints, now_ms):
+    """Returns for how long endpoints were seen, all together, in seconds.
+
+    In the last `PERIOD_MS`, and only those that answer now.
+    """
+    return sum(
+        min(now_ms - one.first_polled_ms, PERIOD_MS) / 1000
+        for one in endpoints
+        if one.registration.service == service
+        and one.has_answered
+        and not one.failed_polls
+    )
 
 
 def _forget_old(crashes, now_ms):
--- a/samphiregate/core/cells/_ends.py
+++ b/samphiregate/core/cells/_ends.py
@@ -1,6 +1,6 @@
 """Applies the ends of runs that endpoints list to tasks and jobs."""
 
-from samphiregate.core.cells import _crash_counts
+from samphiregate.core.cells import _crash_history
 from samphiregate.core.cells import _messages
 from samphiregate.core.cells import _tasks
 from samphiregate.core.cells import _work
@@ -99,7 +99,7 @@
     counted_task.failed_runs.add(run)
     stage.failed_ids.add(endpoint.endpoint_id)
     # The endpoint has outlasted the run.
-    task.crash_count = _crash_counts.NO_CRASHES
+    task.crash_history = _crash_history.NO_CRASHES
     queue = cell_state.queue_by_name.get(entry.job.queue.name, entry.job.queue)
     failures = len(counted_task.failed_runs)
     cell_state.log_decision(
--- a/samphiregate/core/cells/_holds.py
+++ b/samphiregate/core/cells/_holds.py
@@ -67,6 +67,29 @@
         unplaced_count -= max(1, need.count_fitting_in(endpoint.free))
 
 
+def hold_for_trial(stage, usable, held_ids):
+    """Holds an endpoint until it has no runs, for a task under suspicion.
+
+    The one with the fewest runs; none if others are held already, or where
+    long-running tasks are, which do not end.
+    """
+    need = stage.step.booked
+    advice = stage.queue.advice
+    holdable = [
+        one
+        for one in usable.large_enough(need)
+        if one.endpoint_id not in held_ids
+        and (not advice or one.endpoint_id in stage.ticket_by_id)
+        and not any(
+            booking.step.long_running
+            for booking in one.bookings_by_run.values()
+        )
+    ]
+    if holdable and _max_more_held(usable, held_ids) > 0:
+        chosen = min(holdable, key=lambda one: len(one.bookings_by_run))
+        held_ids.add(chosen.endpoint_id)
+
+
 def _max_more_held(usable, held_ids):
     max_count = max(1, round(len(usable.endpoints) * MAX_HELD_SHARE))
     return max_count - sum(one in usable.position_by_id for one in held_ids)
--- a/samphiregate/core/cells/_losses.py
+++ b/samphiregate/core/cells/_losses.py
@@ -44,9 +44,9 @@
     if endpoint.registration.draining:
         counted = []
     if counted:
-        _blame.count_crash(cell_state, endpoint, counted, now_ms)
+        counted = _blame.count_crash(cell_state, endpoint, counted, now_ms)
     _release(cell_state, endpoint, lost, reason, now_ms)
-    _blame.give_up_exhausted(cell_state, endpoint, counted, now_ms)
+    _blame.give_up_conclusive(cell_state, endpoint, counted)
 
 
 def release_lapsed_runs(cell_state, endpoint, now_ms):
@@ -108,7 +108,6 @@
 
 def _log_lost_run(cell_state, booking, reason, beside_count, now_ms):
     """Logs one lost run, and how long its endpoint showed it at work."""
-    count = booking.task.crash_count
     cell_state.log_decision(
         "run lost",
         booking.task.task_id.job_id,
@@ -120,6 +119,5 @@
         survived_ms=booking.survived_ms,
         elapsed_ms=now_ms - booking.sent_ms,
         beside=beside_count,
-        crashes=count.crashes,
-        crashes_at_start=count.at_start,
+        crashed_after_ms=booking.task.crash_history.run_ms,
     )
--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -87,8 +87,13 @@
             cell_state.startable_stages.values(),
             key=lambda stage: _order.priority_key(stage, now_ms),
         )
+        grave = cell_state.trials.grave_stages(cell_state)
+        if grave:
+            stages.sort(key=lambda stage: stage not in grave)
         for stage in stages:
-            for group in _retries.by_failure(stage, stage.interrupted()):
+            for group in _retries.groups(
+                cell_state, stage, stage.interrupted()
+            ):
                 self._plan_stage(
                     stage, group, held_ids, now_ms, is_restart=True
                 )
@@ -102,7 +107,7 @@
                 continue
             interrupted = set(stage.interrupted())
             first_starts = [one for one in tasks if one not in interrupted]
-            for group in _retries.by_failure(stage, first_starts):
+            for group in _retries.groups(cell_state, stage, first_starts):
                 self._plan_stage(stage, group, held_ids, now_ms)
         self._policy_queries.send_queries(query_slots, now_ms)
 
@@ -126,8 +131,15 @@
             candidates = _retries.without_suspects(
                 stage, candidates, self._failure_backoff
             )
-        if _trials.is_suspect(stage, tasks[0]):
-            candidates = _trials.candidates_for(stage.step, candidates)
+        is_trial = _trials.is_suspect(self._cell_state, stage, tasks[0])
+        if is_trial:
+            candidates = _trials.candidates_for(
+                stage.step,
+                candidates,
+                only_idle=_trials.waits_for_idle(
+                    self._cell_state, tasks, now_ms
+                ),
+            )
         chosen = self._choose(stage, tasks, candidates, now_ms, is_restart)
         if chosen:
             self._place(stage, tasks, chosen, now_ms)
@@ -142,7 +154,9 @@
                     now_ms,
                     is_restart=is_restart,
                 )
-            if is_restart:
+            if is_trial:
+                _holds.hold_for_trial(stage, usable, held_ids)
+            elif is_restart:
                 _holds.hold_for_restarts(
                     stage, usable, unplaced_count, held_ids
                 )
@@ -212,7 +226,9 @@
                 if one.endpoint.endpoint_id != booking.endpoint_id
             ]
             if _trials.needs_trial(self._cell_state, task):
-                candidates = _trials.candidates_for(stage.step, candidates)
+                candidates = _trials.candidates_for(
+                    stage.step, candidates, only_idle=False
+                )
             chosen = self._packing.choose(stage.step, 1, candidates)
             if chosen:
                 self._place(stage, [task], chosen, now_ms)
--- a/samphiregate/core/cells/_records.py
+++ b/samphiregate/core/cells/_records.py
@@ -4,7 +4,7 @@
 import cattrs
 from cattrs.preconf import orjson as cattrs_orjson
 
-from samphiregate.core.cells import _crash_counts
+from samphiregate.core.cells import _crash_history
 from samphiregate.core.cells import _work
 from samphiregate import errors
 
@@ -33,8 +33,8 @@
     placed : tuple
         Task index, run number and endpoint id of each run that may exist.
     crashes : dict
-        `CrashCount` of tasks that were lost with their endpoint, keyed by
-        task index; earlier builds write none.
+        `CrashHistory` of tasks under which endpoints crashed, keyed by task
+        index; earlier builds write none.
     lapsed : tuple
         As `placed`, for runs that were released as their lease had expired;
         earlier builds write none.
@@ -48,7 +48,7 @@
     saved: dict[int, str] = attrs.field(factory=dict)
     last_run: int = 0
     placed: tuple[tuple[int, int, str], ...] = ()
-    crashes: dict[int, _crash_counts.CrashCount] = attrs.field(factory=dict)
+    crashes: dict[int, _crash_history.CrashHistory] = attrs.field(factory=dict)
     lapsed: tuple[tuple[int, int, str], ...] = ()
 
     def fitting(self, step):
--- a/samphiregate/core/cells/_retries.py
+++ b/samphiregate/core/cells/_retries.py
@@ -11,13 +11,15 @@
 MAX_WAIT_MS = 5_000
 
 
-def by_failure(stage, tasks):
+def groups(cell_state, stage, tasks):
     """Returns the tasks that are placed in the same way; no group is empty.
 
     Those without a failure, as they may go to any endpoint; those with one;
     and those under suspicion of ending their endpoint's process.
     """
-    suspects = [task for task in tasks if _trials.is_suspect(stage, task)]
+    suspects = [
+        task for task in tasks if _trials.is_suspect(cell_state, stage, task)
+    ]
     sound = [task for task in tasks if task not in suspects]
     failed = [task for task in sound if stage.has_failed(task)]
     others = [task for task in sound if task not in failed]
--- a/samphiregate/core/cells/_stragglers.py
+++ b/samphiregate/core/cells/_stragglers.py
@@ -185,7 +185,7 @@
     """Whether a copy of a task is expected to end before its only run."""
     if not task.stage.step.speculative or not task.needs_run:
         return False
-    if len(task.bookings_by_run) != 1 or task.crash_count.is_suspect:
+    if len(task.bookings_by_run) != 1 or task.crash_history.run_ms:
         return False
     booking = next(iter(task.bookings_by_run.values()))
     if not _can_be_measured(booking):
--- a/samphiregate/core/cells/_tasks.py
+++ b/samphiregate/core/cells/_tasks.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from samphiregate.core.cells import _crash_counts
+from samphiregate.core.cells import _crash_history
 from samphiregate.core.cells import _records
 from samphiregate.core.cells import _work
 
@@ -111,7 +111,7 @@
         Endpoint id and run number of each end that was applied.
     bookings_by_run : dict
         `Booking` of each run that may exist, keyed by run number.
-    crash_count : CrashCount
+    crash_history : CrashHistory
     lapsed_by_run : dict
         Endpoint id of each run that was released as its lease had expired,
         while it is not known whether the endpoint's process has ended.
@@ -126,7 +126,7 @@
     failed_runs: set[int] = attrs.field(factory=set)
     ended_runs: set = attrs.field(factory=set)
     bookings_by_run: dict[int, Booking] = attrs.field(factory=dict)
-    crash_count: _crash_counts.CrashCount = _crash_counts.NO_CRASHES
+    crash_history: _crash_history.CrashHistory = _crash_history.NO_CRASHES
     lapsed_by_run: dict[int, str] = attrs.field(factory=dict)
 
     @property
@@ -431,9 +431,9 @@
         for booking in task.bookings_by_run.values()
     )
     crashes = {
-        index: task.crash_count
+        index: task.crash_history
         for index, task in enumerate(stage.tasks)
-        if task.crash_count != _crash_counts.NO_CRASHES and not task.is_done
+        if task.crash_history != _crash_history.NO_CRASHES and not task.is_done
     }
     lapsed = tuple(
         (index, run, endpoint_id)
@@ -465,8 +465,8 @@
         task.failed_runs.update(stage_record.failures.get(index, ()))
         task.saved = stage_record.saved.get(index, "")
         task.last_run = stage_record.last_run
-        task.crash_count = stage_record.crashes.get(
-            index, _crash_counts.NO_CRASHES
+        task.crash_history = stage_record.crashes.get(
+            index, _crash_history.NO_CRASHES
         )
         # The record does not tell which of the tasks ran.
         task.interrupted_ms = 0
--- a/samphiregate/core/cells/_trials.py
+++ b/samphiregate/core/cells/_trials.py
@@ -9,16 +9,23 @@
 
 import attrs
 
-from samphiregate.core.cells import _crash_counts
+from samphiregate.core.cells import _crash_history
 
 TRIAL_POLL_WAIT_MS = 300
+MAX_IDLE_WAIT_MS = 2_000
+MAX_TRIAL_MS = 1_000  # for which nothing is started beside a run
 
 
 class Trials:
-    """The runs of tasks under suspicion that have not settled."""
+    """The runs of tasks under suspicion that have not settled.
+
+    And the stages of tasks under grave suspicion: they are placed first, so
+    that the endpoint that is held for them becomes free.
+    """
 
     def __init__(self):
         self._booking_by_key = {}
+        self._grave_stages = set()
 
     def begin(self, booking):
         """Records that a run of a task under suspicion may exist."""
@@ -32,19 +39,34 @@
         """Whether a run is one of these."""
         return booking.key in self._booking_by_key
 
+    def note_crash(self, cell_state, task):
+        """Records that a crash was counted for a task."""
+        if _is_grave(cell_state, task):
+            self._grave_stages.add(task.stage)
+
+    def grave_stages(self, cell_state):
+        """Returns the stages with tasks under grave suspicion."""
+        self._grave_stages = {
+            stage
+            for stage in self._grave_stages
+            if not stage.entry.state.is_final
+            and any(_is_grave(cell_state, task) for task in stage.tasks)
+        }
+        return self._grave_stages
+
     def endpoint_ids(self):
         """Returns the ids of the endpoints on which they may exist."""
         return {one.endpoint_id for one in self._booking_by_key.values()}
 
 
 def note_work(cell_state, booking):
-    """Updates the count of a run's task after its endpoint listed the run."""
+    """Updates the history of a run's task after its endpoint listed it."""
     task = booking.task
     survived_ms = booking.survived_ms
-    if survived_ms >= _crash_counts.SETTLED_RUN_MS:
+    if survived_ms >= min(task.crash_history.settled_ms, MAX_TRIAL_MS):
         cell_state.trials.end(booking)
-    if task.crash_count != _crash_counts.NO_CRASHES:
-        task.crash_count = task.crash_count.after_work(survived_ms)
+    if task.crash_history.run_ms:
+        task.crash_history = task.crash_history.after_work(survived_ms)
 
 
 def needs_trial(cell_state, task):
@@ -53,7 +75,7 @@
     It is so for a task under suspicion, and for the copy of a run that had
     just started when its endpoint fell silent.
     """
-    return task.crash_count.is_suspect or any(
+    return is_task_suspect(cell_state, task) or any(
         _was_young_when_lost(cell_state, booking)
         for booking in task.bookings_by_run.values()
     )
@@ -63,18 +85,43 @@
     endpoint = cell_state.endpoint_by_id[booking.endpoint_id]
     run_ms = endpoint.unreachable_since_ms - booking.sent_ms
     return bool(endpoint.failed_polls) and (
-        run_ms < _crash_counts.SETTLED_RUN_MS
+        run_ms < _crash_history.SETTLED_RUN_MS
     )
 
 
-def is_suspect(stage, task):
+def is_suspect(cell_state, stage, task):
     """Whether a task is under suspicion, or any member of its gang."""
     if stage.step.gang:
-        return any(one.crash_count.is_suspect for one in stage.tasks)
-    return task.crash_count.is_suspect
+        return any(is_task_suspect(cell_state, one) for one in stage.tasks)
+    return is_task_suspect(cell_state, task)
+
+
+def is_task_suspect(cell_state, task):
+    """Whether a task may have ended its endpoint's process."""
+    return bool(task.crash_history.run_ms) and task.crash_history.is_suspect(
+        cell_state.failures_per_s(task.stage.queue.service)
+    )
+
+
+def _is_grave(cell_state, task):
+    return bool(task.crash_history.run_ms) and task.crash_history.is_grave(
+        cell_state.failures_per_s(task.stage.queue.service)
+    )
+
+
+def waits_for_idle(cell_state, tasks, now_ms):
+    """Whether tasks wait for an endpoint without runs.
+
+    They do for `MAX_IDLE_WAIT_MS` if one of them is under grave suspicion.
+    """
+    return any(
+        _is_grave(cell_state, task)
+        and now_ms - (task.interrupted_ms or 0) < MAX_IDLE_WAIT_MS
+        for task in tasks
+    )
 
 
-def candidates_for(step, candidates):
+def candidates_for(step, candidates, *, only_idle):
     """Returns candidates in whose place a run can harm least.
 
     One task on each endpoint, and only endpoints without runs if there are
@@ -85,10 +132,12 @@
     ----------
     step : Step
     candidates : list of Candidate
+    only_idle : bool
+        Whether none is returned if all have runs; not for a gang.
     """
     if not step.gang:
         idle = [one for one in candidates if not one.endpoint.bookings_by_run]
-        candidates = idle or candidates
+        candidates = idle if idle or only_idle else candidates
     return [
         attrs.evolve(
             one,
