Test what counts as a crash, and what is made of crashes

Tables for the judgement itself, and scenarios for planned ends, cuts, builds beside each other and runs beside one under suspicion.

--- a/features/cells_crashes.feature
+++ b/features/cells_crashes.feature
@@ -38,6 +38,7 @@
       | job              | 3000    | another  | 10       | is lost 3010 ms after each crash |
       | job              | 3000    | the same | 10       | is lost 3010 ms after each crash |
       | job              | 500     | the same | 10       | is lost 600 ms after each crash  |
+      | job              | 500     | the same | 10       | is lost 300 ms after each crash  |
       | job              | 9000    | the same | 10       | is lost 20 ms after each crash   |
       | gang             | 3000    | the same | 10       | is lost 1 ms after each crash    |
       | long-running job | 3000    | the same | 10       | is lost 1 ms after each crash    |
@@ -69,6 +70,7 @@
     And a job "bad" of 1 tasks is submitted whose first task ends its endpoint's process after 10 ms
     Then job "bad" is failed within 20000 ms
     And its endpoint crashed 3 times, and other runs were lost in the first 2 crashes only
+    And of these, only the runs lost in the first crash were counted
     And all but 1 jobs are completed within 30000 ms
     And no invariant was violated
 
@@ -89,6 +91,80 @@
       | 2000    | 600    | the same | 5    |
       | 4000    | 1000   | another  | 6    |
 
+  Scenario Outline: what is made of crashes depends on when they came, and on how often endpoints fail
+    When a task's runs ended in crashes after <run_ms> ms
+    And an endpoint fails by itself every <every_s> s
+    Then the task is <verdict>
+
+    Examples: endpoints hardly fail by themselves
+      | run_ms                  | every_s | verdict                |
+      | none                    | 300     | sound                  |
+      | 5000                    | 300     | sound                  |
+      | 12                      | 300     | under suspicion        |
+      | 12, 12                  | 300     | under grave suspicion  |
+      | 12, 12, 12              | 300     | given up               |
+      | 300, 300, 300           | 300     | under grave suspicion  |
+      | 300, 300, 300, 300      | 300     | given up               |
+      | 5000, 12, 12            | 300     | under grave suspicion  |
+      | 5000, 5000, 5000        | 300     | under grave suspicion  |
+
+    Examples: endpoints fail often
+      | run_ms                  | every_s | verdict                |
+      | 300                     | 4       | sound                  |
+      | 12                      | 4       | sound                  |
+      | 12, 12                  | 4       | under suspicion        |
+      | 12, 12, 12              | 4       | under grave suspicion  |
+      | 12, 12, 12, 12          | 4       | given up               |
+      | 2000, 2000, 2000, 2000  | 4       | sound                  |
+
+  Scenario Outline: a run that outlasts the earlier ones clears its task
+    When a task's runs ended in crashes after <run_ms> ms
+    And its next run works for <worked_ms> ms
+    And an endpoint fails by itself every 300 s
+    Then the task is <verdict>
+
+    Examples:
+      | run_ms | worked_ms | verdict               |
+      | 12, 12 | 150       | under grave suspicion |
+      | 12, 12 | 300       | sound                 |
+      | 700    | 300       | under suspicion       |
+      | 700    | 1700      | sound                 |
+
+  Scenario: endpoints that leave as planned count for no task
+    Given 6 endpoints of 4 cores
+    And an owner of the cell
+    When a job "j" of 4 tasks of 9000 ms is submitted
+    And 100 ms pass
+    And endpoint "e0" drains, and its process ends 1 ms later
+    And 5000 ms pass
+    Then no crash is counted for job "j"
+
+  Scenario: an endpoint that was cut off counts for no task
+    Given 2 endpoints of 4 cores
+    And an owner of the cell
+    When a job "j" of 4 tasks of 9000 ms is submitted
+    And 100 ms pass
+    And endpoint "e0" becomes unreachable
+    And 8000 ms pass
+    And endpoint "e0" is reachable again
+    And 1000 ms pass
+    And endpoint "e0" restarts
+    And 1000 ms pass
+    Then no crash is counted for job "j"
+    And job "j" is completed within 12000 ms
+
+  Scenario Outline: counts of crashes pass from build to build
+    Given a stored record of <build>
+    When the record is read
+    Then its run on endpoint "e1" is known
+    And it names <crashes> crashes of its task
+
+    Examples:
+      | build                            | crashes |
+      | the build before                 | 0       |
+      | this build                       | 2       |
+      | a build with fields not known yet | 2      |
+
   Scenario: the log names each run that was lost with its endpoint, and how long it had worked
     Given 1 endpoints of 4 cores
     And an owner of the cell
--- a/features/explain.feature
+++ b/features/explain.feature
@@ -23,6 +23,11 @@
       {"vm":"c","time":99.0,"step":[0,0],"placed":1,"wanted":1,"waited_ms":90,"endpoints":["e2"],"request":"r6","event":"tasks placed"}
       {"vm":"c","time":104.2,"endpoint":"e2","reason":"its lease has lapsed","runs":1,"event":"runs lost"}
       {"vm":"c","time":104.3,"step":[0,0],"placed":1,"wanted":1,"waited_ms":90,"endpoints":["e3"],"request":"r6","event":"tasks placed"}
+      {"vm":"a","time":108.0,"request":"r7","queue":"q","account":"t","event":"job accepted"}
+      {"vm":"c","time":108.1,"step":[0,0],"placed":1,"wanted":1,"waited_ms":90,"endpoints":["e4"],"request":"r7","event":"tasks placed"}
+      {"vm":"c","time":111.4,"task":[0,0,0],"run":3,"endpoint":"e4","reason":"its process has ended","survived_ms":2,"crashed_after_ms":[12,11,12],"request":"r7","event":"run lost"}
+      {"vm":"c","time":111.4,"endpoint":"e4","reason":"its process has ended","runs":1,"jobs":["r7"],"event":"runs lost"}
+      {"vm":"c","time":111.4,"state":"failed","elapsed_ms":9400,"task":[0,0,0],"reason":"endpoints crashed under one of its tasks","crashes":3,"request":"r7","event":"job ended"}
       no decision, but text
       """
     When request <id> is explained
@@ -36,6 +41,7 @@
       | only ran for long                | r4 | completed    |                 | none |
       | is in doubt                      | r5 | in doubt     | request refused | a    |
       | lost its run with an endpoint    | r6 | not finished | runs lost       | c    |
+      | was given up for its crashes     | r7 | failed       | job ended       | c    |
 
   Scenario Outline: explain: a long-running task waits under an owner that <what>, under none, and under the next
     Given the log lines of a played day
--- a/features/steps/cells_crash_steps.py
+++ b/features/steps/cells_crash_steps.py
@@ -6,6 +6,7 @@
 
 from features.support import cells_work
 from samphiregate.core import cells
+from samphiregate.core.cells import _crash_history
 
 OPTIONS_BY_KIND = {
     "job": {},
@@ -13,6 +14,28 @@
     "speculative job": {"speculative": True},
     "long-running job": {"long_running": True},
 }
+RECORDS = {
+    "the build before": (
+        b'{"state":"running","stages":[{"occurrence":0,"step":0,"last_run":3,'
+        b'"placed":[[0,3,"e1"]]}],"address_by_id":{"e1":"a"}}'
+    ),
+    "this build": (
+        b'{"state":"running","stages":[{"occurrence":0,"step":0,"last_run":3,'
+        b'"placed":[[0,3,"e1"]],"crashes":{"0":{"run_ms":[12,11]}},'
+        b'"lapsed":[[1,2,"e2"]]}],"address_by_id":{"e1":"a"},'
+        b'"started_unix_ms_by_id":{"e1":5}}'
+    ),
+    "a build with fields not known yet": (
+        b'{"state":"running","stages":[{"occurrence":0,"step":0,"last_run":3,'
+        b'"placed":[[0,3,"e1"]],"crashes":{"0":{"run_ms":[12,11],"at":[4]}},'
+        b'"more":1}],"address_by_id":{"e1":"a"},"colour":"red"}'
+    ),
+}
+VERDICTS = (
+    ("given up", "is_conclusive"),
+    ("under grave suspicion", "is_grave"),
+    ("under suspicion", "is_suspect"),
+)
 JOB_GAP_MS = 250
 OWNER_AWAY_MS = 300
 
@@ -158,3 +181,98 @@
     for fields in told:
         assert fields["reason"] == reason, fields
         assert least_ms <= fields["survived_ms"] <= most_ms, fields
+
+
+@behave.when("a task's runs ended in crashes after {run_ms} ms")
+def when_crashed(context, run_ms):
+    context.history = _crash_history.NO_CRASHES
+    if run_ms != "none":
+        for one in run_ms.split(", "):
+            context.history = context.history.after_crash(int(one))
+
+
+@behave.when("its next run works for {worked_ms:d} ms")
+def when_worked(context, worked_ms):
+    context.history = context.history.after_work(worked_ms)
+
+
+@behave.when("an endpoint fails by itself every {every_s:d} s")
+def when_failing(context, every_s):
+    context.failures_per_s = 1 / every_s
+
+
+@behave.when(
+    'endpoint "{endpoint_id}" drains, and its process ends {delay_ms:d} ms '
+    "later"
+)
+def when_drained_process_ends(context, endpoint_id, delay_ms):
+    simulation = context.simulation
+    simulation.crashes.changes_id = True
+    endpoint = simulation.endpoint_by_id[endpoint_id]
+    endpoint.draining = True
+    simulation.deliver(endpoint.registration)
+    simulation.at(
+        delay_ms, functools.partial(simulation.crashes.end_process, endpoint)
+    )
+
+
+@behave.then("of these, only the runs lost in the first crash were counted")
+def then_counted(context):
+    simulation = context.simulation
+    lost = [
+        line.fields
+        for line in simulation.log_lines
+        if line.event == "run lost"
+    ]
+    guilty_ids = {one.job_id for one in simulation.crashes.delay_ms_by_task}
+    others = [one for one in lost if one["request"] not in guilty_ids]
+    assert len(others) > simulation.crashes.lost_counts[0], others
+    for one in others:
+        assert len(one["crashed_after_ms"]) <= 1, one
+
+
+@behave.then("the task is {verdict}")
+def then_verdict(context, verdict):
+    told = next(
+        (
+            name
+            for name, method in VERDICTS
+            if getattr(context.history, method)(context.failures_per_s)
+        ),
+        "sound",
+    )
+    assert told == verdict, (told, context.history)
+
+
+@behave.then('no crash is counted for job "{job_id}"')
+def then_no_crash(context, job_id):
+    entry = context.simulation.cell.cell_state.entry_by_id[job_id]
+    histories = [
+        task.crash_history.run_ms
+        for stage in entry.stages_by_key.values()
+        for task in stage.tasks
+    ]
+    assert len(context.simulation.starts) > len(histories), "no run was lost"
+    assert not any(histories), histories
+
+
+@behave.given("a stored record of {build}")
+def given_record(context, build):
+    context.data = RECORDS[build]
+
+
+@behave.when("the record is read")
+def when_read(context):
+    context.record = cells.decode(context.data, cells.JobRecord)
+
+
+@behave.then('its run on endpoint "{endpoint_id}" is known')
+def then_run_known(context, endpoint_id):
+    assert context.record.stages[0].placed == ((0, 3, endpoint_id),)
+
+
+@behave.then("it names {count:d} crashes of its task")
+def then_crashes_named(context, count):
+    crashes = context.record.stages[0].crashes
+    named = crashes.get(0, _crash_history.NO_CRASHES)
+    assert len(named.run_ms) == count, named
