--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -13,6 +13,7 @@
 from samphiregate.core.cells import _planner
 from samphiregate.core.cells import _policy_queries
 from samphiregate.core.cells import _polling
+from samphiregate.core.cells import _progress
 from samphiregate.core.cells import _reconciliation
 from samphiregate.core.cells import _records
 from samphiregate.core.cells import _registrations
@@ -146,7 +147,7 @@
         for job_id in list(self.cell_state.dirty_ids):
             entry = self.cell_state.entry_by_id.get(job_id)
             if entry is not None:
-                row = entry.to_row(self._registration_of)
+                row = _progress.to_row(entry, self._registration_of)
                 item_count += row.item_count
                 if item_count > max_items:
                     break
--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -10,6 +10,7 @@
 from samphiregate.core.cells import _messages
 from samphiregate.core.cells import _order
 from samphiregate.core.cells import _policy_queries
+from samphiregate.core.cells import _progress
 from samphiregate.core.cells import _restored_runs
 from samphiregate.core.cells import _run_gaps
 from samphiregate.core.cells import _tasks
@@ -123,7 +124,7 @@
             entry.add_occurrence(0)
         if event.record is not None:
             record = self._fitting_record(event)
-            entry.restore(record)
+            _progress.restore(entry, record)
             entry.is_compacted = entry.state.is_final and not job.steps
             _restored_runs.restore(self, entry, record, now_ms)
         self.log_decision(
--- a/samphiregate/core/cells/_tasks.py
+++ b/samphiregate/core/cells/_tasks.py
@@ -5,7 +5,6 @@
 import attrs
 
 from samphiregate.core.cells import _crash_history
-from samphiregate.core.cells import _records
 from samphiregate.core.cells import _work
 
 OVERDUE_FACTOR = 1.3  # of an estimate
@@ -335,138 +334,9 @@
             for task in stage.tasks:
                 yield from task.bookings_by_run.values()
 
-    def to_row(self, registration_of):
-        """Returns the `StoredRow` for the store; see `to_record`.
-
-        A job that has ended, and of which no run can exist, loses its steps
-        and its payload: most stored jobs have ended, and a new owner reads
-        them all. From then on its record names no runs, as it has no steps
-        to restore them to; an owner that finds one stops it.
-        """
-        has_ended = self.state.is_final and not any(self.bookings())
-        if not self.is_compacted and not has_ended:
-            record = _records.encode(self.to_record(registration_of))
-            return _records.StoredRow(self.job.job_id, self.version, record)
-        record = _records.JobRecord(self.state, (), self.ended_unix_ms)
-        job = attrs.evolve(self.job, payload="", steps=(), schedule=None)
-        return _records.StoredRow(
-            self.job.job_id,
-            self.version,
-            _records.encode(record),
-            None if self.is_compacted else _records.encode(job),
-        )
-
-    def to_record(self, registration_of):
-        """Returns the progress as a `JobRecord` for the store.
-
-        Parameters
-        ----------
-        registration_of : callable
-            Takes an endpoint id; returns its `EndpointRegistered`.
-        """
-        stages = tuple(
-            record
-            for stage in self.stages_by_key.values()
-            if (record := _stage_record(stage))
-        )
-        registration_by_id = {
-            endpoint_id: registration_of(endpoint_id)
-            for stage_record in stages
-            for _index, _run, endpoint_id in (
-                *stage_record.placed,
-                *stage_record.lapsed,
-            )
-        }
-        return _records.JobRecord(
-            self.state,
-            stages,
-            self.ended_unix_ms,
-            {key: one.address for key, one in registration_by_id.items()},
-            {
-                key: one.started_unix_ms
-                for key, one in registration_by_id.items()
-                if one.started_unix_ms
-            },
-        )
-
-    def restore(self, record):
-        """Restores the progress from the record of an earlier owner."""
-        self.state = record.state
-        self.ended_unix_ms = record.ended_unix_ms
-        for stage_record in record.stages:
-            key = (stage_record.occurrence, stage_record.step)
-            if key not in self.stages_by_key:
-                self.add_occurrence(stage_record.occurrence)
-            _restore_stage(self.stages_by_key[key], stage_record)
-
 
 def mark_done(task):
     """Marks a task as done, once."""
     if not task.is_done:
         task.is_done = True
         task.stage.done_count += 1
-
-
-def _stage_record(stage):
-    if stage.is_done and not any(task.bookings_by_run for task in stage.tasks):
-        return _records.StageRecord(
-            stage.occurrence, stage.number, all_done=True
-        )
-    done = tuple(
-        index for index, task in enumerate(stage.tasks) if task.is_done
-    )
-    failures = {
-        index: tuple(sorted(task.failed_runs))
-        for index, task in enumerate(stage.tasks)
-        if task.failed_runs and not task.is_done
-    }
-    saved = {
-        index: task.saved
-        for index, task in enumerate(stage.tasks)
-        if task.saved and not task.is_done
-    }
-    placed = tuple(
-        (index, booking.run, booking.endpoint_id)
-        for index, task in enumerate(stage.tasks)
-        for booking in task.bookings_by_run.values()
-    )
-    crashes = {
-        index: task.crash_history
-        for index, task in enumerate(stage.tasks)
-        if task.crash_history != _crash_history.NO_CRASHES and not task.is_done
-    }
-    lapsed = tuple(
-        (index, run, endpoint_id)
-        for index, task in enumerate(stage.tasks)
-        for run, endpoint_id in task.lapsed_by_run.items()
-        if not task.is_done
-    )
-    last_run = max(task.last_run for task in stage.tasks)
-    if not last_run:
-        return None
-    return _records.StageRecord(
-        stage.occurrence,
-        stage.number,
-        False,
-        done,
-        failures,
-        saved,
-        last_run,
-        placed,
-        crashes,
-        lapsed,
-    )
-
-
-def _restore_stage(stage, stage_record):
-    for index, task in enumerate(stage.tasks):
-        if stage_record.all_done or index in stage_record.done:
-            mark_done(task)
-        task.failed_runs.update(stage_record.failures.get(index, ()))
-        task.saved = stage_record.saved.get(index, "")
-        task.last_run = stage_record.last_run
-        task.crash_history = stage_record.crashes.get(
-            index, _crash_history.NO_CRASHES
-        )
-        # The record does not tell which of the tasks ran.
-        task.interrupted_ms = 0
