--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -1,8 +1,8 @@
 """Decides where tasks are placed, and which policy queries are needed."""
 
-import collections
 import enum
 
+from samphiregate.core.cells import _accepting
 from samphiregate.core.cells import _holds
 from samphiregate.core.cells import _order
 from samphiregate.core.cells import _placement
@@ -11,7 +11,6 @@
 from samphiregate.core.cells import _run_gaps
 from samphiregate.core.cells import _stragglers
 from samphiregate.core.cells import _trials
-from samphiregate.core.cells import _usable_endpoints
 
 URGENT_LIMIT_SHARE = 0.2  # of an account's limit
 # After this wait, interrupted tasks may go to endpoints that are backing off.
@@ -64,9 +63,10 @@
         self._check_endpoint = check_endpoint
         self._slowness_estimator = slowness_estimator
         self._packing = _placement.Packing()
-        self._usable_by_key = {}
-        self._last_usable_by_key = {}
-        self._accepting_by_service = None
+        self._usable = _accepting.UsableByStage(
+            cell_state=cell_state,
+            is_backing_off=failure_backoff.is_backing_off,
+        )
 
     def plan(self, now_ms, query_slots):
         """Places waiting tasks where they fit, the most urgent stages first.
@@ -81,7 +81,7 @@
             query in flight at a time.
         """
         cell_state = self._cell_state
-        self._forget_usable()
+        self._usable.begin_plan()
         held_ids = set()
         stages = sorted(
             cell_state.startable_stages.values(),
@@ -119,7 +119,7 @@
         if not tasks:
             stage.waits_for = WaitReason.ACCOUNT_LIMIT
             return
-        usable = self._usable(
+        usable = self._usable.find(
             stage,
             now_ms,
             ignores_failures=is_restart and _is_overdue(tasks, now_ms),
@@ -196,7 +196,7 @@
 
     def plan_copies(self, now_ms):
         """Places copies of speculative tasks that run longer than expected."""
-        self._forget_usable()
+        self._usable.begin_plan()
         for entry in self._cell_state.entry_by_id.values():
             if entry.state.is_final or not entry.has_speculative:
                 continue
@@ -215,7 +215,7 @@
         tasks = self._within_account_limit(
             stage, tasks, stage.entry.job.account
         )
-        usable = self._usable(stage, now_ms)
+        usable = self._usable.find(stage, now_ms)
         if stage.queue.advice:
             self._policy_queries.request(stage, usable, len(tasks), now_ms)
         for task in tasks:
@@ -262,57 +262,6 @@
             allowed += 1
         return tasks[:allowed]
 
-    def _usable(self, stage, now_ms, *, ignores_failures=False):
-        """Returns the endpoints that accept tasks of the stage now.
-
-        Free capacity, tickets and held endpoints are not considered; nor is
-        the backoff after failed tasks if `ignores_failures`. The result is
-        the same for all stages of a service and label in one plan.
-        """
-        key = (
-            stage.queue.service,
-            stage.step.required_label,
-            ignores_failures,
-        )
-        usable = self._usable_by_key.get(key)
-        if usable is None:
-            endpoints = self._accepting(*key, now_ms)
-            usable = self._last_usable_by_key.get(key)
-            if usable is None or not usable.same_endpoints(endpoints):
-                usable = _usable_endpoints.UsableEndpoints(endpoints)
-            usable.renew()
-            self._usable_by_key[key] = usable
-        return usable
-
-    def _forget_usable(self):
-        """Begins a plan, for which the usable endpoints are found anew."""
-        self._accepting_by_service = None
-        if self._usable_by_key:
-            self._last_usable_by_key = self._usable_by_key
-            self._usable_by_key = {}
-
-    def _accepting(self, service, label, ignores_failures, now_ms):
-        if self._accepting_by_service is None:
-            self._accepting_by_service = self._find_accepting(now_ms)
-        return [
-            endpoint
-            for endpoint, backs_off in self._accepting_by_service[service]
-            if (ignores_failures or not backs_off)
-            and (not label or label in endpoint.registration.labels)
-        ]
-
-    def _find_accepting(self, now_ms):
-        """Returns rows of an endpoint and whether it backs off, by service."""
-        by_service = collections.defaultdict(list)
-        for endpoint in self._cell_state.endpoint_by_id.values():
-            if endpoint.may_start and endpoint.backoff_until_ms <= now_ms:
-                backs_off = self._failure_backoff.is_backing_off(
-                    endpoint.endpoint_id, now_ms
-                )
-                row = (endpoint, backs_off)
-                by_service[endpoint.registration.service].append(row)
-        return by_service
-
     def _candidates(self, stage, usable, held_ids, now_ms):
         """Returns the endpoints with room that may run tasks of the stage."""
         need = stage.step.booked
