--- a/features/cells_capacity.feature
+++ b/features/cells_capacity.feature
@@ -43,6 +43,19 @@
     Then job "j" is completed within 15000 ms
     And no invariant was violated
 
+  Scenario: a run that is being stopped counts until it has ended
+    Given 1 endpoints of 8 cores
+    And runs go on for 400 ms when they are stopped
+    And an owner of the cell
+    When a job "j" of 8 tasks of 20000 ms is submitted
+    And 300 ms pass
+    And job "j" is cancelled
+    And a job "k" of 8 tasks is submitted
+    And 200 ms pass
+    Then 0 tasks of job "k" run
+    And job "k" is completed within 1500 ms
+    And no invariant was violated
+
   Scenario: runs go on when their endpoint shrinks, and room that comes back is used at once
     Given 1 endpoints of 8 cores
     And an owner of the cell
--- a/features/cells_crashes.feature
+++ b/features/cells_crashes.feature
@@ -32,16 +32,18 @@
       | long-running job | 3000    | the same | 10       | stays |
 
     Examples: the owner is lost at each crash
-      | kind             | away_ms | id       | crash_ms | owner                            |
-      | job              | 3000    | another  | 10       | is lost 1 ms after each crash    |
-      | job              | 3000    | the same | 10       | is lost 1 ms after each crash    |
-      | job              | 3000    | another  | 10       | is lost 3010 ms after each crash |
-      | job              | 3000    | the same | 10       | is lost 3010 ms after each crash |
-      | job              | 500     | the same | 10       | is lost 600 ms after each crash  |
-      | job              | 500     | the same | 10       | is lost 300 ms after each crash  |
-      | job              | 9000    | the same | 10       | is lost 20 ms after each crash   |
-      | gang             | 3000    | the same | 10       | is lost 1 ms after each crash    |
-      | long-running job | 3000    | the same | 10       | is lost 1 ms after each crash    |
+      | kind             | away_ms | id       | crash_ms | owner                                             |
+      | job              | 3000    | another  | 10       | is lost 1 ms after each crash                     |
+      | job              | 3000    | the same | 10       | is lost 1 ms after each crash                     |
+      | job              | 3000    | another  | 10       | is lost 3010 ms after each crash                  |
+      | job              | 3000    | the same | 10       | is lost 3010 ms after each crash                  |
+      | job              | 500     | the same | 10       | is lost 600 ms after each crash                   |
+      | job              | 500     | the same | 10       | is lost 300 ms after each crash                   |
+      | job              | 3000    | the same | 10       | is without the store for 2000 ms after each crash |
+      | job              | 3000    | another  | 10       | is without the store for 2000 ms after each crash |
+      | job              | 9000    | the same | 10       | is lost 20 ms after each crash                    |
+      | gang             | 3000    | the same | 10       | is lost 1 ms after each crash                     |
+      | long-running job | 3000    | the same | 10       | is lost 1 ms after each crash                     |
 
   Scenario Outline: a task under suspicion is tried where it harms no other
     Given 8 endpoints of 4 cores
@@ -97,25 +99,25 @@
     Then the task is <verdict>
 
     Examples: endpoints hardly fail by themselves
-      | run_ms                  | every_s | verdict                |
-      | none                    | 300     | sound                  |
-      | 5000                    | 300     | sound                  |
-      | 12                      | 300     | under suspicion        |
-      | 12, 12                  | 300     | under grave suspicion  |
-      | 12, 12, 12              | 300     | given up               |
-      | 300, 300, 300           | 300     | under grave suspicion  |
-      | 300, 300, 300, 300      | 300     | given up               |
-      | 5000, 12, 12            | 300     | under grave suspicion  |
-      | 5000, 5000, 5000        | 300     | under grave suspicion  |
+      | run_ms             | every_s | verdict               |
+      | none               | 300     | sound                 |
+      | 5000               | 300     | sound                 |
+      | 12                 | 300     | under suspicion       |
+      | 12, 12             | 300     | under grave suspicion |
+      | 12, 12, 12         | 300     | given up              |
+      | 300, 300, 300      | 300     | under grave suspicion |
+      | 300, 300, 300, 300 | 300     | given up              |
+      | 5000, 12, 12       | 300     | under grave suspicion |
+      | 5000, 5000, 5000   | 300     | under grave suspicion |
 
     Examples: endpoints fail often
-      | run_ms                  | every_s | verdict                |
-      | 300                     | 4       | sound                  |
-      | 12                      | 4       | sound                  |
-      | 12, 12                  | 4       | under suspicion        |
-      | 12, 12, 12              | 4       | under grave suspicion  |
-      | 12, 12, 12, 12          | 4       | given up               |
-      | 2000, 2000, 2000, 2000  | 4       | sound                  |
+      | run_ms                 | every_s | verdict               |
+      | 300                    | 4       | sound                 |
+      | 12                     | 4       | sound                 |
+      | 12, 12                 | 4       | under suspicion       |
+      | 12, 12, 12             | 4       | under grave suspicion |
+      | 12, 12, 12, 12         | 4       | given up              |
+      | 2000, 2000, 2000, 2000 | 4       | sound                 |
 
   Scenario Outline: a run that outlasts the earlier ones clears its task
     When a task's runs ended in crashes after <run_ms> ms
@@ -160,10 +162,10 @@
     And it names <crashes> crashes of its task
 
     Examples:
-      | build                            | crashes |
-      | the build before                 | 0       |
-      | this build                       | 2       |
-      | a build with fields not known yet | 2      |
+      | build                             | crashes |
+      | the build before                  | 0       |
+      | this build                        | 2       |
+      | a build with fields not known yet | 2       |
 
   Scenario: the log names each run that was lost with its endpoint, and how long it had worked
     Given 1 endpoints of 4 cores
--- a/features/steps/cells_capacity_steps.py
+++ b/features/steps/cells_capacity_steps.py
@@ -20,6 +20,12 @@
     simulation.at(delay_ms, lambda: simulation.announce(endpoint.registration))
 
 
+@behave.given("runs go on for {stop_ms:d} ms when they are stopped")
+def given_slow_stops(context, stop_ms):
+    for endpoint in context.simulation.endpoint_by_id.values():
+        endpoint.stop_ms = stop_ms
+
+
 @behave.when('endpoint "{endpoint_id}" {verb} to {cores:d} cores')
 def when_changes(context, endpoint_id, verb, cores):
     del verb
--- a/features/steps/cells_crash_steps.py
+++ b/features/steps/cells_crash_steps.py
@@ -80,6 +80,19 @@
     )
 
 
+@behave.when(
+    "the owner is without the store for {span_ms:d} ms after each crash"
+)
+def when_store_lost(context, span_ms):
+    simulation = context.simulation
+
+    def lose_store():
+        simulation.store_up = False
+        simulation.at(span_ms, lambda: setattr(simulation, "store_up", True))
+
+    simulation.crashes.listeners.append(lose_store)
+
+
 @behave.then('job "{job_id}" is failed within {max_ms:d} ms')
 def then_failed(context, job_id, max_ms):
     simulation = context.simulation
--- a/features/support/cells_endpoints.py
+++ b/features/support/cells_endpoints.py
@@ -50,6 +50,8 @@
         Share of starts and polls that are executed but not answered.
     slowness : float
         Factor by which tasks take longer; infinite if they stall.
+    stop_ms : int
+        How long a run goes on that is ordered to stop.
     register_ms : int
         After a restart, until its new entry is in the store.
     address : str
@@ -81,6 +83,7 @@
         self.remaining_ms = None
         self.is_replaced = False
         self.register_ms = 0
+        self.stop_ms = 0
         self.address = address or endpoint_id
         self.restarting_until_ms = 0
         self._simulation = simulation
@@ -215,7 +218,13 @@
         if epoch < self.epoch:
             return False
         self.epoch = epoch
-        self._end((action.task_id, action.run), cells.EndReason.STOPPED)
+        key = (action.task_id, action.run)
+        run = self.run_by_key.get(key)
+        if run is not None and self.stop_ms:
+            run.ends_ms = min(run.ends_ms, now_ms + self.stop_ms)
+            run.reason = cells.EndReason.STOPPED
+        else:
+            self._end(key, cells.EndReason.STOPPED)
         last_ended_run = self.last_ended_run_by_task.get(action.task_id, 0)
         self.last_ended_run_by_task[action.task_id] = max(
             last_ended_run, action.run
