Name the isolation of suspected tasks with the field's terms

Trial, blame and grave suspicion become isolated run, attribution and strong suspicion; a task that is given up is a crash loop. Evidence has its unit, nats.

--- a/features/cells_capacity.feature
+++ b/features/cells_capacity.feature
@@ -13,12 +13,12 @@
     And no invariant was violated
 
     Examples:
-      | write_ms | gap_ms | task_ms | owner                  | seed |
-      | 6        | 2000   | 700     | stays                  | 1    |
-      | 6        | 900    | 3000    | stays                  | 2    |
-      | 6        | 2000   | 3000    | is lost every 5000 ms  | 3    |
-      | 6        | 900    | 700     | is lost every 3000 ms  | 4    |
-      | 400      | 900    | 3000    | is lost every 5000 ms  | 5    |
+      | write_ms | gap_ms | task_ms | owner                 | seed |
+      | 6        | 2000   | 700     | stays                 | 1    |
+      | 6        | 900    | 3000    | stays                 | 2    |
+      | 6        | 2000   | 3000    | is lost every 5000 ms | 3    |
+      | 6        | 900    | 700     | is lost every 3000 ms | 4    |
+      | 400      | 900    | 3000    | is lost every 5000 ms | 5    |
 
   Scenario: a start that waited for the store is not ordered on an endpoint that shrank meanwhile
     Given 1 endpoints of 8 cores
--- a/features/cells_crashes.feature
+++ b/features/cells_crashes.feature
@@ -3,7 +3,7 @@
   Such a task comes from a caller and harms all others: each endpoint that
   starts it loses its runs. It must be started a few times only, whatever
   becomes of the owner, and tasks that merely ran beside it must complete.
-  Endpoints also fail by themselves, which no task is to be blamed for.
+  Endpoints also fail by themselves, by no fault of a task.
 
   Scenario Outline: a task that crashes each endpoint is given up after a few starts
     Given 8 endpoints of 4 cores
@@ -45,7 +45,7 @@
       | gang             | 3000    | the same | 10       | is lost 1 ms after each crash                     |
       | long-running job | 3000    | the same | 10       | is lost 1 ms after each crash                     |
 
-  Scenario Outline: a task under suspicion is tried where it harms no other
+  Scenario Outline: a suspected task is tried where it harms no other
     Given 8 endpoints of 4 cores
     And endpoints whose process ends are back after 3000 ms under another id
     And an owner of the cell
@@ -63,7 +63,7 @@
       | speculative job  |
       | long-running job |
 
-  Scenario: a task blamed for two crashes waits until an endpoint has no other runs
+  Scenario: a strongly suspected task waits until an endpoint has no other runs
     Given 4 endpoints of 4 cores
     And endpoints whose process ends are back after 3000 ms under another id
     And an owner of the cell
@@ -99,25 +99,25 @@
     Then the task is <verdict>
 
     Examples: endpoints hardly fail by themselves
-      | run_ms             | every_s | verdict               |
-      | none               | 300     | sound                 |
-      | 5000               | 300     | sound                 |
-      | 12                 | 300     | under suspicion       |
-      | 12, 12             | 300     | under grave suspicion |
-      | 12, 12, 12         | 300     | given up              |
-      | 300, 300, 300      | 300     | under grave suspicion |
-      | 300, 300, 300, 300 | 300     | given up              |
-      | 5000, 12, 12       | 300     | under grave suspicion |
-      | 5000, 5000, 5000   | 300     | under grave suspicion |
+      | run_ms             | every_s | verdict            |
+      | none               | 300     | sound              |
+      | 5000               | 300     | sound              |
+      | 12                 | 300     | suspected          |
+      | 12, 12             | 300     | strongly suspected |
+      | 12, 12, 12         | 300     | given up           |
+      | 300, 300, 300      | 300     | strongly suspected |
+      | 300, 300, 300, 300 | 300     | given up           |
+      | 5000, 12, 12       | 300     | strongly suspected |
+      | 5000, 5000, 5000   | 300     | strongly suspected |
 
     Examples: endpoints fail often
-      | run_ms                 | every_s | verdict               |
-      | 300                    | 4       | sound                 |
-      | 12                     | 4       | sound                 |
-      | 12, 12                 | 4       | under suspicion       |
-      | 12, 12, 12             | 4       | under grave suspicion |
-      | 12, 12, 12, 12         | 4       | given up              |
-      | 2000, 2000, 2000, 2000 | 4       | sound                 |
+      | run_ms                 | every_s | verdict            |
+      | 300                    | 4       | sound              |
+      | 12                     | 4       | sound              |
+      | 12, 12                 | 4       | suspected          |
+      | 12, 12, 12             | 4       | strongly suspected |
+      | 12, 12, 12, 12         | 4       | given up           |
+      | 2000, 2000, 2000, 2000 | 4       | sound              |
 
   Scenario Outline: a run that outlasts the earlier ones clears its task
     When a task's runs ended in crashes after <run_ms> ms
@@ -126,11 +126,11 @@
     Then the task is <verdict>
 
     Examples:
-      | run_ms | worked_ms | verdict               |
-      | 12, 12 | 150       | under grave suspicion |
-      | 12, 12 | 300       | sound                 |
-      | 700    | 300       | under suspicion       |
-      | 700    | 1700      | sound                 |
+      | run_ms | worked_ms | verdict            |
+      | 12, 12 | 150       | strongly suspected |
+      | 12, 12 | 300       | sound              |
+      | 700    | 300       | suspected          |
+      | 700    | 1700      | sound              |
 
   Scenario: endpoints that leave as planned count for no task
     Given 6 endpoints of 4 cores
--- a/features/steps/cells_crash_steps.py
+++ b/features/steps/cells_crash_steps.py
@@ -32,9 +32,9 @@
     ),
 }
 VERDICTS = (
-    ("given up", "is_conclusive"),
-    ("under grave suspicion", "is_grave"),
-    ("under suspicion", "is_suspect"),
+    ("given up", "is_crash_loop"),
+    ("strongly suspected", "is_strong_suspect"),
+    ("suspected", "is_suspect"),
 )
 JOB_GAP_MS = 250
 OWNER_AWAY_MS = 300
--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -7,6 +7,7 @@
 from samphiregate.core.cells import _account_limits
 from samphiregate.core.cells import _endpoint_failures
 from samphiregate.core.cells import _inheritance
+from samphiregate.core.cells import _isolation
 from samphiregate.core.cells import _messages
 from samphiregate.core.cells import _order
 from samphiregate.core.cells import _policy_queries
@@ -14,7 +15,6 @@
 from samphiregate.core.cells import _restored_runs
 from samphiregate.core.cells import _run_gaps
 from samphiregate.core.cells import _tasks
-from samphiregate.core.cells import _trials
 from samphiregate.core.cells import _work
 
 RUN_NUMBER_SKIP = 1_000  # skips numbers that earlier owners may have used
@@ -54,7 +54,7 @@
     runs_lost_by_reason : collections.Counter
         Number of runs that were lost with their endpoint.
     endpoint_failures : EndpointFailures
-    trials : Trials
+    isolated_runs : IsolatedRuns
     """
 
     epoch: int
@@ -81,7 +81,9 @@
     endpoint_failures: _endpoint_failures.EndpointFailures = attrs.field(
         factory=_endpoint_failures.EndpointFailures
     )
-    trials: _trials.Trials = attrs.field(factory=_trials.Trials)
+    isolated_runs: _isolation.IsolatedRuns = attrs.field(
+        factory=_isolation.IsolatedRuns
+    )
     unix_ms: int = 0
     now_ms: int = 0
     _last_urgent_ms_by_account: dict = attrs.field(factory=dict)
@@ -242,8 +244,8 @@
             task, run, endpoint.endpoint_id, now_ms, progressed_ms=now_ms
         )
         task.last_run = max(task.last_run, run)
-        if _trials.needs_trial(self, task):
-            self.trials.begin(booking)
+        if _isolation.needs_isolation(self, task):
+            self.isolated_runs.add(booking)
         endpoint.reserve(booking)
         entry = task.stage.entry
         entry.has_started = True
@@ -318,7 +320,7 @@
         if booking.key not in endpoint.bookings_by_run:
             return
         endpoint.release(booking)
-        self.trials.end(booking)
+        self.isolated_runs.remove(booking)
         entry = booking.task.stage.entry
         self.account_limits.remove(entry.job.account, booking.step.demand)
         self.mark_moved(entry)
--- a/samphiregate/core/cells/_blame.py
+++ b/samphiregate/core/cells/_crash_attribution.py
@@ -1,6 +1,6 @@
 """Counts the end of an endpoint's process for the tasks that ran there.
 
-If tasks under suspicion are tried there, it is counted for these only: nothing
+If suspected tasks are tried there, it is counted for these only: nothing
 else was started beside them.
 """
 
@@ -12,7 +12,7 @@
 INHERITED_RUN_MS = 3_000
 
 
-def count_crash(cell_state, endpoint, bookings, now_ms):
+def attribute_crash(cell_state, endpoint, bookings, now_ms):
     """Counts a crash of an endpoint for the tasks of the runs on it.
 
     Parameters
@@ -28,8 +28,8 @@
     list of Booking
         Those for which it is counted.
     """
-    on_trial = list(filter(cell_state.trials.is_on_trial, bookings))
-    counted = on_trial or bookings
+    isolated = list(filter(cell_state.isolated_runs.contains, bookings))
+    counted = isolated or bookings
     if not any(map(_is_of_unknown_age, bookings)):
         cell_state.endpoint_failures.record_crash(
             endpoint.registration.service,
@@ -44,16 +44,16 @@
         task.crash_history = task.crash_history.after_crash(
             _run_ms(booking, ended_ms)
         )
-        cell_state.trials.note_crash(cell_state, task)
+        cell_state.isolated_runs.note_crash(cell_state, task)
     return counted
 
 
-def give_up_conclusive(cell_state, endpoint, bookings):
+def fail_crash_loops(cell_state, endpoint, bookings):
     """Fails the jobs of tasks that end their endpoints' processes."""
     rate = cell_state.failures_per_s(endpoint.registration.service)
     for booking in bookings:
         task = booking.task
-        if not task.needs_run or not task.crash_history.is_conclusive(rate):
+        if not task.needs_run or not task.crash_history.is_crash_loop(rate):
             continue
         cell_state.finish(
             task.stage.entry,
--- a/samphiregate/core/cells/_crash_history.py
+++ b/samphiregate/core/cells/_crash_history.py
@@ -20,11 +20,11 @@
 # Until a task is given up: all right after the start, or at any time.
 MIN_CRASHES_AT_START = 3
 MIN_CRASHES = 4
-# Evidence is the negative natural logarithm of the probability that endpoints
-# fail by themselves in the times that the runs had worked.
-SUSPICION = 6.0
-GRAVE_SUSPICION = 12.0
-CONCLUSION = 18.0
+# Evidence in nats: the negative natural logarithm of the probability that
+# endpoints fail by themselves in the times that the runs had worked.
+SUSPECT_NATS = 6.0
+STRONG_SUSPECT_NATS = 12.0
+CRASH_LOOP_NATS = 18.0
 
 
 @attrs.frozen
@@ -61,19 +61,19 @@
         failures_per_s : float
             How often an endpoint of the service fails by itself.
         """
-        return self._evidence(failures_per_s) >= SUSPICION
+        return self._evidence(failures_per_s) >= SUSPECT_NATS
 
-    def is_grave(self, failures_per_s):
+    def is_strong_suspect(self, failures_per_s):
         """Whether the task probably ends its endpoint's process."""
-        return self._evidence(failures_per_s) >= GRAVE_SUSPICION
+        return self._evidence(failures_per_s) >= STRONG_SUSPECT_NATS
 
-    def is_conclusive(self, failures_per_s):
+    def is_crash_loop(self, failures_per_s):
         """Whether the task is to be given up."""
         all_at_start = all(one < SETTLED_RUN_MS for one in self.run_ms)
         needed = MIN_CRASHES_AT_START if all_at_start else MIN_CRASHES
         return (
             len(self.run_ms) >= needed
-            and self._evidence(failures_per_s) >= CONCLUSION
+            and self._evidence(failures_per_s) >= CRASH_LOOP_NATS
         )
 
     def _evidence(self, failures_per_s):
--- a/samphiregate/core/cells/_endpoint_failures.py
+++ b/samphiregate/core/cells/_endpoint_failures.py
@@ -2,7 +2,7 @@
 
 The load that this answers: endpoints whose processes end again and again, by
 no fault of the tasks that they run. A crash counts as the endpoint's own
-unless a task that it interrupted is under grave suspicion.
+unless a task that it interrupted is strongly suspected.
 """
 
 import collections
@@ -25,9 +25,10 @@
 
     @property
     def is_own(self):
-        """Whether none of the tasks is under grave suspicion."""
+        """Whether none of the tasks is strongly suspected."""
         return all(
-            task.is_done or not task.crash_history.is_grave(MIN_FAILURES_PER_S)
+            task.is_done
+            or not task.crash_history.is_strong_suspect(MIN_FAILURES_PER_S)
             for task in self.tasks
         )
 
@@ -99,6 +100,7 @@
         for one in endpoints
         if one.registration.service == service
         and one.has_answered
+        and one.first_polled_ms is not None
         and not one.failed_polls
     )
 
--- a/samphiregate/core/cells/_holds.py
+++ b/samphiregate/core/cells/_holds.py
@@ -67,11 +67,11 @@
         unplaced_count -= max(1, need.count_fitting_in(endpoint.free))
 
 
-def hold_for_trial(stage, usable, held_ids):
-    """Holds an endpoint until it has no runs, for a task under suspicion.
+def hold_for_isolation(stage, usable, held_ids):
+    """Holds an endpoint until it has no runs, for a suspected task.
 
-    The one with the fewest runs; none if others are held already, or where
-    long-running tasks are, which do not end.
+    The one with the fewest runs, as long as fewer than `MAX_HELD_SHARE` are
+    held, and none with long-running tasks, as these do not end.
     """
     need = stage.step.booked
     advice = stage.queue.advice
--- a/samphiregate/core/cells/_trials.py
+++ b/samphiregate/core/cells/_isolation.py
@@ -1,9 +1,9 @@
-"""Starts tasks under suspicion where they can harm least.
+"""Isolates runs of suspected tasks, where they can harm least.
 
 The load that this answers: several tasks start on an endpoint and its process
 ends; one of them may have ended it. Each of these is tried alone on an
 endpoint, without runs if one has room, and no other task is started there
-until the run has settled. So the next crash is blamed on one task, and the
+until the run has settled. So the next crash is attributed to one task, and the
 others complete.
 """
 
@@ -11,48 +11,50 @@
 
 from samphiregate.core.cells import _crash_history
 
-TRIAL_POLL_WAIT_MS = 300
+ISOLATED_POLL_WAIT_MS = 300
 MAX_IDLE_WAIT_MS = 2_000
-MAX_TRIAL_MS = 1_000  # for which nothing is started beside a run
+MAX_ISOLATION_MS = 1_000  # for which nothing is started beside a run
 
 
-class Trials:
-    """The runs of tasks under suspicion that have not settled.
+class IsolatedRuns:
+    """The runs of suspected tasks that have not settled.
 
-    And the stages of tasks under grave suspicion: they are placed first, so
+    And the stages of strongly suspected tasks: they are placed first, so
     that the endpoint that is held for them becomes free.
     """
 
     def __init__(self):
         self._booking_by_key = {}
-        self._grave_stages = set()
+        self._suspected_stages = set()
 
-    def begin(self, booking):
-        """Records that a run of a task under suspicion may exist."""
+    def add(self, booking):
+        """Records that a run of a suspected task may exist."""
         self._booking_by_key[booking.key] = booking
 
-    def end(self, booking):
+    def remove(self, booking):
         """Records that a run has settled or does not exist any more."""
         self._booking_by_key.pop(booking.key, None)
 
-    def is_on_trial(self, booking):
+    def contains(self, booking):
         """Whether a run is one of these."""
         return booking.key in self._booking_by_key
 
     def note_crash(self, cell_state, task):
         """Records that a crash was counted for a task."""
-        if _is_grave(cell_state, task):
-            self._grave_stages.add(task.stage)
+        if _is_strong_suspect(cell_state, task):
+            self._suspected_stages.add(task.stage)
 
-    def grave_stages(self, cell_state):
-        """Returns the stages with tasks under grave suspicion."""
-        self._grave_stages = {
+    def strongly_suspected_stages(self, cell_state):
+        """Returns the stages with strongly suspected tasks."""
+        self._suspected_stages = {
             stage
-            for stage in self._grave_stages
+            for stage in self._suspected_stages
             if not stage.entry.state.is_final
-            and any(_is_grave(cell_state, task) for task in stage.tasks)
+            and any(
+                _is_strong_suspect(cell_state, task) for task in stage.tasks
+            )
         }
-        return self._grave_stages
+        return self._suspected_stages
 
     def endpoint_ids(self):
         """Returns the ids of the endpoints on which they may exist."""
@@ -63,16 +65,16 @@
     """Updates the history of a run's task after its endpoint listed it."""
     task = booking.task
     survived_ms = booking.survived_ms
-    if survived_ms >= min(task.crash_history.settled_ms, MAX_TRIAL_MS):
-        cell_state.trials.end(booking)
+    if survived_ms >= min(task.crash_history.settled_ms, MAX_ISOLATION_MS):
+        cell_state.isolated_runs.remove(booking)
     if task.crash_history.run_ms:
         task.crash_history = task.crash_history.after_work(survived_ms)
 
 
-def needs_trial(cell_state, task):
+def needs_isolation(cell_state, task):
     """Whether the next run of a task is to be tried alone.
 
-    It is so for a task under suspicion, and for the copy of a run that had
+    It is so for a suspected task, and for the copy of a run that had
     just started when its endpoint fell silent.
     """
     return is_task_suspect(cell_state, task) or any(
@@ -90,7 +92,7 @@
 
 
 def is_suspect(cell_state, stage, task):
-    """Whether a task is under suspicion, or any member of its gang."""
+    """Whether a task is suspected, or any member of its gang."""
     if stage.step.gang:
         return any(is_task_suspect(cell_state, one) for one in stage.tasks)
     return is_task_suspect(cell_state, task)
@@ -103,8 +105,10 @@
     )
 
 
-def _is_grave(cell_state, task):
-    return bool(task.crash_history.run_ms) and task.crash_history.is_grave(
+def _is_strong_suspect(cell_state, task):
+    return bool(
+        task.crash_history.run_ms
+    ) and task.crash_history.is_strong_suspect(
         cell_state.failures_per_s(task.stage.queue.service)
     )
 
@@ -112,10 +116,10 @@
 def waits_for_idle(cell_state, tasks, now_ms):
     """Whether tasks wait for an endpoint without runs.
 
-    They do for `MAX_IDLE_WAIT_MS` if one of them is under grave suspicion.
+    They do for `MAX_IDLE_WAIT_MS` if one of them is strongly suspected.
     """
     return any(
-        _is_grave(cell_state, task)
+        _is_strong_suspect(cell_state, task)
         and now_ms - (task.interrupted_ms or 0) < MAX_IDLE_WAIT_MS
         for task in tasks
     )
--- a/samphiregate/core/cells/_losses.py
+++ b/samphiregate/core/cells/_losses.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from samphiregate.core.cells import _blame
+from samphiregate.core.cells import _crash_attribution
 from samphiregate.core.cells import _run_gaps
 from samphiregate.core.cells import _tasks
 
@@ -44,9 +44,11 @@
     if endpoint.registration.draining:
         counted = []
     if counted:
-        counted = _blame.count_crash(cell_state, endpoint, counted, now_ms)
+        counted = _crash_attribution.attribute_crash(
+            cell_state, endpoint, counted, now_ms
+        )
     _release(cell_state, endpoint, lost, reason, now_ms)
-    _blame.give_up_conclusive(cell_state, endpoint, counted)
+    _crash_attribution.fail_crash_loops(cell_state, endpoint, counted)
 
 
 def release_lapsed_runs(cell_state, endpoint, now_ms):
--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -2,15 +2,15 @@
 
 import enum
 
-from samphiregate.core.cells import _accepting
+from samphiregate.core.cells import _accepting_endpoints
 from samphiregate.core.cells import _holds
+from samphiregate.core.cells import _isolation
 from samphiregate.core.cells import _order
 from samphiregate.core.cells import _placement
 from samphiregate.core.cells import _policy_queries
 from samphiregate.core.cells import _retries
 from samphiregate.core.cells import _run_gaps
 from samphiregate.core.cells import _stragglers
-from samphiregate.core.cells import _trials
 
 URGENT_LIMIT_SHARE = 0.2  # of an account's limit
 # After this wait, interrupted tasks may go to endpoints that are backing off.
@@ -63,7 +63,7 @@
         self._check_endpoint = check_endpoint
         self._slowness_estimator = slowness_estimator
         self._packing = _placement.Packing()
-        self._usable = _accepting.UsableByStage(
+        self._usable = _accepting_endpoints.UsableByStage(
             cell_state=cell_state,
             is_backing_off=failure_backoff.is_backing_off,
         )
@@ -87,9 +87,11 @@
             cell_state.startable_stages.values(),
             key=lambda stage: _order.priority_key(stage, now_ms),
         )
-        grave = cell_state.trials.grave_stages(cell_state)
-        if grave:
-            stages.sort(key=lambda stage: stage not in grave)
+        suspected = cell_state.isolated_runs.strongly_suspected_stages(
+            cell_state
+        )
+        if suspected:
+            stages.sort(key=lambda stage: stage not in suspected)
         for stage in stages:
             for group in _retries.groups(
                 cell_state, stage, stage.interrupted()
@@ -131,12 +133,12 @@
             candidates = _retries.without_suspects(
                 stage, candidates, self._failure_backoff
             )
-        is_trial = _trials.is_suspect(self._cell_state, stage, tasks[0])
-        if is_trial:
-            candidates = _trials.candidates_for(
+        is_isolated = _isolation.is_suspect(self._cell_state, stage, tasks[0])
+        if is_isolated:
+            candidates = _isolation.candidates_for(
                 stage.step,
                 candidates,
-                only_idle=_trials.waits_for_idle(
+                only_idle=_isolation.waits_for_idle(
                     self._cell_state, tasks, now_ms
                 ),
             )
@@ -154,8 +156,8 @@
                     now_ms,
                     is_restart=is_restart,
                 )
-            if is_trial:
-                _holds.hold_for_trial(stage, usable, held_ids)
+            if is_isolated:
+                _holds.hold_for_isolation(stage, usable, held_ids)
             elif is_restart:
                 _holds.hold_for_restarts(
                     stage, usable, unplaced_count, held_ids
@@ -225,8 +227,8 @@
                 for one in self._candidates(stage, usable, (), now_ms)
                 if one.endpoint.endpoint_id != booking.endpoint_id
             ]
-            if _trials.needs_trial(self._cell_state, task):
-                candidates = _trials.candidates_for(
+            if _isolation.needs_isolation(self._cell_state, task):
+                candidates = _isolation.candidates_for(
                     stage.step, candidates, only_idle=False
                 )
             chosen = self._packing.choose(stage.step, 1, candidates)
@@ -271,10 +273,10 @@
         else:
             with_room = usable.with_room(need)
         candidates = []
-        trial_ids = self._cell_state.trials.endpoint_ids()
+        isolated_ids = self._cell_state.isolated_runs.endpoint_ids()
         for endpoint in with_room:
             endpoint_id = endpoint.endpoint_id
-            if endpoint_id in held_ids or endpoint_id in trial_ids:
+            if endpoint_id in held_ids or endpoint_id in isolated_ids:
                 continue
             max_count = stage.max_more_on(endpoint_id)
             if max_count > 0:
--- a/samphiregate/core/cells/_polling.py
+++ b/samphiregate/core/cells/_polling.py
@@ -5,8 +5,8 @@
 is sent when an end is overdue.
 """
 
+from samphiregate.core.cells import _isolation
 from samphiregate.core.cells import _messages
-from samphiregate.core.cells import _trials
 
 POLL_WAIT_MS = 1_500
 LOSSY_POLL_WAIT_MS = 300  # while answers of endpoints get lost
@@ -55,7 +55,7 @@
         An unreachable endpoint is polled as long as it is registered, as it
         gets no tasks before it has answered.
         """
-        trial_ids = self._cell_state.trials.endpoint_ids()
+        isolated_ids = self._cell_state.isolated_runs.endpoint_ids()
         for endpoint in self._cell_state.endpoint_by_id.values():
             if endpoint.next_poll_ms > now_ms:
                 continue
@@ -74,8 +74,8 @@
             )
             if needs_poll:
                 wait_ms = self._wait_ms(endpoint, now_ms)
-                if endpoint.endpoint_id in trial_ids:
-                    wait_ms = min(wait_ms, _trials.TRIAL_POLL_WAIT_MS)
+                if endpoint.endpoint_id in isolated_ids:
+                    wait_ms = min(wait_ms, _isolation.ISOLATED_POLL_WAIT_MS)
                 self.poll(endpoint, now_ms, wait_ms)
 
     def check(self, endpoint, now_ms):
--- a/samphiregate/core/cells/_reconciliation.py
+++ b/samphiregate/core/cells/_reconciliation.py
@@ -3,9 +3,9 @@
 import attrs
 
 from samphiregate.core.cells import _ends
+from samphiregate.core.cells import _isolation
 from samphiregate.core.cells import _losses
 from samphiregate.core.cells import _tasks
-from samphiregate.core.cells import _trials
 
 MAX_ENDS_LISTED = 500  # an answer with this many ends may omit others
 
@@ -115,7 +115,7 @@
 
 def _update_booking(cell_state, booking, row, now_ms):
     booking.confirmed_ms = now_ms
-    _trials.note_work(cell_state, booking)
+    _isolation.note_work(cell_state, booking)
     if row.percent > booking.percent:
         booking.progressed_ms = now_ms
     booking.percent = row.percent
--- a/samphiregate/core/cells/_retries.py
+++ b/samphiregate/core/cells/_retries.py
@@ -5,7 +5,7 @@
 them for each next attempt, and a job would lose all attempts on one endpoint.
 """
 
-from samphiregate.core.cells import _trials
+from samphiregate.core.cells import _isolation
 
 # For which a task that failed waits for an endpoint without failures.
 MAX_WAIT_MS = 5_000
@@ -15,10 +15,12 @@
     """Returns the tasks that are placed in the same way; no group is empty.
 
     Those without a failure, as they may go to any endpoint; those with one;
-    and those under suspicion of ending their endpoint's process.
+    and those suspected of ending their endpoint's process.
     """
     suspects = [
-        task for task in tasks if _trials.is_suspect(cell_state, stage, task)
+        task
+        for task in tasks
+        if _isolation.is_suspect(cell_state, stage, task)
     ]
     sound = [task for task in tasks if task not in suspects]
     failed = [task for task in sound if stage.has_failed(task)]
