--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -30,6 +30,7 @@
     GANG_ROOM = "room for all members"
     POLICY_ANSWER = "an answer of the policy service"
     ALLOWED_ROOM = "room where the policy allows it"
+    ISOLATION = "an endpoint without other runs"  # as the task may crash it
     TICKET_OR_RESERVATION = "a ticket, reserved room or the spread"
 
 
@@ -133,39 +134,33 @@
             candidates = _retries.without_suspects(
                 stage, candidates, self._failure_backoff
             )
-        is_isolated = _isolation.is_suspect(self._cell_state, stage, tasks[0])
+        cell_state = self._cell_state
+        is_isolated = _isolation.is_suspect(cell_state, stage, tasks[0])
         if is_isolated:
+            only_idle = _isolation.waits_for_idle(cell_state, tasks, now_ms)
             candidates = _isolation.candidates_for(
-                stage.step,
-                candidates,
-                only_idle=_isolation.waits_for_idle(
-                    self._cell_state, tasks, now_ms
-                ),
+                stage.step, candidates, only_idle=only_idle
             )
         chosen = self._choose(stage, tasks, candidates, now_ms, is_restart)
         if chosen:
             self._place(stage, tasks, chosen, now_ms)
         unplaced_count = len(tasks) - len(chosen)
-        if unplaced_count:
-            stage.waits_for = _wait_reason(stage, usable, candidates)
-            if stage.queue.advice:
-                self._policy_queries.request(
-                    stage,
-                    usable,
-                    unplaced_count,
-                    now_ms,
-                    is_restart=is_restart,
-                )
-            if is_isolated:
-                _holds.hold_for_isolation(stage, usable, held_ids)
-            elif is_restart:
-                _holds.hold_for_restarts(
-                    stage, usable, unplaced_count, held_ids
-                )
-            else:
-                _holds.hold_for_large_tasks(
-                    stage, usable, unplaced_count, held_ids
-                )
+        if not unplaced_count:
+            return
+        stage.waits_for = _wait_reason(stage, usable, candidates)
+        if stage.queue.advice:
+            self._policy_queries.request(
+                stage, usable, unplaced_count, now_ms, is_restart=is_restart
+            )
+        if is_isolated:
+            stage.waits_for = WaitReason.ISOLATION
+            _holds.hold_for_isolation(stage, usable, held_ids)
+        elif is_restart:
+            _holds.hold_for_restarts(stage, usable, unplaced_count, held_ids)
+        else:
+            _holds.hold_for_large_tasks(
+                stage, usable, unplaced_count, held_ids
+            )
 
     def _choose(self, stage, tasks, candidates, now_ms, is_restart):
         """Chooses endpoints for tasks.
