--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -137,7 +137,7 @@
             within_share=entry.within_share,
             state=entry.state.value,
         )
-        _restored_runs.log(self, entry)
+        _restored_runs.log_restored(self, entry)
         if job.job_id in self.early_cancelled_ids:
             self.early_cancelled_ids.discard(job.job_id)
             self.cancel(job.job_id, now_ms)
--- a/samphiregate/core/cells/_isolation.py
+++ b/samphiregate/core/cells/_isolation.py
@@ -77,7 +77,7 @@
     It is so for a suspected task, and for the copy of a run that had
     just started when its endpoint fell silent.
     """
-    return is_task_suspect(cell_state, task) or any(
+    return _is_suspect(cell_state, task) or any(
         _was_young_when_lost(cell_state, booking)
         for booking in task.bookings_by_run.values()
     )
@@ -94,23 +94,23 @@
 def is_suspect(cell_state, stage, task):
     """Whether a task is suspected, or any member of its gang."""
     if stage.step.gang:
-        return any(is_task_suspect(cell_state, one) for one in stage.tasks)
-    return is_task_suspect(cell_state, task)
+        return any(_is_suspect(cell_state, one) for one in stage.tasks)
+    return _is_suspect(cell_state, task)
 
 
-def is_task_suspect(cell_state, task):
+def _is_suspect(cell_state, task):
     """Whether a task may have ended its endpoint's process."""
-    return bool(task.crash_history.run_ms) and task.crash_history.is_suspect(
-        cell_state.failures_per_s(task.stage.queue.service)
-    )
+    if not task.crash_history.run_ms:
+        return False
+    rate = cell_state.failures_per_s(task.stage.queue.service)
+    return task.crash_history.is_suspect(rate)
 
 
 def _is_strong_suspect(cell_state, task):
-    return bool(
-        task.crash_history.run_ms
-    ) and task.crash_history.is_strong_suspect(
-        cell_state.failures_per_s(task.stage.queue.service)
-    )
+    if not task.crash_history.run_ms:
+        return False
+    rate = cell_state.failures_per_s(task.stage.queue.service)
+    return task.crash_history.is_strong_suspect(rate)
 
 
 def waits_for_idle(cell_state, tasks, now_ms):
--- a/samphiregate/core/cells/_restored_runs.py
+++ b/samphiregate/core/cells/_restored_runs.py
@@ -41,7 +41,7 @@
             )
 
 
-def log(cell_state, entry):
+def log_restored(cell_state, entry):
     """Logs the runs that are long-running or no longer needed."""
     told = [
         booking
