Group the tasks of a stage in one pass

Cause: groups() looked each task up in lists; for a stage of 10,000 tasks of which half have failed that is 25 million comparisons in each plan, in the owner's loop.

Change: one pass. The order within the groups is as before. A doc comment and a simulated counter are put right.

--- a/features/support/cells_crashes.py
+++ b/features/support/cells_crashes.py
@@ -1,5 +1,6 @@
 """Tasks of a simulated cell that end the processes of their endpoints."""
 
+import collections
 import functools
 
 from samphiregate.core import cells
@@ -35,7 +36,7 @@
         self.away_ms = 3_000
         self.changes_id = False
         self.listeners = []
-        self.count_by_task = {}
+        self.count_by_task = collections.Counter()
         self.lost_counts = []
         self._simulation = simulation
         self._replaced_count = 0
@@ -55,7 +56,7 @@
         if key not in endpoint.run_by_key:
             return
         task_id = key[0]
-        self.count_by_task[task_id] = self.count_by_task.get(task_id, 0) + 1
+        self.count_by_task[task_id] += 1
         self.lost_counts.append(len(endpoint.run_by_key) - 1)
         self.end_process(endpoint)
         for listener in list(self.listeners):
--- a/samphiregate/core/cells/_isolation.py
+++ b/samphiregate/core/cells/_isolation.py
@@ -72,10 +72,10 @@
 
 
 def needs_isolation(cell_state, task):
-    """Whether the next run of a task is to be tried alone.
+    """Whether the next run of a task is to be isolated.
 
-    It is so for a suspected task, and for the copy of a run that had
-    just started when its endpoint fell silent.
+    That of a suspected task is, and the copy of a run that had just started
+    when its endpoint fell silent.
     """
     return _is_suspect(cell_state, task) or any(
         _was_young_when_lost(cell_state, booking)
@@ -126,7 +126,7 @@
 
 
 def candidates_for(step, candidates, *, only_idle):
-    """Returns candidates in whose place a run can harm least.
+    """Returns the candidates on which a run can harm least.
 
     One task on each endpoint, and only endpoints without runs if there are
     any. A gang may need several places on one endpoint; for its members,
--- a/samphiregate/core/cells/_retries.py
+++ b/samphiregate/core/cells/_retries.py
@@ -17,14 +17,14 @@
     Those without a failure, as they may go to any endpoint; those with one;
     and those suspected of ending their endpoint's process.
     """
-    suspects = [
-        task
-        for task in tasks
-        if _isolation.is_suspect(cell_state, stage, task)
-    ]
-    sound = [task for task in tasks if task not in suspects]
-    failed = [task for task in sound if stage.has_failed(task)]
-    others = [task for task in sound if task not in failed]
+    suspects, failed, others = [], [], []
+    for task in tasks:
+        if _isolation.is_suspect(cell_state, stage, task):
+            suspects.append(task)
+        elif stage.has_failed(task):
+            failed.append(task)
+        else:
+            others.append(task)
     return [group for group in (others, failed, suspects) if group]
 
 
