--- a/features/steps/cells_capacity_steps.py
+++ b/features/steps/cells_capacity_steps.py
@@ -1,7 +1,5 @@
 """Steps about endpoints whose capacity changes."""
 
-import functools
-
 import behave
 
 from features.support import cells_work
@@ -55,11 +53,7 @@
     simulation.random.seed(seed)
     end_ms = simulation.now_ms + span_s * 1_000
     step = cells_work.make_step(TASKS_OF_JOB, estimate_ms=task_ms)
-    for number in range(span_s * 1_000 // JOB_GAP_MS):
-        job = cells_work.make_job(f"j{number}", step)
-        simulation.at(
-            number * JOB_GAP_MS, functools.partial(simulation.submit, job)
-        )
+    cells_work.submit_stream(simulation, step, JOB_GAP_MS, span_s * 1_000)
     if owner != "stays":
         every_ms = int(owner.removeprefix("is lost every ").split()[0])
         _lose_owners(simulation, every_ms, end_ms)
--- a/features/steps/cells_crash_steps.py
+++ b/features/steps/cells_crash_steps.py
@@ -165,11 +165,7 @@
     simulation.random.seed(seed)
     end_ms = simulation.now_ms + span_s * 1_000
     step = cells_work.make_step(count, estimate_ms=task_ms)
-    for number in range(span_s * 1_000 // JOB_GAP_MS):
-        job = cells_work.make_job(f"j{number}", step)
-        simulation.at(
-            number * JOB_GAP_MS, functools.partial(simulation.submit, job)
-        )
+    cells_work.submit_stream(simulation, step, JOB_GAP_MS, span_s * 1_000)
     while simulation.now_ms < end_ms:
         reachable = [
             one for one in simulation.endpoint_by_id.values() if one.reachable
