Move the invariants of a simulated cell to a module of their own

features/support/cells.py had two jobs: it plays a cell, and it judges it. The checks are the same lines.

--- a/features/support/cells.py
+++ b/features/support/cells.py
@@ -1,9 +1,6 @@
 """Simulates a cell with fake endpoints and a fake store in virtual time.
 
-Invariants are checked during the simulation from the endpoints' point of
-view: no task runs in two places or again after it was done, no start exceeds
-an endpoint's capacity, no step starts before the steps that it comes after,
-and no end is discarded before it is stored.
+Invariants are checked during the simulation; see `cells_invariants`.
 """
 
 import functools
@@ -13,6 +10,7 @@
 
 from features.support import cells_crashes
 from features.support import cells_endpoints
+from features.support import cells_invariants
 from samphiregate.core import cells
 from samphiregate import logs
 
@@ -69,7 +67,8 @@
     def __init__(self, seed=0):
         self.now_ms = 0
         self.random = random.Random(seed)
-        self.violations = []
+        self.invariants = cells_invariants.Invariants(self)
+        self.violations = self.invariants.violations
         self.start_ms_by_task = {}
         self.done_ms_by_job = {}
         self.starts = []
@@ -343,7 +342,9 @@
         )
         unknown = answered(cells.StartOutcome.UNKNOWN)
         if (action.ticket_until_ms or self.now_ms) < self.now_ms:
-            self._add_violation(f"{action.task_id} has an expired ticket")
+            self.invariants.add_violation(
+                f"{action.task_id} has an expired ticket"
+            )
         if endpoint is None or not endpoint.reachable:
             self._answer(UNREACHABLE_TIMEOUT_MS, unknown, generation)
             return
@@ -430,7 +431,7 @@
         )
         self._answer(self.policy_query_ms, event, self._generation)
 
-    # Queries and checks by endpoints
+    # Queries by endpoints
 
     def step_of(self, task_id):
         """Returns the step of a task."""
@@ -449,6 +450,13 @@
         """Whether a task fails on every endpoint."""
         return task_id.job_id in self.always_failing_ids
 
+    def note_start(self, endpoint, action):
+        """Records a start, and checks the invariants of starts."""
+        task_id = action.task_id
+        self.starts.append((task_id, action.run, endpoint.endpoint_id))
+        self.start_ms_by_task.setdefault(task_id, self.now_ms)
+        self.invariants.check_start(endpoint, action)
+
     def gang_end_reason(self, run):
         """Returns how a member of a gang ends after its run time."""
         size = self.step_of(run.task_id).count
@@ -460,53 +468,6 @@
             return cells.EndReason.DONE
         return cells.EndReason.GANG_TIMEOUT
 
-    def check_start(self, endpoint, action):
-        """Records a start and checks the invariants of starts."""
-        task_id = action.task_id
-        self.starts.append((task_id, action.run, endpoint.endpoint_id))
-        self.start_ms_by_task.setdefault(task_id, self.now_ms)
-        for other in self.endpoint_by_id.values():
-            for run in other.run_by_key.values():
-                same = (run.task_id, run.run) == (task_id, action.run)
-                if run.step.speculative:
-                    continue
-                if run.task_id == task_id and not (same and other is endpoint):
-                    self._add_violation(f"{task_id} runs twice")
-        if any(
-            task_id in other.done_tasks
-            for other in self.endpoint_by_id.values()
-        ):
-            self._add_violation(f"{task_id} starts after it was done")
-        if endpoint.is_over_capacity(self.now_ms):
-            self._add_violation(f"{endpoint.endpoint_id} is over its capacity")
-        if not self.owner_up:
-            return
-        entry = self.cell.cell_state.entry_by_id.get(task_id.job_id)
-        if entry is None:
-            return
-        for number in self.step_of(task_id).after:
-            if not entry.stages_by_key[task_id.occurrence, number].is_done:
-                self._add_violation(f"{task_id} started before step {number}")
-
-    def check_discarded_ends(self, endpoint, stored_upto):
-        """Checks that only ends that are stored are discarded."""
-        for row in endpoint.ended:
-            if row.number > stored_upto or (
-                row.reason is not cells.EndReason.DONE
-            ):
-                continue
-            data = self.stored_by_id.get(row.task_id.job_id)
-            if not data or not _is_recorded(
-                cells.decode(data, cells.JobRecord), row
-            ):
-                self._add_violation(
-                    f"the end of {row.task_id} was discarded before it was "
-                    "stored"
-                )
-
-    def _add_violation(self, text):
-        self.violations.append(f"{self.now_ms} ms: {text}")
-
 
 class _PendingPoll:
     """A poll that is answered when a run ends, or after its wait time."""
@@ -551,16 +512,3 @@
             simulation._answer(ORDER_TIMEOUT_MS, failed, self._generation)
         else:
             simulation._answer(LINK_DELAY_MS, event, self._generation)
-
-
-def _is_recorded(record, row):
-    if record.state.is_final:
-        return True
-    for stage in record.stages:
-        same = (stage.occurrence, stage.step) == (
-            row.task_id.occurrence,
-            row.task_id.step,
-        )
-        if same and (stage.all_done or row.task_id.index in stage.done):
-            return True
-    return False
--- a/features/support/cells_endpoints.py
+++ b/features/support/cells_endpoints.py
@@ -204,7 +204,7 @@
             ends_ms,
             reason,
         )
-        self._simulation.check_start(self, action)
+        self._simulation.note_start(self, action)
         self._simulation.crashes.note_start(self, key)
         return outcomes.STARTED
 
@@ -238,7 +238,9 @@
         self.epoch = epoch
         if action.deadline_ms is not None:
             self.extend_lease(action.deadline_ms)
-        self._simulation.check_discarded_ends(self, action.stored_upto)
+        self._simulation.invariants.check_discarded_ends(
+            self, action.stored_upto
+        )
         self.ended = [
             row for row in self.ended if row.number > action.stored_upto
         ]
