Move the state that metrics show out of the VM's module

_vm.py puts a VM together; the state for metrics was a second job of it. No change of behaviour. EntryVm.describe had no test without a process; the function that now does it has two rows.

--- a/features/cells_vm.feature
+++ b/features/cells_vm.feature
@@ -345,6 +345,15 @@
       | GET    | 2     |
       | POST   | 1     |
 
+  Scenario Outline: the state of a VM tells of its lease and its cell
+    When the state of a VM that <owns> a cell is described 400 ms before its lease ends
+    Then its state has <jobs> jobs, <left_ms> ms left, and owns a cell: <told>
+
+    Examples:
+      | owns        | jobs | left_ms | told  |
+      | serves      | 1    | 400     | True  |
+      | serves not  | 0    | 400     | False |
+
   Scenario: metrics show requests, store calls and the state of the VM
     Given metrics of a VM whose store answers writes with done, silent
     When two writes are tried and a caller's POST is answered with 503
--- a/features/steps/cells_metrics_steps.py
+++ b/features/steps/cells_metrics_steps.py
@@ -6,8 +6,10 @@
 import gevent
 
 from features.support import cells_store
+from features.support import cells_work
 from samphiregate.adapters.cells import _metered
-from samphiregate.adapters.cells import _vm
+from samphiregate.adapters.cells import _vm_state
+from samphiregate.core import cells
 from samphiregate import logs
 from samphiregate import metrics
 
@@ -59,11 +61,38 @@
             "restart_ms": 9_500,
         }
         lost = {"its process has ended": 4}
-        return _vm.VmState(
+        return _vm_state.VmState(
             1_500, True, 3, {"room": 7}, {"svc": 2}, 9, 100, gaps, lost
         )
 
 
+@behave.when(
+    "the state of a VM that {owns} a cell is described {left_ms:d} ms before "
+    "its lease ends"
+)
+def when_described(context, owns, left_ms):
+    cell = cells.Cell(epoch=1, lease_ms=1_000, inherited_lease_ms=1_000)
+    job = cells_work.make_job("j", cells_work.make_step())
+    cell.handle(cells.JobStored(job), 0)
+    context.vm_state = _vm_state.describe(
+        cell=cell if owns == "serves" else None,
+        lease_until_ms=1_000 + left_ms,
+        configuration=None,
+        configuration_sync_ms=0,
+        now_ms=1_000,
+    )
+
+
+@behave.then(
+    "its state has {jobs:d} jobs, {left_ms:d} ms left, and owns a cell: {told}"
+)
+def then_described(context, jobs, left_ms, told):
+    state = context.vm_state
+    assert (state.jobs, state.lease_left_ms) == (jobs, left_ms), state
+    assert str(state.owns_cell) == told, state
+    assert state.configuration_age_ms == 1_000, state
+
+
 @behave.given("metrics of a VM whose store answers writes with {answers}")
 def given_metrics(context, answers):
     context.metrics = metrics.VmMetrics()
--- a/samphiregate/adapters/cells/_vm.py
+++ b/samphiregate/adapters/cells/_vm.py
@@ -19,6 +19,7 @@
 from samphiregate.adapters.cells import _policy_queries
 from samphiregate.adapters.cells import _relay
 from samphiregate.adapters.cells import _vm_records
+from samphiregate.adapters.cells import _vm_state
 from samphiregate.adapters.cells import _watched_prefix
 from samphiregate.adapters import http
 from samphiregate.core import cells
@@ -41,42 +42,6 @@
     policy: object
 
 
-@attrs.frozen
-class VmState:
-    """The state of an entry VM, for its metrics.
-
-    Parameters
-    ----------
-    lease_left_ms : int
-        Remaining time of the VM's lease; 0 without one.
-    owns_cell : bool
-        Whether it serves the cell; the three counts below are 0 or empty
-        otherwise.
-    jobs : int
-    waiting_by_reason, unreachable_by_service : dict
-        Counts of tasks, and of endpoints.
-    configuration_version : int
-        0 without one.
-    configuration_age_ms : int
-        Time since the last answered request for it was sent to the store.
-    run_gaps : dict
-        Long-running tasks without a run and those restarted, as in
-        `RunGaps.describe`; empty unless it serves the cell.
-    runs_lost_by_reason : dict
-        Runs that were lost with their endpoint since it owns the cell.
-    """
-
-    lease_left_ms: int
-    owns_cell: bool
-    jobs: int
-    waiting_by_reason: dict
-    unreachable_by_service: dict
-    configuration_version: int
-    configuration_age_ms: int
-    run_gaps: dict = attrs.field(factory=dict)
-    runs_lost_by_reason: dict = attrs.field(factory=dict)
-
-
 class EntryVm:
     """Serves callers, and takes the cell while no other VM owns it.
 
@@ -236,23 +201,12 @@
 
     def describe(self):
         """Returns the `VmState`."""
-        now_ms = _clock.steady_ms()
-        cell = self._local_cell()
-        load = cell.load() if cell is not None else {}
-        configuration = self.configuration.current
-        return VmState(
-            lease_left_ms=max(self._lease.valid_until_ms - now_ms, 0),
-            owns_cell=cell is not None,
-            jobs=len(cell.cell_state.entry_by_id) if cell is not None else 0,
-            waiting_by_reason=load.get("waits_for", {}),
-            unreachable_by_service=load.get("unreachable", {}),
-            configuration_version=configuration.version
-            if configuration
-            else 0,
-            configuration_age_ms=now_ms
-            - self._watched_configuration.last_sync_ms,
-            run_gaps=load.get("run_gaps", {}),
-            runs_lost_by_reason=load.get("runs_lost", {}),
+        return _vm_state.describe(
+            cell=self._local_cell(),
+            lease_until_ms=self._lease.valid_until_ms,
+            configuration=self.configuration.current,
+            configuration_sync_ms=self._watched_configuration.last_sync_ms,
+            now_ms=_clock.steady_ms(),
         )
 
     def hand_over(self):
