Test the crash behind a start that another endpoint answers

Cause: counts a crash for a start that was repeated and then answered by another endpoint; no test failed without that branch. With it undone by hand the second row fails now (0 crashes counted), the first holds.

--- a/features/cells_crashes.feature
+++ b/features/cells_crashes.feature
@@ -169,6 +169,21 @@
     Then 4 tasks of job "j" run
     And at most 1 crashes are counted for each task of job "j"
 
+  Scenario Outline: a start that finds another endpoint may have ended the one before
+    Given 1 endpoints of 4 cores
+    And an owner of the cell
+    When 50 ms pass
+    And all endpoints leave 10 of 10 calls unanswered
+    And a job "j" of 1 tasks is submitted
+    And <before_ms> ms pass
+    And another endpoint answers the order to start job "j"
+    Then <crashes> crashes are counted for job "j"
+
+    Examples:
+      | before_ms | crashes | comment                      |
+      | 100       | 0       | the first order had no copy  |
+      | 500       | 1       | it was repeated              |
+
   Scenario Outline: counts of crashes pass from build to build
     Given a stored record of <build>
     When the record is read
--- a/features/steps/cells_crash_steps.py
+++ b/features/steps/cells_crash_steps.py
@@ -276,6 +276,28 @@
             assert len(run_ms) <= count, (task.task_id, run_ms)
 
 
+@behave.when('another endpoint answers the order to start job "{job_id}"')
+def when_other_answers(context, job_id):
+    entry = context.simulation.cell.cell_state.entry_by_id[job_id]
+    (booking,) = entry.bookings()
+    context.task = booking.task
+    context.simulation.deliver(
+        cells.StartAnswered(
+            booking.task.task_id,
+            booking.run,
+            booking.endpoint_id,
+            cells.StartOutcome.WRONG_ENDPOINT,
+        )
+    )
+
+
+@behave.then('{count:d} crashes are counted for job "{job_id}"')
+def then_crashes(context, count, job_id):
+    del job_id
+    run_ms = context.task.crash_history.run_ms
+    assert len(run_ms) == count, run_ms
+
+
 @behave.given("a stored record of {build}")
 def given_record(context, build):
     context.data = RECORDS[build]
