--- a/review/support/runner.py
+++ b/review/support/runner.py
@@ -81,7 +81,8 @@
     @property
     def clock_ms(self):
         """The steady clock, which begins with the process."""
-        return int((time.monotonic() - self._zero_s) * 1000)
+        elapsed_ms = (time.monotonic() - self._zero_s) * 1000
+        return int(elapsed_ms * self.flags.clock_rate)
 
     def write(self, event, **fields):
         """Appends an event to the record."""
@@ -169,7 +170,7 @@
         cpu, mem_mb, gpu = map(int, self.flags.capacity.split(","))
         return {
             "service": self.flags.service,
-            "addr": self.flags.address,
+            "addr": self.flags.advertised or self.flags.address,
             "zone": self.flags.zone,
             "version": "1",
             "slots": 8,
@@ -261,7 +262,7 @@
                 lease = lease if status == 200 else 0
             if not lease:
                 lease = _register(runner, sequence)
-        except (OSError, ValueError, http.client.HTTPException):
+        except (KeyError, OSError, ValueError, http.client.HTTPException):
             lease = 0
         gevent.sleep(flags.heartbeat_ms / 1000)
 
@@ -289,6 +290,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--id", required=True)
     parser.add_argument("--address", required=True)
+    parser.add_argument("--advertised", default="")
     parser.add_argument("--service", required=True)
     parser.add_argument("--store", required=True)
     parser.add_argument("--record", required=True)
@@ -296,6 +298,7 @@
     parser.add_argument("--labels", default="std,r1-1")
     parser.add_argument("--zone", default="a")
     parser.add_argument("--heartbeat-ms", type=int, default=1_500)
+    parser.add_argument("--clock-rate", type=float, default=1.0)
     parser.add_argument("--first-beat-ms", type=int, default=0)
     parser.add_argument("--hold-max-ms", type=int, default=10_000)
     flags = parser.parse_args()
--- a/review/support/site.py
+++ b/review/support/site.py
@@ -11,7 +11,6 @@
 import json
 import os
 import pathlib
-import random
 import signal
 import subprocess
 import sys
@@ -22,12 +21,14 @@
 from gevent import pywsgi
 from gevent import socket
 
+from review.support import proxy
 from standins import store as store_standin
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 LOOPBACK = "127.0.0.1"
-LOWEST_PORT = 20_000
-PORTS = 10_000
+LOWEST_PORT = 18_000
+PORTS = 100  # of one process; those of others lie beside them
+PORT_RANGES = 130
 START_TIMEOUT_S = 30
 STOP_TIMEOUT_S = 8
 LONGEST_S = 110  # of a whole case
@@ -72,6 +73,7 @@
 bounds.require_fence=true
 bounds.lease_ms=3000
 platform.addr={store}
+advice={advice}
 platform.form=kv
 platform.writes_per_s=400
 platform.reads_per_s=2000
@@ -103,13 +105,14 @@
     """Gives out pairs of free ports, each once."""
 
     def __init__(self):
-        self._next = LOWEST_PORT + random.randrange(PORTS // 2) * 2
+        self._lowest = LOWEST_PORT + os.getpid() % PORT_RANGES * PORTS
+        self._count = 0
 
     def pair(self):
         """Returns the first of two free ports in a row."""
         while True:
-            first = self._next
-            self._next = LOWEST_PORT + (first + 2 - LOWEST_PORT) % PORTS
+            first = self._lowest + self._count % PORTS
+            self._count += 2
             if _is_free(first) and _is_free(first + 1):
                 return first
 
@@ -136,6 +139,7 @@
         self.front_by_vm = {}
         self._ready_by_vm = {}
         self.values = store_standin.Values()
+        self.advice_address = ""
 
     def __enter__(self):
         super().__enter__()
@@ -169,10 +173,13 @@
         rows.sort(key=lambda row: row["at"])
         return [row for row in rows if event in (None, row["event"])]
 
+    def rows(self):
+        """Returns all that was written so far, in order of time."""
+        rows = self._lines + self.runner_rows()
+        return sorted(rows, key=lambda row: row["at"])
+
     def _write_record(self):
-        rows = sorted(
-            self._lines + self.runner_rows(), key=lambda row: row["at"]
-        )
+        rows = self.rows()
         begin = rows[0]["at"] if rows else 0
         with open(self._folder / "record.txt", "w") as file:
             for row in rows:
@@ -211,6 +218,7 @@
                 port=port,
                 last_port=port + 1,
                 store=self.store_address,
+                advice=self.advice_address,
             )
         )
         environment = {
@@ -239,6 +247,13 @@
         self._start_process(name, command, dict(os.environ))
         self.write("runner started", runner=name)
 
+    def start_proxied_runner(self, name, **flags):
+        """Starts a runner behind a proxy; returns the `Proxy`."""
+        outer, inner = (f"{LOOPBACK}:{self._ports.pair()}" for _ in range(2))
+        forwarder = self.enter_context(proxy.Proxy(outer, inner))
+        self.start_runner(name, address=inner, advertised=outer, **flags)
+        return forwarder
+
     def restart_runner(self, name, **flags):
         """Starts a killed runner again, at its address and with its id."""
         command = list(self._command_by_name[name])
@@ -407,7 +422,7 @@
     Parameters
     ----------
     rows : list of dict
-        What the runners wrote, in order of time.
+        The whole record, in order of time; see `Site.rows`.
 
     Returns
     -------
@@ -417,10 +432,11 @@
     found = []
     at_work = {}
     for row in rows:
-        if row["event"] in ("up", "down"):
+        if row["event"] in ("up", "down", "killed"):
             # What ran in an earlier life of the runner is gone.
+            name = row.get("runner") or row["process"]
             for runs in at_work.values():
-                runs.pop(row["runner"], None)
+                runs.pop(name, None)
             continue
         runs = at_work.setdefault(row.get("task"), {})
         if row["event"] == "run starts":
