--- a/review/support/runner.py
+++ b/review/support/runner.py
@@ -33,9 +33,14 @@
     400: "400 Bad Request",
     409: "409 Conflict",
     421: "421 Misdirected Request",
+    503: "503 Service Unavailable",
 }
 
 
+class Unhealthy(Exception):
+    """An order that an unhealthy runner answers with 503."""
+
+
 class Refused(Exception):
     """An order that is answered with 409."""
 
@@ -74,6 +79,7 @@
         self.lease_ms = 0
         self.run_by_task = {}
         self.refused_upto_by_task = {}
+        self.is_grey = False
         self.ended = []
         self._end_count = 0
         self._changed = gevent.event.Event()
@@ -97,6 +103,8 @@
 
     def start(self, document):
         """Carries out `run-start`."""
+        if self.is_grey:
+            raise Unhealthy
         self._check_fence(document)
         task, number = document["task"], document["run"]
         deadline_ms = document["deadline_ms"]
@@ -146,6 +154,11 @@
             "ended": self.ended[:MAX_ENDS],
         }
 
+    def turn_grey(self, is_grey):
+        """Lets starts fail from now on, or succeed again."""
+        self.is_grey = is_grey
+        self.write("starts fail" if is_grey else "starts succeed again")
+
     def pace(self, document):
         """Carries out `pace`, which changes nothing here."""
         self._check_fence(document)
@@ -227,6 +240,8 @@
                 status, answer = 200, call(document)
             except Refused as refused:
                 status, answer = 409, {"reason": refused.reason}
+            except Unhealthy:
+                status = 503
         body = json.dumps({**answer, "clock_ms": self._runner.clock_ms})
         headers = [("Content-Type", "application/json")]
         headers.append(("Content-Length", str(len(body))))
@@ -305,6 +320,8 @@
     stopped = gevent.event.Event()
     gevent.signal_handler(signal.SIGTERM, stopped.set)
     runner = Runner(flags)
+    gevent.signal_handler(signal.SIGUSR1, runner.turn_grey, True)
+    gevent.signal_handler(signal.SIGUSR2, runner.turn_grey, False)
     host, _colon, port = flags.address.rpartition(":")
     server = pywsgi.WSGIServer(
         (host, int(port)), Application(runner), log=None
