Let a lease go by the clock of its endpoint as it is at the start

Cause: the deadline of an order was the endpoint's clock in its last answer plus the time since. An endpoint without work is not polled, so that time was as long as the rest, and a clock 2% slow is behind by 1.6 s after 80 s: the lease was longer than the owner counts on. An endpoint that had restarted while idle took such a deadline for the longest lease, 10 s.

Change: a start is ordered only while the reading of the endpoint's clock is current (core/cells/_leases.py, _starts.py). Otherwise the poll that goes out with the reservation asks for an answer at once, and the start follows that; members of a gang wait for each other. A poll after a rest carries none. Where a restart is found that may have got a deadline by the clock before, the owner counts on `bounds.hold_max_ms`.

Ways weighed: a deadline that is earlier by the drift (costs right clocks a third of a lease after 80 s, all of it after 250 s), and a longer wait for silent endpoints (a later owner does not know how old the reading was). This one costs one poll for each start on an idle endpoint, and no time while the write of the record takes longer; both are tested.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -18,6 +18,9 @@
       | nothing       | nothing          | tasks take 1 times far away    |
       | nothing       | bounds.far_x=2.5 | tasks take 2.5 times far away  |
       | nothing       | bounds.far_x=far | setting "bounds.far_x" is named |
+      | nothing       | nothing          | leases last 10000 ms at most   |
+      | nothing       | bounds.hold_max_ms=6000 | leases last 6000 ms at most |
+      | nothing       | bounds.hold_max_ms=-1 | setting "bounds.hold_max_ms" is named |
       | nothing       | limits.cpu_share=0.5 and limits.cores=2 | the VM has 1 cores |
       | nothing       | limits.cpu_share=0.5 | the VM has 0.5 cores       |
       | nothing       | limits.cpu_share=nan | setting "limits.cpu_share" is named |
--- a/features/steps/cells_cost_steps.py
+++ b/features/steps/cells_cost_steps.py
@@ -12,6 +12,7 @@
 from samphiregate.core.cells import _placement
 from samphiregate.core.cells import _planner
 from samphiregate.core.cells import _policy_queries
+from samphiregate.core.cells import _starts
 from samphiregate.core.cells import _stragglers
 from samphiregate.core.cells import _tasks
 from samphiregate.core.cells import _usable_endpoints
@@ -197,7 +198,7 @@
         return
     elif change == "order":
         booking = rnd.choice(bookings)
-        context.cell_state.send_start(booking, endpoint, now_ms, 5_000)
+        _starts.send(context.cell_state, booking, now_ms, 5_000)
     elif change == "run":
         rnd.choice(bookings).state = _tasks.RunState.RUNNING
     elif change == "release":
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -133,6 +133,11 @@
     assert context.settings.far_x == far_x, context.settings
 
 
+@behave.then("leases last {max_hold_ms:d} ms at most")
+def then_max_hold(context, max_hold_ms):
+    assert context.settings.max_hold_ms == max_hold_ms, context.settings
+
+
 @behave.then("tasks wait {max_wait_ms:d} ms at most")
 def then_max_wait(context, max_wait_ms):
     assert context.settings.max_place_wait_ms == max_wait_ms
--- a/samphiregate/adapters/cells/_owner.py
+++ b/samphiregate/adapters/cells/_owner.py
@@ -30,7 +30,7 @@
 
 @attrs.frozen
 class PlacementSettings:
-    """What a site's settings say about the places of tasks.
+    """What a site's settings say about the places and leases of tasks.
 
     Parameters
     ----------
@@ -39,10 +39,13 @@
     max_place_wait_ms : int
         How long tasks wait at most for a place near their data or gang; 0
         for no wait.
+    max_hold_ms : int
+        To which endpoints shorten longer leases, on their clocks.
     """
 
     far_x: float = 1.0
     max_place_wait_ms: int = cells.DEFAULT_MAX_PLACE_WAIT_MS
+    max_hold_ms: int = cells.DEFAULT_MAX_HOLD_MS
 
 
 class OwnerSession:
@@ -207,6 +210,7 @@
             silent_record=content.silent_record,
             far_x=self._placement.far_x,
             max_place_wait_ms=self._placement.max_place_wait_ms,
+            max_hold_ms=self._placement.max_hold_ms,
             unix_ms=self._unix_ms(),
         )
         self.cell = loaded_cell
--- a/samphiregate/core/cells/__init__.py
+++ b/samphiregate/core/cells/__init__.py
@@ -2,9 +2,10 @@
 
 from samphiregate.core.cells._cell import Cell
 from samphiregate.core.cells._delay_scheduling import DEFAULT_MAX_PLACE_WAIT_MS
-from samphiregate.core.cells._endpoints import max_lease_ms
 from samphiregate.core.cells._inheritance import EpochHistory
 from samphiregate.core.cells._inheritance import SilentRecord
+from samphiregate.core.cells._leases import DEFAULT_MAX_HOLD_MS
+from samphiregate.core.cells._leases import max_lease_ms
 from samphiregate.core.cells._messages import AccountsChanged
 from samphiregate.core.cells._messages import DataCentresDrained
 from samphiregate.core.cells._messages import EndedRow
@@ -64,6 +65,7 @@
 from samphiregate.core.cells._work import TaskId
 
 __all__ = [
+    "DEFAULT_MAX_HOLD_MS",
     "DEFAULT_MAX_PLACE_WAIT_MS",
     "Account",
     "AccountsChanged",
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -7,10 +7,10 @@
 from samphiregate.core.cells import _data_locality
 from samphiregate.core.cells import _delay_scheduling
 from samphiregate.core.cells import _drained_data_centres
-from samphiregate.core.cells import _endpoints
 from samphiregate.core.cells import _expected_end
 from samphiregate.core.cells import _incarnations
 from samphiregate.core.cells import _inheritance
+from samphiregate.core.cells import _leases
 from samphiregate.core.cells import _load
 from samphiregate.core.cells import _losses
 from samphiregate.core.cells import _messages
@@ -25,6 +25,7 @@
 from samphiregate.core.cells import _records
 from samphiregate.core.cells import _registrations
 from samphiregate.core.cells import _run_time_reports
+from samphiregate.core.cells import _starts
 from samphiregate.core.cells import _stragglers
 from samphiregate.core.cells import _tasks
 from samphiregate.core.cells import _wait_reports
@@ -61,6 +62,8 @@
         How many times as long tasks take away from their data or gang.
     max_place_wait_ms : int
         How long tasks wait at most for a place near their data or gang.
+    max_hold_ms : int
+        To which endpoints shorten longer leases, on their clocks.
     unix_ms : int
         Time of day, from which the ages of stored jobs are counted; 0 if it
         is not known.
@@ -90,12 +93,13 @@
         silent_record=None,
         far_x=1.0,
         max_place_wait_ms=_delay_scheduling.DEFAULT_MAX_PLACE_WAIT_MS,
+        max_hold_ms=_leases.DEFAULT_MAX_HOLD_MS,
         unix_ms=0,
     ):
         inherited_leases = _inheritance.InheritedLeases(
             epoch=epoch,
             lease_ms=inherited_lease_ms,
-            extension_ms=_endpoints.max_lease_ms(lease_ms),
+            extension_ms=_leases.max_lease_ms(lease_ms),
             history=epoch_history or _inheritance.EpochHistory(),
             record=silent_record or _inheritance.SilentRecord(),
         )
@@ -103,6 +107,7 @@
             epoch,
             inherited_leases,
             locality=_data_locality.DataLocality(far_x),
+            max_hold_ms=max_hold_ms,
             unix_ms=unix_ms,
         )
         self._lease_ms = lease_ms
@@ -361,8 +366,8 @@
             entry = self.cell_state.entry_by_id.get(job_id)
             if entry is not None:
                 self.cell_state.note_stored(entry, version)
-                self.cell_state.send_planned_starts(
-                    entry, now_ms, self._lease_ms
+                _starts.send_planned(
+                    self.cell_state, entry, now_ms, self._lease_ms
                 )
         for endpoint in self.cell_state.endpoint_by_id.values():
             if endpoint.unstored_ends and endpoint.advance_stored(
@@ -412,6 +417,9 @@
         )
         endpoint.advance_stored(self.cell_state.stored_version)
         self._poller.delay_until_stored(endpoint, now_ms)
+        _starts.send_planned_on(
+            self.cell_state, endpoint, now_ms, self._lease_ms
+        )
         self.cell_state.remove_if_idle(endpoint)
 
     def _settle_inherited_lease(self, endpoint, now_ms):
@@ -462,6 +470,9 @@
             self.cell_state.remove_if_idle(endpoint)
         elif _is_silent(endpoint):
             self.cell_state.inherited_leases.record_silence(event.endpoint_id)
+        _starts.send_planned_on(
+            self.cell_state, endpoint, now_ms, self._lease_ms
+        )
 
     # Answers to start and stop orders
 
--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -11,9 +11,9 @@
 from samphiregate.core.cells import _fair_shares
 from samphiregate.core.cells import _inheritance
 from samphiregate.core.cells import _isolation
+from samphiregate.core.cells import _leases
 from samphiregate.core.cells import _messages
 from samphiregate.core.cells import _order
-from samphiregate.core.cells import _policy_queries
 from samphiregate.core.cells import _preemption_counts
 from samphiregate.core.cells import _progress
 from samphiregate.core.cells import _restored_runs
@@ -37,6 +37,8 @@
     epoch : int
         Fencing token of this ownership.
     inherited_leases : InheritedLeases
+    max_hold_ms : int
+        To which endpoints shorten longer leases, on their clocks.
 
     Attributes
     ----------
@@ -114,6 +116,7 @@
     preemptions: _preemption_counts.PreemptionCounts = attrs.field(
         factory=_preemption_counts.PreemptionCounts
     )
+    max_hold_ms: int = _leases.DEFAULT_MAX_HOLD_MS
     unix_ms: int = 0
     now_ms: int = 0
     has_planned: bool = False
@@ -350,69 +353,12 @@
         self.fair_shares.add_run(booking, now_ms)
         return booking
 
-    def send_planned_starts(self, entry, now_ms, lease_ms):
-        """Sends the start orders of runs that the stored record contains."""
-        planned = [
-            booking
-            for booking in entry.bookings()
-            if booking.state is _tasks.RunState.PLANNED
-            and booking.version <= entry.stored_version
-        ]
-        # Each start that is given up leaves room for the others.
-        for booking in planned:
-            if not self.may_send_start(booking, now_ms):
-                self.stop(booking, now_ms)
-                if booking.step.gang:
-                    self.stop_gang(booking.task.stage, booking.run, now_ms)
-        for booking in planned:
-            endpoint = self.endpoint_by_id[booking.endpoint_id]
-            if booking.key in endpoint.bookings_by_run:
-                self.send_start(booking, endpoint, now_ms, lease_ms)
-
     def accepts_starts(self, endpoint):
         """Whether an endpoint, in its data centre, may start tasks now."""
         return endpoint.may_start and self.drained_data_centres.accepts(
             endpoint
         )
 
-    def may_send_start(self, booking, now_ms):
-        """Whether a run is still wanted and its endpoint may start it."""
-        endpoint = self.endpoint_by_id[booking.endpoint_id]
-        return (
-            not booking.task.stage.entry.state.is_final
-            and self.accepts_starts(endpoint)
-            and not endpoint.is_overbooked
-            and _policy_queries.may_order(
-                booking.task.stage, booking.endpoint_id, now_ms
-            )
-        )
-
-    def send_start(self, booking, endpoint, now_ms, lease_ms):
-        """Orders an endpoint to start a run, under an extended lease."""
-        stage = booking.task.stage
-        ticket = stage.ticket_by_id.get(endpoint.endpoint_id)
-        booking.state = _tasks.RunState.STARTING
-        booking.is_resumed = bool(booking.task.saved)
-        booking.sent_ms = now_ms
-        booking.order_answered_ms = None
-        booking.address = endpoint.registration.address
-        booking.incarnation_unix_ms = endpoint.registration.started_unix_ms
-        booking.start_attempts += 1
-        endpoint.expect_end(booking)
-        self.add_action(
-            _messages.StartTask(
-                endpoint.endpoint_id,
-                endpoint.registration.address,
-                booking.task.task_id,
-                booking.run,
-                stage.entry.job.payload,
-                endpoint.extend_lease(now_ms, lease_ms),
-                booking.task.saved,
-                ticket.text if ticket else "",
-                ticket.valid_until_ms if ticket else None,
-            )
-        )
-
     def release(self, booking, *, has_begun=True):
         """Releases the room of a run that is known not to exist.
 
--- a/samphiregate/core/cells/_endpoints.py
+++ b/samphiregate/core/cells/_endpoints.py
@@ -6,32 +6,14 @@
 import attrs
 
 from samphiregate.core.cells import _endpoint_speeds
+from samphiregate.core.cells import _leases
 from samphiregate.core.cells import _messages
 from samphiregate.core.cells import _tasks
 from samphiregate.core.cells import _work
 
-MAX_CLOCK_DRIFT_SHARE = 0.02  # by which an endpoint's clock may run slow
-LEASE_MARGIN_MS = 100
-MIN_RESTART_MS = 300  # shortest time in which an endpoint can restart
 RACK_LABEL_INDEX = 1
 
 
-def max_lease_ms(lease_ms):
-    """Returns the time after which a lease has ended on every endpoint.
-
-    Parameters
-    ----------
-    lease_ms : int
-        Length of the lease on the endpoint's clock, in milliseconds.
-
-    Returns
-    -------
-    int
-        Milliseconds on the owner's clock.
-    """
-    return round(lease_ms * (1 + MAX_CLOCK_DRIFT_SHARE)) + LEASE_MARGIN_MS
-
-
 @attrs.define(eq=False)
 class Endpoint:
     """An endpoint: its latest registration and the runs that may be there.
@@ -61,6 +43,8 @@
     lease_until_ms : int
         Local time by which every run ordered so far has ended unless the
         lease is extended.
+    extended_ms : int or None
+        When the latest order that extends the lease was sent.
     free : Resources
         Room that is not reserved; negative where it is overbooked.
     bookings_by_run : dict
@@ -70,6 +54,9 @@
     unstored_ends : deque
         Number, job id and record version of ends that are not stored yet.
     polls_in_flight : int
+    was_unwatched : bool
+        Whether it could have restarted before the poll in flight was sent,
+        as none was in flight.
     first_polled_ms : int or None
         When the present owner first polled it.
     next_check_ms : int
@@ -104,12 +91,14 @@
     clock_ms: int = 0
     answered_ms: int = 0
     lease_until_ms: int = 0
+    extended_ms: int | None = None
     free: _work.Resources = _work.ZERO_RESOURCES
     bookings_by_run: dict = attrs.field(factory=dict)
     handled_upto: int = 0
     stored_upto: int = 0
     unstored_ends: collections.deque = attrs.field(factory=collections.deque)
     polls_in_flight: int = 0
+    was_unwatched: bool = False
     first_polled_ms: int | None = None
     next_check_ms: int = 0
     next_poll_ms: int = 0
@@ -179,22 +168,35 @@
         last answer.
         """
         quiet_ms = now_ms - self.answered_ms
-        if self.failed_polls or quiet_ms >= MIN_RESTART_MS:
+        if self.failed_polls or quiet_ms >= _leases.MIN_RESTART_MS:
             return 0
         return self.stored_upto
 
     def extend_lease(self, now_ms, lease_ms):
         """Extends the lease and returns its end on the endpoint's clock."""
-        self.lease_until_ms = max(
-            self.lease_until_ms,
-            now_ms + max_lease_ms(lease_ms),
-        )
-        return self.clock_ms + now_ms - self.answered_ms + lease_ms
+        self.extended_ms = now_ms
+        self.expect_lease(now_ms + _leases.max_lease_ms(lease_ms))
+        return _leases.deadline_ms(self, now_ms, lease_ms)
+
+    def expect_lease(self, until_ms):
+        """Counts on a lease that others than this order may have granted.
 
-    def inherit_lease(self, until_ms):
-        """Extends the lease to cover runs that an earlier owner started."""
+        Parameters
+        ----------
+        until_ms : int
+            Local time by which it has ended.
+        """
         self.lease_until_ms = max(self.lease_until_ms, until_ms)
 
+    @property
+    def has_ordered_runs(self):
+        """Whether runs may exist there, not only reservations."""
+        planned = _tasks.RunState.PLANNED
+        return any(
+            booking.state is not planned
+            for booking in self.bookings_by_run.values()
+        )
+
     def reserve(self, booking):
         """Reserves the room of a run."""
         self.bookings_by_run[booking.key] = booking
--- a/samphiregate/core/cells/_incarnations.py
+++ b/samphiregate/core/cells/_incarnations.py
@@ -8,7 +8,7 @@
 does.
 """
 
-from samphiregate.core.cells import _endpoints
+from samphiregate.core.cells import _leases
 from samphiregate.core.cells import _tasks
 
 
@@ -110,7 +110,7 @@
     if booking.was_listed_before(event.started_unix_ms):
         return True
     if not booking.has_order_in_flight and (
-        booking.order_answered_ms < _earliest_start_ms(event)
+        booking.order_answered_ms < earliest_start_ms(event)
     ):
         return True
     listed_since_ms = booking.listed_since_ms
@@ -121,11 +121,15 @@
     )
 
 
-def _earliest_start_ms(event):
-    """Returns the earliest time at which a process may have started.
+def earliest_start_ms(event):
+    """Returns when the process of an answer can have started at the earliest.
 
     On the owner's clock. The steady clock of the process begins with it and
     may go slow.
+
+    Parameters
+    ----------
+    event : EndpointPolled
     """
-    up_ms = event.clock_ms / (1 - _endpoints.MAX_CLOCK_DRIFT_SHARE)
+    up_ms = event.clock_ms / (1 - _leases.MAX_CLOCK_DRIFT_SHARE)
     return event.sent_ms - up_ms
--- a/samphiregate/core/cells/_order_answers.py
+++ b/samphiregate/core/cells/_order_answers.py
@@ -3,6 +3,7 @@
 from samphiregate.core.cells import _cell_state
 from samphiregate.core.cells import _losses
 from samphiregate.core.cells import _messages
+from samphiregate.core.cells import _starts
 from samphiregate.core.cells import _tasks
 
 MAX_START_ATTEMPTS = 3
@@ -64,7 +65,7 @@
         )
         if outcome is _messages.StartOutcome.UNKNOWN:
             if booking.state is _tasks.RunState.STARTING:
-                self._on_start_unanswered(endpoint, booking, now_ms)
+                self._on_start_unanswered(booking, now_ms)
             return
         if booking.start_attempts > 1 and outcome in INCONCLUSIVE_OUTCOMES:
             self._on_repeated_start_refused(endpoint, booking, outcome, now_ms)
@@ -87,19 +88,16 @@
         booking.confirmed_ms = now_ms
         self._poller.poll(endpoint, now_ms, wait_ms=0)
 
-    def _on_start_unanswered(self, endpoint, booking, now_ms):
+    def _on_start_unanswered(self, booking, now_ms):
         """Repeats an unanswered order to start; stops the run at the limit.
 
         An endpoint starts a run once, however often it is ordered.
         """
         self._poller.record_unanswered(now_ms)
-        if (
-            booking.start_attempts < MAX_START_ATTEMPTS
-            and self._cell_state.may_send_start(booking, now_ms)
+        if booking.start_attempts < MAX_START_ATTEMPTS and _starts.may_send(
+            self._cell_state, booking, now_ms
         ):
-            self._cell_state.send_start(
-                booking, endpoint, now_ms, self._lease_ms
-            )
+            _starts.send(self._cell_state, booking, now_ms, self._lease_ms)
         else:
             self._cell_state.stop(booking, now_ms)
 
--- a/samphiregate/core/cells/_polling.py
+++ b/samphiregate/core/cells/_polling.py
@@ -6,6 +6,7 @@
 """
 
 from samphiregate.core.cells import _isolation
+from samphiregate.core.cells import _leases
 from samphiregate.core.cells import _messages
 
 POLL_WAIT_MS = 1_500
@@ -98,12 +99,12 @@
             return
         deadline_ms = None
         leases = self._cell_state.inherited_leases
-        if (
-            endpoint.has_answered
-            and not endpoint.failed_polls
-            and leases.may_extend(endpoint.endpoint_id)
+        if _leases.may_extend(endpoint, now_ms) and leases.may_extend(
+            endpoint.endpoint_id
         ):
             deadline_ms = endpoint.extend_lease(now_ms, self._lease_ms)
+        if not _leases.has_current_reading(endpoint, now_ms):
+            endpoint.was_unwatched = True
         endpoint.polls_in_flight += 1
         if endpoint.first_polled_ms is None:
             endpoint.first_polled_ms = now_ms
@@ -125,6 +126,8 @@
             return 0
         if endpoint.unstored_ends:
             return 0
+        if not _leases.has_current_reading(endpoint, now_ms):
+            return 0
         if now_ms < self._lossy_until_ms:
             return LOSSY_POLL_WAIT_MS
         return POLL_WAIT_MS
--- a/samphiregate/core/cells/_restored_runs.py
+++ b/samphiregate/core/cells/_restored_runs.py
@@ -62,7 +62,7 @@
     until_ms = cell_state.inherited_leases.inherit(
         endpoint.endpoint_id, now_ms
     )
-    endpoint.inherit_lease(until_ms)
+    endpoint.expect_lease(until_ms)
     booking = cell_state.reserve(task, run, endpoint, now_ms)
     # Counts as confirmed, so that the first poll releases the run if the
     # endpoint does not list it.
--- a/samphiregate/core/cells/_tasks.py
+++ b/samphiregate/core/cells/_tasks.py
@@ -126,6 +126,16 @@
             return self.stop_confirmed_ms
         return self.confirmed_ms
 
+    def note_ordered(self, registration, now_ms):
+        """Notes an order to start the run at an endpoint as it is known."""
+        self.state = RunState.STARTING
+        self.is_resumed = bool(self.task.saved)
+        self.sent_ms = now_ms
+        self.order_answered_ms = None
+        self.address = registration.address
+        self.incarnation_unix_ms = registration.started_unix_ms
+        self.start_attempts += 1
+
     def was_listed_before(self, started_unix_ms):
         """Whether an incarnation before one with this start has listed it."""
         return self.is_listed and (
