Hold room for a task only where it will come free

Cause: endpoints were held for a large task if their capacity fitted it, also where tasks that do not end take the missing room, or where its step may not run again. Such a hold never ends.

Change: an endpoint is held for a large task only if the task fits once what ends has ended, and for a gang only if all its members will fit so (core/cells/_holds.py). A hold says when the room is expected; a task that has ended by then, with the margin by which ends count as overdue, may run there meanwhile. This goes for restarts and suspected tasks too. A job that waits for held room is told so: `room that is held for other jobs`.

--- a/samphiregate/core/cells/_endpoints.py
+++ b/samphiregate/core/cells/_endpoints.py
@@ -307,14 +307,9 @@
         """
         room = self.free
         for booking in self.bookings_by_run.values():
-            step = booking.step
             ends_ms = booking.sent_ms + booking.expected_ms
-            will_end = (
-                not step.long_running
-                or booking.state is _tasks.RunState.STOPPING
-            )
-            if will_end and ends_ms <= at_ms:
-                room += step.booked
+            if booking.will_end and ends_ms <= at_ms:
+                room += booking.step.booked
         return room
 
     def bookings_in(self, state):
--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -1,6 +1,7 @@
 """Decides where tasks are placed, and which policy queries are needed."""
 
 import enum
+import math
 
 import attrs
 
@@ -14,6 +15,7 @@
 from samphiregate.core.cells import _policy_queries
 from samphiregate.core.cells import _retries
 from samphiregate.core.cells import _run_gaps
+from samphiregate.core.cells import _tasks
 
 URGENT_LIMIT_SHARE = 0.2  # of an account's limit
 # After this wait, interrupted tasks may go to endpoints that are backing off.
@@ -35,7 +37,8 @@
     ALLOWED_ROOM = "room where the policy allows it"
     BETTER_PLACE = "room near its data or its group"
     ISOLATION = "an endpoint without other runs"  # as the task may crash it
-    TICKET_OR_RESERVATION = "a ticket, reserved room or the spread"
+    HELD_ROOM = "room that is held for other jobs"
+    TICKET_OR_SPREAD = "a ticket or the spread"
 
     @property
     def is_lack_of_room(self):
@@ -107,7 +110,7 @@
         cell_state = self._cell_state
         self._usable.begin_plan()
         self._unplaced = []
-        held_ids = self._drain_moves.held_ids(now_ms)
+        holds = _holds.Holds(self._drain_moves.held_ids(now_ms))
         stages = _order.sort_stages(
             cell_state.startable_stages.values(),
             now_ms,
@@ -122,9 +125,7 @@
             for group in _retries.groups(
                 cell_state, stage, stage.interrupted()
             ):
-                self._plan_stage(
-                    stage, group, held_ids, now_ms, is_restart=True
-                )
+                self._plan_stage(stage, group, holds, now_ms, is_restart=True)
         for stage in stages:
             tasks = stage.startable()
             if not tasks:
@@ -136,13 +137,13 @@
             interrupted = set(stage.interrupted())
             first_starts = [one for one in tasks if one not in interrupted]
             for group in _retries.groups(cell_state, stage, first_starts):
-                self._plan_stage(stage, group, held_ids, now_ms)
+                self._plan_stage(stage, group, holds, now_ms)
         for policy in self._unplaced_policies:
             policy.handle_unplaced(self._unplaced, now_ms)
-        self._plan_moves(held_ids, now_ms)
+        self._plan_moves(holds, now_ms)
         self._policy_queries.send_queries(query_slots, now_ms)
 
-    def _plan_stage(self, stage, tasks, held_ids, now_ms, is_restart=False):
+    def _plan_stage(self, stage, tasks, holds, now_ms, is_restart=False):
         """Places tasks of a stage; asks for tickets and holds for the rest."""
         account = stage.entry.job.account
         tasks = self._within_account_limit(
@@ -157,8 +158,8 @@
             ignores_failures=is_restart and _is_overdue(tasks, now_ms),
         )
         # Endpoints are held for restarts, but not against other restarts.
-        barred_ids = () if is_restart else held_ids
-        candidates = self._candidates(stage, usable, barred_ids, now_ms)
+        barring = _holds.Holds() if is_restart else holds
+        candidates = self._candidates(stage, usable, barring, now_ms)
         if not is_restart and _retries.is_recent_failure(stage, tasks, now_ms):
             candidates = _retries.without_suspects(
                 stage, candidates, self._failure_backoff
@@ -171,7 +172,7 @@
                 stage.step, candidates, only_idle=only_idle
             )
         request = _placement_request.PlacementRequest(
-            stage, tasks, usable, now_ms, is_restart, frozenset(barred_ids)
+            stage, tasks, usable, now_ms, is_restart, frozenset(barring)
         )
         candidates = self._select(request, candidates)
         chosen = self._choose(stage, tasks, candidates, now_ms, is_restart)
@@ -182,9 +183,9 @@
         self._unplaced.append(
             attrs.evolve(request, tasks=tasks[len(chosen) :])
         )
-        stage.waits_for = _wait_reason(stage, usable, candidates)
+        stage.waits_for = _wait_reason(stage, usable, candidates, barring)
         self._query_and_hold(
-            request, len(tasks) - len(chosen), held_ids, is_isolated
+            request, len(tasks) - len(chosen), holds, is_isolated
         )
 
     def _select(self, request, candidates):
@@ -193,7 +194,7 @@
             candidates = policy.select(request, candidates)
         return candidates
 
-    def _query_and_hold(self, request, unplaced_count, held_ids, is_isolated):
+    def _query_and_hold(self, request, unplaced_count, holds, is_isolated):
         """Asks for tickets and holds endpoints for tasks without a place.
 
         Parameters
@@ -202,12 +203,12 @@
             With all tasks that were to be placed.
         unplaced_count : int
             How many of them were not.
-        held_ids : set of str
+        holds : Holds
             Gets the endpoints that are held from now on.
         is_isolated : bool
             Whether they wait for an endpoint without other runs.
         """
-        stage, usable = request.stage, request.usable
+        stage, usable, now_ms = request.stage, request.usable, request.now_ms
         within = usable
         if stage.waits_for_place:
             # What is far away is left to others, also by queries and holds.
@@ -217,23 +218,25 @@
                 stage,
                 within,
                 unplaced_count,
-                request.now_ms,
+                now_ms,
                 is_restart=request.is_restart,
                 makes_room=self._may_make_room(request),
             )
         if is_isolated:
             stage.waits_for = WaitReason.ISOLATION
-            _holds.hold_for_isolation(stage, usable, held_ids)
+            _holds.hold_for_isolation(stage, usable, holds, now_ms)
         elif request.is_restart:
-            _holds.hold_for_restarts(stage, usable, unplaced_count, held_ids)
+            _holds.hold_for_restarts(
+                stage, usable, unplaced_count, holds, now_ms
+            )
         elif stage.waits_for_place and stage.step.gang:
-            _holds.hold_for_gang(stage, usable, within, held_ids)
+            _holds.hold_for_gang(stage, usable, within, holds)
         else:
             _holds.hold_for_large_tasks(
-                stage, within, unplaced_count, held_ids
+                stage, within, unplaced_count, holds, now_ms
             )
 
-    def _plan_moves(self, held_ids, now_ms):
+    def _plan_moves(self, holds, now_ms):
         """Moves tasks off drained data centres, after all that waits."""
         for stage, bookings in self._drain_moves.movable(now_ms):
             usable = self._usable.find(stage, now_ms)
@@ -243,7 +246,7 @@
             )
             # A ticket has to outlast the move.
             started_ms = now_ms + _drain_moves.MOVE_MS
-            candidates = self._candidates(stage, usable, held_ids, started_ms)
+            candidates = self._candidates(stage, usable, holds, started_ms)
             candidates = self._select(request, candidates)
             chosen = self._choose(
                 stage, tasks, candidates, now_ms, is_restart=True
@@ -252,7 +255,7 @@
                 self._policy_queries.request(stage, usable, len(tasks), now_ms)
             for booking, endpoint in zip(bookings, chosen, strict=False):
                 self._drain_moves.begin(booking, endpoint, now_ms)
-                held_ids.add(endpoint.endpoint_id)
+                holds.add(endpoint.endpoint_id)
 
     def _choose(self, stage, tasks, candidates, now_ms, is_restart):
         """Chooses endpoints for tasks.
@@ -322,7 +325,9 @@
             booking = next(iter(task.bookings_by_run.values()))
             candidates = [
                 one
-                for one in self._candidates(stage, usable, (), now_ms)
+                for one in self._candidates(
+                    stage, usable, _holds.Holds(), now_ms
+                )
                 if one.endpoint.endpoint_id != booking.endpoint_id
             ]
             if _isolation.needs_isolation(self._cell_state, task):
@@ -366,7 +371,7 @@
             allowed += 1
         return tasks[:allowed]
 
-    def _candidates(self, stage, usable, held_ids, now_ms):
+    def _candidates(self, stage, usable, holds, now_ms):
         """Returns the endpoints with room that may run tasks of the stage."""
         need = stage.step.booked
         if stage.queue.advice:
@@ -378,7 +383,12 @@
         isolated_ids = self._cell_state.isolated_runs.endpoint_ids()
         for endpoint in with_room:
             endpoint_id = endpoint.endpoint_id
-            if endpoint_id in held_ids or endpoint_id in isolated_ids:
+            if endpoint_id in isolated_ids or (
+                endpoint_id in holds
+                and holds.bars(
+                    endpoint_id, self._end_ms(stage, endpoint, now_ms)
+                )
+            ):
                 continue
             max_count = stage.max_more_on(endpoint_id)
             if max_count > 0:
@@ -392,6 +402,13 @@
                 )
         return candidates
 
+    def _end_ms(self, stage, endpoint, now_ms):
+        """Returns when a task that starts now has ended with some margin."""
+        if stage.step.long_running:
+            return math.inf
+        run_ms = self._cell_state.run_times.expected_stage_ms(stage, endpoint)
+        return _tasks.overdue_ms(now_ms, run_ms)
+
     def _place(self, stage, tasks, chosen, now_ms):
         """Reserves room for tasks on the chosen endpoints.
 
@@ -461,7 +478,7 @@
     )
 
 
-def _wait_reason(stage, usable, candidates):
+def _wait_reason(stage, usable, candidates, holds):
     """Returns the `WaitReason` of a stage with tasks that were not placed."""
     if stage.waits_for_place:
         return WaitReason.BETTER_PLACE
@@ -480,4 +497,6 @@
         stage.ticket_by_id, need
     ):
         return WaitReason.ALLOWED_ROOM
-    return WaitReason.TICKET_OR_RESERVATION
+    if any(one.endpoint_id in holds for one in usable.with_room(need)):
+        return WaitReason.HELD_ROOM
+    return WaitReason.TICKET_OR_SPREAD
--- a/samphiregate/core/cells/_policy_queries.py
+++ b/samphiregate/core/cells/_policy_queries.py
@@ -10,6 +10,7 @@
 import attrs
 
 from samphiregate.core.cells import _messages
+from samphiregate.core.cells import _usable_endpoints
 
 TICKET_MARGIN_MS = 100  # time for the start to reach the endpoint
 MAX_ENDPOINTS_PER_QUERY = 30
@@ -270,13 +271,9 @@
 def _has_room_for_gang(request, at_ms):
     """Whether allowed endpoints are expected to have room for the gang."""
     stage = request.stage
-    free_count = 0
-    for endpoint in request.usable.named(stage.ticket_by_id):
-        room = endpoint.expected_room_at(at_ms)
-        fitting = stage.step.booked.count_fitting_in(room)
-        max_count = stage.max_more_on(endpoint.endpoint_id)
-        free_count += min(fitting, max_count)
-    return free_count >= request.unplaced_count
+    allowed = request.usable.named(stage.ticket_by_id)
+    count = _usable_endpoints.count_expected(stage, allowed, at_ms)
+    return count >= request.unplaced_count
 
 
 def _highest_ranked(stage, endpoints, need):
--- a/samphiregate/core/cells/_rack_forecast.py
+++ b/samphiregate/core/cells/_rack_forecast.py
@@ -5,7 +5,6 @@
 
 import attrs
 
-from samphiregate.core.cells import _tasks
 from samphiregate.core.cells import _work
 
 _at_ms = operator.itemgetter(0)
@@ -51,7 +50,7 @@
                 (_end_ms(booking, now_ms), position, booking.step.booked)
                 for position, endpoint in enumerate(endpoints)
                 for booking in endpoint.bookings_by_run.values()
-                if _will_end(booking)
+                if booking.will_end
             ),
             key=_at_ms,
         )
@@ -130,13 +129,6 @@
         return self._endpoints[position].free - self._claimed[position]
 
 
-def _will_end(booking):
-    return (
-        not booking.step.long_running
-        or booking.state is _tasks.RunState.STOPPING
-    )
-
-
 def _end_ms(booking, now_ms):
     """Returns when a run is expected to end.
 
--- a/samphiregate/core/cells/_tasks.py
+++ b/samphiregate/core/cells/_tasks.py
@@ -147,11 +147,28 @@
         self.is_listed = True
         self.incarnation_unix_ms = started_unix_ms
 
+    @property
+    def will_end(self):
+        """Whether it ends by itself or is being stopped."""
+        return not self.step.long_running or self.state is RunState.STOPPING
+
     @property
     def overdue_ms(self):
         """When the end of the run should have been reported at the latest."""
-        expected_ms = self.expected_ms * OVERDUE_FACTOR
-        return self.sent_ms + expected_ms + OVERDUE_MARGIN_MS
+        return overdue_ms(self.sent_ms, self.expected_ms)
+
+
+def overdue_ms(sent_ms, expected_ms):
+    """Returns when the end of a run should have been reported at the latest.
+
+    Parameters
+    ----------
+    sent_ms : int
+        When its start was ordered.
+    expected_ms : float
+        Expected run time.
+    """
+    return sent_ms + expected_ms * OVERDUE_FACTOR + OVERDUE_MARGIN_MS
 
 
 @attrs.define(eq=False)
--- a/samphiregate/core/cells/_usable_endpoints.py
+++ b/samphiregate/core/cells/_usable_endpoints.py
@@ -188,6 +188,25 @@
         return ids
 
 
+def count_expected(stage, endpoints, at_ms):
+    """Returns for how many tasks of a stage room is expected at a time.
+
+    Parameters
+    ----------
+    stage : Stage
+    endpoints : iterable of Endpoint
+    at_ms : float
+    """
+    need = stage.step.booked
+    return sum(
+        min(
+            need.count_fitting_in(one.expected_room_at(at_ms)),
+            stage.max_more_on(one.endpoint_id),
+        )
+        for one in endpoints
+    )
+
+
 def _used_share(free, capacity):
     if not capacity:
         return 0.0
