--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -1,6 +1,5 @@
 """Decides where tasks are placed, and which policy queries are needed."""
 
-import enum
 import math
 
 import attrs
@@ -16,6 +15,7 @@
 from samphiregate.core.cells import _retries
 from samphiregate.core.cells import _run_gaps
 from samphiregate.core.cells import _tasks
+from samphiregate.core.cells import _wait_reasons
 
 URGENT_LIMIT_SHARE = 0.2  # of an account's limit
 # After this wait, interrupted tasks may go to endpoints that are backing off.
@@ -25,27 +25,6 @@
 MAX_CHECKED_ENDPOINTS = 16  # in one plan, for one stage
 
 
-class WaitReason(enum.Enum):
-    """What the unplaced tasks of a stage wait for."""
-
-    ACCOUNT_LIMIT = "the account's limit"
-    NO_ENDPOINT = "no usable endpoint"
-    TOO_LARGE = "larger than any endpoint"
-    ROOM = "room"
-    GANG_ROOM = "room for all members"
-    POLICY_ANSWER = "an answer of the policy service"
-    ALLOWED_ROOM = "room where the policy allows it"
-    BETTER_PLACE = "room near its data or its group"
-    ISOLATION = "an endpoint without other runs"  # as the task may crash it
-    HELD_ROOM = "room that is held for other jobs"
-    TICKET_OR_SPREAD = "a ticket or the spread"
-
-    @property
-    def is_lack_of_room(self):
-        """Whether the service has no room for the tasks."""
-        return self in (WaitReason.ROOM, WaitReason.GANG_ROOM)
-
-
 class Planner:
     """Plans on which endpoints the tasks of a cell are placed.
 
@@ -150,7 +129,7 @@
             stage, tasks, account, is_restart=is_restart
         )
         if not tasks:
-            stage.waits_for = WaitReason.ACCOUNT_LIMIT
+            stage.waits_for = _wait_reasons.WaitReason.ACCOUNT_LIMIT
             return
         usable = self._usable.find(
             stage,
@@ -183,7 +162,9 @@
         self._unplaced.append(
             attrs.evolve(request, tasks=tasks[len(chosen) :])
         )
-        stage.waits_for = _wait_reason(stage, usable, candidates, barring)
+        stage.waits_for = _wait_reasons.of_stage(
+            stage, usable, candidates, barring
+        )
         self._query_and_hold(
             request, len(tasks) - len(chosen), holds, is_isolated
         )
@@ -223,7 +204,7 @@
                 makes_room=self._may_make_room(request),
             )
         if is_isolated:
-            stage.waits_for = WaitReason.ISOLATION
+            stage.waits_for = _wait_reasons.WaitReason.ISOLATION
             _holds.hold_for_isolation(stage, usable, holds, now_ms)
         elif request.is_restart:
             _holds.hold_for_restarts(
@@ -476,27 +457,3 @@
         and now_ms - task.interrupted_ms >= MAX_RESTART_WAIT_MS
         for task in tasks
     )
-
-
-def _wait_reason(stage, usable, candidates, holds):
-    """Returns the `WaitReason` of a stage with tasks that were not placed."""
-    if stage.waits_for_place:
-        return WaitReason.BETTER_PLACE
-    if not usable.endpoints:
-        return WaitReason.NO_ENDPOINT
-    need = stage.step.booked
-    if not any(need.fits_in(capacity) for capacity in usable.capacities):
-        return WaitReason.TOO_LARGE
-    if not usable.has_room(need):
-        return WaitReason.ROOM
-    if any(need.fits_in(one.endpoint.free) for one in candidates):
-        return WaitReason.GANG_ROOM if stage.step.gang else WaitReason.ROOM
-    if stage.query_in_flight:
-        return WaitReason.POLICY_ANSWER
-    if stage.queue.advice and not usable.named_with_room(
-        stage.ticket_by_id, need
-    ):
-        return WaitReason.ALLOWED_ROOM
-    if any(one.endpoint_id in holds for one in usable.with_room(need)):
-        return WaitReason.HELD_ROOM
-    return WaitReason.TICKET_OR_SPREAD
