Count on the longest lease while a restart may be overlooked

What callers would see: a task that runs twice, by 5 s at most, where an endpoint restarts while a poll to it hangs, takes a start by the clock of its earlier incarnation, and is cut off.

Cause: an order by the clock before grants the longest lease, as the new clock has begun with the process. A poll that hangs hides the restart for two seconds.

Change: the answer to a start tells the endpoint's clock; one that has begun anew shows the restart. A second poll beside one in flight no longer extends the lease.

--- a/features/cells_clocks.feature
+++ b/features/cells_clocks.feature
@@ -54,6 +54,23 @@
       | 0.98 | 80     | every endpoint restarts within 300 ms, and its entry follows 1500 ms later | 20           | 12000  | the owner is lost and another one takes over after 100 ms |
       | 0.98 | 4      | every endpoint restarts within 300 ms, and its entry follows 300 ms later  | 40           | 12000  | 10 ms pass                                                |
 
+  Scenario Outline: no task runs twice while endpoints rest, restart and are cut off
+    Given 6 endpoints of 8 cores
+    And an owner of the cell
+    And leases are compared with what the owner counts on
+    When jobs come after 8 rests while endpoints restart and are cut off, with seed <seed>
+    And 60000 ms pass
+    Then no invariant was violated
+    And no lease lasted longer than the owner counted on
+    And all jobs are completed within 10 ms
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+
   # What the readings cost.
   Scenario Outline: a rest costs no time to the first start and one poll for an endpoint
     Given 4 endpoints of 8 cores
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -88,6 +88,19 @@
       | 5c0e7a21d94b36f8.0.1      | refused |
       | 5c0e7a21d94b36f8.0.1.last | refused |
 
+  Scenario Outline: a runner's answer to a start tells its clock
+    When a runner answers a start with <status> and <body>
+    Then the clock in the answer is <clock>
+
+    Examples:
+      | status | body                             | clock |
+      | 200    | {"clock_ms":17}                  | 17    |
+      | 409    | {"clock_ms":17,"reason":"room"}  | 17    |
+      | 200    | {}                               | None  |
+      | 200    | {"clock_ms":"late"}              | None  |
+      | 409    | garbled                          | None  |
+      | 421    | {"clock_ms":17}                  | None  |
+
   Scenario Outline: a runner's answer determines the outcome of a start
     When a runner answers a start with <status> and <body>
     Then the outcome is <outcome>
--- a/features/steps/cells_clock_steps.py
+++ b/features/steps/cells_clock_steps.py
@@ -4,7 +4,24 @@
 
 import behave
 
+from features.support import cells_endpoint_faults
 from features.support import cells_leases
+from features.support import cells_work
+
+FAULTS = (
+    cells_endpoint_faults.cut,
+    cells_endpoint_faults.cut,
+    cells_endpoint_faults.restart,
+    cells_endpoint_faults.lose_answers,
+    cells_endpoint_faults.change_owner,
+)
+MIN_CLOCK_RATE = 0.98
+MAX_REST_MS = 60_000
+MAX_BURST_MS = 6_000  # for which jobs come after a rest
+MAX_TASKS = 6
+MAX_TASK_MS = 9_000
+MAX_GAP_MS = 700
+FAULT_SHARE = 0.4
 
 
 @behave.given("endpoints whose clocks go at {rate:g} of the time")
@@ -41,6 +58,38 @@
     )
 
 
+@behave.when(
+    "jobs come after {rests:d} rests while endpoints restart and are cut off, "
+    "with seed {seed:d}"
+)
+def when_rests(context, rests, seed):
+    simulation = context.simulation
+    rnd = simulation.random
+    rnd.seed(seed)
+    for endpoint in simulation.endpoint_by_id.values():
+        endpoint.clock_rate = rnd.uniform(MIN_CLOCK_RATE, 1.0)
+    for _rest in range(rests):
+        simulation.run_for(rnd.randint(0, MAX_REST_MS))
+        end_ms = simulation.now_ms + rnd.randint(0, MAX_BURST_MS)
+        while simulation.now_ms < end_ms:
+            _submit(simulation)
+            if rnd.random() < FAULT_SHARE:
+                cells_endpoint_faults.inject(simulation, FAULTS)
+            simulation.run_for(rnd.randint(10, MAX_GAP_MS))
+
+
+def _submit(simulation):
+    """Submits a job of random size, a gang or not."""
+    rnd = simulation.random
+    step = cells_work.make_step(
+        rnd.randint(1, MAX_TASKS),
+        estimate_ms=rnd.randint(200, MAX_TASK_MS),
+        gang=rnd.random() < 0.2,
+    )
+    job_id = f"j{len(simulation.job_by_id)}"
+    simulation.submit(cells_work.make_job(job_id, step))
+
+
 @behave.when(
     "every endpoint restarts within {away_ms:d} ms, and its entry follows "
     "{entry_ms:d} ms later"
--- a/features/steps/cells_drain_request_steps.py
+++ b/features/steps/cells_drain_request_steps.py
@@ -248,7 +248,7 @@
         """See `ports.Endpoints.start`."""
         del epoch
         self.started_ids.append(action.endpoint_id)
-        return cells.StartOutcome.STARTED
+        return cells.StartResult(cells.StartOutcome.STARTED)
 
     def stop(self, action, epoch):
         """See `ports.Endpoints.stop`."""
--- a/features/steps/cells_incarnation_steps.py
+++ b/features/steps/cells_incarnation_steps.py
@@ -1,10 +1,10 @@
 """Steps about endpoints that restart, and what tells the owner of it."""
 
 import collections
-import functools
 
 import behave
 
+from features.support import cells_endpoint_faults
 from features.support import cells_work
 from samphiregate.core import cells
 
@@ -15,11 +15,15 @@
     "an urgent job": {},
 }
 URGENT = 0
-MAX_AWAY_MS = 1_500
-MAX_ENTRY_MS = 1_600  # after the start of the process
 MAX_GAP_MS = 900  # between two jobs
 FAULT_SHARE = 0.25
-SILENT_MS = 400
+RESTARTS = (
+    cells_endpoint_faults.restart,
+    cells_endpoint_faults.restart,
+    cells_endpoint_faults.restart,
+    cells_endpoint_faults.lose_answers,
+    cells_endpoint_faults.change_owner,
+)
 
 
 @behave.when(
@@ -98,32 +102,12 @@
         kind = rnd.choice(("a job", "a gang", "an urgent job"))
         when_kind(context, kind, rnd.randint(1, 10), rnd.randint(200, 4_000))
         if rnd.random() < FAULT_SHARE:
-            _inject(simulation)
+            cells_endpoint_faults.inject(simulation, RESTARTS)
         simulation.run_for(rnd.randint(20, MAX_GAP_MS))
     for endpoint in simulation.endpoint_by_id.values():
         endpoint.unanswered_share = 0.0
 
 
-def _inject(simulation):
-    """Injects a restart, lost answers, or a change of the owner."""
-    rnd = simulation.random
-    endpoint = rnd.choice(list(simulation.endpoint_by_id.values()))
-    endpoint.register_ms = rnd.randint(0, MAX_ENTRY_MS)
-    kind = rnd.choice(("restart", "restart", "restart", "silent", "owner"))
-    if kind == "restart":
-        endpoint.restart(rnd.randint(300, MAX_AWAY_MS))
-    elif kind == "silent":
-        endpoint.unanswered_share = 0.5
-        simulation.at(
-            SILENT_MS,
-            functools.partial(setattr, endpoint, "unanswered_share", 0.0),
-        )
-    else:
-        simulation.kill_owner()
-        simulation.run_for(rnd.randint(10, 2_500))
-        simulation.take_over()
-
-
 @behave.then("each task was started once and none of its runs was stopped")
 def then_once(context):
     simulation = context.simulation
--- a/features/steps/cells_ticket_steps.py
+++ b/features/steps/cells_ticket_steps.py
@@ -70,7 +70,7 @@
         """See `Endpoints.start`."""
         del action, epoch
         self.start_count += 1
-        return cells.StartOutcome.STARTED
+        return cells.StartResult(cells.StartOutcome.STARTED)
 
 
 @behave.given("a VM that performs the orders of a cell")
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -199,6 +199,12 @@
 def when_start_answered(context, status, body):
     answer = http.Answer(status, {}, body.encode())
     context.start_outcome = endpoints._start_outcome(answer)
+    context.start_clock_ms = endpoints._clock_ms(answer)
+
+
+@behave.then("the clock in the answer is {clock}")
+def then_start_clock(context, clock):
+    assert str(context.start_clock_ms) == clock, context.start_clock_ms
 
 
 @behave.then("the outcome is {outcome}")
--- a/features/support/cells.py
+++ b/features/support/cells.py
@@ -404,7 +404,8 @@
             if self.random.random() < endpoint.unanswered_share:
                 self._answer(ORDER_TIMEOUT_MS, unknown, generation)
             else:
-                self._answer(LINK_DELAY_MS, answered(outcome), generation)
+                event = answered(outcome, endpoint.clock_ms)
+                self._answer(LINK_DELAY_MS, event, generation)
 
         self.at(LINK_DELAY_MS, arrive)
 
--- a/features/support/cells_leases.py
+++ b/features/support/cells_leases.py
@@ -43,7 +43,7 @@
             endpoint.clock_rate
         )
         ends_ms = self._simulation.now_ms + left_ms
-        excess_ms = ends_ms - known.lease_until_ms
+        excess_ms = ends_ms - known.lease_ends_ms
         if excess_ms > ROUNDING_MS:
             self.too_long.append(
                 (self._simulation.now_ms, endpoint.endpoint_id, excess_ms)
--- a/samphiregate/adapters/cells/_actions.py
+++ b/samphiregate/adapters/cells/_actions.py
@@ -119,10 +119,12 @@
         if until_ms is not None and self._now_ms() >= until_ms:
             self._deliver(answered(cells.StartOutcome.NO_TICKET))
             return
-        self._deliver_result(
-            lambda: answered(self._endpoints.start(action, self._epoch)),
-            answered(cells.StartOutcome.UNKNOWN),
-        )
+
+        def order():
+            result = self._endpoints.start(action, self._epoch)
+            return answered(result.outcome, result.clock_ms)
+
+        self._deliver_result(order, answered(cells.StartOutcome.UNKNOWN))
 
     def _stop(self, action):
         answered = functools.partial(
--- a/samphiregate/adapters/cells/_ports.py
+++ b/samphiregate/adapters/cells/_ports.py
@@ -145,7 +145,7 @@
     """Calls to endpoints; each carries the owner's epoch."""
 
     def start(self, action, epoch):
-        """Carries out a `StartTask`; returns its `StartOutcome`."""
+        """Carries out a `StartTask`; returns its `StartResult`."""
 
     def stop(self, action, epoch):
         """Carries out a `StopTask`; returns whether it was confirmed."""
--- a/samphiregate/core/cells/__init__.py
+++ b/samphiregate/core/cells/__init__.py
@@ -27,6 +27,7 @@
 from samphiregate.core.cells._messages import SilentRecordStored
 from samphiregate.core.cells._messages import StartAnswered
 from samphiregate.core.cells._messages import StartOutcome
+from samphiregate.core.cells._messages import StartResult
 from samphiregate.core.cells._messages import StartTask
 from samphiregate.core.cells._messages import StepDown
 from samphiregate.core.cells._messages import StopAnswered
@@ -118,6 +119,7 @@
     "StageRecord",
     "StartAnswered",
     "StartOutcome",
+    "StartResult",
     "StartTask",
     "Step",
     "StepDown",
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -12,12 +12,12 @@
 from samphiregate.core.cells import _inheritance
 from samphiregate.core.cells import _leases
 from samphiregate.core.cells import _load
-from samphiregate.core.cells import _losses
 from samphiregate.core.cells import _messages
 from samphiregate.core.cells import _order_answers
 from samphiregate.core.cells import _periodic_checks
 from samphiregate.core.cells import _planner
 from samphiregate.core.cells import _policy_queries
+from samphiregate.core.cells import _poll_failures
 from samphiregate.core.cells import _polling
 from samphiregate.core.cells import _preemption
 from samphiregate.core.cells import _progress
@@ -34,8 +34,6 @@
 PLAN_INTERVAL_MS = 10  # one plan for the events in between
 MAX_PLAN_INTERVAL_MS = 100
 PLAN_REST_FACTOR = 3  # multiple of a plan's time that other work gets
-POLL_RETRY_MS = 300  # the first retry is sent at once
-MIN_FAILED_POLLS = 2  # until an endpoint that has answered counts as silent
 LISTED_POLL_INTERVAL_MS = 100  # while the store lists it as silent
 QUERY_INTERVAL_MS = 150  # from an answer to the next query of the stage
 QUERY_RETRY_MS = 200  # after a failed query
@@ -236,6 +234,8 @@
 
     def handle(self, event, now_ms):
         """Applies one event; see `StateMachine.handle`."""
+        if self.cell_state.began_ms is None:
+            self.cell_state.began_ms = now_ms
         self.cell_state.now_ms = now_ms
         self._apply(event, now_ms)
         self.plan_due_ms = self._next_plan_ms
@@ -439,40 +439,11 @@
         if endpoint is None:
             return
         endpoint.polls_in_flight = max(0, endpoint.polls_in_flight - 1)
-        endpoint.next_poll_ms = now_ms + (
-            POLL_RETRY_MS if endpoint.failed_polls else 0
-        )
-        if event.fenced:
-            self.cell_state.add_action(_messages.StepDown(event.endpoint_id))
-            return
-        endpoint.failed_polls += 1
-        if endpoint.failed_polls == 1:
-            endpoint.unreachable_since_ms = now_ms
-            self.cell_state.log_decision(
-                "endpoint unreachable",
-                endpoint=event.endpoint_id,
-                process_gone=event.process_gone,
-                reason=event.reason,
-                runs=len(endpoint.bookings_by_run),
-                left_ms=max(endpoint.lease_until_ms - now_ms, 0),
-                inherited=not endpoint.has_answered,
-            )
-        if event.process_gone and (
-            _incarnations.is_still_there(endpoint, event)
-        ):
-            _losses.release_crashed_runs(
-                self.cell_state,
-                endpoint,
-                _losses.LossReason.PROCESS_ENDED,
-                now_ms,
+        _poll_failures.apply_failure(self.cell_state, endpoint, event, now_ms)
+        if not event.fenced:
+            _starts.send_planned_on(
+                self.cell_state, endpoint, now_ms, self._lease_ms
             )
-            endpoint.reset_incarnation(now_ms)
-            self.cell_state.remove_if_idle(endpoint)
-        elif _is_silent(endpoint):
-            self.cell_state.inherited_leases.record_silence(event.endpoint_id)
-        _starts.send_planned_on(
-            self.cell_state, endpoint, now_ms, self._lease_ms
-        )
 
     # Answers to start and stop orders
 
@@ -516,16 +487,3 @@
         if entry is None:
             return None
         return entry.stages_by_key.get((event.occurrence, event.step))
-
-
-def _is_silent(endpoint):
-    """Whether later owners are to know that an endpoint is silent.
-
-    One lost answer does not show that; an endpoint that is listed gets no
-    tasks until the store no longer lists it.
-    """
-    if not endpoint.has_answered:
-        return True
-    return bool(
-        endpoint.failed_polls >= MIN_FAILED_POLLS and endpoint.bookings_by_run
-    )
--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -71,6 +71,8 @@
     place_waits : collections.Counter
         Number of waits for a better place, by what became of them.
     preemptions : PreemptionCounts
+    began_ms : int or None
+        When the owner handled its first event; None before.
     unix_ms, now_ms : int
         Time of day and monotonic time of the latest event or plan.
     has_planned : bool
@@ -117,6 +119,7 @@
         factory=_preemption_counts.PreemptionCounts
     )
     max_hold_ms: int = _leases.DEFAULT_MAX_HOLD_MS
+    began_ms: int | None = None
     unix_ms: int = 0
     now_ms: int = 0
     has_planned: bool = False
--- a/samphiregate/core/cells/_endpoints.py
+++ b/samphiregate/core/cells/_endpoints.py
@@ -42,9 +42,11 @@
         Local time of the last answer.
     lease_until_ms : int
         Local time by which every run ordered so far has ended unless the
-        lease is extended.
-    extended_ms : int or None
-        When the latest order that extends the lease was sent.
+        lease is extended, or the endpoint has restarted; see
+        `lease_ends_ms`.
+    doubtful_until_ms : int
+        Local time by which the leases have ended that a later incarnation
+        may have got from orders by the clock before; 0 if there is none.
     free : Resources
         Room that is not reserved; negative where it is overbooked.
     bookings_by_run : dict
@@ -91,7 +93,7 @@
     clock_ms: int = 0
     answered_ms: int = 0
     lease_until_ms: int = 0
-    extended_ms: int | None = None
+    doubtful_until_ms: int = 0
     free: _work.Resources = _work.ZERO_RESOURCES
     bookings_by_run: dict = attrs.field(factory=dict)
     handled_upto: int = 0
@@ -172,10 +174,24 @@
             return 0
         return self.stored_upto
 
-    def extend_lease(self, now_ms, lease_ms):
-        """Extends the lease and returns its end on the endpoint's clock."""
-        self.extended_ms = now_ms
+    @property
+    def lease_ends_ms(self):
+        """Local time by which every run ordered so far has ended."""
+        return max(self.lease_until_ms, self.doubtful_until_ms)
+
+    def extend_lease(self, now_ms, lease_ms, max_hold_ms):
+        """Extends the lease and returns its end on the endpoint's clock.
+
+        Parameters
+        ----------
+        now_ms : int
+        lease_ms : int
+        max_hold_ms : int
+            To which the endpoint shortens a longer lease.
+        """
         self.expect_lease(now_ms + _leases.max_lease_ms(lease_ms))
+        if _leases.is_doubtful(self, now_ms):
+            self.doubtful_until_ms = now_ms + _leases.max_lease_ms(max_hold_ms)
         return _leases.deadline_ms(self, now_ms, lease_ms)
 
     def expect_lease(self, until_ms):
@@ -262,6 +278,8 @@
     def reset_incarnation(self, now_ms):
         """Resets what belongs to an earlier incarnation of the endpoint."""
         self.incarnation_known_ms = now_ms
+        self.expect_lease(self.doubtful_until_ms)
+        self.doubtful_until_ms = 0
         self.has_answered = False
         self.handled_upto = 0
         self.stored_upto = 0
--- a/samphiregate/core/cells/_incarnations.py
+++ b/samphiregate/core/cells/_incarnations.py
@@ -30,7 +30,7 @@
     )
 
 
-def is_still_there(endpoint, event):
+def concerns_present(endpoint, event):
     """Whether an answer to a poll concerns the endpoint as it is known now.
 
     Parameters
@@ -109,8 +109,9 @@
         return True
     if booking.was_listed_before(event.started_unix_ms):
         return True
+    started_ms = _leases.earliest_start_ms(event.clock_ms, event.sent_ms)
     if not booking.has_order_in_flight and (
-        booking.order_answered_ms < earliest_start_ms(event)
+        booking.order_answered_ms < started_ms
     ):
         return True
     listed_since_ms = booking.listed_since_ms
@@ -119,17 +120,3 @@
         and listed_since_ms < event.sent_ms
         and not event.may_omit_ends
     )
-
-
-def earliest_start_ms(event):
-    """Returns when the process of an answer can have started at the earliest.
-
-    On the owner's clock. The steady clock of the process begins with it and
-    may go slow.
-
-    Parameters
-    ----------
-    event : EndpointPolled
-    """
-    up_ms = event.clock_ms / (1 - _leases.MAX_CLOCK_DRIFT_SHARE)
-    return event.sent_ms - up_ms
--- a/samphiregate/core/cells/_leases.py
+++ b/samphiregate/core/cells/_leases.py
@@ -1,19 +1,24 @@
 """Computes deadlines on the clocks of endpoints, and when leases have ended.
 
 The load that this answers: endpoints without work, whose clocks are known
-from long ago and go slow, get a task and are cut off from the owner. A
-deadline that goes by an old reading must not outlast the lease that the
-owner, and the owners after it, count on.
+from long ago and go slow, or have begun anew, get a task and are cut off from
+the owner. No lease may be longer than the owner, and the owners after it,
+count on.
 
 A reading is the steady clock in an endpoint's answer. It is current while
-the endpoint cannot have restarted since, and is not older than polls are
-apart.
+the endpoint cannot have restarted since, or while it is polled all the time
+and the reading is not older than these polls are apart. In the second case a
+restart may be overlooked: a poll that is in flight to the ended process shows
+it late if the connection was cut. So the owner counts on the longest lease
+until an answer shows the clock.
 """
 
 MAX_CLOCK_DRIFT_SHARE = 0.02  # by which an endpoint's clock may run slow
 LEASE_MARGIN_MS = 100
 MIN_RESTART_MS = 300  # shortest time in which an endpoint can restart
 MAX_READING_AGE_MS = 2_000  # of an endpoint that is polled all the time
+CLOCK_ROUNDING_MS = 10
+MAX_ORDER_MS = 1_000  # until an order has arrived or is given up
 DEFAULT_MAX_HOLD_MS = 10_000  # to which endpoints shorten longer leases
 
 
@@ -45,27 +50,81 @@
     now_ms : int
     lease_ms : int
     """
-    least_gone_ms = (now_ms - endpoint.answered_ms) * (
-        1 - MAX_CLOCK_DRIFT_SHARE
-    )
-    return endpoint.clock_ms + int(least_gone_ms) + lease_ms
+    return _least_clock_ms(endpoint, now_ms) + lease_ms
+
+
+def _least_clock_ms(endpoint, at_ms):
+    """Returns what an endpoint's clock shows at the least at a time.
+
+    Without a restart; the time may lie before the reading.
+    """
+    gone_ms = at_ms - endpoint.answered_ms
+    if gone_ms > 0:
+        gone_ms = int(gone_ms * (1 - MAX_CLOCK_DRIFT_SHARE))
+    return endpoint.clock_ms + gone_ms
 
 
-def until_ms_of_restarted(endpoint, max_hold_ms):
-    """Returns when a lease that was granted by the clock before has ended.
+def is_doubtful(endpoint, now_ms):
+    """Whether the endpoint can have restarted since its clock was read.
 
-    An order by the clock of an earlier incarnation grants a later one the
-    longest lease.
+    Then an order by this clock may grant the longest lease: the new clock
+    has begun with the process.
 
     Parameters
     ----------
     endpoint : Endpoint
+    now_ms : int
+    """
+    return now_ms - endpoint.answered_ms >= MIN_RESTART_MS
+
+
+def has_begun_anew(endpoint, clock_ms, sent_ms):
+    """Whether a later reading is of a clock that has begun since the last.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+    clock_ms : int
+        In the answer to an order.
+    sent_ms : int
+        When the order was sent.
+    """
+    return clock_ms + CLOCK_ROUNDING_MS < _least_clock_ms(endpoint, sent_ms)
+
+
+def earliest_start_ms(clock_ms, at_ms):
+    """Returns when a process can have started at the earliest.
+
+    Parameters
+    ----------
+    clock_ms : int
+        Its steady clock, which begins with it and may go slow.
+    at_ms : int
+        Local time at which the clock was read, or earlier.
+    """
+    return at_ms - clock_ms / (1 - MAX_CLOCK_DRIFT_SHARE)
+
+
+def inherited_until_ms(clock_ms, now_ms, since_ms, max_hold_ms):
+    """Returns when leases have ended that an earlier owner granted in doubt.
+
+    An order by the clock of an earlier incarnation reaches an endpoint that is
+    younger than the reading may be old. Its lease is the longest.
+
+    Parameters
+    ----------
+    clock_ms : int
+        The endpoint's steady clock, which has begun with its process.
+    now_ms : int
+    since_ms : int
+        When the present owner took over.
     max_hold_ms : int
         To which endpoints shorten longer leases.
     """
-    if endpoint.extended_ms is None:
+    if earliest_start_ms(clock_ms, now_ms) > since_ms + MAX_ORDER_MS:
         return 0
-    return endpoint.extended_ms + max_lease_ms(max_hold_ms)
+    left_ms = MAX_READING_AGE_MS + MAX_ORDER_MS + max_hold_ms - clock_ms
+    return now_ms + max_lease_ms(left_ms) if left_ms > 0 else 0
 
 
 def has_current_reading(endpoint, now_ms):
@@ -76,11 +135,10 @@
     endpoint : Endpoint
     now_ms : int
     """
-    age_ms = now_ms - endpoint.answered_ms
-    if age_ms < MIN_RESTART_MS:
+    if not is_doubtful(endpoint, now_ms):
         return True
     return (
-        age_ms < MAX_READING_AGE_MS
+        now_ms - endpoint.answered_ms < MAX_READING_AGE_MS
         and endpoint.polls_in_flight > 0
         and not endpoint.was_unwatched
     )
@@ -89,20 +147,17 @@
 def may_extend(endpoint, now_ms):
     """Whether a poll may carry a deadline.
 
-    An endpoint that may have restarted during a rest would take a deadline
-    on the clock of its earlier incarnation for the longest lease, also of
-    runs that begin later. One with runs was polled all the time.
+    Only while the endpoint cannot have restarted, or if it has runs whose
+    lease no other poll extends: one that has restarted would take the
+    deadline for the longest lease, also of runs that begin later.
 
     Parameters
     ----------
     endpoint : Endpoint
     now_ms : int
     """
-    return (
-        endpoint.has_answered
-        and not endpoint.failed_polls
-        and (
-            endpoint.has_ordered_runs
-            or now_ms - endpoint.answered_ms < MIN_RESTART_MS
-        )
-    )
+    if not endpoint.has_answered or endpoint.failed_polls:
+        return False
+    if not is_doubtful(endpoint, now_ms):
+        return True
+    return endpoint.has_ordered_runs and not endpoint.polls_in_flight
--- a/samphiregate/core/cells/_messages.py
+++ b/samphiregate/core/cells/_messages.py
@@ -40,6 +40,21 @@
     UNKNOWN = "unknown"  # not answered; it may have been executed
 
 
+@attrs.frozen
+class StartResult:
+    """What became of an order to start.
+
+    Parameters
+    ----------
+    outcome : StartOutcome
+    clock_ms : int or None
+        The endpoint's steady clock when it answered; None if it did not say.
+    """
+
+    outcome: StartOutcome
+    clock_ms: int | None = None
+
+
 @attrs.frozen
 class RunningRow:
     """A run that an endpoint lists.
@@ -233,12 +248,23 @@
 
 @attrs.frozen
 class StartAnswered(base.Event):
-    """Result of an order to start; `UNKNOWN` if it was not answered."""
+    """Result of an order to start; `UNKNOWN` if it was not answered.
+
+    Parameters
+    ----------
+    task_id : TaskId
+    run : int
+    endpoint_id : str
+    outcome : StartOutcome
+    clock_ms : int or None
+        The endpoint's steady clock when it answered; None if it did not say.
+    """
 
     task_id: _work.TaskId
     run: int
     endpoint_id: str
     outcome: StartOutcome
+    clock_ms: int | None = None
 
 
 @attrs.frozen
--- a/samphiregate/core/cells/_order_answers.py
+++ b/samphiregate/core/cells/_order_answers.py
@@ -1,6 +1,7 @@
 """Applies the answers of endpoints to orders to start and to stop runs."""
 
 from samphiregate.core.cells import _cell_state
+from samphiregate.core.cells import _leases
 from samphiregate.core.cells import _losses
 from samphiregate.core.cells import _messages
 from samphiregate.core.cells import _starts
@@ -50,6 +51,8 @@
             return
         outcome = event.outcome
         booking.order_answered_ms = now_ms
+        if event.clock_ms is not None:
+            self._apply_clock(endpoint, booking, event.clock_ms, now_ms)
         if outcome is _messages.StartOutcome.STARTED:
             booking.confirmed_ms = now_ms
             if booking.state is _tasks.RunState.STARTING:
@@ -72,6 +75,27 @@
         else:
             self._on_start_refused(endpoint, booking, outcome, now_ms)
 
+    def _apply_clock(self, endpoint, booking, clock_ms, now_ms):
+        """Compares the clock in an answer with the one that is known.
+
+        A clock that has begun anew shows a restart. Its next answer to a poll
+        tells the incarnation; until then it gets no orders.
+        """
+        if booking.sent_ms < endpoint.incarnation_known_ms:
+            return
+        if not _leases.has_begun_anew(endpoint, clock_ms, booking.sent_ms):
+            endpoint.doubtful_until_ms = 0
+            return
+        self._cell_state.log_decision(
+            "endpoint clock began anew",
+            endpoint=endpoint.endpoint_id,
+            clock_ms=clock_ms,
+            left_ms=max(endpoint.lease_ends_ms - now_ms, 0),
+        )
+        endpoint.expect_lease(endpoint.doubtful_until_ms)
+        endpoint.has_answered = False
+        self._poller.poll(endpoint, now_ms, wait_ms=0)
+
     def _on_repeated_start_refused(self, endpoint, booking, outcome, now_ms):
         """Handles the refusal of a repeated order to start a run.
 
--- a/samphiregate/core/cells/_periodic_checks.py
+++ b/samphiregate/core/cells/_periodic_checks.py
@@ -12,7 +12,7 @@
         lease_expired = (
             endpoint.failed_polls
             and endpoint.bookings_by_run
-            and endpoint.lease_until_ms <= now_ms
+            and endpoint.lease_ends_ms <= now_ms
         )
         if lease_expired:
             _losses.release_lapsed_runs(cell_state, endpoint, now_ms)
--- a/samphiregate/core/cells/_polling.py
+++ b/samphiregate/core/cells/_polling.py
@@ -102,7 +102,9 @@
         if _leases.may_extend(endpoint, now_ms) and leases.may_extend(
             endpoint.endpoint_id
         ):
-            deadline_ms = endpoint.extend_lease(now_ms, self._lease_ms)
+            deadline_ms = endpoint.extend_lease(
+                now_ms, self._lease_ms, self._cell_state.max_hold_ms
+            )
         if not _leases.has_current_reading(endpoint, now_ms):
             endpoint.was_unwatched = True
         endpoint.polls_in_flight += 1
--- a/samphiregate/core/cells/_reconciliation.py
+++ b/samphiregate/core/cells/_reconciliation.py
@@ -38,8 +38,17 @@
         _apply_incarnation(cell_state, endpoint, event, now_ms)
     _losses.clear_lapsed(endpoint)
     endpoint.failed_polls = 0
+    if not endpoint.has_answered:
+        until_ms = _leases.inherited_until_ms(
+            event.clock_ms,
+            now_ms,
+            cell_state.began_ms,
+            cell_state.max_hold_ms,
+        )
+        endpoint.expect_lease(until_ms)
     endpoint.has_answered = True
     endpoint.was_unwatched = False
+    endpoint.doubtful_until_ms = 0
     endpoint.clock_ms = event.clock_ms
     endpoint.answered_ms = now_ms
     for row in event.ended:
@@ -63,8 +72,6 @@
         )
     if has_restarted:
         endpoint.reset_incarnation(now_ms)
-    if not endpoint.has_answered:
-        _expect_earlier_lease(cell_state, endpoint, event)
     if known_unix_ms != started_unix_ms:
         endpoint.update_registration(
             attrs.evolve(
@@ -73,18 +80,6 @@
         )
 
 
-def _expect_earlier_lease(cell_state, endpoint, event):
-    """Counts on a lease by the clock before, if one may have been granted."""
-    extended_ms = endpoint.extended_ms
-    if extended_ms is not None and (
-        extended_ms >= _incarnations.earliest_start_ms(event)
-    ):
-        until_ms = _leases.until_ms_of_restarted(
-            endpoint, cell_state.max_hold_ms
-        )
-        endpoint.expect_lease(until_ms)
-
-
 def _apply_running(cell_state, endpoint, row, now_ms):
     """Updates or adopts a listed run; stops one that is not needed."""
     booking = endpoint.bookings_by_run.get((row.task_id, row.run))
--- a/samphiregate/core/cells/_registrations.py
+++ b/samphiregate/core/cells/_registrations.py
@@ -4,7 +4,6 @@
 
 from samphiregate.core.cells import _endpoints
 from samphiregate.core.cells import _incarnations
-from samphiregate.core.cells import _leases
 from samphiregate.core.cells import _losses
 
 
@@ -59,9 +58,6 @@
             _incarnations.ended_by_entry(endpoint, event),
         )
         endpoint.reset_incarnation(now_ms)
-        endpoint.expect_lease(
-            _leases.until_ms_of_restarted(endpoint, cell_state.max_hold_ms)
-        )
     endpoint.update_registration(event)
     endpoint.registered = True
     endpoint.update_leave_time(now_ms)
--- a/samphiregate/core/cells/_restored_runs.py
+++ b/samphiregate/core/cells/_restored_runs.py
@@ -3,6 +3,7 @@
 import attrs
 
 from samphiregate.core.cells import _endpoints
+from samphiregate.core.cells import _leases
 from samphiregate.core.cells import _losses
 from samphiregate.core.cells import _messages
 from samphiregate.core.cells import _run_gaps
@@ -63,6 +64,10 @@
         endpoint.endpoint_id, now_ms
     )
     endpoint.expect_lease(until_ms)
+    if _has_restarted(endpoint, record):
+        # It may have got the order by the clock before.
+        longest_ms = _leases.max_lease_ms(cell_state.max_hold_ms)
+        endpoint.expect_lease(now_ms + longest_ms)
     booking = cell_state.reserve(task, run, endpoint, now_ms)
     # Counts as confirmed, so that the first poll releases the run if the
     # endpoint does not list it.
--- a/samphiregate/core/cells/_starts.py
+++ b/samphiregate/core/cells/_starts.py
@@ -91,7 +91,7 @@
             booking.task.task_id,
             booking.run,
             stage.entry.job.payload,
-            endpoint.extend_lease(now_ms, lease_ms),
+            endpoint.extend_lease(now_ms, lease_ms, cell_state.max_hold_ms),
             booking.task.saved,
             ticket.text if ticket else "",
             ticket.valid_until_ms if ticket else None,
--- a/samphiregate/core/cells/_wait_reports.py
+++ b/samphiregate/core/cells/_wait_reports.py
@@ -80,7 +80,7 @@
         return {
             "run": booking.run,
             "endpoint": booking.endpoint_id,
-            "left_ms": max(endpoint.lease_until_ms - now_ms, 0),
+            "left_ms": max(endpoint.lease_ends_ms - now_ms, 0),
         }
 
     def _endpoint_states(self, service, now_ms):
