--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -22,6 +22,7 @@
 from samphiregate.core.cells import _tasks
 from samphiregate.core.cells import _work
 
+FIRST_EPOCH = 1
 RUN_NUMBER_SKIP = 1_000  # skips numbers that earlier owners may have used
 STOP_RETRY_MS = 400
 RECENT_URGENT_MS = 5_000
@@ -129,6 +130,11 @@
     def __attrs_post_init__(self):
         self.run_times = _run_times.RunTimes(locality=self.locality)
 
+    @property
+    def has_earlier_owners(self):
+        """Whether others owned the cell before."""
+        return self.epoch > FIRST_EPOCH
+
     def add_action(self, action):
         """Adds an action to those that `Cell` returns next."""
         self.actions.append(action)
--- a/samphiregate/core/cells/_reconciliation.py
+++ b/samphiregate/core/cells/_reconciliation.py
@@ -38,7 +38,7 @@
         _apply_incarnation(cell_state, endpoint, event, now_ms)
     _losses.clear_lapsed(endpoint)
     endpoint.failed_polls = 0
-    if not endpoint.has_answered:
+    if not endpoint.has_answered and cell_state.has_earlier_owners:
         until_ms = _leases.inherited_until_ms(
             event.clock_ms,
             now_ms,
