--- a/review/support_2/runner.py
+++ b/review/support_2/runner.py
@@ -54,6 +54,11 @@
         self.refuses = False
         self._store = store
         self._note = note
+        self._port = 0
+        self._tasks = []
+        self._begin()
+
+    def _begin(self):
         self._server = web.Server(self._answer)
         self._begin_s = time.monotonic()
         self._born_ms = round(time.time() * 1000)
@@ -65,11 +70,28 @@
         self._end_count = 0
         self._sequence = 0
         self._changed = asyncio.Event()
-        self._tasks = []
+
+    async def restart(self):
+        """Starts again after a crash, under the same id and address."""
+        self._begin()
+        self._note("runner starts again", runner=self.runner_id)
+        await self.start()
+
+    def crash(self):
+        """Ends the process: its connections are reset, its runs are lost."""
+        lost = [[run.task, run.number] for run in self._runs.values()]
+        self._note("runner crashes", runner=self.runner_id, lost=lost)
+        self._runs = {}
+        self.close()
+
+    def runs_task(self, prefix):
+        """Whether it runs a task whose name begins so."""
+        return any(task.startswith(prefix) for task, _run in self._runs)
 
     async def start(self):
         """Begins to serve and to register itself."""
-        await self._server.start()
+        await self._server.start(port=self._port)
+        self._port = int(self._server.address.rpartition(":")[2])
         self._tasks = [
             asyncio.ensure_future(self._beat()),
             asyncio.ensure_future(self._work()),
