--- a/review/support_2/runner.py
+++ b/review/support_2/runner.py
@@ -138,6 +138,8 @@
 
     def _end(self, run, how):
         del self._runs[run.task, run.number]
+        highest = max(self._highest.get(run.task, 0), run.number)
+        self._highest[run.task] = highest
         self._end_count += 1
         self._ended.append([self._end_count, run.task, run.number, how, ""])
         self._note(
