--- a/review/7/run.py
+++ b/review/7/run.py
@@ -75,6 +75,8 @@
             if job_id is not None:
                 accepted.append(job_id)
             await asyncio.sleep(0.5)
+        if not accepted:
+            raise sites.NotRunError("no job was accepted")
         await asyncio.sleep(FINISH_S)
         idle = [one for one in accepted if not has_started(site, one)]
         await asyncio.sleep(IDLE_S)
--- a/review/support_2/site.py
+++ b/review/support_2/site.py
@@ -324,8 +324,9 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         held, sentence = asyncio.run(case(record_path, trouble))
-    except NotRunError as error:
-        print(f"not run: {error}")
+    except Exception as error:
+        # An error of the script tells nothing of the rule.
+        print(f"not run: {error!r}")
         sys.exit(NOT_RUN)
     with open(record_path, "a", encoding="utf-8") as record:
         record.write(
