Let no record of a job outgrow the store, nor hold up the others

Cause: nothing bounded the record of a job; a write that the store refuses as too large was repeated for good; and the records of all other jobs were in the same transaction or waited behind it.

Evidence: the store answers 413 to the same write ten times a second, while plans go on and the endpoints answer.

Now a job has a bounded number of open tasks, which are all that its record names one by one; a job that needs more at once is refused with 400 before it is stored; wide jobs have a compact record; checkpoints have a share of a record; a long-running task's record names its last failure only, not each. The writer tells a rejection from a store that is away, writes the other records without the rejected one, and bounds a transaction in bytes.

--- a/bench/owner/_owner.py
+++ b/bench/owner/_owner.py
@@ -16,6 +16,7 @@
 TICK_MS = 100
 LEASE_MS = 5_000
 MAX_RECORDS = 28
+MAX_COMMIT_BYTES = 262_144
 QUERY_SLOTS = 38
 FAILED_SHARE = 0.02
 REFUSED_SHARE = 0.02
@@ -124,7 +125,9 @@
     def _write(self):
         if self._writing:
             return
-        rows = self._measure(self.cell.pop_records, MAX_RECORDS)
+        rows = self._measure(
+            self.cell.pop_records, MAX_RECORDS, MAX_COMMIT_BYTES
+        )
         if rows:
             self._writing = True
             self._after(STORE_MS, self._written, rows)
--- a/features/steps/cells_drain_request_steps.py
+++ b/features/steps/cells_drain_request_steps.py
@@ -299,6 +299,7 @@
         configuration=lambda: None,
         drained_data_centres=lambda: frozenset(context.drained),
         placement=_owner.PlacementSettings(),
+        record_limits=cells.RecordLimits(),
         session_end=context.session_end,
         epoch_history=cells.EpochHistory(),
         now_ms=_Clock.now_ms,
--- a/features/steps/cells_vm_steps.py
+++ b/features/steps/cells_vm_steps.py
@@ -13,11 +13,9 @@
 from samphiregate.adapters.cells import _job_service
 from samphiregate.adapters.cells import _keys
 from samphiregate.adapters.cells import _lease
-from samphiregate.adapters.cells import _ownership
 from samphiregate.adapters.cells import _ports
 from samphiregate.adapters.cells import _relay
 from samphiregate.adapters.cells import _vm
-from samphiregate.adapters.cells import _writer
 from samphiregate.core import cells
 from samphiregate import errors
 
@@ -310,22 +308,6 @@
     context.late_before_second = when.startswith("before")
 
 
-def _make_writer(store, **callables):
-    arguments = {
-        "pop_records": lambda _max_count: [],
-        "pop_silent_record": lambda: None,
-        "on_stored": lambda _rows: None,
-        "on_silent_record_stored": lambda: None,
-        "on_lost": lambda _reason: None,
-    }
-    return _writer.RecordWriter(
-        store=store,
-        tenure=_ownership.Tenure(cells_store.CELL, 1, {}, 1),
-        log=cells_store.FakeLog(),
-        **(arguments | callables),
-    )
-
-
 @behave.when('the owner stores that endpoint "{endpoint_id}" is silent')
 def when_silent_record_stored(context, endpoint_id):
     record = cells.encode(cells.SilentRecord({endpoint_id: 1}))
@@ -337,7 +319,7 @@
         context.reports += 1
         finished.set()
 
-    writer = _make_writer(
+    writer = cells_store.make_writer(
         context.store,
         pop_silent_record=lambda: records.pop() if records else None,
         on_silent_record_stored=report,
@@ -369,7 +351,7 @@
     ]
     finished = gevent.event.Event()
 
-    def pop_records(_max_items):
+    def pop_records(_max_items, _max_bytes):
         if len(rows) == 1 and context.late_before_second:
             context.store.apply_delayed()
         if rows:
@@ -377,7 +359,7 @@
         finished.set()
         return []
 
-    writer = _make_writer(
+    writer = cells_store.make_writer(
         context.store,
         pop_records=pop_records,
         on_lost=lambda _reason: finished.set(),
--- a/features/support/cells.py
+++ b/features/support/cells.py
@@ -19,6 +19,7 @@
 
 LINK_DELAY_MS = 1
 STORE_WRITE_MS = 6
+MAX_COMMIT_BYTES = 262_144
 TICK_MS = 100
 UNREACHABLE_TIMEOUT_MS = 1_000
 ORDER_TIMEOUT_MS = 400
@@ -50,6 +51,14 @@
         Factor by which tasks take longer than their estimates.
     store_write_ms : int
         How long a write takes.
+    max_value_bytes : int
+        Size of the largest record that the store takes.
+    refused_ids : list of str
+        The jobs whose records the store has refused.
+    always_refused_ids : set of str
+        Jobs whose records it refuses whatever their size, but for the last.
+    max_record_bytes : int
+        Size of the largest record that was written.
     failed_query_share : float
         Share of policy queries that fail.
     factor_by_job : dict
@@ -104,6 +113,10 @@
         self.accounts = ()
         self.store_up = True
         self.store_write_ms = STORE_WRITE_MS
+        self.max_value_bytes = cells.DEFAULT_MAX_VALUE_BYTES
+        self.max_record_bytes = 0
+        self.refused_ids = []
+        self.always_refused_ids = set()
         self.owner_up = True
         self.owner_may_start = True
         self.allowed_by_step = {}
@@ -198,6 +211,7 @@
             silent_record=self._load_silent_record(),
             far_x=self.far_x,
             max_place_wait_ms=self.max_place_wait_ms,
+            record_limits=cells.RecordLimits(self.max_value_bytes),
             unix_ms=self.now_ms,
         )
         self.deliver(cells.AccountsChanged(self.accounts))
@@ -296,7 +310,7 @@
         if self._writing or not self.store_up:
             return
         silent_record = self.cell.pop_silent_record()
-        rows = self.cell.pop_records(30)
+        rows = self.cell.pop_records(30, MAX_COMMIT_BYTES)
         if rows or silent_record is not None:
             self._writing = True
             self.write_count += 1
@@ -315,6 +329,8 @@
             self.at(100, retry)
             return
         self._writing = False
+        refused = [row for row in rows if self._is_refused(row)]
+        rows = [row for row in rows if row not in refused]
         if silent_record is not None:
             self.stored_silent_record = silent_record
             record = cells.decode(silent_record, cells.SilentRecord)
@@ -329,11 +345,20 @@
             self.deliver(cells.SilentRecordStored())
         versions = tuple((row.job_id, row.version) for row in rows)
         self.deliver(cells.RecordsStored(versions))
+        for row in refused:
+            self.refused_ids.append(row.job_id)
+            self.deliver(cells.RecordRefused(row.job_id))
         for row in rows:
             state = self.cell.state_of(row.job_id)
             if state is cells.JobState.COMPLETED:
                 self.done_ms_by_job.setdefault(row.job_id, self.now_ms)
 
+    def _is_refused(self, row):
+        self.max_record_bytes = max(self.max_record_bytes, row.size_bytes)
+        if row.job_id in self.always_refused_ids and row.job is None:
+            return True
+        return len(row.record) > self.max_value_bytes
+
     # Actions
 
     def _perform(self, actions):
--- a/features/support/cells_invariants.py
+++ b/features/support/cells_invariants.py
@@ -6,6 +6,7 @@
 """
 
 from samphiregate.core import cells
+from samphiregate.core.cells import _compact_records
 
 
 class Invariants:
@@ -58,9 +59,14 @@
                 row.reason is not cells.EndReason.DONE
             ):
                 continue
-            data = self._simulation.stored_by_id.get(row.task_id.job_id)
+            job_id = row.task_id.job_id
+            data = self._simulation.stored_by_id.get(job_id)
             if not data or not _is_recorded(
-                cells.decode(data, cells.JobRecord), row
+                _compact_records.expand(
+                    cells.decode(data, cells.JobRecord),
+                    self._simulation.stored_job(job_id),
+                ),
+                row,
             ):
                 self.add_violation(
                     f"the end of {row.task_id} was discarded before it was "
--- a/features/support/cells_store.py
+++ b/features/support/cells_store.py
@@ -5,6 +5,8 @@
 import gevent
 
 from samphiregate.adapters import cells as ports
+from samphiregate.adapters.cells import _ownership
+from samphiregate.adapters.cells import _writer
 from samphiregate import errors
 
 CELL = "all"
@@ -99,6 +101,32 @@
         return self.revision
 
 
+class RejectingStore(MemoryStore):
+    """A store that rejects writes of one key.
+
+    Parameters
+    ----------
+    key : str
+    is_too_large : bool
+        Whether it gives the size of the value as the cause.
+    """
+
+    def __init__(self, key, *, is_too_large):
+        super().__init__()
+        self._key = key
+        self._is_too_large = is_too_large
+
+    def commit(self, *, expected, writes, removals=()):
+        """See `ports.Store.commit`."""
+        if any(write.key == self._key for write in writes):
+            raise ports.RejectedWriteError(
+                "rejected", is_too_large=self._is_too_large
+            )
+        return super().commit(
+            expected=expected, writes=writes, removals=removals
+        )
+
+
 class DelayedStore(MemoryStore):
     """A store that does not answer the first writes and delays them.
 
@@ -185,6 +213,32 @@
         return self.time_ms
 
 
+def make_writer(store, **callables):
+    """Returns a `RecordWriter` that writes to a store.
+
+    Parameters
+    ----------
+    store : Store
+    callables : dict
+        What it calls, by parameter; the others do nothing.
+    """
+    arguments = {
+        "pop_records": lambda _max_items, _max_bytes: [],
+        "pop_silent_record": lambda: None,
+        "on_stored": lambda _rows: None,
+        "on_refused": lambda _job_id: None,
+        "on_delayed": lambda _job_id: None,
+        "on_silent_record_stored": lambda: None,
+        "on_lost": lambda _reason: None,
+    }
+    return _writer.RecordWriter(
+        store=store,
+        tenure=_ownership.Tenure(CELL, 1, {}, 1),
+        log=FakeLog(),
+        **(arguments | callables),
+    )
+
+
 def result_of(call):
     """Returns what a caller is told of a call, in words."""
     try:
--- a/samphiregate/adapters/cells/__init__.py
+++ b/samphiregate/adapters/cells/__init__.py
@@ -11,6 +11,7 @@
 from samphiregate.adapters.cells._ports import HistoryLostError
 from samphiregate.adapters.cells._ports import LeaseEndedError
 from samphiregate.adapters.cells._ports import PolicyService
+from samphiregate.adapters.cells._ports import RejectedWriteError
 from samphiregate.adapters.cells._ports import Route
 from samphiregate.adapters.cells._ports import SiteConfiguration
 from samphiregate.adapters.cells._ports import Store
@@ -31,6 +32,7 @@
     "PlacementSettings",
     "PolicyService",
     "Ports",
+    "RejectedWriteError",
     "Route",
     "SiteConfiguration",
     "Store",
--- a/samphiregate/adapters/cells/_job_service.py
+++ b/samphiregate/adapters/cells/_job_service.py
@@ -26,6 +26,7 @@
     owner_address : callable
         Returns the peer address of the cell's owner, or None.
     notices : OwnerNotices
+    record_limits : RecordLimits
     now_ms, unix_ms : callable
     log : DecisionLog
     """
@@ -39,6 +40,7 @@
         local_cell,
         owner_address,
         notices,
+        record_limits=cells.RecordLimits(),
         now_ms,
         unix_ms,
         log,
@@ -48,6 +50,7 @@
         self._local_cell = local_cell
         self._owner_address = owner_address
         self._notices = notices
+        self._record_limits = record_limits
         self._now_ms = now_ms
         self._unix_ms = unix_ms
         self._log = log
@@ -65,12 +68,16 @@
         Raises
         ------
         SamphiregateError
+            `BAD_INPUT` for a job that is too large to be stored or done;
             `UNAVAILABLE` when it is known not to have been accepted;
             `OUTCOME_UNKNOWN` when it may have been.
         """
+        self._record_limits.check(job)
         job = attrs.evolve(job, accepted_unix_ms=self._unix_ms())
         job_key = _keys.job(self._cell, job.job_id)
-        write = _ports.StoreWrite(job_key, cells.encode(job))
+        value = cells.encode(job)
+        self._record_limits.check_size(value)
+        write = _ports.StoreWrite(job_key, value)
         try:
             self._calls.run_write(
                 self._calls.commit, timeout_ms, {job_key: 0}, write
--- a/samphiregate/adapters/cells/_owner.py
+++ b/samphiregate/adapters/cells/_owner.py
@@ -68,6 +68,7 @@
         stops.
     epoch_history : EpochHistory
     placement : PlacementSettings
+    record_limits : RecordLimits
     now_ms, unix_ms : callable
     log : DecisionLog
     """
@@ -86,6 +87,7 @@
         session_end,
         epoch_history,
         placement,
+        record_limits,
         now_ms,
         unix_ms,
         log,
@@ -99,6 +101,7 @@
         self._session_end = session_end
         self._epoch_history = epoch_history
         self._placement = placement
+        self._record_limits = record_limits
         self._now_ms = now_ms
         self._unix_ms = unix_ms
         self._log = log
@@ -211,6 +214,7 @@
             far_x=self._placement.far_x,
             max_place_wait_ms=self._placement.max_place_wait_ms,
             max_hold_ms=self._placement.max_hold_ms,
+            record_limits=self._record_limits,
             unix_ms=self._unix_ms(),
         )
         self.cell = loaded_cell
@@ -227,6 +231,8 @@
                 pop_records=loaded_cell.pop_records,
                 pop_silent_record=loaded_cell.pop_silent_record,
                 on_stored=self._records_stored,
+                on_refused=self._record_refused,
+                on_delayed=self._record_delayed,
                 on_silent_record_stored=self._silent_record_stored,
                 on_lost=self._end,
                 log=self._log,
@@ -245,6 +251,12 @@
     def _records_stored(self, versions):
         self.deliver(cells.RecordsStored(versions))
 
+    def _record_refused(self, job_id):
+        self.deliver(cells.RecordRefused(job_id))
+
+    def _record_delayed(self, job_id):
+        self.deliver(cells.RecordDelayed(job_id))
+
     def _silent_record_stored(self):
         self.deliver(cells.SilentRecordStored())
 
--- a/samphiregate/adapters/cells/_ports.py
+++ b/samphiregate/adapters/cells/_ports.py
@@ -81,6 +81,21 @@
         super().__init__(errors.ErrorCode.NOT_FOUND, "the lease has ended")
 
 
+class RejectedWriteError(errors.UnavailableError):
+    """The store rejects a write as it is, and has not carried it out.
+
+    Parameters
+    ----------
+    detail : str
+    is_too_large : bool
+        Whether a value is larger than the store takes.
+    """
+
+    def __init__(self, detail, *, is_too_large):
+        super().__init__(detail)
+        self.is_too_large = is_too_large
+
+
 class Store(typing.Protocol):
     """A linearizable key-value store with leases and watches.
 
@@ -129,6 +144,8 @@
             When a key does not have its expected revision.
         LeaseEndedError
             When the lease of a written key has ended.
+        RejectedWriteError
+            When the store would reject it again.
         """
 
     def grant_lease(self, ttl_ms):
--- a/samphiregate/adapters/cells/_relay.py
+++ b/samphiregate/adapters/cells/_relay.py
@@ -98,7 +98,7 @@
             raise StoreUnavailableError(unavailable_ms)
         try:
             result = direct() if path is self._direct else relayed(addresses)
-        except _ports.ConflictError:
+        except (_ports.ConflictError, _ports.RejectedWriteError):
             self._record_success(path, self._now_ms())
             raise
         except errors.UnavailableError as error:
--- a/samphiregate/adapters/cells/_vm.py
+++ b/samphiregate/adapters/cells/_vm.py
@@ -59,6 +59,7 @@
     random_state : random.Random
     log : DecisionLog
     placement : PlacementSettings
+    record_limits : RecordLimits
 
     Attributes
     ----------
@@ -79,11 +80,13 @@
         random_state,
         log,
         placement=_owner.PlacementSettings(),
+        record_limits=cells.RecordLimits(),
     ):
         self._vm_id = vm_id
         self._peer_address = peer_address
         self._ports = ports
         self._placement = placement
+        self._record_limits = record_limits
         self._random = random_state
         self._log = log
         self._stack = contextlib.ExitStack()
@@ -164,6 +167,7 @@
             local_cell=self._local_cell,
             owner_address=lambda: self._owner_view.address,
             notices=self._notices,
+            record_limits=record_limits,
             now_ms=_clock.steady_ms,
             unix_ms=_clock.unix_ms,
             log=log,
@@ -311,6 +315,7 @@
             session_end=session_end,
             epoch_history=self._owner_view.epoch_history,
             placement=self._placement,
+            record_limits=self._record_limits,
             now_ms=_clock.steady_ms,
             unix_ms=_clock.unix_ms,
             log=self._log,
--- a/samphiregate/adapters/cells/_writer.py
+++ b/samphiregate/adapters/cells/_writer.py
@@ -7,6 +7,7 @@
 
 import gevent
 import gevent.event
+from gevent import pool
 
 from samphiregate.adapters.cells import _keys
 from samphiregate.adapters.cells import _ports
@@ -15,7 +16,11 @@
 # The transaction also has the last-write key, the record of silent endpoints
 # and two conditions.
 MAX_ITEMS_PER_COMMIT = 28
+# More than one record is not written at once beyond this size, so that no job
+# waits long for the records of others on a slow link.
+MAX_COMMIT_BYTES = 262_144
 RETRY_INTERVAL_MS = 100
+REJECTED_RETRY_MS = 1_000  # for a record that the store rejected
 
 
 class RecordWriter:
@@ -26,11 +31,16 @@
     store : Store
     tenure : Tenure
     pop_records : callable
-        Takes the maximal number of items; returns a list of `StoredRow`.
+        Takes the maximal number of items and of bytes; returns a list of
+        `StoredRow`.
     pop_silent_record : callable
         Returns the record of silent endpoints as bytes; None if unchanged.
     on_stored : callable
         Takes rows of job id and version.
+    on_refused : callable
+        Takes the id of a job whose record is too large for the store.
+    on_delayed : callable
+        Takes the id of a job whose record is to be written again.
     on_silent_record_stored : callable
     on_lost : callable
         Called with a reason when the ownership is lost.
@@ -45,6 +55,8 @@
         pop_records,
         pop_silent_record,
         on_stored,
+        on_refused,
+        on_delayed,
         on_silent_record_stored,
         on_lost,
         log,
@@ -54,6 +66,8 @@
         self._pop_records = pop_records
         self._pop_silent_record = pop_silent_record
         self._on_stored = on_stored
+        self._on_refused = on_refused
+        self._on_delayed = on_delayed
         self._on_silent_record_stored = on_silent_record_stored
         self._on_lost = on_lost
         self._log = log
@@ -61,6 +75,7 @@
         self._last_revision = 0
         self._wake = gevent.event.Event()
         self._greenlet = None
+        self._delays = pool.Group()
 
     def __enter__(self):
         self._greenlet = gevent.spawn(self._run)
@@ -68,6 +83,7 @@
 
     def __exit__(self, *exc_info):
         self._greenlet.kill()
+        self._delays.kill(block=False)
 
     def wake(self):
         """Wakes the writer, as there may be records to write."""
@@ -76,19 +92,64 @@
     def _run(self):
         while True:
             silent_record = self._pop_silent_record()
-            rows = self._pop_records(MAX_ITEMS_PER_COMMIT)
+            rows = self._pop_records(MAX_ITEMS_PER_COMMIT, MAX_COMMIT_BYTES)
             if not rows and silent_record is None:
                 self._wake.clear()
                 self._wake.wait()
                 continue
-            if not self._write(self._writes(rows, silent_record)):
+            if not self._store_all(rows, silent_record):
                 return
-            if silent_record is not None:
-                self._on_silent_record_stored()
-            if rows:
-                self._on_stored(
-                    tuple((row.job_id, row.version) for row in rows)
-                )
+
+    def _store_all(self, rows, silent_record):
+        """Stores records; returns whether the ownership is held.
+
+        A record that the store rejects does not hold up the others: these
+        are written without it.
+        """
+        try:
+            if not self._write(self._writes(rows, silent_record)):
+                return False
+        except _ports.RejectedWriteError as error:
+            return self._store_apart(rows, silent_record, error)
+        if silent_record is not None:
+            self._on_silent_record_stored()
+        if rows:
+            self._on_stored(tuple((row.job_id, row.version) for row in rows))
+        return True
+
+    def _store_apart(self, rows, silent_record, error):
+        """Stores the records of a rejected transaction in smaller ones."""
+        if silent_record is not None:
+            if not rows:
+                self._log_not_stored(1, error)
+                gevent.sleep(REJECTED_RETRY_MS / 1000)
+            # Not later than the records that were popped after it.
+            return self._store_all((), silent_record) and (
+                not rows or self._store_all(rows, None)
+            )
+        if len(rows) == 1:
+            self._set_apart(rows[0], error)
+            return True
+        middle = len(rows) // 2
+        return self._store_all(rows[:middle], None) and self._store_all(
+            rows[middle:], None
+        )
+
+    def _set_apart(self, row, error):
+        self._log.write(
+            "record rejected",
+            request=row.job_id,
+            bytes=row.size_bytes,
+            reason=error.detail,
+        )
+        if error.is_too_large:
+            self._on_refused(row.job_id)
+        else:
+            self._delays.spawn(self._delay, row.job_id)
+
+    def _delay(self, job_id):
+        gevent.sleep(REJECTED_RETRY_MS / 1000)
+        self._on_delayed(job_id)
 
     def _writes(self, rows, silent_record):
         cell = self._tenure.cell
@@ -126,15 +187,20 @@
                 self._last_revision = error.revision_by_key.get(
                     self._last_write_key, 0
                 )
+            except _ports.RejectedWriteError:
+                raise
             except errors.SamphiregateError as error:
-                self._log.write(
-                    "records not stored",
-                    cell=self._tenure.cell,
-                    records=len(writes) - 1,
-                    reason=error.detail,
-                )
+                self._log_not_stored(len(writes) - 1, error)
                 gevent.sleep(RETRY_INTERVAL_MS / 1000)
 
+    def _log_not_stored(self, record_count, error):
+        self._log.write(
+            "records not stored",
+            cell=self._tenure.cell,
+            records=record_count,
+            reason=error.detail,
+        )
+
     def _still_owns(self, revision_by_key):
         return all(
             revision_by_key.get(key) == revision
--- a/samphiregate/core/cells/__init__.py
+++ b/samphiregate/core/cells/__init__.py
@@ -22,6 +22,8 @@
 from samphiregate.core.cells._messages import PollEndpoint
 from samphiregate.core.cells._messages import PollFailed
 from samphiregate.core.cells._messages import QueryPolicy
+from samphiregate.core.cells._messages import RecordDelayed
+from samphiregate.core.cells._messages import RecordRefused
 from samphiregate.core.cells._messages import RecordsStored
 from samphiregate.core.cells._messages import RunningRow
 from samphiregate.core.cells._messages import SilentRecordStored
@@ -49,6 +51,8 @@
 from samphiregate.core.cells._peer_messages import RelayWrite
 from samphiregate.core.cells._peer_messages import WaitingIs
 from samphiregate.core.cells._peer_messages import WriteWas
+from samphiregate.core.cells._record_limits import DEFAULT_MAX_VALUE_BYTES
+from samphiregate.core.cells._record_limits import RecordLimits
 from samphiregate.core.cells._records import decode
 from samphiregate.core.cells._records import encode
 from samphiregate.core.cells._records import JobRecord
@@ -68,6 +72,7 @@
 __all__ = [
     "DEFAULT_MAX_HOLD_MS",
     "DEFAULT_MAX_PLACE_WAIT_MS",
+    "DEFAULT_MAX_VALUE_BYTES",
     "Account",
     "AccountsChanged",
     "AdviceIs",
@@ -107,6 +112,9 @@
     "PollFailed",
     "QueryPolicy",
     "Queue",
+    "RecordDelayed",
+    "RecordLimits",
+    "RecordRefused",
     "RecordsStored",
     "RelayAdvice",
     "RelayRead",
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -22,6 +22,7 @@
 from samphiregate.core.cells import _preemption
 from samphiregate.core.cells import _progress
 from samphiregate.core.cells import _reconciliation
+from samphiregate.core.cells import _record_limits
 from samphiregate.core.cells import _records
 from samphiregate.core.cells import _registrations
 from samphiregate.core.cells import _run_time_reports
@@ -62,6 +63,7 @@
         How long tasks wait at most for a place near their data or gang.
     max_hold_ms : int
         To which endpoints shorten longer leases, on their clocks.
+    record_limits : RecordLimits
     unix_ms : int
         Time of day, from which the ages of stored jobs are counted; 0 if it
         is not known.
@@ -92,6 +94,7 @@
         far_x=1.0,
         max_place_wait_ms=_delay_scheduling.DEFAULT_MAX_PLACE_WAIT_MS,
         max_hold_ms=_leases.DEFAULT_MAX_HOLD_MS,
+        record_limits=_record_limits.RecordLimits(),
         unix_ms=0,
     ):
         inherited_leases = _inheritance.InheritedLeases(
@@ -106,6 +109,7 @@
             inherited_leases,
             locality=_data_locality.DataLocality(far_x),
             max_hold_ms=max_hold_ms,
+            record_limits=record_limits,
             unix_ms=unix_ms,
         )
         self._lease_ms = lease_ms
@@ -179,23 +183,35 @@
         """Returns the load of the cell; see `_load.describe`."""
         return _load.describe(self.cell_state)
 
-    def pop_records(self, max_items):
-        """Returns changed records, to be stored with up to `max_items` items.
+    def pop_records(self, max_items, max_bytes):
+        """Returns changed records, to be stored in one transaction.
 
         The records no longer count as changed afterwards.
 
+        Parameters
+        ----------
+        max_items : int
+        max_bytes : int
+            Size of all values, if there is more than one record.
+
         Returns
         -------
         list of StoredRow
         """
         rows = []
-        item_count = 0
+        item_count = size_bytes = 0
         for job_id in list(self.cell_state.dirty_ids):
             entry = self.cell_state.entry_by_id.get(job_id)
             if entry is not None:
-                row = _progress.to_row(entry, self._registration_of)
+                row = _progress.to_row(
+                    entry,
+                    self._registration_of,
+                    self.cell_state.record_limits,
+                )
                 item_count += row.item_count
-                if item_count > max_items:
+                size_bytes += row.size_bytes
+                is_full = item_count > max_items or size_bytes > max_bytes
+                if rows and is_full:
                     break
                 rows.append(row)
                 entry.is_compacted |= row.job is not None
@@ -375,6 +391,16 @@
             ):
                 self._poller.make_due(endpoint, now_ms)
 
+    @_apply.register
+    def _(self, event: _messages.RecordRefused, now_ms):
+        self.cell_state.refuse_record(event.job_id, now_ms)
+
+    @_apply.register
+    def _(self, event: _messages.RecordDelayed, now_ms):
+        del now_ms
+        if event.job_id in self.cell_state.entry_by_id:
+            self.cell_state.dirty_ids[event.job_id] = None
+
     @_apply.register
     def _(self, event: _messages.SilentRecordStored, now_ms):
         del event, now_ms
--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -5,6 +5,7 @@
 import attrs
 
 from samphiregate.core.cells import _account_limits
+from samphiregate.core.cells import _compact_records
 from samphiregate.core.cells import _data_locality
 from samphiregate.core.cells import _drained_data_centres
 from samphiregate.core.cells import _endpoint_failures
@@ -16,6 +17,7 @@
 from samphiregate.core.cells import _order
 from samphiregate.core.cells import _preemption_counts
 from samphiregate.core.cells import _progress
+from samphiregate.core.cells import _record_limits
 from samphiregate.core.cells import _restored_runs
 from samphiregate.core.cells import _run_gaps
 from samphiregate.core.cells import _run_times
@@ -40,6 +42,7 @@
     inherited_leases : InheritedLeases
     max_hold_ms : int
         To which endpoints shorten longer leases, on their clocks.
+    record_limits : RecordLimits
 
     Attributes
     ----------
@@ -120,6 +123,7 @@
         factory=_preemption_counts.PreemptionCounts
     )
     max_hold_ms: int = _leases.DEFAULT_MAX_HOLD_MS
+    record_limits: _record_limits.RecordLimits = _record_limits.RecordLimits()
     began_ms: int | None = None
     unix_ms: int = 0
     now_ms: int = 0
@@ -210,8 +214,9 @@
         return age_ms
 
     def _fitting_record(self, event):
-        record = event.record.fitting(event.job)
-        if record != event.record:
+        expanded = _compact_records.expand(event.record, event.job)
+        record = expanded.fitting(event.job)
+        if record != expanded:
             self.log_decision(
                 "record unreadable",
                 event.job.job_id,
@@ -227,6 +232,19 @@
         else:
             self.finish(entry, _work.JobState.CANCELLED, now_ms)
 
+    def refuse_record(self, job_id, now_ms):
+        """Gives up a job whose record the store refuses as too large.
+
+        Its record is stored without its steps. None of the runs that the
+        refused record would have added was ordered to start.
+        """
+        entry = self.entry_by_id.get(job_id)
+        if entry is None or entry.is_record_refused:
+            return
+        entry.is_record_refused = True
+        self.finish(entry, _work.JobState.FAILED, now_ms, reason="record")
+        self.dirty_ids[job_id] = None
+
     def has_recent_urgent_work(self, account):
         """Whether the account has urgent jobs that were read recently.
 
@@ -351,6 +369,7 @@
             expected_ms=self.run_times.expected_stage_ms(task.stage, endpoint),
         )
         task.last_run = max(task.last_run, run)
+        task.stage.entry.note_open(task)
         if _isolation.needs_isolation(self, task):
             self.isolated_runs.add(booking)
         endpoint.reserve(booking)
--- a/samphiregate/core/cells/_ends.py
+++ b/samphiregate/core/cells/_ends.py
@@ -96,7 +96,11 @@
     # A gang fails as one: its failed runs are counted once, on its first
     # task.
     counted_task = stage.tasks[0] if stage.step.gang else task
-    counted_task.failed_runs.add(run)
+    if stage.step.long_running:
+        # There is no limit of attempts; the record names the last of them.
+        counted_task.failed_runs = {run}
+    else:
+        counted_task.failed_runs.add(run)
     stage.failed_ids.add(endpoint.endpoint_id)
     # The endpoint has outlasted the run.
     task.crash_history = _crash_history.NO_CRASHES
--- a/samphiregate/core/cells/_messages.py
+++ b/samphiregate/core/cells/_messages.py
@@ -323,6 +323,20 @@
     versions: tuple[tuple[str, int], ...]
 
 
+@attrs.frozen
+class RecordRefused(base.Event):
+    """The store refused the record of a job as too large."""
+
+    job_id: str
+
+
+@attrs.frozen
+class RecordDelayed(base.Event):
+    """The record of a job was not stored, and is to be written again."""
+
+    job_id: str
+
+
 @attrs.frozen
 class SilentRecordStored(base.Event):
     """A record of silent endpoints was stored, in the order of popping."""
--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -131,6 +131,10 @@
         if not tasks:
             stage.waits_for = _wait_reasons.WaitReason.ACCOUNT_LIMIT
             return
+        tasks = self._within_record_limit(stage, tasks)
+        if not tasks:
+            stage.waits_for = _wait_reasons.WaitReason.RECORD_LIMIT
+            return
         usable = self._usable.find(
             stage,
             now_ms,
@@ -352,6 +356,14 @@
             allowed += 1
         return tasks[:allowed]
 
+    def _within_record_limit(self, stage, tasks):
+        """Returns the tasks that the record of their job may name."""
+        max_open = self._cell_state.record_limits.max_open_tasks
+        allowed = stage.entry.may_open(tasks, max_open)
+        if stage.step.gang and len(allowed) < len(tasks):
+            return []
+        return allowed
+
     def _candidates(self, stage, usable, holds, now_ms):
         """Returns the endpoints with room that may run tasks of the stage."""
         need = stage.step.booked
--- a/samphiregate/core/cells/_progress.py
+++ b/samphiregate/core/cells/_progress.py
@@ -2,22 +2,34 @@
 
 import attrs
 
+from samphiregate.core.cells import _compact_records
 from samphiregate.core.cells import _crash_history
 from samphiregate.core.cells import _records
 from samphiregate.core.cells import _tasks
 
 
-def to_row(entry, registration_of):
+def to_row(entry, registration_of, limits):
     """Returns the `StoredRow` of a job for the store; see `to_record`.
 
     A job that has ended, and of which no run can exist, loses its steps
     and its payload: most stored jobs have ended, and a new owner reads
     them all. From then on its record names no runs, as it has no steps
-    to restore them to; an owner that finds one stops it.
+    to restore them to; an owner that finds one stops it. So does a job
+    whose record the store has refused as too large.
+
+    Parameters
+    ----------
+    entry : JobEntry
+    registration_of : callable
+        Takes an endpoint id; returns its `EndpointRegistered`.
+    limits : RecordLimits
     """
-    has_ended = entry.state.is_final and not any(entry.bookings())
+    has_ended = entry.is_record_refused or (
+        entry.state.is_final and not any(entry.bookings())
+    )
     if not entry.is_compacted and not has_ended:
-        record = _records.encode(to_record(entry, registration_of))
+        record = _bounded(entry, to_record(entry, registration_of), limits)
+        record = _records.encode(record)
         return _records.StoredRow(entry.job.job_id, entry.version, record)
     record = _records.JobRecord(entry.state, (), entry.ended_unix_ms)
     job = attrs.evolve(entry.job, payload="", steps=(), schedule=None)
@@ -64,6 +76,14 @@
     )
 
 
+def _bounded(entry, record, limits):
+    """Returns the record as it is stored, within the limits."""
+    record = _compact_records.limit_saved(record, limits.max_saved_bytes)
+    if limits.is_wide(entry.job):
+        return _compact_records.compact(record)
+    return record
+
+
 def restore(entry, record):
     """Restores the progress of a job from the record of an earlier owner."""
     entry.state = record.state
@@ -143,5 +163,7 @@
             index, _crash_history.NO_CRASHES
         )
         task.preempted_count = stage_record.preempted.get(index, 0)
+        if task.is_open:
+            stage.entry.note_open(task)
         # The record does not tell which of the tasks ran.
         task.interrupted_ms = 0
--- a/samphiregate/core/cells/_records.py
+++ b/samphiregate/core/cells/_records.py
@@ -41,6 +41,12 @@
     preempted : dict
         Number of runs of each task that were stopped for urgent tasks, keyed
         by task index; earlier builds write none.
+    done_ranges : tuple
+        In place of `done` in a compact record: first index and length of each
+        range.
+    runs_by_endpoint : dict
+        In place of `placed` in a compact record: task index and run number of
+        each run, by endpoint id.
     """
 
     occurrence: int
@@ -54,6 +60,10 @@
     crashes: dict[int, _crash_history.CrashHistory] = attrs.field(factory=dict)
     lapsed: tuple[tuple[int, int, str], ...] = ()
     preempted: dict[int, int] = attrs.field(factory=dict)
+    done_ranges: tuple[tuple[int, int], ...] = ()
+    runs_by_endpoint: dict[str, tuple[tuple[int, int], ...]] = attrs.field(
+        factory=dict
+    )
 
     def fitting(self, step):
         """Returns the record without runs of tasks that a step lacks."""
@@ -80,6 +90,9 @@
     started_unix_ms_by_id : dict
         When the incarnation of each began on which the runs were placed;
         earlier builds write none.
+    ended_stages : tuple
+        In place of stages that are all done in a compact record: step, first
+        occurrence and number of occurrences of each range.
     """
 
     state: _work.JobState
@@ -87,6 +100,7 @@
     ended_unix_ms: int = 0
     address_by_id: dict[str, str] = attrs.field(factory=dict)
     started_unix_ms_by_id: dict[str, int] = attrs.field(factory=dict)
+    ended_stages: tuple[tuple[int, int, int], ...] = ()
 
     def fitting(self, job):
         """Returns the record without what the job lacks.
@@ -127,6 +141,11 @@
         """Number of items to write."""
         return 1 if self.job is None else 2
 
+    @property
+    def size_bytes(self):
+        """Size of the values to write."""
+        return len(self.record) + len(self.job or b"")
+
 
 def encode(value):
     """Encodes a job or a record as JSON bytes."""
--- a/samphiregate/core/cells/_tasks.py
+++ b/samphiregate/core/cells/_tasks.py
@@ -218,6 +218,20 @@
         """Whether the task is not done and no run of it can exist."""
         return not self.is_done and not self.bookings_by_run
 
+    @property
+    def is_open(self):
+        """Whether the record of the job has to name the task."""
+        return bool(self.bookings_by_run) or (
+            not self.is_done
+            and bool(
+                self.failed_runs
+                or self.saved
+                or self.lapsed_by_run
+                or self.preempted_count
+                or self.crash_history != _crash_history.NO_CRASHES
+            )
+        )
+
     @property
     def needs_run(self):
         """Whether a run of the task is still of use."""
@@ -394,6 +408,8 @@
         Number of occurrences that were due at the last look.
     is_compacted : bool
         Whether the stored job is reduced to what is needed after its end.
+    is_record_refused : bool
+        Whether the store refused the record of the job as too large.
     """
 
     job: _work.Job
@@ -412,6 +428,8 @@
     has_started: bool = False
     due_count: int = 0
     is_compacted: bool = False
+    is_record_refused: bool = False
+    _open_tasks: dict = attrs.field(factory=dict)
 
     @property
     def has_speculative(self):
@@ -443,6 +461,28 @@
             return None
         return stage.tasks[task_id.index]
 
+    def note_open(self, task):
+        """Notes that a task may be open; see `Task.is_open`."""
+        self._open_tasks[task.task_id] = task
+
+    def may_open(self, tasks, max_open):
+        """Returns the tasks that may run while at most `max_open` are open.
+
+        Those that are open already, and as many others as there is room for.
+        """
+        new_count = sum(one.task_id not in self._open_tasks for one in tasks)
+        if len(self._open_tasks) + new_count <= max_open:
+            return tasks
+        self._open_tasks = {
+            task_id: task
+            for task_id, task in self._open_tasks.items()
+            if task.is_open
+        }
+        room = max(max_open - len(self._open_tasks), 0)
+        known = [one for one in tasks if one.task_id in self._open_tasks]
+        new = [one for one in tasks if one.task_id not in self._open_tasks]
+        return known + new[:room]
+
     def are_dependencies_done(self, stage):
         """Whether the steps that a stage depends on are done."""
         return all(
--- a/samphiregate/core/cells/_wait_reasons.py
+++ b/samphiregate/core/cells/_wait_reasons.py
@@ -7,6 +7,7 @@
     """What the unplaced tasks of a stage wait for."""
 
     ACCOUNT_LIMIT = "the account's limit"
+    RECORD_LIMIT = "the limit of open tasks of one job"
     NO_ENDPOINT = "no usable endpoint"
     TOO_LARGE = "larger than any endpoint"
     ROOM = "room"
--- a/samphiregate/core/cells/_work.py
+++ b/samphiregate/core/cells/_work.py
@@ -267,6 +267,12 @@
         """Number of times that the steps run."""
         return self.schedule.count if self.schedule else 1
 
+    @property
+    def task_count(self):
+        """Number of tasks of all occurrences."""
+        per_occurrence = sum(step.count for step in self.steps)
+        return per_occurrence * self.occurrence_count
+
 
 @attrs.frozen
 class Account:
