Keep few occurrences of a recurring job under way at a time

Seen: one job of 50,000 occurrences that are due at once, within the limits, costs each owner its lease: 8 owners in 10 s, 1 of 4 jobs beside it accepted.

Cause: all due occurrences were added at once and none was ever dropped; each end of a step, each plan and each write of the record looked at all of them.

Evidence: no write is refused and the endpoints are idle, while the owner's process takes a whole core until its lease has ended.

Now occurrences are added while the job has fewer unfinished tasks than may be open, those that have ended stay as ranges, and a plan looks at 64 stages of one job, the next plan at others.

--- a/features/support/cells_invariants.py
+++ b/features/support/cells_invariants.py
@@ -7,6 +7,7 @@
 
 from samphiregate.core import cells
 from samphiregate.core.cells import _compact_records
+from samphiregate.core.cells import _number_ranges
 
 
 class Invariants:
@@ -81,6 +82,9 @@
 def _is_recorded(record, row):
     if record.state.is_final:
         return True
+    ended = _number_ranges.NumberRanges(record.ended_occurrences)
+    if row.task_id.occurrence in ended:
+        return True
     for stage in record.stages:
         same = (stage.occurrence, stage.step) == (
             row.task_id.occurrence,
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -331,7 +331,7 @@
         )
         _periodic_checks.list_silent(self.cell_state, now_ms)
         self.cell_state.store_moved()
-        _periodic_checks.add_occurrences(self.cell_state, now_ms, unix_ms)
+        _periodic_checks.update_occurrences(self.cell_state, now_ms, unix_ms)
         _periodic_checks.move_off_draining(self.cell_state, now_ms)
         self.cell_state.retry_stops(now_ms)
         self._stragglers.stop_slow_runs(now_ms)
--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -259,11 +259,17 @@
         read_ms = max(self._last_urgent_ms_by_account.values(), default=None)
         return read_ms is not None and self.now_ms - read_ms < RECENT_URGENT_MS
 
-    def open_ready_stages(self, entry, now_ms):
-        """Opens the stages of a job whose dependencies are done."""
+    def open_ready_stages(self, entry, now_ms, occurrence=None):
+        """Opens the stages of a job whose dependencies are done.
+
+        Of one occurrence, or of all if it is None.
+        """
         if entry.state.is_final:
             return
-        for stage in entry.stages_by_key.values():
+        stages = entry.stages_by_key.values()
+        if occurrence is not None:
+            stages = entry.stages_of(occurrence)
+        for stage in stages:
             if stage.opened_ms is None and entry.are_dependencies_done(stage):
                 stage.opened_ms = now_ms
                 self._note_occurrence(stage, now_ms)
--- a/samphiregate/core/cells/_compact_records.py
+++ b/samphiregate/core/cells/_compact_records.py
@@ -3,13 +3,11 @@
 Only records of wide jobs are compacted, as earlier builds can't read them.
 """
 
-import itertools
-
 import attrs
 
+from samphiregate.core.cells import _number_ranges
 from samphiregate.core.cells import _records
 
-
 MAX_ESCAPED_BYTES = 6  # of one character, as JSON
 
 
@@ -44,16 +42,11 @@
 
 def compact(record):
     """Returns a `JobRecord` with ranges in place of single numbers."""
-    ended = sorted(
-        (stage.step, stage.occurrence)
-        for stage in record.stages
-        if stage.all_done
-    )
-    ended_ranges = tuple(
-        (step, first, count)
-        for step, rows in itertools.groupby(ended, key=lambda row: row[0])
-        for first, count in _ranges(occurrence for _step, occurrence in rows)
-    )
+    done_by_occurrence = {}
+    for stage in record.stages:
+        if stage.all_done:
+            numbers = done_by_occurrence.setdefault(stage.occurrence, [])
+            numbers.append(stage.step)
     return attrs.evolve(
         record,
         stages=tuple(
@@ -61,31 +54,30 @@
             for stage in record.stages
             if not stage.all_done
         ),
-        ended_stages=ended_ranges,
+        done_steps=tuple(
+            (occurrence, first, count)
+            for occurrence, numbers in done_by_occurrence.items()
+            for first, count in _number_ranges.NumberRanges.of(numbers).rows()
+        ),
     )
 
 
 def expand(record, job):
-    """Returns the plain form of a `JobRecord` of a job.
+    """Returns a `JobRecord` of a job with single numbers again.
 
-    Occurrences and tasks that the job lacks are left out.
+    Tasks that the job lacks are left out. What `ended_occurrences` names
+    stays as it is.
     """
-    if record.ended_stages:
-        stages = record.stages + tuple(_expand_ended(record, job))
-        record = attrs.evolve(record, stages=stages, ended_stages=())
-    if not any(_is_compact(stage) for stage in record.stages):
+    if not record.done_steps and not any(map(_is_compact, record.stages)):
         return record
-    return attrs.evolve(
-        record,
-        stages=tuple(_expand_stage(stage, job) for stage in record.stages),
-    )
-
-
-def _expand_ended(record, job):
-    for step, first, count in record.ended_stages:
-        end = min(first + count, job.occurrence_count)
-        for occurrence in range(max(first, 0), end):
-            yield _records.StageRecord(occurrence, step, all_done=True)
+    stages = [_expand_stage(stage, job) for stage in record.stages]
+    for occurrence, first, count in record.done_steps:
+        end = min(first + count, len(job.steps))
+        stages += [
+            _records.StageRecord(occurrence, step, all_done=True)
+            for step in range(max(first, 0), end)
+        ]
+    return attrs.evolve(record, stages=tuple(stages), done_steps=())
 
 
 def _is_compact(stage):
@@ -99,7 +91,7 @@
     return attrs.evolve(
         stage,
         done=(),
-        done_ranges=tuple(_ranges(stage.done)),
+        done_ranges=_number_ranges.NumberRanges.of(stage.done).rows(),
         placed=(),
         runs_by_endpoint={
             endpoint_id: tuple(rows)
@@ -129,23 +121,3 @@
         placed=stage.placed + placed,
         runs_by_endpoint={},
     )
-
-
-def _ranges(numbers):
-    """Yields the first number and the length of each run of numbers.
-
-    Parameters
-    ----------
-    numbers : iterable of int
-        In ascending order.
-    """
-    first = length = None
-    for number in numbers:
-        if first is not None and number == first + length:
-            length += 1
-            continue
-        if first is not None:
-            yield first, length
-        first, length = number, 1
-    if first is not None:
-        yield first, length
--- a/samphiregate/core/cells/_ends.py
+++ b/samphiregate/core/cells/_ends.py
@@ -87,7 +87,7 @@
     if entry.is_done:
         cell_state.finish(entry, _work.JobState.COMPLETED, now_ms)
     else:
-        cell_state.open_ready_stages(entry, now_ms)
+        cell_state.open_ready_stages(entry, now_ms, stage.occurrence)
 
 
 def _apply_failure(cell_state, task, endpoint, run, now_ms):
--- a/samphiregate/core/cells/_periodic_checks.py
+++ b/samphiregate/core/cells/_periodic_checks.py
@@ -1,6 +1,7 @@
 """Checks of a cell that are made at intervals, not after each event."""
 
 from samphiregate.core.cells import _losses
+from samphiregate.core.cells import _occurrences
 from samphiregate.core.cells import _tasks
 
 SILENT_AFTER_MS = 100  # without an answer to the first poll
@@ -20,21 +21,10 @@
         cell_state.remove_if_idle(endpoint)
 
 
-def add_occurrences(cell_state, now_ms, unix_ms):
-    """Adds the occurrences of recurring jobs that are due."""
+def update_occurrences(cell_state, now_ms, unix_ms):
+    """Updates the occurrences of recurring jobs."""
     for entry in cell_state.entry_by_id.values():
-        schedule = entry.job.schedule
-        if schedule is None or entry.state.is_final:
-            continue
-        due_count = schedule.due_count(unix_ms)
-        if due_count <= entry.due_count:
-            continue
-        for occurrence in range(entry.due_count, due_count):
-            # The record may have named it.
-            if (occurrence, 0) not in entry.stages_by_key:
-                entry.add_occurrence(occurrence)
-        entry.due_count = due_count
-        cell_state.open_ready_stages(entry, now_ms)
+        _occurrences.update(cell_state, entry, now_ms, unix_ms)
 
 
 def move_off_draining(cell_state, now_ms):
--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -11,6 +11,7 @@
 from samphiregate.core.cells import _order
 from samphiregate.core.cells import _placement
 from samphiregate.core.cells import _placement_request
+from samphiregate.core.cells import _plan_shares
 from samphiregate.core.cells import _policy_queries
 from samphiregate.core.cells import _retries
 from samphiregate.core.cells import _run_gaps
@@ -69,6 +70,7 @@
         self._unplaced = []
         self._drain_moves = _drain_moves.DrainMoves(cell_state=cell_state)
         self._packing = _placement.Packing()
+        self._plan_shares = _plan_shares.PlanShares()
         self._usable = _accepting_endpoints.UsableByStage(
             cell_state=cell_state,
             is_backing_off=failure_backoff.is_backing_off,
@@ -91,7 +93,7 @@
         self._unplaced = []
         holds = _holds.Holds(self._drain_moves.held_ids(now_ms))
         stages = _order.sort_stages(
-            cell_state.startable_stages.values(),
+            self._plan_shares.choose(cell_state.startable_stages.values()),
             now_ms,
             cell_state.fair_shares,
         )
--- a/samphiregate/core/cells/_progress.py
+++ b/samphiregate/core/cells/_progress.py
@@ -4,6 +4,7 @@
 
 from samphiregate.core.cells import _compact_records
 from samphiregate.core.cells import _crash_history
+from samphiregate.core.cells import _number_ranges
 from samphiregate.core.cells import _records
 from samphiregate.core.cells import _tasks
 
@@ -44,6 +45,8 @@
 def to_record(entry, registration_of):
     """Returns the progress of a job as a `JobRecord` for the store.
 
+    Occurrences that have ended are left out.
+
     Parameters
     ----------
     entry : JobEntry
@@ -80,14 +83,25 @@
     """Returns the record as it is stored, within the limits."""
     record = _compact_records.limit_saved(record, limits.max_saved_bytes)
     if limits.is_wide(entry.job):
-        return _compact_records.compact(record)
-    return record
+        return attrs.evolve(
+            _compact_records.compact(record),
+            ended_occurrences=entry.ended_occurrences.rows(),
+        )
+    ended = tuple(
+        _records.StageRecord(occurrence, step, all_done=True)
+        for occurrence in entry.ended_occurrences
+        for step in range(len(entry.job.steps))
+    )
+    return attrs.evolve(record, stages=ended + record.stages)
 
 
 def restore(entry, record):
     """Restores the progress of a job from the record of an earlier owner."""
     entry.state = record.state
     entry.ended_unix_ms = record.ended_unix_ms
+    entry.ended_occurrences = _number_ranges.NumberRanges(
+        record.ended_occurrences
+    )
     for stage_record in record.stages:
         key = (stage_record.occurrence, stage_record.step)
         if key not in entry.stages_by_key:
@@ -96,7 +110,7 @@
 
 
 def _stage_record(stage):
-    if stage.is_done and not any(task.bookings_by_run for task in stage.tasks):
+    if stage.is_done and not stage.has_bookings:
         return _records.StageRecord(
             stage.occurrence, stage.number, all_done=True
         )
--- a/samphiregate/core/cells/_records.py
+++ b/samphiregate/core/cells/_records.py
@@ -90,9 +90,12 @@
     started_unix_ms_by_id : dict
         When the incarnation of each began on which the runs were placed;
         earlier builds write none.
-    ended_stages : tuple
-        In place of stages that are all done in a compact record: step, first
-        occurrence and number of occurrences of each range.
+    done_steps : tuple
+        In place of stages that are all done in a compact record: occurrence,
+        first step and number of steps of each range.
+    ended_occurrences : tuple
+        In place of stages of occurrences that have ended in a compact record:
+        first occurrence and number of occurrences of each range.
     """
 
     state: _work.JobState
@@ -100,7 +103,8 @@
     ended_unix_ms: int = 0
     address_by_id: dict[str, str] = attrs.field(factory=dict)
     started_unix_ms_by_id: dict[str, int] = attrs.field(factory=dict)
-    ended_stages: tuple[tuple[int, int, int], ...] = ()
+    done_steps: tuple[tuple[int, int, int], ...] = ()
+    ended_occurrences: tuple[tuple[int, int], ...] = ()
 
     def fitting(self, job):
         """Returns the record without what the job lacks.
@@ -113,7 +117,12 @@
             if 0 <= row.step < len(job.steps)
             and 0 <= row.occurrence < job.occurrence_count
         )
-        return attrs.evolve(self, stages=stages)
+        ended = tuple(
+            (first, min(count, job.occurrence_count - first))
+            for first, count in self.ended_occurrences
+            if 0 <= first < job.occurrence_count
+        )
+        return attrs.evolve(self, stages=stages, ended_occurrences=ended)
 
 
 @attrs.frozen
--- a/samphiregate/core/cells/_tasks.py
+++ b/samphiregate/core/cells/_tasks.py
@@ -5,6 +5,7 @@
 import attrs
 
 from samphiregate.core.cells import _crash_history
+from samphiregate.core.cells import _number_ranges
 from samphiregate.core.cells import _run_samples
 from samphiregate.core.cells import _work
 
@@ -331,6 +332,11 @@
         """Whether every task has ended as done."""
         return self.done_count == len(self.tasks)
 
+    @property
+    def has_bookings(self):
+        """Whether a run of any task may exist."""
+        return any(task.bookings_by_run for task in self.tasks)
+
     @property
     def queue(self):
         """The queue that the job was submitted to."""
@@ -404,8 +410,10 @@
         When each occurrence of a recurring job was due.
     has_started : bool
         Whether a run of any task was ever reserved.
-    due_count : int
-        Number of occurrences that were due at the last look.
+    added_count : int
+        Number of occurrences that were added, or named by the record.
+    ended_occurrences : NumberRanges
+        Occurrences that have ended, of which no stages are kept.
     is_compacted : bool
         Whether the stored job is reduced to what is needed after its end.
     is_record_refused : bool
@@ -426,7 +434,10 @@
     began_ms_by_occurrence: dict = attrs.field(factory=dict)
     ended_unix_ms: int = 0
     has_started: bool = False
-    due_count: int = 0
+    added_count: int = 0
+    ended_occurrences: _number_ranges.NumberRanges = attrs.field(
+        factory=_number_ranges.NumberRanges
+    )
     is_compacted: bool = False
     is_record_refused: bool = False
     _open_tasks: dict = attrs.field(factory=dict)
@@ -454,6 +465,27 @@
                 stage.tasks.append(Task(task_id, stage))
             self.stages_by_key[stage.key] = stage
 
+    def stages_of(self, occurrence):
+        """Returns the stages of an occurrence that is under way."""
+        return [
+            self.stages_by_key[occurrence, number]
+            for number in range(len(self.job.steps))
+        ]
+
+    def has_occurrence(self, occurrence):
+        """Whether an occurrence is under way or has ended."""
+        return (
+            occurrence in self.ended_occurrences
+            or (occurrence, 0) in self.stages_by_key
+        )
+
+    def forget_occurrence(self, occurrence):
+        """Keeps of an occurrence only that it has ended."""
+        for stage in self.stages_of(occurrence):
+            del self.stages_by_key[stage.key]
+        self.began_ms_by_occurrence.pop(occurrence, None)
+        self.ended_occurrences.add(occurrence)
+
     def task(self, task_id):
         """Returns the `Task` with an id, or None if there is none."""
         stage = self.stages_by_key.get((task_id.occurrence, task_id.step))
@@ -493,7 +525,8 @@
     @property
     def is_done(self):
         """Whether all occurrences were added and every task is done."""
-        stage_count = len(self.job.steps) * self.job.occurrence_count
+        left_count = self.job.occurrence_count - len(self.ended_occurrences)
+        stage_count = len(self.job.steps) * left_count
         return len(self.stages_by_key) == stage_count and all(
             stage.is_done for stage in self.stages_by_key.values()
         )
