Let no job run whose cancelling was answered with 410

Cause: the store carried the unanswered submission out late, and the DELETE, which had read no job, had left nothing by which it could be refused.

Evidence: the owner handles a cancellation that it reads first, and no notice is sent for a write without an answer; the order of the two writes was settled by a read.

Now the cancelling of a job that does not exist is stored, on the condition that the job does not, and a job only on the condition that its cancellation does not. Whichever the store carries out first, the other finds it. A retried POST of a cancelled job is accepted and shown as cancelled.

--- a/features/support/cells_store.py
+++ b/features/support/cells_store.py
@@ -170,6 +170,48 @@
         self.lines.append((what, fields))
 
 
+class LateStore(MemoryStore):
+    """A store that executes the writes of some calls late, in order.
+
+    Attributes
+    ----------
+    is_late : bool
+        Whether writes are not answered and wait for `apply_late`.
+    changes : list of ports.StoreChange
+        Each change of a key, in order.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.is_late = False
+        self.changes = []
+        self._late = []
+
+    def commit(self, *, expected, writes, removals=()):
+        """See `ports.Store.commit`."""
+        if self.is_late:
+            self._late.append((dict(expected), tuple(writes)))
+            raise errors.UnavailableError("late", ran=errors.Ran.UNKNOWN)
+        revision = super().commit(
+            expected=expected, writes=writes, removals=removals
+        )
+        items = [self.item_by_key[write.key] for write in writes]
+        self.changes += [
+            ports.StoreChange(item.key, revision, item) for item in items
+        ]
+        self.changes += [
+            ports.StoreChange(key, revision, None) for key in removals
+        ]
+        return revision
+
+    def apply_late(self):
+        """Executes the late writes whose conditions hold."""
+        late, self._late = self._late, []
+        for expected, writes in late:
+            with contextlib.suppress(ports.ConflictError):
+                self.commit(expected=expected, writes=writes)
+
+
 class RecordedNotices:
     """Records the notices that an owner would get."""
 
--- a/samphiregate/adapters/cells/_job_service.py
+++ b/samphiregate/adapters/cells/_job_service.py
@@ -3,8 +3,8 @@
 import attrs
 
 from samphiregate.adapters.cells import _deadline_calls
+from samphiregate.adapters.cells import _job_writes
 from samphiregate.adapters.cells import _keys
-from samphiregate.adapters.cells import _ports
 from samphiregate.core import cells
 from samphiregate import errors
 
@@ -55,6 +55,9 @@
         self._unix_ms = unix_ms
         self._log = log
         self._calls = _deadline_calls.DeadlineCalls(relay=relay, now_ms=now_ms)
+        self._writes = _job_writes.JobWrites(
+            cell=cell, calls=self._calls, now_ms=now_ms
+        )
         self._unreachable_address = None
         self._next_probe_ms = 0
 
@@ -65,6 +68,9 @@
     def submit(self, job, timeout_ms):
         """Stores a job; does nothing if a job with its id exists.
 
+        A job whose cancellation was stored before is accepted, and is
+        cancelled.
+
         Raises
         ------
         SamphiregateError
@@ -74,16 +80,15 @@
         """
         self._record_limits.check(job)
         job = attrs.evolve(job, accepted_unix_ms=self._unix_ms())
-        job_key = _keys.job(self._cell, job.job_id)
         value = cells.encode(job)
         self._record_limits.check_size(value)
-        write = _ports.StoreWrite(job_key, value)
-        try:
-            self._calls.run_write(
-                self._calls.commit, timeout_ms, {job_key: 0}, write
+        submission = self._calls.run_write(
+            self._writes.submit, timeout_ms, job.job_id, value
+        )
+        if submission is not _job_writes.Submission.STORED:
+            self._log.write(
+                "job known", request=job.job_id, state=submission.value
             )
-        except _ports.ConflictError:
-            self._log.write("job known", request=job.job_id)
             return
         self._notices.tell_stored(job)
         self._log.write(
@@ -99,37 +104,16 @@
         Raises
         ------
         SamphiregateError
-            `NOT_FOUND` for a job that does not exist; `UNAVAILABLE` when
-            the cancellation is known not to have been stored;
-            `OUTCOME_UNKNOWN` when it may have been.
+            `NOT_FOUND` for a job that does not exist, and will not run if a
+            submission of it is under way; `UNAVAILABLE` when the cancellation
+            is known not to have been stored; `OUTCOME_UNKNOWN` when it may
+            have been.
         """
-        self._calls.run_write(self._cancel, timeout_ms, job_id)
+        exists = self._calls.run_write(self._writes.cancel, timeout_ms, job_id)
         self._notices.tell_cancelled(job_id)
-        self._log.write("cancel accepted", request=job_id)
-
-    def _cancel(self, timeout_ms, job_id):
-        deadline_ms = self._now_ms() + timeout_ms
-        job_key = _keys.job(self._cell, job_id)
-        cancel_key = _keys.cancel(self._cell, job_id)
-        item = self._calls.read(job_key, deadline_ms)
-        if item is None:
+        self._log.write("cancel accepted", request=job_id, known=exists)
+        if not exists:
             raise _not_found(job_id)
-        write = _ports.StoreWrite(cancel_key, b"1")
-        revision = item.revision
-        while revision:
-            expected = {cancel_key: 0, job_key: revision}
-            try:
-                self._calls.commit(
-                    deadline_ms - self._now_ms(), expected, write
-                )
-                return
-            except _ports.ConflictError as error:
-                if error.revision_by_key.get(cancel_key):
-                    return
-                # Not 0 if the owner has stored the ended job without its
-                # steps, which happens once.
-                revision = error.revision_by_key.get(job_key, 0)
-        raise _not_found(job_id)
 
     def state(self, job_id, timeout_ms):
         """Returns the `JobState` of a job.
--- a/samphiregate/adapters/cells/_loader.py
+++ b/samphiregate/adapters/cells/_loader.py
@@ -176,8 +176,10 @@
 
     def _work_changed(self, change):
         if change.item is None:
-            if not _is_cancel(change.key):
-                self._deliver(cells.JobRemoved(_job_id(change.key)))
+            event_class = cells.JobRemoved
+            if _is_cancel(change.key):
+                event_class = cells.CancellationRemoved
+            self._deliver(event_class(_job_id(change.key)))
         elif _is_cancel(change.key):
             self._deliver(cells.JobCancelled(_job_id(change.key)))
         else:
--- a/samphiregate/adapters/cells/_owner.py
+++ b/samphiregate/adapters/cells/_owner.py
@@ -133,7 +133,7 @@
             now_ms=now_ms,
             log=log,
         )
-        self._purger = _periodic.EndedJobPurger(
+        self._purger = _periodic.Purger(
             tenure=tenure,
             store=store,
             now_ms=now_ms,
--- a/samphiregate/adapters/cells/_periodic.py
+++ b/samphiregate/adapters/cells/_periodic.py
@@ -1,13 +1,17 @@
-"""Periodic work of a cell's owner: the load log, and ended jobs."""
+"""Periodic work of a cell's owner: the load log, and what has expired."""
 
 from gevent import pool
 
 from samphiregate.adapters.cells import _keys
+from samphiregate.adapters.cells import _ports
 from samphiregate import errors
 
 ENDED_JOB_RETENTION_MS = 180_000
 PURGE_INTERVAL_MS = 10_000
 MAX_PURGED_JOBS = 9  # per transaction; each job has three keys
+# Per transaction; each has a condition and a removal.
+MAX_PURGED_CANCELLATIONS = 15
+MAX_CANCELLATION_PURGES = 100  # transactions in one interval
 LOAD_LOG_INTERVAL_MS = 1_000
 
 
@@ -33,8 +37,11 @@
             self._log.write("cell load", **cell.load())
 
 
-class EndedJobPurger:
-    """Removes jobs from the store some time after they ended.
+class Purger:
+    """Removes from the store what nobody needs any more.
+
+    That is jobs some time after they ended, and cancellations of jobs that
+    were not submitted.
 
     A context manager; a removal in progress is killed on exit.
 
@@ -62,7 +69,7 @@
         self._greenlets.kill(block=False)
 
     def run(self, cell):
-        """Starts to remove the expired jobs if the interval is over."""
+        """Starts to remove what has expired if the interval is over."""
         now_ms = self._now_ms()
         if now_ms < self._next_ms:
             return
@@ -70,6 +77,9 @@
         expired = cell.expired_jobs(self._unix_ms(), ENDED_JOB_RETENTION_MS)
         if expired:
             self._greenlets.spawn(self._purge, expired[:MAX_PURGED_JOBS])
+        cancelled = cell.expired_cancellations(now_ms)
+        if cancelled:
+            self._greenlets.spawn(self._purge_cancellations, cancelled)
 
     def _purge(self, job_ids):
         cell_name = self._tenure.cell
@@ -88,3 +98,41 @@
             )
         except errors.SamphiregateError as error:
             self._log.write("jobs not forgotten", reason=error.detail)
+
+    def _purge_cancellations(self, job_ids):
+        size = MAX_PURGED_CANCELLATIONS
+        limit = min(len(job_ids), size * MAX_CANCELLATION_PURGES)
+        for first in range(0, limit, size):
+            try:
+                self._purge_unsubmitted(job_ids[first : first + size])
+            except errors.SamphiregateError as error:
+                self._log.write(
+                    "cancellations not forgotten", reason=error.detail
+                )
+                return
+
+    def _purge_unsubmitted(self, job_ids):
+        """Removes the cancellations of those jobs that do not exist."""
+        cell_name = self._tenure.cell
+        while job_ids:
+            expected = {_keys.job(cell_name, job_id): 0 for job_id in job_ids}
+            try:
+                self._store.commit(
+                    expected=self._tenure.guard | expected,
+                    writes=(),
+                    removals=[
+                        _keys.cancel(cell_name, job_id) for job_id in job_ids
+                    ],
+                )
+                return
+            except _ports.ConflictError as error:
+                submitted = {
+                    key for key in expected if error.revision_by_key.get(key)
+                }
+                if not submitted:
+                    raise
+                job_ids = [
+                    job_id
+                    for job_id in job_ids
+                    if _keys.job(cell_name, job_id) not in submitted
+                ]
--- a/samphiregate/core/cells/__init__.py
+++ b/samphiregate/core/cells/__init__.py
@@ -7,6 +7,7 @@
 from samphiregate.core.cells._leases import DEFAULT_MAX_HOLD_MS
 from samphiregate.core.cells._leases import max_lease_ms
 from samphiregate.core.cells._messages import AccountsChanged
+from samphiregate.core.cells._messages import CancellationRemoved
 from samphiregate.core.cells._messages import DataCentresDrained
 from samphiregate.core.cells._messages import EndedRow
 from samphiregate.core.cells._messages import EndpointDeregistered
@@ -59,6 +60,7 @@
 from samphiregate.core.cells._records import StageRecord
 from samphiregate.core.cells._records import StoredRow
 from samphiregate.core.cells._store_availability import StoreAvailability
+from samphiregate.core.cells._token_bucket import TokenBucket
 from samphiregate.core.cells._work import Account
 from samphiregate.core.cells._work import Job
 from samphiregate.core.cells._work import JobState
@@ -79,6 +81,7 @@
     "AskInstance",
     "AskJobState",
     "AskWaiting",
+    "CancellationRemoved",
     "Cell",
     "DataCentresDrained",
     "decode",
@@ -136,6 +139,7 @@
     "StoredRow",
     "StoreAvailability",
     "TaskId",
+    "TokenBucket",
     "WaitingIs",
     "WriteWas",
 ]
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -246,6 +246,10 @@
             and job_id not in self.cell_state.moved_ids
         ]
 
+    def expired_cancellations(self, now_ms):
+        """Returns the ids of cancelled jobs that will not be submitted."""
+        return self.cell_state.early_cancellations.expired(now_ms)
+
     # Entry points of the state machine
 
     def handle(self, event, now_ms):
@@ -360,6 +364,11 @@
     def _(self, event: _messages.JobCancelled, now_ms):
         self.cell_state.cancel(event.job_id, now_ms)
 
+    @_apply.register
+    def _(self, event: _messages.CancellationRemoved, now_ms):
+        del now_ms
+        self.cell_state.early_cancellations.discard(event.job_id)
+
     @_apply.register
     def _(self, event: _messages.JobRemoved, now_ms):
         del now_ms
--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -8,6 +8,7 @@
 from samphiregate.core.cells import _compact_records
 from samphiregate.core.cells import _data_locality
 from samphiregate.core.cells import _drained_data_centres
+from samphiregate.core.cells import _early_cancellations
 from samphiregate.core.cells import _endpoint_failures
 from samphiregate.core.cells import _fair_shares
 from samphiregate.core.cells import _inheritance
@@ -57,8 +58,8 @@
     moved_ids : dict
         Ids of jobs whose runs changed in a way that is stored with the next
         write of the record, or after the next periodic check.
-    early_cancelled_ids : set
-        Ids of jobs whose cancellation was read before the job itself.
+    early_cancellations : EarlyCancellations
+        Of jobs whose cancellation was read before the job itself.
     actions : list
         Actions that `Cell` has not returned yet.
     run_times : RunTimes
@@ -90,7 +91,9 @@
     startable_stages: dict = attrs.field(factory=dict)
     dirty_ids: dict = attrs.field(factory=dict)
     moved_ids: dict = attrs.field(factory=dict)
-    early_cancelled_ids: set = attrs.field(factory=set)
+    early_cancellations: _early_cancellations.EarlyCancellations = attrs.field(
+        factory=_early_cancellations.EarlyCancellations
+    )
     actions: list = attrs.field(factory=list)
     account_limits: _account_limits.AccountLimits = attrs.field(
         factory=_account_limits.AccountLimits
@@ -195,8 +198,7 @@
             state=entry.state.value,
         )
         _restored_runs.log_restored(self, entry)
-        if job.job_id in self.early_cancelled_ids:
-            self.early_cancelled_ids.discard(job.job_id)
+        if self.early_cancellations.discard(job.job_id):
             self.cancel(job.job_id, now_ms)
         self.open_ready_stages(entry, now_ms)
 
@@ -228,7 +230,7 @@
         """Ends a job as cancelled at once, or when it is read if later."""
         entry = self.entry_by_id.get(job_id)
         if entry is None:
-            self.early_cancelled_ids.add(job_id)
+            self.early_cancellations.add(job_id, now_ms)
         else:
             self.finish(entry, _work.JobState.CANCELLED, now_ms)
 
@@ -348,7 +350,7 @@
 
     def remove_job(self, job_id):
         """Removes an ended job that the store no longer holds."""
-        self.early_cancelled_ids.discard(job_id)
+        self.early_cancellations.discard(job_id)
         entry = self.entry_by_id.get(job_id)
         if entry is not None and entry.state.is_final:
             del self.entry_by_id[job_id]
--- a/samphiregate/core/cells/_messages.py
+++ b/samphiregate/core/cells/_messages.py
@@ -124,6 +124,13 @@
     job_id: str
 
 
+@attrs.frozen
+class CancellationRemoved(base.Event):
+    """A cancellation was removed from the store."""
+
+    job_id: str
+
+
 @attrs.frozen
 class JobRemoved(base.Event):
     """A job was removed from the store."""
--- a/samphiregate/core/cells/_order.py
+++ b/samphiregate/core/cells/_order.py
@@ -16,8 +16,7 @@
 
 import enum
 
-import attrs
-
+from samphiregate.core.cells import _token_bucket
 from samphiregate.core.cells import _work
 
 LATE_FACTOR = 3.0  # at this multiple of its objective, a job is of no use
@@ -276,12 +275,6 @@
     return over
 
 
-@attrs.define
-class _TokenBucket:
-    tokens: float
-    updated_ms: int
-
-
 class ShareLimiter:
     """Limits the jobs of an account that count as within its share.
 
@@ -310,13 +303,9 @@
         """
         max_tokens = max(account.weight * BURST_S, 1.0)
         bucket = self._bucket_by_account.setdefault(
-            account.name, _TokenBucket(max_tokens, accepted_ms)
+            account.name,
+            _token_bucket.TokenBucket(account.weight, max_tokens, accepted_ms),
         )
-        elapsed_ms = max(accepted_ms - bucket.updated_ms, 0)
-        refill = account.weight * elapsed_ms / 1000
-        bucket.tokens = min(max_tokens, bucket.tokens + refill)
-        bucket.updated_ms += elapsed_ms
-        if bucket.tokens < 1.0:
-            return False
-        bucket.tokens -= 1.0
-        return True
+        bucket.per_s = account.weight
+        bucket.max_tokens = max_tokens
+        return bucket.try_consume(accepted_ms)
