--- a/features/steps/cells_record_steps.py
+++ b/features/steps/cells_record_steps.py
@@ -257,3 +257,24 @@
 @behave.then("the store was called {count:d} times")
 def then_calls(context, count):
     assert context.store.calls == count, context.store.calls
+
+
+@behave.when("the records of the cell can't be encoded")
+def when_not_encoded(context):
+    lost = gevent.event.Event()
+
+    def pop_records(_max_items, _max_bytes):
+        raise TypeError("Integer exceeds 64-bit range")
+
+    writer = cells_store.make_writer(
+        context.store,
+        pop_records=pop_records,
+        on_lost=lambda _reason: lost.set(),
+    )
+    with writer:
+        context.given_up = lost.wait(1)
+
+
+@behave.then("the owner gives the cell up")
+def then_given_up(context):
+    assert context.given_up
--- a/features/steps/cells_watch_steps.py
+++ b/features/steps/cells_watch_steps.py
@@ -82,3 +82,41 @@
 def then_seen(context, count, least, most):
     assert len(context.seen) == count, len(context.seen)
     assert least <= context.store.calls <= most, context.store.calls
+
+
+@behave.when(
+    "a prefix is watched, and the third change is met with an exception"
+)
+def when_watched_with_exception(context):
+    store = context.store
+    context.log = cells_store.FakeLog()
+    context.seen = []
+
+    def note(change):
+        context.seen.append(change.revision)
+        if len(context.seen) == 3:
+            raise AssertionError("a fault")
+
+    watched = _watched_prefix.WatchedPrefix(
+        store=store,
+        prefix="p/",
+        on_change=note,
+        now_ms=lambda: store.now_ms,
+        wait_ms=1_000,
+        log=context.log,
+    )
+    watched.start_from([], 0)
+    with watched, gevent.Timeout(cells_store.SETTLE_S):
+        while len(context.seen) < 10:
+            gevent.sleep(0.001)
+
+
+@behave.then("{count:d} changes are seen")
+def then_seen_count(context, count):
+    assert len(context.seen) == count, context.seen
+
+
+@behave.then("the exception is logged")
+def then_exception_logged(context):
+    events = [what for what, _fields in context.log.lines]
+    assert events == ["change not applied"], events
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -2,28 +2,17 @@
 
 import functools
 import io
-import pathlib
-import sys
 import tempfile
 
 import behave
 import orjson
 
-from features.support import cells_store
-from samphiregate.adapters.cells import _configuration
-from samphiregate.adapters.cells import _job_service
-from samphiregate.adapters.cells import _relay
+from features.support import platform_vm
 from samphiregate.adapters import http
 from samphiregate import errors
-from samphiregate import metrics
-
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-sys.path.append(str(ROOT / "platform"))
-
-from samphiregate_platform import callers  # noqa: E402
-from samphiregate_platform import documents  # noqa: E402
-from samphiregate_platform import endpoints  # noqa: E402
-from samphiregate_platform import settings  # noqa: E402
+from samphiregate_platform import documents
+from samphiregate_platform import endpoints
+from samphiregate_platform import settings
 
 SETTINGS = {
     "node_name": "front-a-1",
@@ -36,19 +25,6 @@
     "advice": "127.0.0.1:4",
     "bounds.grace_s": "6",
 }
-REGISTRATION = {
-    "service": "svc",
-    "addr": "127.0.0.1:5",
-    "zone": "a",
-    "version": "v1",
-    "slots": 8,
-    "state": "ready",
-    "cold_left_ms": 0,
-    "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
-    "labels": ["a", "r1-3"],
-    "clock_ms": 5,
-    "sequence": 4,
-}
 REGISTRATION_CHANGES = {
     "as the platform writes it": lambda row: row,
     'with state "draining"': lambda row: row | {"state": "draining"},
@@ -60,29 +36,6 @@
     "with text for its capacity": lambda row: row | {"capacity": "big"},
     "that is a list": lambda row: [row],
 }
-CONFIGURATION = {
-    "version": 3,
-    "routes": [
-        {
-            "name": "keyed",
-            "host": "h",
-            "prefix": "/q/",
-            "service": "svc",
-            "no_auth": False,
-        },
-        {
-            "name": "open",
-            "host": "h",
-            "prefix": "/open/",
-            "service": "svc",
-            "no_auth": True,
-        },
-    ],
-    "services": [],
-    "tenants": [
-        {"name": "team", "api_keys": ["secret"], "weight": 1, "cap": {}}
-    ],
-}
 JOB = b'{"spec":"x","steps":[{"count":1,"cpu":100}]}'
 
 
@@ -171,7 +124,9 @@
 def when_registration(context, entry):
     data = b"{no"
     if entry in REGISTRATION_CHANGES:
-        data = orjson.dumps(REGISTRATION_CHANGES[entry](dict(REGISTRATION)))
+        data = orjson.dumps(
+            REGISTRATION_CHANGES[entry](dict(platform_vm.REGISTRATION))
+        )
     _try_to_decode(context, lambda: documents.endpoint("servers/i-1", data))
 
 
@@ -212,62 +167,17 @@
     assert context.start_outcome.value == outcome, context.start_outcome
 
 
-class _Vm:
-    """The parts of an entry VM that `CallersApi` uses."""
-
-    def __init__(self):
-        self.accepts_requests = True
-        log = cells_store.FakeLog()
-        self.configuration = _configuration.ConfigurationHolder(
-            decode=documents.configuration, on_change=lambda: None, log=log
-        )
-        relay = _relay.StoreRelay(
-            store=cells_store.MemoryStore(),
-            peers=None,
-            other_addresses=lambda: (),
-            now_ms=cells_store.SteppingClock().now_ms,
-            log=log,
-        )
-        self.job_service = _job_service.JobService(
-            cell="all",
-            relay=relay,
-            peers=None,
-            local_cell=lambda: None,
-            owner_address=lambda: None,
-            notices=cells_store.RecordedNotices(),
-            now_ms=cells_store.SteppingClock().now_ms,
-            unix_ms=lambda: 0,
-            log=log,
-        )
-
-
-def _create_api(context, vm):
-    context.api = callers.CallersApi(
-        vm=vm,
-        log=cells_store.FakeLog(),
-        metrics=metrics.VmMetrics(),
-        is_stopping=lambda: False,
-    )
-
-
 @behave.given(
     'an entry VM with queue "/q/" that requires a key '
     'and queue "/open/" that does not'
 )
 def given_vm(context):
-    vm = _Vm()
-    vm.configuration.current = documents.configuration(
-        orjson.dumps(CONFIGURATION)
-    )
-    vm.configuration._routes_by_host = _configuration._by_host(
-        vm.configuration.current.routes
-    )
-    _create_api(context, vm)
+    context.api = platform_vm.make_api(platform_vm.make_vm())
 
 
 @behave.given("an entry VM without a configuration")
 def given_unconfigured_vm(context):
-    _create_api(context, _Vm())
+    context.api = platform_vm.make_api(platform_vm.Vm())
 
 
 @behave.given("an entry VM that accepts no more requests")
@@ -301,7 +211,7 @@
         context.status = status
         context.headers = dict(headers)
 
-    context.api(environ, start_response)
+    context.body = b"".join(context.api(environ, start_response))
 
 
 @behave.when("a caller sends a body of {size:d} bytes in chunks")
--- a/samphiregate/adapters/cells/_loader.py
+++ b/samphiregate/adapters/cells/_loader.py
@@ -158,10 +158,7 @@
 
     def _endpoint_changed(self, change):
         if change.item is None:
-            endpoint_id = change.key.removeprefix(
-                self._decoders.endpoints_prefix
-            )
-            self._deliver(cells.EndpointDeregistered(endpoint_id))
+            self._deregister(change.key)
             return
         try:
             event = self._decoders.endpoint(change.key, change.item.value)
@@ -171,9 +168,15 @@
                 key=change.key,
                 reason=error.detail,
             )
+            # It may have replaced an entry that could be read.
+            self._deregister(change.key)
             return
         self._deliver(event)
 
+    def _deregister(self, key):
+        endpoint_id = key.removeprefix(self._decoders.endpoints_prefix)
+        self._deliver(cells.EndpointDeregistered(endpoint_id))
+
     def _work_changed(self, change):
         if change.item is None:
             event_class = cells.JobRemoved
--- a/samphiregate/adapters/cells/_watched_prefix.py
+++ b/samphiregate/adapters/cells/_watched_prefix.py
@@ -1,5 +1,7 @@
 """A local copy of the keys under a prefix, updated by a watch."""
 
+import traceback
+
 import gevent
 
 from samphiregate.adapters.cells import _ports
@@ -137,7 +139,18 @@
             del self.item_by_key[change.key]
         else:
             self.item_by_key[change.key] = change.item
-        self._on_change(change)
+        self._deliver(change)
+
+    def _deliver(self, change):
+        """Hands a change on; an exception must not end the watch."""
+        try:
+            self._on_change(change)
+        except Exception:
+            self._log.write(
+                "change not applied",
+                key=change.key,
+                trace=traceback.format_exc(),
+            )
 
     def _record_failure(self, error):
         if not self._failing:
--- a/samphiregate/adapters/cells/_writer.py
+++ b/samphiregate/adapters/cells/_writer.py
@@ -5,6 +5,8 @@
 the revision of the previous write.
 """
 
+import traceback
+
 import gevent
 import gevent.event
 from gevent import pool
@@ -90,6 +92,18 @@
         self._wake.set()
 
     def _run(self):
+        """Writes records; an exception must not leave the owner without it."""
+        try:
+            self._write_records()
+        except Exception:
+            self._log.write(
+                "record writer failed",
+                cell=self._tenure.cell,
+                trace=traceback.format_exc(),
+            )
+            self._on_lost("the writer of records failed")
+
+    def _write_records(self):
         while True:
             silent_record = self._pop_silent_record()
             rows = self._pop_records(MAX_ITEMS_PER_COMMIT, MAX_COMMIT_BYTES)
