Find the longest chains of a job's steps in one pass

Cause: what a preemption costs was worked out from all pairs of later steps, for each stage anew. Evidence: 80,200 looks at run times for 400 steps in one plan.

Now one pass over a job's steps, kept for the plan: 400 looks. The new scenario fails before in three of four rows.

--- a/features/cells_occurrences.feature
+++ b/features/cells_occurrences.feature
@@ -71,3 +71,18 @@
       | 0,2,1       | 0+3           |
       | 5,9,7       | 5+1,7+1,9+1   |
       | 1,2,9,8,2   | 1+2,8+2       |
+
+  # Guards against a plan that takes longer than the owner's lease lasts, as it
+  # looks at all pairs of a job's steps.
+  Scenario Outline: the longest chains of a job take one look at each step
+    Given a job of <steps> steps of 100 ms in the shape of a <shape>
+    When the longest chain from each of its steps is asked for
+    Then the run time of a step was asked for <steps> times
+    And the longest chain from the first step takes <chain_ms> ms
+
+    Examples:
+      | steps | shape | chain_ms |
+      | 1     | row   | 100      |
+      | 400   | row   | 100      |
+      | 400   | chain | 40000    |
+      | 400   | fan   | 200      |
--- a/features/steps/cells_occurrence_steps.py
+++ b/features/steps/cells_occurrence_steps.py
@@ -5,8 +5,10 @@
 import behave
 
 from features.support import cells_work
+from samphiregate.core import cells
 from samphiregate.core.cells import _number_ranges
 from samphiregate.core.cells import _plan_shares
+from samphiregate.core.cells import _preemption_costs
 from samphiregate.core.cells import _tasks
 
 NUMBERS_CHECKED = 13
@@ -106,3 +108,61 @@
     assert held == expected, held
     assert list(context.ranges) == expected, list(context.ranges)
     assert len(context.ranges) == len(expected), len(context.ranges)
+
+
+class _CountingRunTimes:
+    """Run times as estimated; counts how often they are asked for."""
+
+    def __init__(self):
+        self.calls = 0
+
+    def expected_ms(self, queue, step):
+        """See `RunTimes.expected_ms`."""
+        del queue
+        self.calls += 1
+        return step.estimate_ms
+
+
+AFTER_BY_SHAPE = {
+    "row": lambda number: (),
+    "chain": lambda number: (number - 1,) if number else (),
+    "fan": lambda number: (0,) if number else (),
+}
+
+
+@behave.given(
+    "a job of {count:d} steps of {run_ms:d} ms in the shape of a {shape}"
+)
+def given_shape(context, count, run_ms, shape):
+    steps = [
+        cells_work.make_step(
+            estimate_ms=run_ms, after=AFTER_BY_SHAPE[shape](number)
+        )
+        for number in range(count)
+    ]
+    entry = _tasks.JobEntry(cells_work.make_job("j", *steps), 0, 0, 0, 0)
+    entry.add_occurrence(0)
+    context.stages = list(entry.stages_by_key.values())
+
+
+@behave.when("the longest chain from each of its steps is asked for")
+def when_chains(context):
+    context.run_times = _CountingRunTimes()
+    costs = _preemption_costs.PreemptionCosts(
+        run_times=context.run_times,
+        capacity=cells.Resources(1_000),
+        now_ms=0,
+        stop_ms=0,
+        delay_ms=0,
+    )
+    context.chains = [costs.path_ms(stage) for stage in context.stages]
+
+
+@behave.then("the run time of a step was asked for {count:d} times")
+def then_asked(context, count):
+    assert context.run_times.calls == count, context.run_times.calls
+
+
+@behave.then("the longest chain from the first step takes {chain_ms:d} ms")
+def then_chain(context, chain_ms):
+    assert context.chains[0] == chain_ms, context.chains[0]
--- a/samphiregate/core/cells/_preemption_costs.py
+++ b/samphiregate/core/cells/_preemption_costs.py
@@ -34,7 +34,7 @@
         self._stop_ms = stop_ms
         self._delay_ms = delay_ms
         self._work_by_job = {}
-        self._path_by_stage = {}
+        self._paths_by_job = {}
 
     def job_work(self, entry):
         """Returns the work of all steps of a job, once."""
@@ -56,13 +56,12 @@
         The longest chain of steps that begins with the stage, less the
         queries of the policy service for the stage itself.
         """
-        entry = stage.entry
-        key = (entry.job.job_id, stage.number)
-        if key not in self._path_by_stage:
-            self._path_by_stage[key] = _path_ms(
-                entry.job, stage.number, self._run_times
+        job = stage.entry.job
+        if job.job_id not in self._paths_by_job:
+            self._paths_by_job[job.job_id] = _path_ms_by_step(
+                job, self._run_times
             )
-        return self._path_by_stage[key]
+        return self._paths_by_job[job.job_id][stage.number]
 
     def lost_work(self, booking):
         """Returns what the work thrown away by a stop costs callers.
@@ -140,20 +139,21 @@
     return 1 if done_ms <= stage.useful_until_ms else 2
 
 
-def _path_ms(job, number, run_times):
-    """Returns the longest chain of steps of a job that begins with one."""
-    path_by_step = {}
+def _path_ms_by_step(job, run_times):
+    """Returns the longest chain of steps of a job that begins with each.
+
+    In milliseconds, by step number.
+    """
     advice_ms = job.queue.advice.decide_ms if job.queue.advice else 0.0
+    later_ms = [0.0] * len(job.steps)
+    path_ms = [0.0] * len(job.steps)
     # A step names only earlier ones.
-    for first in range(len(job.steps) - 1, number - 1, -1):
-        later = max(
-            (
-                path_by_step[one] + advice_ms
-                for one in path_by_step
-                if first in job.steps[one].after
-            ),
-            default=0.0,
-        )
-        run_ms = run_times.expected_ms(job.queue, job.steps[first])
-        path_by_step[first] = run_ms + later
-    return path_by_step[number]
+    for number in reversed(range(len(job.steps))):
+        step = job.steps[number]
+        run_ms = run_times.expected_ms(job.queue, step)
+        path_ms[number] = run_ms + later_ms[number]
+        for before in step.after:
+            later_ms[before] = max(
+                later_ms[before], path_ms[number] + advice_ms
+            )
+    return path_ms
