--- a/features/steps/cells_cancel_steps.py
+++ b/features/steps/cells_cancel_steps.py
@@ -8,12 +8,10 @@
 from features.support import cells as cells_support
 from features.support import cells_store
 from features.support import cells_work
-from samphiregate.adapters.cells import _job_service
 from samphiregate.adapters.cells import _keys
 from samphiregate.adapters.cells import _loader
 from samphiregate.adapters.cells import _ownership
 from samphiregate.adapters.cells import _periodic
-from samphiregate.adapters.cells import _relay
 from samphiregate.core import cells
 
 TIMEOUT_MS = 1_000
@@ -25,24 +23,8 @@
 def _make_vm(context, step_ms):
     store = context.store
     clock = cells_store.SteppingClock(step_ms)
-    relay = _relay.StoreRelay(
-        store=store,
-        peers=None,
-        other_addresses=lambda: (),
-        now_ms=clock.now_ms,
-        log=cells_store.FakeLog(),
-    )
-    service = _job_service.JobService(
-        cell=cells_store.CELL,
-        relay=relay,
-        peers=None,
-        local_cell=lambda: None,
-        owner_address=lambda: None,
-        notices=cells_store.RecordedNotices(),
-        now_ms=clock.now_ms,
-        unix_ms=lambda: cells_store.ACCEPTED_UNIX_MS,
-        log=cells_store.FakeLog(),
-    )
+    relay = cells_store.make_relay(store, clock.now_ms)
+    service = cells_store.make_job_service(relay, clock.now_ms)
     context.relays.append(relay)
     context.services.append(service)
 
--- a/features/steps/cells_occurrence_steps.py
+++ b/features/steps/cells_occurrence_steps.py
@@ -6,10 +6,10 @@
 
 from features.support import cells_work
 from samphiregate.core import cells
+from samphiregate.core.cells import _job_entries
 from samphiregate.core.cells import _number_ranges
 from samphiregate.core.cells import _plan_shares
 from samphiregate.core.cells import _preemption_costs
-from samphiregate.core.cells import _tasks
 
 NUMBERS_CHECKED = 13
 
@@ -44,7 +44,7 @@
 
 def _make_entry(job_id, count):
     job = cells_work.make_job(job_id, *[cells_work.make_step()] * count)
-    entry = _tasks.JobEntry(job, 0, 0, 0, 0)
+    entry = _job_entries.JobEntry(job, 0, 0, 0, 0)
     entry.add_occurrence(0)
     return entry
 
@@ -140,7 +140,7 @@
         )
         for number in range(count)
     ]
-    entry = _tasks.JobEntry(cells_work.make_job("j", *steps), 0, 0, 0, 0)
+    entry = _job_entries.JobEntry(cells_work.make_job("j", *steps), 0, 0, 0, 0)
     entry.add_occurrence(0)
     context.stages = list(entry.stages_by_key.values())
 
--- a/features/steps/cells_record_steps.py
+++ b/features/steps/cells_record_steps.py
@@ -6,9 +6,7 @@
 
 from features.support import cells_store
 from features.support import cells_work
-from samphiregate.adapters.cells import _job_service
 from samphiregate.adapters.cells import _keys
-from samphiregate.adapters.cells import _relay
 from samphiregate.core import cells
 from samphiregate.core.cells import _compact_records
 
@@ -201,24 +199,10 @@
 def given_vm(context, count):
     context.store = cells_store.ScriptedStore(["done"])
     clock = cells_store.SteppingClock()
-    relay = _relay.StoreRelay(
-        store=context.store,
-        peers=None,
-        other_addresses=lambda: (),
-        now_ms=clock.now_ms,
-        log=cells_store.FakeLog(),
-    )
-    context.job_service = _job_service.JobService(
-        cell=cells_store.CELL,
-        relay=relay,
-        peers=None,
-        local_cell=lambda: None,
-        owner_address=lambda: None,
-        notices=cells_store.RecordedNotices(),
+    context.job_service = cells_store.make_job_service(
+        cells_store.make_relay(context.store, clock.now_ms),
+        clock.now_ms,
         record_limits=cells.RecordLimits(count),
-        now_ms=clock.now_ms,
-        unix_ms=lambda: cells_store.ACCEPTED_UNIX_MS,
-        log=cells_store.FakeLog(),
     )
 
 
--- a/features/steps/cells_vm_steps.py
+++ b/features/steps/cells_vm_steps.py
@@ -10,43 +10,27 @@
 from features.support import cells_store
 from features.support import cells_work
 from samphiregate.adapters.cells import _configuration
-from samphiregate.adapters.cells import _job_service
 from samphiregate.adapters.cells import _keys
 from samphiregate.adapters.cells import _lease
 from samphiregate.adapters.cells import _ports
-from samphiregate.adapters.cells import _relay
 from samphiregate.adapters.cells import _vm
 from samphiregate.core import cells
 from samphiregate import errors
 
 
-def _make_relay(store, clock, peers=None, others=()):
-    return _relay.StoreRelay(
-        store=store,
-        peers=peers,
-        other_addresses=lambda: others,
-        now_ms=clock.now_ms,
-        log=cells_store.FakeLog(),
-    )
-
-
 def _make_job_service(
     context, store, peers=None, others=(), owner_address=None, step_ms=15
 ):
     context.clock = cells_store.SteppingClock(step_ms)
-    relay = _make_relay(store, context.clock, peers, others)
-    context.relay = relay
+    now_ms = context.clock.now_ms
+    context.relay = cells_store.make_relay(store, now_ms, peers, others)
     context.notices = cells_store.RecordedNotices()
-    context.job_service = _job_service.JobService(
-        cell=cells_store.CELL,
-        relay=relay,
+    context.job_service = cells_store.make_job_service(
+        context.relay,
+        now_ms,
         peers=peers,
-        local_cell=lambda: None,
         owner_address=lambda: owner_address,
         notices=context.notices,
-        now_ms=context.clock.now_ms,
-        unix_ms=lambda: cells_store.ACCEPTED_UNIX_MS,
-        log=cells_store.FakeLog(),
     )
 
 
@@ -137,7 +121,7 @@
 
 def _add_vm(context, answers):
     store = cells_store.ScriptedStore(answers.split(", "))
-    relay = _make_relay(store, cells_store.SteppingClock())
+    relay = cells_store.make_relay(store, cells_store.SteppingClock().now_ms)
     context.vm_addresses = [
         *getattr(context, "vm_addresses", ()),
         cells_peers.serve(context, relay.answer_write),
--- a/features/support/cells_store.py
+++ b/features/support/cells_store.py
@@ -5,7 +5,9 @@
 import gevent
 
 from samphiregate.adapters import cells as ports
+from samphiregate.adapters.cells import _job_service
 from samphiregate.adapters.cells import _ownership
+from samphiregate.adapters.cells import _relay
 from samphiregate.adapters.cells import _writer
 from samphiregate import errors
 
@@ -255,6 +257,41 @@
         return self.time_ms
 
 
+def make_relay(store, now_ms, peers=None, others=()):
+    """Returns a `StoreRelay` to a store, or through other VMs."""
+    return _relay.StoreRelay(
+        store=store,
+        peers=peers,
+        other_addresses=lambda: others,
+        now_ms=now_ms,
+        log=FakeLog(),
+    )
+
+
+def make_job_service(relay, now_ms, **arguments):
+    """Returns the `JobService` of a VM that does not own the cell.
+
+    Parameters
+    ----------
+    relay : StoreRelay
+    now_ms : callable
+    arguments : dict
+        What is to differ, by parameter.
+    """
+    usual = {
+        "cell": CELL,
+        "relay": relay,
+        "peers": None,
+        "local_cell": lambda: None,
+        "owner_address": lambda: None,
+        "notices": RecordedNotices(),
+        "now_ms": now_ms,
+        "unix_ms": lambda: ACCEPTED_UNIX_MS,
+        "log": FakeLog(),
+    }
+    return _job_service.JobService(**(usual | arguments))
+
+
 def make_writer(store, **callables):
     """Returns a `RecordWriter` that writes to a store.
 
--- a/features/support/platform_vm.py
+++ b/features/support/platform_vm.py
@@ -7,8 +7,6 @@
 
 from features.support import cells_store
 from samphiregate.adapters.cells import _configuration
-from samphiregate.adapters.cells import _job_service
-from samphiregate.adapters.cells import _relay
 from samphiregate import metrics
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -64,24 +62,9 @@
         self.configuration = _configuration.ConfigurationHolder(
             decode=documents.configuration, on_change=lambda: None, log=log
         )
-        relay = _relay.StoreRelay(
-            store=cells_store.MemoryStore(),
-            peers=None,
-            other_addresses=lambda: (),
-            now_ms=cells_store.SteppingClock().now_ms,
-            log=log,
-        )
-        self.job_service = _job_service.JobService(
-            cell="all",
-            relay=relay,
-            peers=None,
-            local_cell=lambda: None,
-            owner_address=lambda: None,
-            notices=cells_store.RecordedNotices(),
-            now_ms=cells_store.SteppingClock().now_ms,
-            unix_ms=lambda: 0,
-            log=log,
-        )
+        now_ms = cells_store.SteppingClock().now_ms
+        relay = cells_store.make_relay(cells_store.MemoryStore(), now_ms)
+        self.job_service = cells_store.make_job_service(relay, now_ms)
 
 
 def make_vm():
--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -13,6 +13,7 @@
 from samphiregate.core.cells import _fair_shares
 from samphiregate.core.cells import _inheritance
 from samphiregate.core.cells import _isolation
+from samphiregate.core.cells import _job_entries
 from samphiregate.core.cells import _leases
 from samphiregate.core.cells import _messages
 from samphiregate.core.cells import _order
@@ -163,7 +164,7 @@
         job = event.job
         accepted_ms = now_ms - self._age_ms(job)
         objective = _order.objective_ms(job, self.run_times)
-        entry = _tasks.JobEntry(
+        entry = _job_entries.JobEntry(
             job=job,
             arrived_ms=now_ms,
             accepted_ms=accepted_ms,
