Say "not run" of a rejected write only if no try of it may have run

Found when the diff was read again. A write that the store rejects for another reason than its size was told as not run, also after a try without an answer. The writer called itself without a bound while the list of silent endpoints was rejected.

--- a/features/cells_records.feature
+++ b/features/cells_records.feature
@@ -118,6 +118,13 @@
       | e        | too large | a,b,c,d,e | a,b,c,d | refused  |
       | b        | malformed | a,b,c     | a,c     | delayed  |
 
+  # Guards against a rejected list that is stored after later records.
+  Scenario: the writer stores the list of silent endpoints before the records
+    Given a store that rejects the record of job "b" as too large
+    When the owner stores the list of silent endpoints and the records of a,b,c
+    Then the records of the jobs a,c are stored and reported
+    And the list was stored first
+
   # Guards against answers that say "unknown" where the store never takes it.
   Scenario Outline: a job that can never be stored or done is refused at once
     Given a VM whose store takes values of up to 16384 bytes
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -21,6 +21,11 @@
       | nothing       | nothing          | leases last 10000 ms at most   |
       | nothing       | bounds.hold_max_ms=6000 | leases last 6000 ms at most |
       | nothing       | bounds.hold_max_ms=-1 | setting "bounds.hold_max_ms" is named |
+      | nothing       | nothing          | values take 1048576 bytes at most |
+      | nothing       | platform.value_bytes=65536 | values take 65536 bytes at most |
+      | nothing       | platform.value_bytes= | values take 1048576 bytes at most |
+      | nothing       | platform.value_bytes=0 | values take 1048576 bytes at most |
+      | nothing       | platform.value_bytes=big | setting "platform.value_bytes" is named |
       | nothing       | limits.cpu_share=0.5 and limits.cores=2 | the VM has 1 cores |
       | nothing       | limits.cpu_share=0.5 | the VM has 0.5 cores       |
       | nothing       | limits.cpu_share=nan | setting "limits.cpu_share" is named |
--- a/features/steps/cells_record_steps.py
+++ b/features/steps/cells_record_steps.py
@@ -143,6 +143,18 @@
 
 @behave.when("the owner stores the records of the jobs {job_ids}")
 def when_stored(context, job_ids):
+    _store(context, job_ids, [])
+
+
+@behave.when(
+    "the owner stores the list of silent endpoints and the records of "
+    "{job_ids}"
+)
+def when_stored_with_list(context, job_ids):
+    _store(context, job_ids, [b"list"])
+
+
+def _store(context, job_ids, silent_records):
     batches = [
         [
             cells.StoredRow(job_id, 1, job_id.encode())
@@ -165,6 +177,9 @@
     writer = cells_store.make_writer(
         context.store,
         pop_records=lambda *_limits: batches.pop() if batches else [],
+        pop_silent_record=lambda: (
+            silent_records.pop() if silent_records else None
+        ),
         on_stored=report_stored,
         on_refused=lambda job_id: report("refused", job_id),
         on_delayed=lambda job_id: report("delayed", job_id),
@@ -187,6 +202,18 @@
     assert context.reports["stored"] == expected, context.reports
 
 
+@behave.then("the list was stored first")
+def then_list_first(context):
+    item_by_key = context.store.item_by_key
+    listed = item_by_key[_keys.silent_endpoints(cells_store.CELL)]
+    prefix = _keys.records_prefix(cells_store.CELL)
+    assert all(
+        listed.revision < item.revision
+        for key, item in item_by_key.items()
+        if key.startswith(prefix)
+    ), item_by_key
+
+
 @behave.then('the writer gives job "{job_id}" back as {kind}')
 def then_reported(context, job_id, kind):
     assert context.reports[kind] == [job_id], context.reports
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -91,6 +91,11 @@
     assert context.settings.max_hold_ms == max_hold_ms, context.settings
 
 
+@behave.then("values take {count:d} bytes at most")
+def then_max_value(context, count):
+    assert context.settings.max_value_bytes == count, context.settings
+
+
 @behave.then("tasks wait {max_wait_ms:d} ms at most")
 def then_max_wait(context, max_wait_ms):
     assert context.settings.max_place_wait_ms == max_wait_ms
--- a/samphiregate/adapters/cells/_deadline_calls.py
+++ b/samphiregate/adapters/cells/_deadline_calls.py
@@ -106,7 +106,9 @@
                 self._relay.write(expected, write)
                 return
             except _ports.RejectedWriteError as error:
-                raise _rejected_error(error) from error
+                if error.is_too_large:
+                    raise errors.BadInputError(error.detail) from error
+                raise _write_error(error, unknown) from error
             except errors.UnavailableError as error:
                 unknown = unknown or error.ran is not errors.Ran.NO
                 now_ms = self._now_ms()
@@ -139,13 +141,6 @@
         return None, error
 
 
-def _rejected_error(error):
-    """Returns the error that a caller gets for a write that was rejected."""
-    if error.is_too_large:
-        return errors.BadInputError(error.detail)
-    return unavailable(error.detail)
-
-
 def _write_error(error, unknown):
     """Returns the error that a caller gets for a failed write."""
     if unknown:
--- a/samphiregate/adapters/cells/_writer.py
+++ b/samphiregate/adapters/cells/_writer.py
@@ -115,39 +115,59 @@
                 return
 
     def _store_all(self, rows, silent_record):
-        """Stores records; returns whether the ownership is held.
-
-        A record that the store rejects does not hold up the others: these
-        are written without it.
-        """
+        """Stores records; returns whether the ownership is held."""
+        if silent_record is None:
+            return self._store_rows(rows)
         try:
             if not self._write(self._writes(rows, silent_record)):
                 return False
-        except _ports.RejectedWriteError as error:
-            return self._store_apart(rows, silent_record, error)
-        if silent_record is not None:
-            self._on_silent_record_stored()
-        if rows:
-            self._on_stored(tuple((row.job_id, row.version) for row in rows))
+        except _ports.RejectedWriteError:
+            # Not later than the records that were popped after it.
+            return self._store_silent_record(
+                silent_record
+            ) and self._store_rows(rows)
+        self._on_silent_record_stored()
+        self._report_stored(rows)
         return True
 
-    def _store_apart(self, rows, silent_record, error):
-        """Stores the records of a rejected transaction in smaller ones."""
-        if silent_record is not None:
-            if not rows:
+    def _store_silent_record(self, silent_record):
+        """Stores the record of silent endpoints alone; as `_store_all`."""
+        while True:
+            try:
+                if not self._write(self._writes((), silent_record)):
+                    return False
+            except _ports.RejectedWriteError as error:
                 self._log_not_stored(1, error)
                 gevent.sleep(REJECTED_RETRY_MS / 1000)
-            # Not later than the records that were popped after it.
-            return self._store_all((), silent_record) and (
-                not rows or self._store_all(rows, None)
-            )
-        if len(rows) == 1:
-            self._set_apart(rows[0], error)
+                continue
+            self._on_silent_record_stored()
             return True
-        middle = len(rows) // 2
-        return self._store_all(rows[:middle], None) and self._store_all(
-            rows[middle:], None
-        )
+
+    def _store_rows(self, rows):
+        """Stores records of jobs; as `_store_all`.
+
+        A record that the store rejects does not hold up the others: these
+        are written without it, in ever smaller transactions.
+        """
+        if not rows:
+            return True
+        try:
+            if not self._write(self._writes(rows, None)):
+                return False
+        except _ports.RejectedWriteError as error:
+            if len(rows) == 1:
+                self._set_apart(rows[0], error)
+                return True
+            middle = len(rows) // 2
+            return self._store_rows(rows[:middle]) and self._store_rows(
+                rows[middle:]
+            )
+        self._report_stored(rows)
+        return True
+
+    def _report_stored(self, rows):
+        if rows:
+            self._on_stored(tuple((row.job_id, row.version) for row in rows))
 
     def _set_apart(self, row, error):
         self._log.write(
--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -245,7 +245,12 @@
         if entry is None or entry.is_record_refused:
             return
         entry.is_record_refused = True
-        self.finish(entry, _work.JobState.FAILED, now_ms, reason="record")
+        self.finish(
+            entry,
+            _work.JobState.FAILED,
+            now_ms,
+            reason="its record is too large for the store",
+        )
         self.dirty_ids[job_id] = None
 
     def has_recent_urgent_work(self, account):
