--- a/samphiregate/core/cells/_order.py
+++ b/samphiregate/core/cells/_order.py
@@ -58,7 +58,7 @@
     for step in job.steps:
         begin = max((end_by_step[n] for n in step.after), default=0.0)
         run_ms = run_times.expected_ms(job.queue, step)
-        end_by_step.append(begin + run_ms + _policy_query_ms(job.queue))
+        end_by_step.append(begin + run_ms + policy_query_ms(job.queue))
     return max(end_by_step, default=0.0)
 
 
@@ -83,7 +83,7 @@
         begins = [end_by_step[n] for n in step.after if n in end_by_step]
         if begins:
             run_ms = run_times.expected_ms(job.queue, step)
-            run_ms += _policy_query_ms(job.queue)
+            run_ms += policy_query_ms(job.queue)
             end_by_step[later] = max(begins) + run_ms
     return max(end_by_step.values())
 
@@ -105,7 +105,8 @@
     return job.queue.stretch * path_ms + job.queue.target_ms
 
 
-def _policy_query_ms(queue):
+def policy_query_ms(queue):
+    """Returns the expected time of a query of a queue's policy service."""
     return queue.advice.decide_ms if queue.advice else 0.0
 
 
@@ -126,7 +127,7 @@
     for number in reversed(range(len(job.steps))):
         step = job.steps[number]
         run_ms = run_times.expected_ms(job.queue, step)
-        left_ms[number] += run_ms + _policy_query_ms(job.queue)
+        left_ms[number] += run_ms + policy_query_ms(job.queue)
         for before in step.after:
             left_ms[before] = max(left_ms[before], left_ms[number])
     return left_ms
--- a/samphiregate/core/cells/_preemption_costs.py
+++ b/samphiregate/core/cells/_preemption_costs.py
@@ -4,6 +4,7 @@
 job that is on time counts with all of its work.
 """
 
+from samphiregate.core.cells import _order
 from samphiregate.core.cells import _run_forecast
 
 
@@ -34,7 +35,7 @@
         self._stop_ms = stop_ms
         self._delay_ms = delay_ms
         self._work_by_job = {}
-        self._paths_by_job = {}
+        self._left_ms_by_job = {}
 
     def job_work(self, entry):
         """Returns the work of all steps of a job, once."""
@@ -57,11 +58,11 @@
         queries of the policy service for the stage itself.
         """
         job = stage.entry.job
-        if job.job_id not in self._paths_by_job:
-            self._paths_by_job[job.job_id] = _path_ms_by_step(
-                job, self._run_times
-            )
-        return self._paths_by_job[job.job_id][stage.number]
+        left_ms = self._left_ms_by_job.get(job.job_id)
+        if left_ms is None:
+            left_ms = _order.left_ms_by_step(job, self._run_times)
+            self._left_ms_by_job[job.job_id] = left_ms
+        return left_ms[stage.number] - _order.policy_query_ms(job.queue)
 
     def lost_work(self, booking):
         """Returns what the work thrown away by a stop costs callers.
@@ -137,23 +138,3 @@
     if done_ms <= stage.due_ms:
         return 0
     return 1 if done_ms <= stage.useful_until_ms else 2
-
-
-def _path_ms_by_step(job, run_times):
-    """Returns the longest chain of steps of a job that begins with each.
-
-    In milliseconds, by step number.
-    """
-    advice_ms = job.queue.advice.decide_ms if job.queue.advice else 0.0
-    later_ms = [0.0] * len(job.steps)
-    path_ms = [0.0] * len(job.steps)
-    # A step names only earlier ones.
-    for number in reversed(range(len(job.steps))):
-        step = job.steps[number]
-        run_ms = run_times.expected_ms(job.queue, step)
-        path_ms[number] = run_ms + later_ms[number]
-        for before in step.after:
-            later_ms[before] = max(
-                later_ms[before], path_ms[number] + advice_ms
-            )
-    return path_ms
