Let a job go on with fewer open tasks where the store takes less

A job of a caller who did nothing wrong was shown as failed as soon as the store refused one record of it, as it may where endpoints' ids are long or the store takes less than its setting says.

Now the runs that the refused record would have added, and that were not ordered, are released, and half as many may be added. The job is given up only if what it needs at once does not fit.

--- a/features/cells_records.feature
+++ b/features/cells_records.feature
@@ -69,6 +69,24 @@
     And no task of job "odd" has started
     And no invariant was violated
 
+  # Guards against a sound job that is given up as the store takes less.
+  Scenario Outline: a job goes on with fewer open tasks where the store takes less than it says
+    Given 4 endpoints of 40 cores
+    And a store that takes values of up to 16384 bytes
+    And the store in fact takes <bytes> bytes
+    And an owner of the cell
+    When a job "wide" of <tasks> tasks is submitted
+    And 3 jobs of 2 tasks are submitted
+    Then all jobs are completed within 60000 ms
+    And the store has refused a record
+    And no invariant was violated
+
+    Examples:
+      | bytes | tasks |
+      | 400   | 30    |
+      | 400   | 120   |
+      | 250   | 20    |
+
   # Guards against records that name every failure of a task that lasts.
   Scenario: the record of a long-running job that keeps failing does not grow
     Given 2 endpoints of 4 cores
--- a/features/steps/cells_record_steps.py
+++ b/features/steps/cells_record_steps.py
@@ -28,6 +28,16 @@
     context.simulation.always_refused_ids = {job_id}
 
 
+@behave.given("the store in fact takes {count:d} bytes")
+def given_taken(context, count):
+    context.simulation.taken_bytes = count
+
+
+@behave.then("the store has refused a record")
+def then_some_refused(context):
+    assert context.simulation.refused_ids
+
+
 @behave.then("the store has refused no record")
 def then_none_refused(context):
     assert not context.simulation.refused_ids, context.simulation.refused_ids
--- a/features/support/cells.py
+++ b/features/support/cells.py
@@ -20,6 +20,7 @@
 LINK_DELAY_MS = 1
 STORE_WRITE_MS = 6
 MAX_COMMIT_BYTES = 262_144
+RECORD_RETRY_MS = 1_000
 TICK_MS = 100
 UNREACHABLE_TIMEOUT_MS = 1_000
 ORDER_TIMEOUT_MS = 400
@@ -52,7 +53,9 @@
     store_write_ms : int
         How long a write takes.
     max_value_bytes : int
-        Size of the largest record that the store takes.
+        Size of the largest record that the store takes, as the owner knows.
+    taken_bytes : int
+        Size of the largest record that it does take, if that is less.
     refused_ids : list of str
         The jobs whose records the store has refused.
     always_refused_ids : set of str
@@ -114,6 +117,7 @@
         self.store_up = True
         self.store_write_ms = STORE_WRITE_MS
         self.max_value_bytes = cells.DEFAULT_MAX_VALUE_BYTES
+        self.taken_bytes = cells.DEFAULT_MAX_VALUE_BYTES
         self.max_record_bytes = 0
         self.refused_ids = []
         self.always_refused_ids = set()
@@ -348,6 +352,8 @@
         for row in refused:
             self.refused_ids.append(row.job_id)
             self.deliver(cells.RecordRefused(row.job_id))
+            delayed = cells.RecordDelayed(row.job_id)
+            self._answer(RECORD_RETRY_MS, delayed, generation)
         for row in rows:
             state = self.cell.state_of(row.job_id)
             if state is cells.JobState.COMPLETED:
@@ -357,7 +363,7 @@
         self.max_record_bytes = max(self.max_record_bytes, row.size_bytes)
         if row.job_id in self.always_refused_ids and row.job is None:
             return True
-        return len(row.record) > self.max_value_bytes
+        return len(row.record) > min(self.max_value_bytes, self.taken_bytes)
 
     # Actions
 
--- a/samphiregate/adapters/cells/_writer.py
+++ b/samphiregate/adapters/cells/_writer.py
@@ -178,8 +178,7 @@
         )
         if error.is_too_large:
             self._on_refused(row.job_id)
-        else:
-            self._delays.spawn(self._delay, row.job_id)
+        self._delays.spawn(self._delay, row.job_id)
 
     def _delay(self, job_id):
         gevent.sleep(REJECTED_RETRY_MS / 1000)
--- a/samphiregate/core/cells/_cell.py
+++ b/samphiregate/core/cells/_cell.py
@@ -407,7 +407,8 @@
     @_apply.register
     def _(self, event: _messages.RecordDelayed, now_ms):
         del now_ms
-        if event.job_id in self.cell_state.entry_by_id:
+        entry = self.cell_state.entry_by_id.get(event.job_id)
+        if entry is not None and not entry.is_record_refused:
             self.cell_state.dirty_ids[event.job_id] = None
 
     @_apply.register
--- a/samphiregate/core/cells/_cell_state.py
+++ b/samphiregate/core/cells/_cell_state.py
@@ -236,14 +236,28 @@
             self.finish(entry, _work.JobState.CANCELLED, now_ms)
 
     def refuse_record(self, job_id, now_ms):
-        """Gives up a job whose record the store refuses as too large.
+        """Makes a record smaller that the store refuses as too large.
 
-        Its record is stored without its steps. None of the runs that the
-        refused record would have added was ordered to start.
+        The runs that it would have added were not ordered yet: they are
+        released, and fewer tasks of the job may be open from now on. If none
+        were added, the record gets smaller as runs end. The job is given up
+        if it can't be done so, and its record is stored without its steps.
         """
         entry = self.entry_by_id.get(job_id)
         if entry is None or entry.is_record_refused:
             return
+        added = entry.unstored_bookings()
+        for booking in added:
+            self.stop(booking, now_ms)
+        if added:
+            entry.max_open = entry.count_open() + len(added) // 2
+            self.mark_dirty(entry)
+        max_open = self.max_open_tasks_of(entry)
+        if not entry.state.is_final and (
+            _record_limits.needed_open_tasks(entry.job) <= max_open
+            and (added or any(entry.bookings()))
+        ):
+            return
         entry.is_record_refused = True
         self.finish(
             entry,
@@ -253,6 +267,11 @@
         )
         self.dirty_ids[job_id] = None
 
+    def max_open_tasks_of(self, entry):
+        """Returns how many tasks of a job may be open at a time."""
+        most = self.record_limits.max_open_tasks
+        return most if entry.max_open is None else min(most, entry.max_open)
+
     def has_recent_urgent_work(self, account):
         """Whether the account has urgent jobs that were read recently.
 
--- a/samphiregate/core/cells/_job_entries.py
+++ b/samphiregate/core/cells/_job_entries.py
@@ -42,7 +42,10 @@
     is_compacted : bool
         Whether the stored job is reduced to what is needed after its end.
     is_record_refused : bool
-        Whether the store refused the record of the job as too large.
+        Whether the job was given up as the store takes no record of it.
+    max_open : int or None
+        How many tasks may be open at a time, if the store has refused a record
+        with more.
     """
 
     job: _work.Job
@@ -65,6 +68,7 @@
     )
     is_compacted: bool = False
     is_record_refused: bool = False
+    max_open: int | None = None
     _open_tasks: dict = attrs.field(factory=dict)
 
     @property
@@ -122,6 +126,15 @@
         """Notes that a task may be open; see `Task.is_open`."""
         self._open_tasks[task.task_id] = task
 
+    def count_open(self):
+        """Returns the number of open tasks; see `Task.is_open`."""
+        self._open_tasks = {
+            task_id: task
+            for task_id, task in self._open_tasks.items()
+            if task.is_open
+        }
+        return len(self._open_tasks)
+
     def may_open(self, tasks, max_open):
         """Returns the tasks that may run while at most `max_open` are open.
 
@@ -130,12 +143,7 @@
         new_count = sum(one.task_id not in self._open_tasks for one in tasks)
         if len(self._open_tasks) + new_count <= max_open:
             return tasks
-        self._open_tasks = {
-            task_id: task
-            for task_id, task in self._open_tasks.items()
-            if task.is_open
-        }
-        room = max(max_open - len(self._open_tasks), 0)
+        room = max(max_open - self.count_open(), 0)
         known = [one for one in tasks if one.task_id in self._open_tasks]
         new = [one for one in tasks if one.task_id not in self._open_tasks]
         return known + new[:room]
@@ -156,6 +164,15 @@
             stage.is_done for stage in self.stages_by_key.values()
         )
 
+    def unstored_bookings(self):
+        """Returns the bookings of runs that no stored record names."""
+        return [
+            booking
+            for booking in self.bookings()
+            if booking.state is _tasks.RunState.PLANNED
+            and booking.version > self.stored_version
+        ]
+
     def bookings(self):
         """Yields the bookings of the runs that may exist."""
         for stage in self.stages_by_key.values():
--- a/samphiregate/core/cells/_planner.py
+++ b/samphiregate/core/cells/_planner.py
@@ -360,7 +360,7 @@
 
     def _within_record_limit(self, stage, tasks):
         """Returns the tasks that the record of their job may name."""
-        max_open = self._cell_state.record_limits.max_open_tasks
+        max_open = self._cell_state.max_open_tasks_of(stage.entry)
         allowed = stage.entry.may_open(tasks, max_open)
         if stage.step.gang and len(allowed) < len(tasks):
             return []
--- a/samphiregate/core/cells/_record_limits.py
+++ b/samphiregate/core/cells/_record_limits.py
@@ -48,7 +48,7 @@
         Tasks of long-running steps stay open, and the members of a gang are
         open together.
         """
-        needed = _needed_open_tasks(job)
+        needed = needed_open_tasks(job)
         if needed > self.max_open_tasks:
             raise errors.BadInputError(
                 f"{needed} tasks of the job would have to run at the same "
@@ -64,7 +64,8 @@
             )
 
 
-def _needed_open_tasks(job):
+def needed_open_tasks(job):
+    """Returns how many tasks of a job have to be open at the same time."""
     lasting = sum(step.count for step in job.steps if step.long_running)
     others = [
         step.count if step.gang else 1
