--- a/features/cells_cancels.feature
+++ b/features/cells_cancels.feature
@@ -1,8 +1,6 @@
 Feature: what was cancelled does not run, in whichever order the store writes
 
-  The store may carry out an unanswered write seconds later, after newer ones. A
-  job ran whose POST was answered 504 and whose DELETE after it 410, as the store
-  wrote the job after that (review/8).
+  The store may carry out an unanswered write seconds later, after newer ones.
 
   # Guards against a job that appears after its cancelling was acknowledged.
   # "late": not answered, and carried out at "apply"; "old submit": by a VM of
--- a/features/cells_occurrences.feature
+++ b/features/cells_occurrences.feature
@@ -1,9 +1,8 @@
 Feature: a job with many occurrences or steps does not stop the other jobs
 
   Each occurrence that is under way costs the owner processor time at each event
-  of its job, and each stage that could start at each plan. A job of 50,000
-  occurrences that were due at once kept owner after owner from renewing its
-  lease, and callers got no answer.
+  of its job, and each stage that could start at each plan. The tests guard
+  against jobs that keep the owner from renewing its lease.
 
   # Guards against an owner that has no time for other jobs.
   Scenario Outline: few tasks of a recurring job are under way at a time
--- a/features/cells_records.feature
+++ b/features/cells_records.feature
@@ -1,8 +1,8 @@
 Feature: no record of a job stops the other jobs of the cell
 
-  The store takes values up to a size. A record that grew beyond it was
-  written again for good, and no task of any job started any more (review/7).
-  The simulated store refuses larger values, as the real one does.
+  The store refuses values beyond a size, the simulated one as well. The tests
+  guard against records that outgrow it, and against writes that it refuses for
+  good and that hold up those of other jobs.
 
   # Guards against a job whose record outgrows the store while it is done.
   Scenario Outline: jobs whose records would outgrow the store are done beside others
--- a/features/platform_odd_input.feature
+++ b/features/platform_odd_input.feature
@@ -2,8 +2,7 @@
 
   Entries, answers and bodies with numbers beyond 64 bits, ports that no socket
   takes, names that no resolver takes, or deep nesting are refused where they
-  are read. A number that passed there ended the writer of records, and no task
-  of any job started any more; one in a caller's job was answered 500.
+  are read.
 
   # Guards against an entry that ends processes, or fills their log.
   Scenario Outline: an odd registration names no runner
