Start the tests' entry VM and its store in one place

The play of stops had its own start of a process with a store, settings and a wait for readiness. Tests of clients outside of the limits need the same with other settings, so it is a class of its own now, and ports in a row can be asked for, as metrics are served at the port after that of the peers.

--- a/features/support/stops.py
+++ b/features/support/stops.py
@@ -1,27 +1,21 @@
 """Clients that go on using an entry VM while it is stopped."""
 
-import base64
 import contextlib
 import enum
 import itertools
-import pathlib
 import random
 import re
 import signal
-import tempfile
 
 import attrs
 import gevent
 from gevent import socket
-import orjson
 
-from samphiregate.adapters import http
+from features.support import vm_process
 from standins import processes
-from standins import store as standin
 from standins import traced_platform
 
 CLIENTS = 12
-WAIT_S = 60  # upper bound, not an expected time
 SLOWEST_CALL_S = 0.8
 SILENCE_S = 30
 MAX_PAUSE_S = 0.05
@@ -29,19 +23,8 @@
 GRACE_S = 2
 REQUESTS_BEFORE = 20
 BODY = b'{"spec":"x","steps":[{"count":1,"cpu":100}]}'
-STARTED = '"started"'
 METHODS = ("POST", "GET", "DELETE")
 HABITS = ("steady", "fresh", "slow body", "pipelined")
-SETTINGS = """\
-node_name=front-a-1
-ip={ip}
-zone=a
-listen.front={front}
-listen.ready={ready}
-port_range={port},{port}
-platform.addr={store}
-bounds.grace_s={grace_s}
-"""
 
 
 class StoreBehaviour(enum.Enum):
@@ -52,8 +35,8 @@
     SILENT = "is silent from the start"
 
 
-class StoppedVm(contextlib.ExitStack):
-    """A process of an entry VM, its store and its clients.
+class StoppedVm(vm_process.VmProcess):
+    """An entry VM that is stopped while its clients go on.
 
     Parameters
     ----------
@@ -67,32 +50,23 @@
     """
 
     def __init__(self, *, seed, store):
-        super().__init__()
+        super().__init__(
+            settings={"bounds.grace_s": GRACE_S}, delay_s=self._store_delay_s
+        )
         self.answered = set()
         self._random = random.Random(seed)
         self._store = store
         self._numbers = itertools.count()
-        self._version = 0
+        self._version = 1
         self._terminated = False
-        self._process = None
 
     def start(self):
         """Starts the processes and clients; waits until these are served."""
-        folder = pathlib.Path(
-            self.enter_context(tempfile.TemporaryDirectory())
-        )
-        self._front = processes.free_endpoint()
-        ready = processes.free_endpoint()
-        path = folder / "settings"
-        path.write_text(self._settings_text(self._start_store(), ready))
-        group = self.enter_context(processes.ProcessGroup(folder))
-        self._process = group.start(
-            "vm", "standins.traced_platform", str(path)
-        )
-        self._log_path = folder / "vm.log"
-        processes.wait_until(
-            lambda: self._serves(ready), WAIT_S, "start of the VM"
-        )
+        self.start_process(self._version)
+        if self._store is StoreBehaviour.SILENT:
+            self.wait_started()
+        else:
+            self.wait_ready()
         self._clients = [
             gevent.spawn(self._use, HABITS[number % len(HABITS)])
             for number in range(CLIENTS)
@@ -100,36 +74,11 @@
         self.callback(gevent.killall, self._clients)
         processes.wait_until(
             lambda: len(self.answered) >= REQUESTS_BEFORE,
-            WAIT_S,
+            vm_process.WAIT_S,
             "first answers",
         )
 
-    def _serves(self, ready):
-        if self._store is StoreBehaviour.SILENT:
-            return STARTED in self._log_path.read_text()
-        return _is_ready(ready)
-
-    def _start_store(self):
-        application = standin.Application(standin.Values(), self._delay_s)
-        self._values = application.values
-        self.change_configuration()
-        server = http.NoDelayServer("127.0.0.1:0", application)
-        server.start()
-        self.callback(server.stop, timeout=0)
-        return f"127.0.0.1:{server.server_port}"
-
-    def _settings_text(self, store, ready):
-        ip, _colon, port = processes.free_endpoint().partition(":")
-        return SETTINGS.format(
-            ip=ip,
-            front=self._front,
-            ready=ready,
-            port=port,
-            store=store,
-            grace_s=GRACE_S,
-        )
-
-    def _delay_s(self):
+    def _store_delay_s(self):
         if self._store is StoreBehaviour.SILENT:
             return SILENCE_S
         stops = self._store is StoreBehaviour.SILENT_AFTER_STOP
@@ -140,41 +89,35 @@
     def change_configuration(self):
         """Writes a new version of the configuration."""
         self._version += self._random.randint(1, 5)
-        route = {
-            "name": "q",
-            "host": "h",
-            "prefix": "/q/",
-            "service": "svc",
-            "no_auth": True,
-        }
-        value = orjson.dumps({"version": self._version, "routes": [route]})
-        self._values.set("op/config", base64.b64encode(value).decode())
+        self.configure(self._version)
 
     def play(self, names):
         """Sends signals in turn, between changes of the configuration."""
         for name in names:
             self.change_configuration()
             self._terminated = self._terminated or name == "SIGTERM"
-            self._process.signal(getattr(signal, name))
+            self.process.signal(getattr(signal, name))
             gevent.sleep(self._random.uniform(0, GRACE_S / len(names)))
 
     def wait(self):
         """Waits for the end; returns the exit status."""
-        status = self._process.wait(WAIT_S)
-        gevent.joinall(self._clients, timeout=WAIT_S, raise_error=True)
+        status = self.process.wait(vm_process.WAIT_S)
+        gevent.joinall(
+            self._clients, timeout=vm_process.WAIT_S, raise_error=True
+        )
         return status
 
     def read(self):
         """Returns the numbers of the requests that the VM has read."""
-        text = self._log_path.read_text(errors="replace")
+        text = self.log_text()
         return set(map(int, re.findall(f"{traced_platform.READ}(\\d+)", text)))
 
     def _use(self, habit):
         """Sends requests until the process is gone."""
-        while self._process.exit_status is None:
+        while self.process.exit_status is None:
             with contextlib.suppress(OSError, EOFError):
                 with socket.create_connection(
-                    _address_pair(self._front)
+                    _address_pair(self.address_by_port["front"])
                 ) as connection:
                     self._use_connection(connection, habit)
             gevent.sleep(RETRY_S)
@@ -239,15 +182,6 @@
     return closes
 
 
-def _is_ready(endpoint):
-    try:
-        with http.Client(endpoint) as client:
-            answer = client.request("GET", "/samphiregate/readiness")
-    except Exception:
-        return False
-    return answer.status == 200
-
-
 @attrs.frozen
 class Outcome:
     """How a stop ended.
--- a/standins/processes/__init__.py
+++ b/standins/processes/__init__.py
@@ -1,6 +1,7 @@
 """Starts processes for demos, tests and measurements, and ends them."""
 
 from standins.processes._processes import free_endpoint
+from standins.processes._processes import free_endpoints
 from standins.processes._processes import LANE_VARIABLE
 from standins.processes._processes import Process
 from standins.processes._processes import ProcessGroup
@@ -13,5 +14,6 @@
     "ProcessGroup",
     "StartError",
     "free_endpoint",
+    "free_endpoints",
     "wait_until",
 ]
--- a/standins/processes/_processes.py
+++ b/standins/processes/_processes.py
@@ -36,13 +36,30 @@
     The port lies below those that the system gives to connections, so that
     none of them takes it before the server starts, and is given out once.
     """
+    return free_endpoints(1)
+
+
+def free_endpoints(count):
+    """Returns the first of some such endpoints whose ports follow in a row."""
+    row = []
     for port in _ports:
-        with socket.socket() as sock:
-            try:
-                sock.bind((LOOPBACK, port))
-            except OSError:
-                continue
-        return f"{LOOPBACK}:{port}"
+        if row and port != row[-1] + 1:
+            row = []
+        if not _is_free(port):
+            row = []
+            continue
+        row.append(port)
+        if len(row) == count:
+            return f"{LOOPBACK}:{row[0]}"
+
+
+def _is_free(port):
+    with socket.socket() as sock:
+        try:
+            sock.bind((LOOPBACK, port))
+        except OSError:
+            return False
+    return True
 
 
 def _endless_ports():
