--- a/features/platform_odd_input.feature
+++ b/features/platform_odd_input.feature
@@ -98,6 +98,12 @@
       | Content-Length | 5000 digits          | 400    |
 
   # Guards against an exception that callers get as a plain page.
+  Scenario: a body that is cut short is no fault of the VM
+    Given an entry VM with queue "/q/" that requires a key and queue "/open/" that does not
+    When a caller's body is cut short
+    Then the answer has the code bad-input
+    And the log has no line "request failed"
+
   Scenario: a fault of the VM is answered with a typed error and logged
     Given an entry VM whose service of jobs fails
     When a caller sends GET "/q/5c0e7a21d94b36f8" with key "secret"
--- a/features/steps/platform_odd_input_steps.py
+++ b/features/steps/platform_odd_input_steps.py
@@ -102,6 +102,19 @@
     _post(context, b'{"steps":[{"count":1}]}', **{field: value})
 
 
+class _CutBody:
+    """A body whose connection ends while it is read."""
+
+    def read(self, _size=None):
+        """Raises what the server's input raises then."""
+        raise OSError("unexpected end of file while reading request")
+
+
+@behave.when("a caller's body is cut short")
+def when_cut(context):
+    _post(context, b"", **{"CONTENT_LENGTH": "100", "wsgi.input": _CutBody()})
+
+
 @behave.then("the answer has the code {code}")
 def then_code(context, code):
     document = orjson.loads(context.body) if context.body else {}
@@ -123,6 +136,12 @@
     context.api = platform_vm.make_api(vm)
 
 
+@behave.then('the log has no line "{event}"')
+def then_not_logged(context, event):
+    events = [what for what, _fields in context.api._log.lines]
+    assert event not in events, events
+
+
 @behave.then('the log has a line "{event}"')
 def then_logged(context, event):
     events = [what for what, _fields in context.api._log.lines]
