--- a/features/platform_odd_input.feature
+++ b/features/platform_odd_input.feature
@@ -104,6 +104,19 @@
     Then the answer has the code bad-input
     And the log has no line "request failed"
 
+  Scenario Outline: a job of too many tasks is refused before a step is made
+    Given an entry VM with queue "/q/" that requires a key and queue "/open/" that does not
+    When a caller submits <steps> steps of <tasks> tasks
+    Then the answer has the code <code>
+    And <made> steps were made
+
+    Examples:
+      | steps | tasks | code      | made  |
+      | 10000 | 1     | none      | 10000 |
+      | 10001 | 1     | bad-input | 0     |
+      | 5000  | 3     | bad-input | 0     |
+      | 80000 | 1     | bad-input | 0     |
+
   Scenario: a fault of the VM is answered with a typed error and logged
     Given an entry VM whose service of jobs fails
     When a caller sends GET "/q/5c0e7a21d94b36f8" with key "secret"
--- a/features/steps/platform_odd_input_steps.py
+++ b/features/steps/platform_odd_input_steps.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+from unittest import mock
 
 import behave
 import orjson
@@ -115,6 +116,22 @@
     _post(context, b"", **{"CONTENT_LENGTH": "100", "wsgi.input": _CutBody()})
 
 
+@behave.when("a caller submits {steps:d} steps of {tasks:d} tasks")
+def when_steps(context, steps, tasks):
+    row = {"count": tasks}
+    make_step = documents._step
+    with mock.patch.object(
+        documents, "_step", autospec=True, side_effect=make_step
+    ) as made:
+        _post(context, orjson.dumps({"steps": [row] * steps}))
+    context.made = made.call_count
+
+
+@behave.then("{count:d} steps were made")
+def then_made(context, count):
+    assert context.made == count, context.made
+
+
 @behave.then("the answer has the code {code}")
 def then_code(context, code):
     document = orjson.loads(context.body) if context.body else {}
