Write what a caller names into the log in a few bytes

A field of 100,000 letters in place of a number stood whole in the answer and in the log.

Cause: the log's budget is one of lines, and the lines "request refused" are kept whole; nothing bounded their bytes. A path's last part, a method and the cause of a decoding error were taken as they came.

--- a/features/platform_odd_input.feature
+++ b/features/platform_odd_input.feature
@@ -117,6 +117,25 @@
       | 5000  | 3     | bad-input | 0     |
       | 80000 | 1     | bad-input | 0     |
 
+  Scenario Outline: what a caller names is logged in a few bytes
+    Given an entry VM with queue "/q/" that requires a key and queue "/open/" that does not
+    When a caller sends a request with <field> of 7000 characters
+    Then each line of the log has at most 600 bytes
+
+    Examples:
+      | field          |
+      | PATH_INFO      |
+      | REQUEST_METHOD |
+      | HTTP_HOST      |
+      | HTTP_X_KEY     |
+
+  Scenario: a refusal does not quote a long text of the document
+    Given an entry VM with queue "/q/" that requires a key and queue "/open/" that does not
+    When 100000 letters stand for the target of a step
+    Then the answer has the code bad-input
+    And each line of the log has at most 600 bytes
+    And the answer has at most 400 bytes
+
   Scenario: a fault of the VM is answered with a typed error and logged
     Given an entry VM whose service of jobs fails
     When a caller sends GET "/q/5c0e7a21d94b36f8" with key "secret"
--- a/features/steps/platform_odd_input_steps.py
+++ b/features/steps/platform_odd_input_steps.py
@@ -132,6 +132,30 @@
     assert context.made == count, context.made
 
 
+@behave.when("a caller sends a request with {field} of {size:d} characters")
+def when_long(context, field, size):
+    fields = {"PATH_INFO": "/none/", field: "/" + "a" * size}
+    _post(context, b"{}", **fields)
+
+
+@behave.when("{count:d} letters stand for the target of a step")
+def when_long_text(context, count):
+    row = {"count": 1, "target_ms": "a" * count}
+    _post(context, orjson.dumps({"steps": [row]}))
+
+
+@behave.then("the answer has at most {size:d} bytes")
+def then_short_answer(context, size):
+    assert len(context.body) <= size, len(context.body)
+
+
+@behave.then("each line of the log has at most {size:d} bytes")
+def then_short(context, size):
+    lines = context.api._log.lines
+    sizes = [len(orjson.dumps(fields)) for _what, fields in lines]
+    assert sizes and max(sizes) <= size, sizes
+
+
 @behave.then("the answer has the code {code}")
 def then_code(context, code):
     document = orjson.loads(context.body) if context.body else {}
