Bound the memory of requests that are being read, in one server for all

Cause: adapters/edge bounded heads, bodies and connections; the server that the platform's callers meet, adapters/http/_draining.py, and the plain one of readiness, metrics and peers bounded none of them. Bodies were read before the route and the key were looked at, and the sum of what was being read had no bound anywhere in adapters/http.

Change: the bounds move from adapters/edge to adapters/http, and all servers of a process use them. `Admission` decides who gives way, without I/O: among too many bytes the largest request, as a sound one is small; among too many connections the one that has waited longest for the end of its request, as a sound client is done soon; never one whose request was read whole. The limit of all requests together is a tenth of `limits.memory_mb`, and at least one body. The callers' interface looks at route and key first, and again when the body is there. A client that gives way, or whose head is too large, is answered (431, 414, 408, 413, 429 or 503; nothing of it has run) before the connection is closed, and the server reads on for a while so that the answer arrives.

Edge's reservation of declared lengths goes: a client that announced a body and sent none kept others out. The scenario of it asked for a 503 for the fourth caller; it is replaced by one that asks for the same bound in bytes received, that the fourth caller is served, and that the one who waited longest is told 503. `traced_platform` notes a request that is refused by its head as read, as its body isn't read any more.

The tests run alone, after all other features.

--- /dev/null
+++ b/features/admission.feature
@@ -0,0 +1,35 @@
+Feature: connections give way to others when there are too many, or too large
+
+  Scenario Outline: among too many connections the longest waiting one goes
+    Given room for 3 connections and 1000 bytes
+    When these come to pass: <events>
+    Then <closed> were closed and <refused> was refused
+
+    Examples:
+      | events                                      | closed | refused |
+      | open a, open b, open c                      | none   | none    |
+      | open a, open b, open c, open d              | a      | none    |
+      | open a, open b, open c, busy a, open d      | b      | none    |
+      | open a, open b, open c, wait a, open d      | b      | none    |
+      | open a, open b, open c, 9 of a, open d      | a      | none    |
+      | open a, open b, open c, close b, open d     | none   | none    |
+      | open a, open b, open c, open d, open e      | a      | e       |
+      | open a, open b, open c, open d, close a, open e | a, b | none  |
+      | open a, busy a, open b, busy b, open c, busy c, open d | none | d |
+
+  Scenario Outline: among too many bytes the largest request goes
+    Given room for 9 connections and 1000 bytes
+    When these come to pass: <events>
+    Then <closed> were closed and none was refused
+    And <bytes> bytes are being read
+
+    Examples:
+      | events                                              | closed | bytes |
+      | open a, 1000 of a                                   | none   | 1000  |
+      | open a, 1001 of a                                   | a      | 0     |
+      | open a, open b, 600 of a, 300 of b, 200 of b        | a      | 500   |
+      | open a, open b, 500 of a, 500 of b, open c, 10 of c | a      | 510   |
+      | open a, open b, 500 of a, busy a, 900 of b          | none   | 900   |
+      | open a, open b, 500 of a, close a, 900 of b         | none   | 900   |
+      | open a, 900 of a, wait a, 900 of a                  | none   | 900   |
+      | open a, busy a, 5000 of a                           | none   | 0     |
--- a/features/edge.feature
+++ b/features/edge.feature
@@ -96,14 +96,16 @@
     Then edge: the entry VM still answers
     And edge: only the longest idle connection was closed
 
-  Scenario: edge: bodies that are read at a time are bounded
-    Given edge: an entry VM that reads 3000 bytes of bodies at a time
-    When edge: 3 callers each announce 1000 bytes and send none
-    And edge: a caller sends a body of 1000 bytes
-    Then edge: the answer has status 503 and code overloaded
-    When edge: the 3 callers go away
+  Scenario: edge: requests that are read at a time are bounded
+    Given edge: an entry VM that reads 7000 bytes of requests at a time
+    When edge: 3 callers each send 2000 bytes of a body but the last
     And edge: a caller sends a body of 1000 bytes
     Then edge: the answer has status 200 and code none
+    And edge: the callers that sent first 1 are answered with status 503
+    And edge: at most 7000 bytes were read at a time
+    When edge: the other callers send the last byte
+    Then edge: the callers that sent first 3 are answered with status 503, 200, 200
+    And edge: no byte is counted as being read
 
   Scenario: edge: a caller that is gone frees its place in the queue
     Given edge: an entry VM with 1 runners of 1 slots
--- a/features/run_all.py
+++ b/features/run_all.py
@@ -2,8 +2,8 @@
 
 Each feature, or scenario of a long one, runs in a process of its own, with
 ports and seeds of its own; `features.run` says how it counts. Those that
-take longest begin first. One that ends without a line of counts counts as
-one failure.
+take longest begin first. Those that measure a process run alone, after all
+others. One that ends without a line of counts counts as one failure.
 """
 
 import concurrent.futures
@@ -21,6 +21,7 @@
 LANES = 4
 FEATURE_TIMEOUT_S = 1_200
 SPLIT = ("site",)
+ALONE = ("clients",)
 COUNTS = re.compile(r"^(\d+) passed, (\d+) failed, (\d+) skipped$", re.M)
 LONGEST = (
     "site",
@@ -39,11 +40,19 @@
 )
 
 
+def parts_alone(folder=pathlib.Path("features")):
+    """Returns the features that run one at a time."""
+    return [str(folder / f"{stem}.feature") for stem in ALONE]
+
+
 def ordered_parts(folder=pathlib.Path("features")):
-    """Returns what to run, the longest first: a feature or a scenario each."""
+    """Returns what runs side by side, the longest first.
+
+    A part is a feature or a scenario.
+    """
     rank_by_stem = {stem: rank for rank, stem in enumerate(LONGEST)}
     paths = sorted(
-        folder.glob("*.feature"),
+        (path for path in folder.glob("*.feature") if path.stem not in ALONE),
         key=lambda path: (rank_by_stem.get(path.stem, len(LONGEST)), path),
     )
     parts = []
@@ -95,15 +104,21 @@
     with concurrent.futures.ThreadPoolExecutor(LANES) as pool:
         runs = [pool.submit(run_part, part, lanes) for part in ordered_parts()]
         for run in concurrent.futures.as_completed(runs):
-            part, counts, output = run.result()
-            totals = [sum(pair) for pair in zip(totals, counts, strict=True)]
-            print(f"{part}: {counts[0]} passed, {counts[1]} failed")
-            if counts[1] or counts[2]:
-                print(output)
+            add_outcome(totals, *run.result())
+    for part in parts_alone():
+        add_outcome(totals, *run_part(part, lanes))
     passed, failed, skipped = totals
     print(f"{passed} passed, {failed} failed, {skipped} skipped")
     return 1 if failed or not passed else 0
 
 
+def add_outcome(totals, part, counts, output):
+    """Adds the counts of a part to `totals`, and prints them."""
+    totals[:] = [sum(pair) for pair in zip(totals, counts, strict=True)]
+    print(f"{part}: {counts[0]} passed, {counts[1]} failed")
+    if counts[1] or counts[2]:
+        print(output)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/features/steps/clients_steps.py
@@ -0,0 +1,54 @@
+"""Steps about clients outside of the limits."""
+
+import signal
+
+import behave
+
+from features.support import crowds
+from features.support import vm_process
+
+
+@behave.given("a VM with {memory_mb:d} MB and {max_fds:d} descriptors")
+def given_vm(context, memory_mb, max_fds):
+    context.memory_mb = memory_mb
+    context.max_fds = max_fds
+    context.vm = crowds.CrowdedVm(memory_mb=memory_mb, max_fds=max_fds)
+    context.add_cleanup(context.vm.close)
+    context.vm.start()
+
+
+@behave.when("{count:d} clients send {what} to its {port} port")
+def when_clients(context, count, what, port):
+    context.vm.gather(count, what, port)
+
+
+@behave.when("the clients have left")
+def when_left(context):
+    context.vm.dismiss()
+
+
+@behave.when("the VM gets SIGTERM")
+def when_terminated(context):
+    context.vm.process.signal(signal.SIGTERM)
+
+
+@behave.then("an ordinary request is answered")
+def then_answered(context):
+    status = context.vm.submit()
+    assert status == 200, status
+
+
+@behave.then("the VM is ready and kept to its memory and descriptors")
+def then_kept(context):
+    vm = context.vm
+    vm.wait_ready()
+    assert vm.process.exit_status is None, vm.process.exit_status
+    peak_mb = vm.peak_bytes() / crowds.BYTES_PER_MB
+    assert peak_mb <= context.memory_mb, peak_mb
+    assert vm.most_descriptors <= context.max_fds, vm.most_descriptors
+
+
+@behave.then("the VM ends by itself")
+def then_ends(context):
+    status = context.vm.process.wait(vm_process.WAIT_S)
+    assert status == 0, status
--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -20,6 +20,8 @@
 DRAIN_TIMEOUT_MS = 30_000
 POLL_S = 0.002
 MOST_POLLS = 10_000
+ANSWER_TIMEOUT_S = 30
+READ_BYTES = 4_096
 NESTED = "[" * 1_500 + "]" * 1_500
 
 
@@ -64,7 +66,7 @@
 
 
 @behave.given(
-    "edge: an entry VM that reads {size:d} bytes of bodies at a time"
+    "edge: an entry VM that reads {size:d} bytes of requests at a time"
 )
 def given_few_bytes(context, size):
     start(context, most_reading_bytes=size)
@@ -242,13 +244,57 @@
         return False
 
 
-@behave.when("edge: {count:d} callers each announce 1000 bytes and send none")
-def when_announced(context, count):
+@behave.when(
+    "edge: {count:d} callers each send {size:d} bytes of a body but the last"
+)
+def when_held(context, count, size):
+    context.most_read = 0
+    context.answers = {}
     context.sockets = [context.site.connect() for _ in range(count)]
-    announced = wire.request(b"Content-Length: 1000\r\n", length=False)
-    for sock in context.sockets:
-        sock.sendall(announced)
-    wait_until(lambda: context.site.bytes_being_read() == count * 1_000)
+    head = wire.request(b"Content-Length: %d\r\n" % size, length=False)
+    for number, sock in enumerate(context.sockets, 1):
+        sock.sendall(head + b"x" * (size - 1))
+        wait_until(lambda: context.site.bytes_being_read() >= number * size)
+    context.most_read = context.site.bytes_being_read()
+
+
+@behave.then(
+    "edge: the callers that sent first {count:d} are answered "
+    "with status {statuses}"
+)
+def then_held_answered(context, count, statuses):
+    for sock in context.sockets[:count]:
+        if sock not in context.answers:
+            context.answers[sock] = _read_status(sock)
+    found = [context.answers[sock] for sock in context.sockets[:count]]
+    assert found == list(map(int, statuses.split(", "))), found
+
+
+def _read_status(sock):
+    received = b""
+    with gevent.Timeout(ANSWER_TIMEOUT_S, AssertionError("no answer")):
+        while b"\r\n\r\n" not in received:
+            block = sock.recv(READ_BYTES)
+            assert block, received
+            received += block
+    return wire.parse(received)[0]
+
+
+@behave.then("edge: at most {size:d} bytes were read at a time")
+def then_bounded(context, size):
+    assert 0 < context.most_read <= size, context.most_read
+    assert context.site.bytes_being_read() <= size
+
+
+@behave.when("edge: the other callers send the last byte")
+def when_completed(context):
+    for sock in context.sockets[1:]:
+        sock.sendall(b"x")
+
+
+@behave.then("edge: no byte is counted as being read")
+def then_none_read(context):
+    wait_until(lambda: context.site.bytes_being_read() == 0)
 
 
 @behave.when("edge: a caller sends a body of {size:d} bytes")
@@ -257,13 +303,6 @@
     take_answer(context, context.site.call("POST", path, b"x" * size))
 
 
-@behave.when("edge: the {count:d} callers go away")
-def when_callers_leave(context, count):
-    for sock in context.sockets:
-        sock.close()
-    wait_until(lambda: context.site.bytes_being_read() == 0)
-
-
 @behave.when("edge: {count:d} callers send requests and go away")
 def when_callers_vanish(context, count):
     site = context.site
--- a/features/steps/shutdown_steps.py
+++ b/features/steps/shutdown_steps.py
@@ -96,7 +96,9 @@
 @behave.given("a server and a connection {connection}")
 def given_connection(context, connection):
     context.application = _Application()
-    context.server = http.DrainingServer("127.0.0.1:0", context.application)
+    context.server = http.DrainingServer(
+        "127.0.0.1:0", context.application, limits=http.ServerLimits()
+    )
     context.server.start()
     context.client = socket.create_connection(
         ("127.0.0.1", context.server.server_port)
@@ -106,7 +108,7 @@
         socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
     )
     context.add_cleanup(context.client.close)
-    _wait_for(lambda: context.server.handlers)
+    _wait_for(lambda: context.server.admission)
     context.later = b""
     if connection == "that is idle after a request":
         context.application.proceed.set()
@@ -135,11 +137,11 @@
 
 
 def _is_serving(server):
-    return any(handler._is_serving for handler in server.handlers)
+    return any(handler._is_serving for handler in server.admission)
 
 
 def _is_answering(server):
-    return any(handler.is_answering for handler in server.handlers)
+    return any(handler.is_answering for handler in server.admission)
 
 
 @behave.when("the server drains")
--- a/features/support/platform_vm.py
+++ b/features/support/platform_vm.py
@@ -7,6 +7,7 @@
 
 from features.support import cells_store
 from samphiregate.adapters.cells import _configuration
+from samphiregate.adapters import http
 from samphiregate import metrics
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -86,4 +87,5 @@
         log=cells_store.FakeLog(),
         metrics=metrics.VmMetrics(),
         is_stopping=lambda: False,
+        bodies=http.BodyReader(http.ProcessLimits().callers),
     )
--- a/samphiregate/adapters/cells/_peer_calls.py
+++ b/samphiregate/adapters/cells/_peer_calls.py
@@ -11,6 +11,7 @@
 MAX_CONNECTIONS = 16
 CONNECT_TIMEOUT_MS = 500
 READ_TIMEOUT_MS = 1_000
+_DEFAULT_BODIES = http.BodyReader(http.ProcessLimits().peers)
 
 
 class UnexpectedAnswerError(errors.SamphiregateError):
@@ -30,10 +31,12 @@
     ----------
     answer : callable
         Takes a message that another VM sent; returns the answer.
+    bodies : BodyReader
     """
 
-    def __init__(self, *, answer):
+    def __init__(self, *, answer, bodies=_DEFAULT_BODIES):
         self._answer = answer
+        self._bodies = bodies
         self._clients = http.Clients(
             connections=MAX_CONNECTIONS,
             connect_timeout_ms=CONNECT_TIMEOUT_MS,
@@ -89,8 +92,8 @@
 
     def application(self, environ, start_response):
         """Serves requests of other VMs, as a WSGI application."""
-        body = environ["wsgi.input"].read()
         try:
+            body = self._bodies.read(environ)
             answer = self._answer(peers.decode_message(body))
         except errors.SamphiregateError as error:
             headers = [(RAN_HEADER, error.ran.value)]
--- a/samphiregate/adapters/cells/_vm.py
+++ b/samphiregate/adapters/cells/_vm.py
@@ -60,6 +60,8 @@
     log : DecisionLog
     placement : PlacementSettings
     record_limits : RecordLimits
+    peer_limits : ServerLimits
+        Limits of what other VMs send.
 
     Attributes
     ----------
@@ -81,6 +83,7 @@
         log,
         placement=_owner.PlacementSettings(),
         record_limits=cells.RecordLimits(),
+        peer_limits=http.ProcessLimits().peers,
     ):
         self._vm_id = vm_id
         self._peer_address = peer_address
@@ -95,7 +98,10 @@
         self._stopping = False
         self.accepts_requests = True
         self._instance = f"{random_state.getrandbits(64):016x}"
-        self._peers = _peer_calls.PeerCalls(answer=self._answer)
+        self._peer_limits = peer_limits
+        self._peers = _peer_calls.PeerCalls(
+            answer=self._answer, bodies=http.BodyReader(peer_limits)
+        )
         self.configuration = _configuration.ConfigurationHolder(
             decode=ports.decoders.configuration,
             on_change=self._configuration_changed,
@@ -174,8 +180,10 @@
         )
 
     def __enter__(self):
-        server = http.NoDelayServer(
-            self._peer_address, self._peers.application
+        server = http.BoundedServer(
+            self._peer_address,
+            self._peers.application,
+            limits=self._peer_limits,
         )
         server.start()
         self._stack.callback(server.stop, timeout=0)
--- a/samphiregate/adapters/edge/_application.py
+++ b/samphiregate/adapters/edge/_application.py
@@ -41,8 +41,8 @@
     def __call__(self, environ, start_response):
         """Serves one call; see PEP 3333."""
         response = self._respond(environ)
-        closing = self._closing() or environ["wsgi.input"].unread()
-        start_response(response.status_line(), response.header_list(closing))
+        headers = response.header_list(self._closing())
+        start_response(response.status_line(), headers)
         return [response.body]
 
     def _respond(self, environ):
--- a/samphiregate/adapters/edge/_listener.py
+++ b/samphiregate/adapters/edge/_listener.py
@@ -6,7 +6,7 @@
 import gevent
 from gevent import ssl as gevent_ssl
 
-from samphiregate.adapters.edge import _handler
+from samphiregate.adapters.edge import _responses
 from samphiregate.adapters import http
 from samphiregate import errors
 
@@ -14,26 +14,23 @@
 HANDSHAKE_TIMEOUT_MS = 10_000
 
 
-class Listener(http.NoDelayServer):
-    """A WSGI server with a bound of connections.
+class Listener(http.BoundedServer):
+    """The server of callers' connections, with or without TLS."""
 
-    Parameters
-    ----------
-    connections : ConnectionTable
-        Table of the open connections.
-    """
-
-    def __init__(self, endpoint, application, *, connections, context=None):
+    def __init__(
+        self, endpoint, application, *, limits, admission, context=None
+    ):
         tls = {} if context is None else {"ssl_context": context}
         super().__init__(
             endpoint,
             application,
-            handler_class=_handler.EdgeHandler,
+            limits=limits,
+            admission=admission,
+            refusal=_responses.unread_problem,
             error_log=None,
             backlog=BACKLOG,
             **tls,
         )
-        self.connections = connections
 
     def wrap_socket_and_handle(self, client_socket, address):
         """Serves a connection under TLS; a bad handshake ends it."""
@@ -48,16 +45,6 @@
         finally:
             wrapped.close()
 
-    def handle(self, client_socket, address):
-        """Serves a connection, if there are not too many."""
-        if not self.connections.opened(client_socket):
-            client_socket.close()
-            return
-        try:
-            super().handle(client_socket, address)
-        finally:
-            self.connections.closed(client_socket)
-
 
 class Certificate:
     """A certificate and its key, read again when the files change.
--- a/samphiregate/adapters/edge/_responses.py
+++ b/samphiregate/adapters/edge/_responses.py
@@ -10,6 +10,7 @@
 JSON_TYPE = "application/json"
 PROBLEM_TYPE = "application/problem+json"
 PROBLEM_URN = "urn:samphiregate:problem:"
+OVERLOADED_RETRY_MS = 1_000
 
 _Code = errors.ErrorCode
 
@@ -139,3 +140,28 @@
         detail=error.detail,
         retry_after_ms=error.retry_after_ms,
     )
+
+
+def unread_problem(status_line):
+    """Returns a whole HTTP message that refuses what can't be read.
+
+    Parameters
+    ----------
+    status_line : str
+        Status code and reason phrase.
+    """
+    status = int(status_line.partition(" ")[0])
+    if status == STATUS_BY_CODE[_Code.OVERLOADED]:
+        response = problem(
+            _Code.OVERLOADED,
+            detail="too many callers at a time",
+            retry_after_ms=OVERLOADED_RETRY_MS,
+        )
+    else:
+        response = problem(
+            _Code.BAD_INPUT, detail="the head is not valid", status=status
+        )
+    headers = response.header_list(closing=True)
+    lines = [f"HTTP/1.1 {status_line}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + response.body
--- a/samphiregate/adapters/edge/_server.py
+++ b/samphiregate/adapters/edge/_server.py
@@ -4,13 +4,12 @@
 
 from samphiregate.adapters.edge import _access
 from samphiregate.adapters.edge import _application
-from samphiregate.adapters.edge import _bodies
 from samphiregate.adapters.edge import _calls
-from samphiregate.adapters.edge import _connections
 from samphiregate.adapters.edge import _jobs_api
 from samphiregate.adapters.edge import _listener
 from samphiregate.adapters.edge import _requests_api
 from samphiregate.adapters.edge import _status_api
+from samphiregate.adapters import http
 from samphiregate.core import jobs
 from samphiregate.core import requests
 
@@ -46,7 +45,7 @@
     most_body_bytes : int
         Longest body of a request.
     most_reading_bytes : int
-        Bytes of all bodies that are being read.
+        Bytes of all requests that are being read.
     longest_deadline_ms : int
         Longest time that a caller may give a request.
     body_timeout_ms : int
@@ -75,7 +74,12 @@
         self._ready = ready
         self._draining = False
         self._calls = _calls.Calls(submit=submit, vm_id=vm_id)
-        self._connections = _connections.ConnectionTable(most_connections)
+        limits = http.ServerLimits(
+            max_connections=most_connections,
+            max_body_bytes=most_body_bytes,
+            max_reading_bytes=most_reading_bytes,
+            body_timeout_ms=body_timeout_ms,
+        )
         self._certificate = None
         if certificate_file:
             self._certificate = _listener.Certificate(
@@ -85,22 +89,19 @@
             configuration_replica=configuration_replica,
             operator_networks=operator_networks,
         )
-        self._bodies = _bodies.BodyReader(
-            most_body_bytes=most_body_bytes,
-            most_reading_bytes=most_reading_bytes,
-            timeout_ms=body_timeout_ms,
-        )
+        self._admission = http.Admission(limits)
+        bodies = http.BodyReader(limits, self._admission.note)
         application = _application.EdgeApplication(
             requests_api=_requests_api.RequestsApi(
                 access=access,
-                bodies=self._bodies,
+                bodies=bodies,
                 calls=self._calls,
                 configuration_replica=configuration_replica,
                 metrics=metrics,
                 longest_deadline_ms=longest_deadline_ms,
             ),
             jobs_api=_jobs_api.JobsApi(
-                access=access, bodies=self._bodies, calls=self._calls
+                access=access, bodies=bodies, calls=self._calls
             ),
             status_api=_status_api.StatusApi(
                 access=access,
@@ -113,7 +114,8 @@
         self._listener = _listener.Listener(
             endpoint,
             application,
-            connections=self._connections,
+            limits=limits,
+            admission=self._admission,
             context=self._certificate and self._certificate.context,
         )
 
@@ -138,9 +140,13 @@
         """Returns counts of connections and calls, as plain values."""
         return {
             "calls": len(self._calls),
-            "connections": len(self._connections),
-            "idle_connections": self._connections.idle_count,
-            "bytes_being_read": self._bodies.bytes_being_read,
+            "connections": len(self._admission),
+            "idle_connections": self._admission.idle_count,
+            "bytes_being_read": self._admission.reading_bytes,
+            "turned_away": {
+                reason.value: count
+                for reason, count in self._admission.turned_away.items()
+            },
         }
 
     @functools.singledispatchmethod
@@ -191,5 +197,5 @@
         """
         self._draining = True
         self._listener.close()
-        self._connections.close_idle()
-        return self._connections.wait_empty(timeout_ms)
+        self._admission.close_idle()
+        return self._admission.wait_empty(timeout_ms)
--- a/samphiregate/metrics/_vm.py
+++ b/samphiregate/metrics/_vm.py
@@ -61,6 +61,16 @@
         """
         self.registry.register(_StateCollector(vm))
 
+    def watch_callers(self, admission):
+        """Shows what callers use and which of them were turned away.
+
+        Parameters
+        ----------
+        admission : Admission
+            Of the callers' server.
+        """
+        self.registry.register(_CallersCollector(admission))
+
     @contextlib.contextmanager
     def time_request(self, method):
         """Times a request; set `status` of what is yielded."""
@@ -98,6 +108,35 @@
     status = "500"
 
 
+class _CallersCollector:
+    """Reads the connections of callers when metrics are read."""
+
+    def __init__(self, admission):
+        self._admission = admission
+
+    def collect(self):
+        """Yields one family of metrics after the other."""
+        yield prometheus_core.GaugeMetricFamily(
+            "samphiregate_callers_connections",
+            "Open connections of callers.",
+            value=len(self._admission),
+        )
+        yield prometheus_core.GaugeMetricFamily(
+            "samphiregate_callers_reading_bytes",
+            "Bytes of requests that have not been read to their end.",
+            value=self._admission.reading_bytes,
+        )
+        yield _family_by(
+            "reason",
+            {
+                reason.value: count
+                for reason, count in self._admission.turned_away.items()
+            },
+            "samphiregate_callers_turned_away",
+            "Connections closed and requests refused for a limit, by reason.",
+        )
+
+
 class _StateCollector:
     """Reads the state of a VM when metrics are read."""
 
--- a/standins/traced_platform/__main__.py
+++ b/standins/traced_platform/__main__.py
@@ -15,6 +15,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path.insert(1, str(ROOT / "platform"))
 
+from samphiregate.adapters import http  # noqa: E402
+from samphiregate import errors  # noqa: E402
 from samphiregate_platform import callers  # noqa: E402
 from samphiregate_platform import main  # noqa: E402
 from samphiregate_platform import settings  # noqa: E402
@@ -24,17 +26,32 @@
 
 
 def trace_reads():
-    """Prints the `X-Request` header of each request once it was read."""
-    read_body = callers._read_body
-
-    def read_and_trace(environ):
-        body = read_body(environ)
-        number = environ.get("HTTP_X_REQUEST", "")
-        line = f"{traced_platform.READ}{number}\n"
-        os.write(STDERR, line.encode())
+    """Prints the `X-Request` header of each request once it was read.
+
+    A request that is refused by its head counts as read.
+    """
+    read_body = http.BodyReader.read
+    admit = callers.CallersApi._admit
+
+    def read_and_trace(self, environ):
+        body = read_body(self, environ)
+        _print_number(environ)
         return body
 
-    callers._read_body = read_and_trace
+    def admit_and_trace(self, environ):
+        try:
+            return admit(self, environ)
+        except errors.SamphiregateError:
+            _print_number(environ)
+            raise
+
+    http.BodyReader.read = read_and_trace
+    callers.CallersApi._admit = admit_and_trace
+
+
+def _print_number(environ):
+    number = environ.get("HTTP_X_REQUEST", "")
+    os.write(STDERR, f"{traced_platform.READ}{number}\n".encode())
 
 
 if __name__ == "__main__":
