Let others run while a client sends faster than it is read

What callers saw: 8 clients with chunks of one byte, or with trailers without end, and no ordinary request was answered any more, at the callers' port or, for such clients at the ready, metrics or peers' port, at any (base; 30 clients: no answer for 55 s after they had left). SIGTERM did not end the process either.

Cause: gevent's recv returns at once while bytes are there, without a switch, and the library reads chunk sizes and trailers a byte at a time. A client that is always ahead is the only one that runs: no other greenlet, no timer (so the time-outs of adapters/edge did not fire), no signal, no renewal of the lease.

Change: each read of 4 kB from a connection lets the others run first, and so does each read of what is dropped before a connection is closed. What chunks add to a body has a limit (`max_framing_bytes`, 262,144): without it such a body would cost the time of a second for each 1 MB, and trailers have no end at all.

--- a/features/clients.feature
+++ b/features/clients.feature
@@ -13,6 +13,8 @@
       | 20    | heads of 95 long lines, never ended          | front   | 120    | 200         |
       | 150   | bodies of 1 MB but one byte                  | front   | 120    | 200         |
       | 150   | chunked bodies of 1 MB, never ended          | front   | 120    | 200         |
+      | 8     | chunks of one byte without end               | front   | 120    | 200         |
+      | 8     | trailers without end                         | front   | 120    | 200         |
       | 8     | a chunk extension without end                | front   | 120    | 200         |
       | 8     | empty lines without end                      | front   | 120    | 200         |
       | 8     | empty lines without end, two bytes at a time | front   | 120    | 200         |
@@ -22,7 +24,10 @@
       | 8     | a request line without end                   | front   | 120    | 200         |
       | 8     | requests whose answers they don't read       | front   | 120    | 200         |
       | 20    | heads of 95 long lines, never ended          | ready   | 120    | 200         |
+      | 8     | trailers without end                         | ready   | 120    | 200         |
       | 20    | heads of 95 long lines, never ended          | peers   | 120    | 200         |
+      | 8     | chunks of one byte without end               | peers   | 120    | 200         |
+      | 8     | trailers without end                         | metrics | 120    | 200         |
 
   Scenario Outline: a VM ends by itself amid clients outside of the limits
     Given a VM with 120 MB and 200 descriptors
@@ -34,5 +39,7 @@
       | count | what                                   |
       | 20    | heads of 95 long lines, never ended    |
       | 150   | bodies of 1 MB but one byte            |
+      | 8     | chunks of one byte without end         |
+      | 8     | trailers without end                   |
       | 8     | requests whose answers they don't read |
       | 100   | bodies a byte at a time                |
--- a/samphiregate/adapters/http/_admission.py
+++ b/samphiregate/adapters/http/_admission.py
@@ -19,6 +19,7 @@
     READING = "reading"
     HEAD = "head"
     BODY = "body"
+    FRAMING = "framing"
     IDLE = "idle-timeout"
     SLOW_HEAD = "head-timeout"
     SLOW_BODY = "body-timeout"
--- a/samphiregate/adapters/http/_bodies.py
+++ b/samphiregate/adapters/http/_bodies.py
@@ -3,6 +3,7 @@
 import gevent
 
 from samphiregate.adapters.http import _admission
+from samphiregate.adapters.http import _body_input
 from samphiregate.adapters.http import _reader
 from samphiregate import errors
 
@@ -62,6 +63,8 @@
                 "too many large requests are being read",
                 retry_after_ms=RETRY_MS,
             ) from error
+        except _body_input.FramingTooLargeError as error:
+            raise self._too_large(_Reason.FRAMING) from error
         except OSError as error:
             raise errors.BadInputError(
                 "the body was cut short or is not valid"
@@ -71,7 +74,8 @@
         self._note(reason)
         return errors.SamphiregateError(
             _Code.BODY_TOO_LARGE,
-            f"a body may have {self.limits.max_body_bytes} bytes",
+            f"a body may have {self.limits.max_body_bytes} bytes, "
+            f"and {self.limits.max_framing_bytes} more for chunks",
         )
 
 
--- a/samphiregate/adapters/http/_handler.py
+++ b/samphiregate/adapters/http/_handler.py
@@ -111,6 +111,7 @@
         environ = super().get_environ()
         self.wsgi_input = _body_input.BodyInput(
             self.wsgi_input,
+            max_framing_bytes=self.server.limits.max_framing_bytes,
             on_complete=self._set_busy,
         )
         environ["wsgi.input"] = self.wsgi_input
@@ -192,6 +193,8 @@
 
     def _note_bytes(self, count):
         self.server.admission.add_bytes(self, count)
+        if self._is_serving:
+            self.wsgi_input.note_received(count)
 
     def _set_busy(self):
         self.server.admission.set_busy(self)
@@ -275,6 +278,7 @@
     def _read_and_drop(self):
         left = LINGER_BYTES
         while left > 0:
+            gevent.sleep(0)
             dropped = self.socket.recv(LINGER_READ_BYTES)
             if not dropped:
                 return
--- a/samphiregate/adapters/http/_limits.py
+++ b/samphiregate/adapters/http/_limits.py
@@ -24,6 +24,8 @@
         Request line and headers of a request.
     max_body_bytes : int
         Body of a request, without its framing.
+    max_framing_bytes : int
+        What chunks may add to a body: sizes, extensions and trailers.
     max_reading_bytes : int
         What all connections together have sent of requests that have not
         been read to their end.
@@ -40,6 +42,7 @@
     max_connections: int = 2_000
     max_head_bytes: int = 16_384
     max_body_bytes: int = 1 << 20
+    max_framing_bytes: int = 262_144
     max_reading_bytes: int = 8 << 20
     idle_timeout_ms: int = 60_000
     head_timeout_ms: int = 10_000
--- a/samphiregate/adapters/http/_reader.py
+++ b/samphiregate/adapters/http/_reader.py
@@ -1,8 +1,10 @@
-"""Reads what a client sends, until its connection has to make room."""
+"""Reads what a client sends, in turn with the other connections."""
 
 import io
 import ssl
 
+import gevent
+
 BUFFER_BYTES = 4_096
 
 
@@ -23,6 +25,9 @@
 class ReceivedStream(io.RawIOBase):
     """The bytes that a connection receives.
 
+    A client that sends faster than it is read never lets a read wait, so
+    each read gives the other greenlets their turn first.
+
     Parameters
     ----------
     sock : gevent.socket.socket
@@ -54,6 +59,8 @@
 
     def readinto(self, buffer):
         """Reads into `buffer`; returns the count, or None without any."""
+        if self._socket.gettimeout() != 0:
+            gevent.sleep(0)
         self._check()
         try:
             count = self._socket.recv_into(buffer)
@@ -75,5 +82,8 @@
 
 
 def buffered(stream):
-    """Returns a buffered reader of a `ReceivedStream`."""
+    """Returns a buffered reader of a `ReceivedStream`.
+
+    The buffer is as long as a client may be read without giving way.
+    """
     return io.BufferedReader(stream, BUFFER_BYTES)
