Leave descriptors for the store, the peers and the endpoints

Cause: no server bounded its connections, and `limits.max_fds` was not read.

Change: callers have half of the descriptors, and as many connections as a quarter of the memory bears; peers have a quarter, readiness and metrics 1/32 each. `process_limits` works the limits out, without I/O.

The clients of a crowd read their answers while they send, but for the row that says they don't. Traced: the VM had answered and closed (its side was in FIN_WAIT2, without a descriptor), the client was in CLOSE_WAIT and probed a window of zero, so it waited for room to send and never looked at the end of the stream.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -33,3 +33,18 @@
       | open a, open b, 500 of a, close a, 900 of b         | none   | 900   |
       | open a, 900 of a, wait a, 900 of a                  | none   | 900   |
       | open a, busy a, 5000 of a                           | none   | 0     |
+
+  Scenario Outline: the limits of a process follow from its memory and descriptors
+    Given a process with <memory> MB and <descriptors> descriptors
+    Then its callers may have <connections> connections and <bytes> bytes
+    And its peers may have <peers> connections and its monitoring <monitoring>
+
+    Examples:
+      | memory | descriptors | connections | bytes    | peers | monitoring |
+      | 0      | 0           | 2000        | 8388608  | 2000  | 64         |
+      | 300    | 4100        | 1875        | 30000000 | 1025  | 64         |
+      | 160    | 1638        | 819         | 16000000 | 409   | 51         |
+      | 552    | 10250       | 3450        | 55200000 | 2562  | 64         |
+      | 0      | 200         | 100         | 8388608  | 50    | 6          |
+      | 120    | 0           | 750         | 12000000 | 2000  | 64         |
+      | 1      | 1           | 1           | 1000000  | 1     | 1          |
--- a/features/clients.feature
+++ b/features/clients.feature
@@ -16,6 +16,9 @@
       | 8     | chunks of one byte without end               | front   | 120    | 200         |
       | 8     | trailers without end                         | front   | 120    | 200         |
       | 8     | a chunk extension without end                | front   | 120    | 200         |
+      | 300   | nothing                                      | front   | 120    | 200         |
+      | 300   | heads a byte at a time                       | front   | 120    | 200         |
+      | 300   | bodies a byte at a time                      | front   | 120    | 200         |
       | 8     | empty lines without end                      | front   | 120    | 200         |
       | 8     | empty lines without end, two bytes at a time | front   | 120    | 200         |
       | 8     | a request, then empty lines without end      | front   | 120    | 200         |
@@ -25,9 +28,12 @@
       | 8     | requests whose answers they don't read       | front   | 120    | 200         |
       | 20    | heads of 95 long lines, never ended          | ready   | 120    | 200         |
       | 8     | trailers without end                         | ready   | 120    | 200         |
+      | 300   | nothing                                      | ready   | 120    | 200         |
       | 20    | heads of 95 long lines, never ended          | peers   | 120    | 200         |
       | 8     | chunks of one byte without end               | peers   | 120    | 200         |
+      | 300   | nothing                                      | peers   | 120    | 200         |
       | 8     | trailers without end                         | metrics | 120    | 200         |
+      | 300   | nothing                                      | metrics | 120    | 200         |
 
   Scenario Outline: a VM ends by itself amid clients outside of the limits
     Given a VM with 120 MB and 200 descriptors
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -59,3 +59,26 @@
 @behave.then("{size:d} bytes are being read")
 def then_reading(context, size):
     assert context.admission.reading_bytes == size
+
+
+@behave.given("a process with {memory:d} MB and {descriptors:d} descriptors")
+def given_process(context, memory, descriptors):
+    context.limits = http.process_limits(memory_mb=memory, max_fds=descriptors)
+
+
+@behave.then(
+    "its callers may have {connections:d} connections and {size:d} bytes"
+)
+def then_callers(context, connections, size):
+    limits = context.limits.callers
+    assert limits.max_connections == connections, limits
+    assert limits.max_reading_bytes == size, limits
+
+
+@behave.then(
+    "its peers may have {peers:d} connections "
+    "and its monitoring {monitoring:d}"
+)
+def then_others(context, peers, monitoring):
+    assert context.limits.peers.max_connections == peers
+    assert context.limits.monitoring.max_connections == monitoring
--- a/features/support/crowds.py
+++ b/features/support/crowds.py
@@ -1,5 +1,6 @@
 """Clients outside of the limits, and the entry VM that bears them."""
 
+import collections
 import contextlib
 import pathlib
 import random
@@ -46,13 +47,16 @@
         Pause before each block.
     makes_methods : bool
         Whether it sends whole requests instead, each with a method of its
-        own, and reads their answers.
+        own.
+    reads : bool
+        Whether it reads the answers, and stops at the connection's end.
     """
 
     opening: bytes = b""
     block: bytes = b""
     pause_s: float = 0
     makes_methods: bool = False
+    reads: bool = True
 
 
 SCRIPT_BY_NAME = {
@@ -81,7 +85,7 @@
     "a line without end": Script(GET + b"X-Long: ", b"a" * MANY),
     "a request line without end": Script(b"GET /", b"a" * MANY),
     "requests whose answers they don't read": Script(
-        b"", (GET + b"\r\n") * 1_000
+        b"", (GET + b"\r\n") * 1_000, reads=False
     ),
 }
 
@@ -91,6 +95,7 @@
 
     def __init__(self, *, address, script, number):
         self.has_settled = False
+        self.stage = "connects"
         self._address = address
         self._script = script
         self._number = number
@@ -106,16 +111,29 @@
 
     def _play(self, connection):
         if self._script.makes_methods:
+            self.stage = "sends requests"
             self._send_requests(connection)
             return
-        _send(connection, self._script.opening)
-        while self._script.block:
-            gevent.sleep(self._script.pause_s)
-            _send(connection, self._script.block)
+        sending = gevent.spawn(self._send_script, connection)
+        try:
+            if self._script.reads:
+                while connection.recv(BLOCK_BYTES):
+                    pass
+            else:
+                sending.join()
+        finally:
+            sending.kill()
+
+    def _send_script(self, connection):
+        with contextlib.suppress(OSError):
+            self.stage = "sends its opening"
+            _send(connection, self._script.opening)
+            self.stage = "sends a block"
+            while self._script.block:
+                gevent.sleep(self._script.pause_s)
+                _send(connection, self._script.block)
+                self.has_settled = True
             self.has_settled = True
-        self.has_settled = True
-        while connection.recv(BLOCK_BYTES):
-            pass
 
     def _send_requests(self, connection):
         answers = connection.makefile("rb")
@@ -171,11 +189,16 @@
             for number in range(count)
         ]
         self._greenlets = [gevent.spawn(client.run) for client in clients]
-        processes.wait_until(
-            lambda: all(client.has_settled for client in clients),
-            vm_process.WAIT_S,
-            "what the clients send",
-        )
+        try:
+            processes.wait_until(
+                lambda: all(client.has_settled for client in clients),
+                vm_process.WAIT_S,
+                "what the clients send",
+            )
+        except processes.StartError as error:
+            left = [client for client in clients if not client.has_settled]
+            stages = collections.Counter(client.stage for client in left)
+            raise processes.StartError(f"{error.detail}: {stages}") from error
 
     def dismiss(self):
         """Closes the connections of the clients."""
--- a/samphiregate/adapters/http/_limits.py
+++ b/samphiregate/adapters/http/_limits.py
@@ -9,6 +9,11 @@
 CALLERS_CONNECTIONS_MEMORY = 1 / 4
 CALLERS_READING_MEMORY = 1 / 10
 PEERS_READING_MEMORY = 1 / 10
+# Parts of the descriptors that a process may open; the others are for its
+# calls to the store and to endpoints.
+CALLERS_DESCRIPTORS = 1 / 2
+PEERS_DESCRIPTORS = 1 / 4
+MONITORING_DESCRIPTORS = 1 / 32
 LONG_IDLE_MS = 600_000
 
 
@@ -79,13 +84,15 @@
     monitoring: ServerLimits = MONITORING
 
 
-def process_limits(*, memory_mb=0, callers=None):
+def process_limits(*, memory_mb=0, max_fds=0, callers=None):
     """Returns `ProcessLimits` that fit the limits of a process.
 
     Parameters
     ----------
     memory_mb : float
         Memory in megabytes; 0 if that is not known.
+    max_fds : int
+        Descriptors that it may open; 0 if that is not known.
     callers : dict or None
         Limits of the callers' server that are set, by name.
     """
@@ -95,6 +102,7 @@
         CALLERS,
         max_connections=_least(
             connections_bytes / CONNECTION_BYTES,
+            max_fds * CALLERS_DESCRIPTORS,
             default=CALLERS.max_connections,
         ),
         max_reading_bytes=_least(
@@ -107,13 +115,23 @@
         callers=attrs.evolve(fitted, **(callers or {})),
         peers=attrs.evolve(
             PEERS,
+            max_connections=_least(
+                max_fds * PEERS_DESCRIPTORS, default=PEERS.max_connections
+            ),
             max_reading_bytes=_least(
                 memory_bytes * PEERS_READING_MEMORY,
                 default=PEERS.max_reading_bytes,
                 least=PEERS.max_body_bytes,
             ),
         ),
-        monitoring=MONITORING,
+        monitoring=attrs.evolve(
+            MONITORING,
+            max_connections=_least(
+                max_fds * MONITORING_DESCRIPTORS,
+                MONITORING.max_connections if max_fds else 0,
+                default=MONITORING.max_connections,
+            ),
+        ),
     )
 
 
