Spare an ordinary request a turn of the loop and a timer

A read that follows a wait for input has just let the others run, so it need not do so again; and the time for sending an answer is the socket's own time-out, which costs nothing unless a send has to wait.

--- a/samphiregate/adapters/http/_handler.py
+++ b/samphiregate/adapters/http/_handler.py
@@ -34,6 +34,7 @@
     """Serves one connection of a `BoundedServer`."""
 
     def __init__(self, sock, address, server, rfile=None):
+        sock.settimeout(server.limits.write_timeout_ms / 1000)
         self._stream = _reader.ReceivedStream(sock, self._note_bytes)
         rfile = rfile or _reader.buffered(self._stream)
         super().__init__(sock, address, server, rfile)
@@ -164,10 +165,8 @@
         """Writes no log line for what clients do wrong."""
 
     def _sendall(self, data):
-        timeout_ms = self.server.limits.write_timeout_ms
         try:
-            with self._time_limit(timeout_ms):
-                super()._sendall(data)
+            super()._sendall(data)
         except TimeoutError as error:
             self.server.admission.note(_Reason.SLOW_READER)
             raise ConnectionResetError(
@@ -213,6 +212,7 @@
             watcher.stop()
             watcher.close()
         self.wake.clear()
+        self._stream.has_waited = True
         if not woken:
             self.server.admission.note(_Reason.IDLE)
             return False
--- a/samphiregate/adapters/http/_reader.py
+++ b/samphiregate/adapters/http/_reader.py
@@ -34,10 +34,16 @@
     note_bytes : callable
         Takes the number of bytes received; may raise.
 
+    Attributes
+    ----------
+    has_waited : bool
+        Whether others ran since the last read, so that the next one need
+        not wait for them.
     """
 
     def __init__(self, sock, note_bytes):
         super().__init__()
+        self.has_waited = False
         self._gives_way = False
         self._reason = None
         self._socket = sock
@@ -59,8 +65,9 @@
 
     def readinto(self, buffer):
         """Reads into `buffer`; returns the count, or None without any."""
-        if self._socket.gettimeout() != 0:
+        if not self.has_waited and self._socket.gettimeout() != 0:
             gevent.sleep(0)
+        self.has_waited = False
         self._check()
         try:
             count = self._socket.recv_into(buffer)
