--- a/features/admission.feature
+++ b/features/admission.feature
@@ -48,3 +48,23 @@
       | 0      | 200         | 100         | 8388608  | 50    | 6          |
       | 120    | 0           | 750         | 12000000 | 2000  | 64         |
       | 1      | 1           | 1           | 1000000  | 1     | 1          |
+
+  Scenario Outline: a server counts what it turns away, by reason
+    Given a server with small limits
+    When a client sends <what>
+    Then it is answered with <status>
+    And the server counts <reason>
+
+    Examples:
+      | what                                    | status  | reason        |
+      | nothing                                 | nothing | idle-timeout  |
+      | half a request line                     | nothing | head-timeout  |
+      | half a head                             | 408     | head-timeout  |
+      | a head of 2000 bytes                    | 431     | head          |
+      | a request line of 9000 bytes            | 414     | head          |
+      | half a body                             | 408     | body-timeout  |
+      | a body that is too long                 | 413     | body          |
+      | a body in chunks of one byte            | 413     | framing       |
+      | trailers without end                    | 413     | framing       |
+      | a body larger than all may be           | 503     | reading       |
+      | requests, and never reads their answers | 200     | write-timeout |
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -1,10 +1,42 @@
 """Steps about connections that give way to others."""
 
+import contextlib
+
 import behave
+import gevent
+from gevent import socket
 
 from samphiregate.adapters import http
+from samphiregate import errors
 
 NONE = "none"
+WAIT_S = 20  # upper bound, not an expected time
+READ_BYTES = 4_096
+ANSWER_BYTES = 1_000_000
+STATUS_BY_CODE = {
+    errors.ErrorCode.BAD_INPUT: 400,
+    errors.ErrorCode.BODY_TOO_LARGE: 413,
+    errors.ErrorCode.OVERLOADED: 503,
+    errors.ErrorCode.TIMEOUT: 408,
+}
+GET = b"GET / HTTP/1.1\r\nHost: h\r\n"
+POST = b"POST / HTTP/1.1\r\nHost: h\r\n"
+CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
+DATA_BY_NAME = {
+    "nothing": b"",
+    "half a request line": b"GET /",
+    "half a head": GET,
+    "a head of 2000 bytes": GET + b"X: " + b"a" * 2_000 + b"\r\n\r\n",
+    "a request line of 9000 bytes": b"GET /" + b"a" * 9_000,
+    "half a body": POST + b"Content-Length: 10\r\n\r\nhalf",
+    "a body that is too long": POST + b"Content-Length: 100001\r\n\r\n",
+    "a body in chunks of one byte": CHUNKED + b"1\r\nx\r\n" * 9_000,
+    "trailers without end": CHUNKED + b"0\r\n" + b"a: b\r\n" * 9_000,
+    "a body larger than all may be": POST
+    + b"Content-Length: 90000\r\n\r\n"
+    + b"x" * 90_000,
+    "requests, and never reads their answers": (GET + b"\r\n") * 30,
+}
 
 
 class _Connection:
@@ -82,3 +114,89 @@
 def then_others(context, peers, monitoring):
     assert context.limits.peers.max_connections == peers
     assert context.limits.monitoring.max_connections == monitoring
+
+
+@behave.given("a server with small limits")
+def given_server(context):
+    limits = http.ServerLimits(
+        max_head_bytes=1_000,
+        max_body_bytes=100_000,
+        max_framing_bytes=10_000,
+        max_reading_bytes=60_000,
+        idle_timeout_ms=300,
+        head_timeout_ms=300,
+        body_timeout_ms=300,
+        write_timeout_ms=300,
+    )
+    context.server = http.DrainingServer(
+        "127.0.0.1:0", _Application(limits), limits=limits
+    )
+    context.server.application.note = context.server.admission.note
+    context.server.start()
+    context.add_cleanup(context.server.stop, timeout=0)
+
+
+class _Application:
+    """Reads bodies; answers with many bytes, or with why it refused."""
+
+    def __init__(self, limits):
+        self.note = None
+        self._limits = limits
+
+    def __call__(self, environ, start_response):
+        bodies = http.BodyReader(self._limits, self.note)
+        try:
+            bodies.read(environ)
+        except errors.SamphiregateError as error:
+            status = f"{STATUS_BY_CODE[error.code]} Refused"
+            start_response(status, [("Content-Length", "0")])
+            return [b""]
+        start_response("200 OK", [("Content-Length", str(ANSWER_BYTES))])
+        return [b"x" * ANSWER_BYTES]
+
+
+@behave.when("a client sends {what}")
+def when_client_sends(context, what):
+    context.client = socket.create_connection(
+        ("127.0.0.1", context.server.server_port)
+    )
+    context.add_cleanup(context.client.close)
+    context.client.settimeout(WAIT_S)
+    sending = gevent.spawn(_send, context.client, DATA_BY_NAME[what])
+    context.add_cleanup(sending.kill)
+    if "never reads" in what:
+        _wait_for(lambda: context.server.admission.turned_away)
+
+
+def _send(client, data):
+    with contextlib.suppress(OSError):
+        client.sendall(data)
+
+
+def _wait_for(condition):
+    with gevent.Timeout(WAIT_S, AssertionError("not in time")):
+        while not condition():
+            gevent.sleep(0.01)
+
+
+@behave.then("it is answered with {status}")
+def then_answered(context, status):
+    received = b""
+    with contextlib.suppress(ConnectionError):
+        while b"\r\n" not in received:
+            block = context.client.recv(READ_BYTES)
+            if not block:
+                break
+            received += block
+    found = received.split(b" ")[1].decode() if received else "nothing"
+    assert found == status, received
+
+
+@behave.then("the server counts {reason}")
+def then_counted(context, reason):
+    admission = context.server.admission
+    _wait_for(lambda: admission.turned_away)
+    found = {reason.value: n for reason, n in admission.turned_away.items()}
+    assert found == {reason: 1}, found
+    _wait_for(lambda: not admission)
+    assert admission.reading_bytes == 0
--- a/samphiregate/adapters/http/_admission.py
+++ b/samphiregate/adapters/http/_admission.py
@@ -32,6 +32,8 @@
     Parameters
     ----------
     limits : ServerLimits
+    on_turned_away : callable
+        Takes the `Reason` of each connection closed or request refused.
 
     Attributes
     ----------
@@ -49,11 +51,12 @@
     largest request goes first: a sound one is small.
     """
 
-    def __init__(self, limits):
+    def __init__(self, limits, on_turned_away=lambda reason: None):
         self.max_connections = limits.max_connections
         self.max_reading_bytes = limits.max_reading_bytes
         self.reading_bytes = 0
         self.turned_away = collections.Counter()
+        self._on_turned_away = on_turned_away
         self._open = set()
         self._empty = gevent.event.Event()
         self._empty.set()
@@ -81,7 +84,7 @@
             False if there are too many, and none of them can give way.
         """
         if not self._has_room():
-            self.turned_away[Reason.CONNECTIONS] += 1
+            self.note(Reason.CONNECTIONS)
             return False
         self._open.add(connection)
         self._empty.clear()
@@ -118,8 +121,9 @@
             self._turn_away(largest, Reason.READING)
 
     def note(self, reason):
-        """Counts a request that was refused for another reason."""
+        """Counts a connection closed or request refused for a reason."""
         self.turned_away[reason] += 1
+        self._on_turned_away(reason)
 
     def close_idle(self):
         """Closes the connections that have sent nothing of a request."""
@@ -145,7 +149,7 @@
         return False
 
     def _turn_away(self, connection, reason):
-        self.turned_away[reason] += 1
+        self.note(reason)
         self._forget(connection)
         connection.give_way(reason)
 
