Show that ten of the largest sound jobs at once stop a cell

What callers saw: ten clients each submit a job of 10,000 steps (1 MB), all are answered with 200, and no VM serves the cell any more while they are there; one such job is fine. The owner would hold 327 MB for them, on machines of 160 MB.

--- a/features/clients.feature
+++ b/features/clients.feature
@@ -50,3 +50,16 @@
       | 8     | trailers without end                   |
       | 8     | requests whose answers they don't read |
       | 100   | bodies a byte at a time                |
+
+  Scenario Outline: jobs of the largest sound size fit into the memory of a VM
+    Given a VM with <memory> MB and 200 descriptors
+    When <count> clients each submit the largest sound job
+    Then each of their jobs is accepted or refused as not run
+    And the owner holds those that were accepted
+    And an ordinary request is answered
+    And the VM is ready and kept to its memory and descriptors
+
+    Examples: sent at once
+      | count | memory |
+      | 1     | 160    |
+      | 10    | 160    |
--- a/features/steps/clients_steps.py
+++ b/features/steps/clients_steps.py
@@ -3,9 +3,11 @@
 import signal
 
 import behave
+import gevent
 
 from features.support import crowds
 from features.support import vm_process
+from standins import processes
 
 
 @behave.given("a VM with {memory_mb:d} MB and {max_fds:d} descriptors")
@@ -22,6 +24,29 @@
     context.vm.gather(count, what, port)
 
 
+@behave.when("{count:d} clients each submit the largest sound job")
+def when_large_jobs(context, count):
+    body = crowds.largest_job()
+    calls = [gevent.spawn(context.vm.submit, body) for _ in range(count)]
+    gevent.joinall(calls)
+    context.statuses = [call.value for call in calls]
+
+
+@behave.then("each of their jobs is accepted or refused as not run")
+def then_definite(context):
+    assert set(context.statuses) <= {200, 429, 503}, context.statuses
+
+
+@behave.then("the owner holds those that were accepted")
+def then_held(context):
+    count = context.statuses.count(200)
+    processes.wait_until(
+        lambda: context.vm.count_waiting() >= count,
+        vm_process.WAIT_S,
+        "taking in the jobs",
+    )
+
+
 @behave.when("the clients have left")
 def when_left(context):
     context.vm.dismiss()
--- a/features/support/crowds.py
+++ b/features/support/crowds.py
@@ -8,6 +8,7 @@
 import attrs
 import gevent
 from gevent import socket
+import orjson
 
 from features.support import vm_process
 from samphiregate.adapters import http
@@ -22,7 +23,10 @@
 REQUESTS_PER_CLIENT = 3_000
 MANY = 10_000
 BODY = b'{"spec":"x","steps":[{"count":1,"cpu":100}]}'
-PATH = "/q/%016x"
+QUEUE_PATH = "/q/"
+PATH = QUEUE_PATH + "%016x"
+MAX_STEPS = 10_000
+MAX_PAYLOAD_BYTES = 4_000
 WAIT_MS = vm_process.WAIT_S * 1000
 
 HOST = b"Host: h\r\n"
@@ -204,19 +208,27 @@
         """Closes the connections of the clients."""
         gevent.killall(self._greenlets)
 
-    def submit(self):
-        """Sends one ordinary request; returns its status, 0 without one."""
-        headers = {"Host": "h", "X-Deadline-Ms": str(WAIT_MS)}
+    def submit(self, body=BODY):
+        """Submits a job, a small one; returns the status, 0 without one."""
         path = PATH % self._random.getrandbits(64)
+        answer = self._call("POST", path, body)
+        return answer.status if answer else 0
+
+    def count_waiting(self):
+        """Returns how many jobs wait, by the owner; 0 if it is silent."""
+        answer = self._call("GET", QUEUE_PATH)
+        if answer is None or answer.status != 200:
+            return 0
+        return answer.json()["waiting"]
+
+    def _call(self, method, path, body=b""):
+        headers = {"Host": "h", "X-Deadline-Ms": str(WAIT_MS)}
         front = self.address_by_port["front"]
         with http.Client(front, timeout_ms=WAIT_MS) as client:
             try:
-                answer = client.request(
-                    "POST", path, body=BODY, headers=headers
-                )
+                return client.request(method, path, body=body, headers=headers)
             except errors.UnavailableError:
-                return 0
-        return answer.status
+                return None
 
     def peak_bytes(self):
         """Returns the most memory that the process had resident."""
@@ -237,6 +249,22 @@
             gevent.sleep(SAMPLE_S)
 
 
+def largest_job():
+    """Returns the body of a job of as many steps and bytes as are allowed."""
+    steps = [
+        {
+            "count": 1,
+            "cpu": 100,
+            "mem_mb": 10,
+            "estimate_ms": 1_000,
+            "affinity": "r" * 10,
+            "after": [max(number - 1, 0)] if number else [],
+        }
+        for number in range(MAX_STEPS)
+    ]
+    return orjson.dumps({"spec": "x" * MAX_PAYLOAD_BYTES, "steps": steps})
+
+
 def _connect(endpoint):
     host, _colon, port = endpoint.partition(":")
     return socket.create_connection((host, int(port)))
