--- a/features/support/cells_peers.py
+++ b/features/support/cells_peers.py
@@ -18,8 +18,10 @@
     str
         ``ip:port``.
     """
-    peers = _peer_calls.PeerCalls(answer=answer)
-    server = http.NoDelayServer("127.0.0.1:0", peers.application)
+    peers = _make_calls(answer)
+    server = http.BoundedServer(
+        "127.0.0.1:0", peers.application, limits=http.ProcessLimits().peers
+    )
     server.start()
     context.add_cleanup(server.stop, timeout=0)
     return f"127.0.0.1:{server.server_port}"
@@ -27,6 +29,11 @@
 
 def make_calls(context):
     """Returns `PeerCalls` to other VMs, closed when the scenario ends."""
-    peers = _peer_calls.PeerCalls(answer=None)
+    peers = _make_calls(answer=None)
     context.add_cleanup(peers.__exit__)
     return peers
+
+
+def _make_calls(answer):
+    bodies = http.BodyReader(http.ProcessLimits().peers)
+    return _peer_calls.PeerCalls(answer=answer, bodies=bodies)
--- a/samphiregate/adapters/cells/_peer_calls.py
+++ b/samphiregate/adapters/cells/_peer_calls.py
@@ -11,7 +11,6 @@
 MAX_CONNECTIONS = 16
 CONNECT_TIMEOUT_MS = 500
 READ_TIMEOUT_MS = 1_000
-_DEFAULT_BODIES = http.BodyReader(http.ProcessLimits().peers)
 
 
 class UnexpectedAnswerError(errors.SamphiregateError):
@@ -32,9 +31,10 @@
     answer : callable
         Takes a message that another VM sent; returns the answer.
     bodies : BodyReader
+        Reads the messages of other VMs.
     """
 
-    def __init__(self, *, answer, bodies=_DEFAULT_BODIES):
+    def __init__(self, *, answer, bodies):
         self._answer = answer
         self._bodies = bodies
         self._clients = http.Clients(
--- a/samphiregate/adapters/http/_handler.py
+++ b/samphiregate/adapters/http/_handler.py
@@ -2,11 +2,11 @@
 
 import errno
 import socket
-import ssl
 
 import gevent
 import gevent.event
 from gevent import pywsgi
+from gevent import ssl
 
 from samphiregate.adapters.http import _admission
 from samphiregate.adapters.http import _body_input
