Let a body that ended in an error be read again without a hang

What could have come of it: a read of a chunked body after one that failed would never return, and with it the process would stand still. No application reads twice today; it was found by reading the change again.

Cause: the library returns nothing from then on, and a body with an error never counts as complete, so the loop of `BodyInput.read` had no end.

Change: a read that returns nothing ends the loop.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -68,3 +68,8 @@
       | trailers without end                    | 413     | framing       |
       | a body larger than all may be           | 503     | reading       |
       | requests, and never reads their answers | 200     | write-timeout |
+
+  Scenario: a body that was cut short can be read again without a hang
+    Given a body in chunks that was cut short
+    When it is read twice
+    Then the first read fails and the second one returns nothing
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -1,17 +1,22 @@
 """Steps about connections that give way to others."""
 
 import contextlib
+import io
+from unittest import mock
 
 import behave
 import gevent
+from gevent import pywsgi
 from gevent import socket
 
 from samphiregate.adapters import http
+from samphiregate.adapters.http import _body_input
 from samphiregate import errors
 
 NONE = "none"
 WAIT_S = 20  # upper bound, not an expected time
 READ_BYTES = 4_096
+MAX_READS = 100
 ANSWER_BYTES = 1_000_000
 STATUS_BY_CODE = {
     errors.ErrorCode.BAD_INPUT: 400,
@@ -200,3 +205,41 @@
     assert found == {reason: 1}, found
     _wait_for(lambda: not admission)
     assert admission.reading_bytes == 0
+
+
+@behave.given("a body in chunks that was cut short")
+def given_cut_body(context):
+    received = io.BytesIO(b"ff\r\nhalf")
+    given = pywsgi.Input(received, None, chunked_input=True)
+    context.body = _body_input.BodyInput(
+        given, max_framing_bytes=1_000, on_complete=lambda: None
+    )
+
+
+@behave.when("it is read twice")
+def when_read_twice(context):
+    read = pywsgi.Input.read
+    context.outcomes = []
+    with mock.patch.object(
+        pywsgi.Input, "read", autospec=True, side_effect=_limited(read)
+    ):
+        for _time in range(2):
+            try:
+                context.outcomes.append(context.body.read())
+            except OSError:
+                context.outcomes.append("fails")
+
+
+def _limited(read):
+    calls = iter(range(MAX_READS))
+
+    def read_limited(source, length=None):
+        assert next(calls, None) is not None, "read without end"
+        return read(source, length)
+
+    return read_limited
+
+
+@behave.then("the first read fails and the second one returns nothing")
+def then_read_twice(context):
+    assert context.outcomes == ["fails", b""], context.outcomes
--- a/samphiregate/adapters/http/_body_input.py
+++ b/samphiregate/adapters/http/_body_input.py
@@ -61,16 +61,19 @@
         """Reads up to `length` bytes, all of them by default."""
         if length is not None and length < 0:
             length = None
+        was_complete = self.is_complete
         blocks = []
         while not self.is_complete and length != 0:
             size = BLOCK_BYTES if length is None else min(BLOCK_BYTES, length)
             block = super().read(size)
+            if not block:
+                break  # it ended in an error before, or with the last chunk
             self._returned += len(block)
             blocks.append(block)
             if length is not None:
                 length -= len(block)
-            if self.is_complete:
-                self._on_complete()
+        if self.is_complete and not was_complete:
+            self._on_complete()
         return b"".join(blocks)
 
     def note_received(self, count):
